--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Everything here works on a fresh machine with Python 3.11 and make.
+PYTHON ?= python3.11
+VENV := .venv
+RUN := $(VENV)/bin/python
+PACKAGES := decide declare wire daemon cli lab
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo fleet bench capacity test lint format lock proto clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	@command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet uv
+	VIRTUAL_ENV=$(VENV) $(VENV)/bin/uv pip install --quiet --require-hashes -r requirements.lock
+	VIRTUAL_ENV=$(VENV) $(VENV)/bin/uv pip install --quiet --no-deps --no-build-isolation \
+		$(foreach package,$(PACKAGES),-e packages/$(package))
+	@touch $(STAMP)
+
+demo: setup
+	@$(RUN) -m sesamespindle.lab.main demo
+
+fleet: setup
+	@$(RUN) -m sesamespindle.lab.main fleet
+
+bench: setup
+	@$(RUN) -m sesamespindle.lab.main bench
+
+capacity: setup
+	@$(RUN) -m sesamespindle.lab.main capacity
+
+test: setup
+	$(RUN) -m pytest tests
+
+lint: setup
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+
+format: setup
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+# Needs the package index; the lock carries hashes and no host.
+lock:
+	$(VENV)/bin/uv pip compile --quiet requirements.in --generate-hashes --no-annotate \
+		--no-header --no-emit-index-url --python-version 3.11 -o requirements.lock
+
+proto: setup
+	cd packages/wire && ../../$(RUN) -m grpc_tools.protoc -I. \
+		--python_out=. --grpc_python_out=. sesamespindle/wire/peers.proto
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/packages/cli/sesamespindle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of sesamespindle, for operators and callers."""
--- /dev/null
+++ b/packages/cli/sesamespindle/cli/main.py
@@ -0,0 +1,304 @@
+"""The command line of operators and callers."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import typing
+
+import aiohttp
+import cyclopts
+
+from sesamespindle.cli import changes, context, outcomes, sending, timeline
+from sesamespindle.declare import documents, findings
+from sesamespindle.wire import head, platform
+
+Json = typing.Annotated[
+    bool, cyclopts.Parameter(name="--json", help="Print JSON.", negative="")
+]
+_WAIT_STEP_SECONDS = 0.1
+
+app = cyclopts.App(
+    name="sesamespindle",
+    help="Declare, apply and look after a sesamespindle fleet.",
+    version="0.1.0",
+)
+app.register_install_completion_command()
+
+
+@app.command
+def validate(folder: pathlib.Path, as_json: Json = False):
+    """Check all declarations in a folder and list everything that is wrong."""
+    entity_by_key = _read(folder, as_json)
+    outcomes.print_result(
+        {"findings": [], "documents": len(entity_by_key)},
+        as_json,
+        f"{len(entity_by_key)} documents, nothing wrong.",
+    )
+
+
+@app.command
+def diff(folder: pathlib.Path, as_json: Json = False):
+    """Show what applying a folder would change."""
+    entity_by_key = _read(folder, as_json)
+
+    async def run(opened):
+        stored = await head.read(opened.platform)
+        return stored.head
+
+    current = _run(run)
+    change = changes.compare(current.digest_by_key, changes.digests(entity_by_key))
+    value = {
+        "revision": current.revision,
+        "added": change.added,
+        "changed": change.changed,
+        "removed": change.removed,
+    }
+    text = "\n".join(change.lines()) or "Nothing would change."
+    outcomes.print_result(value, as_json, text)
+
+
+@app.command
+def apply(
+    folder: pathlib.Path,
+    wait: bool = False,
+    timeout: float = 30.0,
+    as_json: Json = False,
+):
+    """Put the declarations of a folder in force.
+
+    Parameters
+    ----------
+    folder
+        The folder of YAML files; it holds the whole set.
+    wait
+        Return only when all live daemons have the new revision in force.
+    timeout
+        Seconds to wait at the most.
+    """
+    entity_by_key = _read(folder, as_json)
+
+    async def run(opened):
+        moved = await changes.apply(opened.platform, entity_by_key)
+        if wait:
+            await _wait_in_force(opened, moved.revision, timeout)
+        return moved
+
+    moved = _run(run)
+    outcomes.print_result(
+        {"revision": moved.revision, "waited": wait},
+        as_json,
+        f"Revision {moved.revision} is accepted"
+        + (" and in force at all live daemons." if wait else "."),
+    )
+
+
+@app.command
+def status(as_json: Json = False):
+    """Show every daemon: its state, revision and requests in flight."""
+    answers = _run(lambda opened: opened.ask_daemons("/status"))
+    rows = [
+        (
+            item["name"],
+            item["data_centre"],
+            "leaving" if item["leaving"] else "live",
+            item["revision"],
+            item["in_flight"],
+            sum(target["usable"] for target in item["targets"]),
+        )
+        for item in sorted(answers.values(), key=lambda item: item["name"])
+    ]
+    headings = ("ENTRY", "DATA CENTRE", "STATE", "REVISION", "IN FLIGHT", "TARGETS")
+    outcomes.print_result(
+        list(answers.values()), as_json, outcomes.table(headings, rows)
+    )
+
+
+@app.command
+def entries(entry: str = "", as_json: Json = False):
+    """Show which entries the account of SESAMESPINDLE_API_KEY should use."""
+
+    async def run(opened):
+        urls = await opened.entry_urls(entry)
+        headers = {"Authorization": f"Bearer {opened.api_key}"}
+        async with opened.session.get(f"{urls[0]}/v1/entries", headers=headers) as got:
+            return await got.json()
+
+    value = _run(run)
+    if "error" in value:
+        outcomes.fail(
+            outcomes.CommandError(value["error"]["message"], outcomes.Exit.REFUSED)
+        )
+    rows = [
+        (item["name"], item["data_centre"], item["url"]) for item in value["entries"]
+    ]
+    headings = ("ENTRY", "DATA CENTRE", "URL")
+    outcomes.print_result(value, as_json, outcomes.table(headings, rows))
+
+
+@app.command
+def contracts(as_json: Json = False):
+    """Show every contract in force, and what its account uses now."""
+    answers = _run(lambda opened: opened.ask_daemons("/status"))
+    running = {}
+    row_by_name = {}
+    for answer in answers.values():
+        for account in answer["accounts"]:
+            row_by_name[account["name"]] = account
+            used = running.setdefault(account["name"], [0, 0])
+            used[0] += account["running_here"]["prompts"]
+            used[1] += account["running_here"]["calls"]
+    rows = [
+        (
+            name,
+            f"{running[name][0]}/{row['concurrency']}",
+            f"{running[name][1]}/{row['call_concurrency']}",
+            row["priority"],
+        )
+        for name, row in sorted(row_by_name.items())
+    ]
+    value = [
+        row | {"prompts_running": running[name][0], "calls_running": running[name][1]}
+        for name, row in sorted(row_by_name.items())
+    ]
+    headings = ("ACCOUNT", "PROMPTS", "CALLS", "PRIORITY")
+    outcomes.print_result(value, as_json, outcomes.table(headings, rows))
+
+
+@app.command
+def drain(name: str, as_json: Json = False):
+    """Take a target or an entry out of service; all in flight is finished."""
+
+    async def run(opened):
+        answers = await opened.ask_daemons("/status")
+        for url, answer in answers.items():
+            if answer["name"] == name:
+                return await opened.ask_daemon(url, "/drain", method="POST")
+        path = f"/targets/{name}/drain"
+        for url in answers:
+            drained = await opened.ask_daemon(url, path, method="POST")
+            if drained:
+                return drained
+        raise outcomes.CommandError(
+            f"There is no entry or target {name!r}.", outcomes.Exit.FINDINGS
+        )
+
+    value = _run(run)
+    outcomes.print_result(value, as_json, f"{name} is leaving.")
+
+
+@app.command
+def send(
+    model: str,
+    prompt: str,
+    max_tokens: int = 64,
+    entry: str = "",
+    as_json: Json = False,
+):
+    """Send one prompt as a caller does, and show what became of it."""
+
+    async def run(opened):
+        urls = await opened.entry_urls(entry)
+        chosen = await sending.choose_entry(opened.session, urls, opened.api_key)
+        return await sending.send_prompt(
+            opened.session, chosen, opened.api_key, model, prompt, max_tokens
+        )
+
+    sent = _run(run)
+    value = {
+        "entry": sent.entry,
+        "target": sent.target,
+        "text": sent.text,
+        "first_token_seconds": sent.first_token_seconds,
+        "usage": sent.usage,
+    }
+    outcomes.print_result(value, as_json, sent.text)
+
+
+@app.command(name="timeline")
+def show_timeline(page: pathlib.Path | None = None, as_json: Json = False):
+    """Merge the event logs of all daemons into one ordered time line.
+
+    Parameters
+    ----------
+    page
+        Write a page to look at to this file.
+    """
+    answers = _run(lambda opened: opened.ask_daemons("/timeline"))
+    merged = timeline.merge(answer["events"] for answer in answers.values())
+    if page is not None:
+        page.write_text(timeline.as_page(merged), "utf-8")
+        return
+    outcomes.print_result(merged, as_json, timeline.as_text(merged))
+
+
+async def _wait_in_force(opened, revision, timeout):
+    try:
+        async with asyncio.timeout(timeout):
+            while not await _is_in_force(opened, revision):
+                await asyncio.sleep(_WAIT_STEP_SECONDS)
+    except TimeoutError as error:
+        raise outcomes.CommandError(
+            f"Revision {revision} is accepted, but not yet in force everywhere.",
+            outcomes.Exit.TIMED_OUT,
+        ) from error
+
+
+async def _is_in_force(opened, revision):
+    """Return whether all live daemons have a revision, by their own word."""
+    answers = await opened.ask_daemons("/status")
+    in_force = {item["name"]: item["revision"] for item in answers.values()}
+    live = {
+        row["name"]
+        for item in answers.values()
+        for row in item["entries"]
+        if row["state"] == "live"
+    }
+    return bool(in_force) and all(
+        in_force.get(name, 0) >= revision for name in live | in_force.keys()
+    )
+
+
+def _read(folder, as_json):
+    try:
+        return documents.read_folder(folder)
+    except findings.FindingsError as error:
+        if as_json:
+            items = [
+                {
+                    "file": item.file,
+                    "line": item.line,
+                    "column": item.column,
+                    "code": item.code,
+                    "message": item.message,
+                }
+                for item in error.findings
+            ]
+            print(json.dumps({"findings": items}, indent=2))
+        else:
+            print(error)
+        sys.exit(int(outcomes.Exit.FINDINGS))
+
+
+def _run(function):
+    """Run a command's asynchronous part; show its error as one line."""
+
+    async def run():
+        async with context.open_context() as opened:
+            return await function(opened)
+
+    try:
+        return asyncio.run(run())
+    except outcomes.CommandError as error:
+        outcomes.fail(error)
+    except (platform.PlatformAwayError, aiohttp.ClientError) as error:
+        outcomes.fail(outcomes.CommandError(f"No answer. {error}", outcomes.Exit.AWAY))
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/sesamespindle/cli/sending.py
@@ -0,0 +1,119 @@
+"""Sending a prompt or a call as a caller does: ask for entries, then connect."""
+
+import dataclasses
+import json
+import time
+
+import aiohttp
+
+from sesamespindle.cli import outcomes
+
+_DATA = "data: "
+_ID = "id: "
+
+
+@dataclasses.dataclass
+class Sent:
+    """What came of a request.
+
+    Attributes
+    ----------
+    first_token_seconds : float
+        From sending to the first token; 0 where none came.
+    """
+
+    entry: str
+    target: str = ""
+    text: str = ""
+    first_token_seconds: float = 0.0
+    usage: dict = dataclasses.field(default_factory=dict)
+    outcome: str = "answered"
+
+
+async def choose_entry(session, urls, api_key):
+    """Return the first entry that any of the given ones tells us to use."""
+    for url in urls:
+        try:
+            async with session.get(
+                f"{url}/v1/entries", headers=_headers(api_key)
+            ) as response:
+                value = await response.json()
+                if response.status != 200:
+                    raise _refusal(value)
+                return value["entries"][0]
+        except aiohttp.ClientConnectionError:
+            continue
+    raise outcomes.CommandError("No entry answers.", outcomes.Exit.AWAY)
+
+
+async def send_prompt(session, entry, api_key, model, prompt, max_tokens):
+    """Stream one prompt's answer and return what came of it as `Sent`."""
+    sent = Sent(entry["name"])
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+    begun = time.monotonic()
+    async with session.post(
+        f"{entry['url']}/v1/chat/completions", json=body, headers=_headers(api_key)
+    ) as response:
+        if response.status != 200:
+            raise _refusal(await response.json())
+        sent.target = response.headers.get("X-Sesamespindle-Target", "")
+        async for line in response.content:
+            _take_line(sent, line.decode().strip(), begun)
+    return sent
+
+
+async def send_call(session, entry, api_key, pool, path, body, key):
+    """Make one call at a plain service and return the answer and its headers."""
+    headers = _headers(api_key)
+    if key:
+        headers["Idempotency-Key"] = key
+    async with session.post(
+        f"{entry['url']}/v1/services/{pool}/{path}", json=body, headers=headers
+    ) as response:
+        value = await response.json()
+        if "error" in value:
+            raise _refusal(value)
+        return value, response.headers.get("Idempotent-Replayed") == "true"
+
+
+async def mint_ticket(session, entry, api_key):
+    """Return a new ticket."""
+    async with session.post(
+        f"{entry['url']}/v1/tickets", headers=_headers(api_key)
+    ) as response:
+        value = await response.json()
+        if response.status != 201:
+            raise _refusal(value)
+        return value["ticket"]
+
+
+def _take_line(sent, line, begun):
+    if not line.startswith(_DATA) or line == "data: [DONE]":
+        return
+    value = json.loads(line[len(_DATA) :])
+    if "error" in value:
+        raise _refusal(value)
+    sent.usage = value.get("usage") or sent.usage
+    for choice in value["choices"]:
+        text = choice["delta"].get("content")
+        if text and not sent.first_token_seconds:
+            sent.first_token_seconds = time.monotonic() - begun
+        sent.text += text or ""
+
+
+def _refusal(value):
+    error = value["error"]
+    message = f"{error['code']} ({error['outcome']}): {error['message']}"
+    if error["retry_after"]:
+        message += f" Come back in {error['retry_after']} s."
+    return outcomes.CommandError(message, outcomes.Exit.REFUSED)
+
+
+def _headers(api_key):
+    return {"Authorization": f"Bearer {api_key}"}
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry host of sesamespindle."""
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -0,0 +1,237 @@
+"""Putting a daemon's parts together, and taking them down again."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+
+import aiohttp
+import aiohttp.web
+import aiomisc
+
+from sesamespindle.daemon import (
+    admin,
+    auth,
+    call_runner,
+    driver,
+    eventlog,
+    front,
+    logs,
+    metrics,
+    peering,
+    tickets,
+    tokens,
+    watchers,
+)
+from sesamespindle.decide import core, events, world
+from sesamespindle.wire import clock, engine, platform
+
+_log = logs.part("daemon")
+# A leaving daemon serves on until no request came for this long, so that
+# callers who were given its address a moment ago are still answered.
+_QUIET_SECONDS = 1.5
+_POLL_SECONDS = 0.05
+_BACKLOG = 1024
+
+
+@dataclasses.dataclass
+class Parts:
+    """The parts of one daemon that its fronts use."""
+
+    settings: object
+    driver: driver.Driver
+    keyring: auth.Keyring
+    signer: tokens.Signer
+    metrics: metrics.Metrics
+    engines: engine.EngineClient
+    declarations: watchers.DeclarationsWatcher
+    calls: call_runner.CallRunner
+    tickets: tickets.Tickets
+    stop_asked: asyncio.Event
+    leaving: bool = False
+
+
+class Daemon(aiomisc.Service):
+    """One entry host's daemon, from its first port to its last answer.
+
+    Parameters
+    ----------
+    settings : sesamespindle.declare.settings.Settings
+        What the daemon was told at its start.
+    announce : callable
+        Gets the `events.Host` of this daemon once it listens.
+    stop_asked : asyncio.Event
+        Set when the daemon is to leave; more than once does no harm.
+    """
+
+    def __init__(self, settings, announce, stop_asked, **kwargs):
+        super().__init__(**kwargs)
+        self._settings = settings
+        self._announce = announce
+        self._stop_asked = stop_asked
+        self._clock = clock.SystemClock()
+        self._stack = contextlib.AsyncExitStack()
+        self._watching = []
+        self._parts = None
+
+    async def start(self):
+        """Listen, put the parts together and begin to watch."""
+        settings = self._settings
+        caller_socket = _listen(settings.listen)
+        admin_socket = _listen(settings.admin)
+        server, peer_port = peering.bind(settings.peers.host, settings.peers.port)
+        me = events.Host(
+            settings.name,
+            "entry",
+            settings.data_centre,
+            _url(caller_socket),
+            f"{settings.peers.host}:{peer_port}",
+            _url(admin_socket),
+            int(self._clock.now().timestamp() * 1000),
+        )
+        session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        client = platform.PlatformClient(
+            session, str(settings.platform_url), settings.platform_timeout
+        )
+        self._parts = await self._assemble(me, session, client, server)
+        await self._serve(caller_socket, admin_socket)
+        self._begin_watching(client)
+        self._announce(me)
+        _log.info("Listens at {}.", me.url)
+
+    async def stop(self, exception=None):
+        """Leave: tell peers, finish all in flight, then close."""
+        await self._finish_in_flight()
+        for task in self._watching:
+            task.cancel()
+        await asyncio.gather(*self._watching, return_exceptions=True)
+        await self._stack.aclose()
+        _log.info("Has left.")
+
+    async def _assemble(self, me, session, client, server):
+        settings = self._settings
+        log = eventlog.EventLog(
+            me.name, eventlog.HybridClock(self._clock), settings.event_log_size
+        )
+        decide = core.Core(me, _policy(settings), me.incarnation, settings.seeds)
+        driving = driver.Driver(decide, self._clock, log)
+        keyring = auth.Keyring()
+        declarations = watchers.DeclarationsWatcher(driving, keyring, client, settings)
+        signer = tokens.Signer(settings.token_key.get_secret_value())
+        timeout = settings.policy.call_timeout
+        calls = await self._stack.enter_async_context(
+            call_runner.CallRunner(driving, client, timeout)
+        )
+        peers = await self._stack.enter_async_context(
+            peering.Peering(
+                driving, declarations, server, settings.admin_key.get_secret_value()
+            )
+        )
+        peers.serve_calls(calls, timeout)
+        await peers.start()
+        return Parts(
+            settings,
+            driving,
+            keyring,
+            signer,
+            metrics.Metrics(settings.statsd),
+            engine.EngineClient(session),
+            declarations,
+            calls,
+            tickets.Tickets(driving, calls, signer, peers, timeout),
+            self._stop_asked,
+        )
+
+    async def _serve(self, caller_socket, admin_socket):
+        limits = self._settings.limits
+        fronts = (
+            (front.Front(self._parts).application(), caller_socket),
+            (admin.Admin(self._parts).application(), admin_socket),
+        )
+        for application, listening in fronts:
+            runner = aiohttp.web.AppRunner(
+                application,
+                handler_cancellation=True,
+                access_log=None,
+                max_field_size=limits.header_bytes,
+                max_line_size=limits.header_bytes,
+                shutdown_timeout=1.0,
+            )
+            await runner.setup()
+            self._stack.push_async_callback(runner.cleanup)
+            await aiohttp.web.SockSite(runner, listening, backlog=_BACKLOG).start()
+
+    def _begin_watching(self, client):
+        parts = self._parts
+        runs = [
+            parts.declarations.run(),
+            watchers.HostsWatcher(parts.driver, client, self._settings).run(),
+            watchers.LoadWatcher(parts.driver, parts.engines, self._settings).run(),
+            self._tick(),
+        ]
+        self._watching = [asyncio.create_task(run) for run in runs]
+        for task in self._watching:
+            task.add_done_callback(self._leave_if_failed)
+
+    def _leave_if_failed(self, task):
+        """Leave when a part fails that the daemon can't do without.
+
+        Guards against a daemon that still answers callers but has stopped to
+        renew its slices or its membership: it would be trusted and be wrong.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.opt(exception=task.exception()).error("A part failed; the daemon leaves.")
+        self._stop_asked.set()
+
+    async def _tick(self):
+        while True:
+            self._parts.driver.feed(events.Tick())
+            self._parts.metrics.in_flight(self._parts.driver.in_flight)
+            await asyncio.sleep(self._settings.tick_seconds)
+
+    async def _finish_in_flight(self):
+        """Serve what still comes, until it has been quiet for a while.
+
+        Guards against cutting callers off who were given this address just
+        before: they keep it for some time, so the ports stay open, while
+        other entries already leave this one out of what they tell callers.
+        """
+        parts = self._parts
+        parts.leaving = True
+        parts.driver.feed(events.LeaveAsked())
+        _log.info("Leaves, with {} requests in flight.", parts.driver.in_flight)
+        grace = self._settings.shutdown_grace.total_seconds()
+        quiet = 0.0
+        waited = 0.0
+        while quiet < _QUIET_SECONDS and waited < grace:
+            await asyncio.sleep(_POLL_SECONDS)
+            waited += _POLL_SECONDS
+            quiet += _POLL_SECONDS
+            if parts.driver.in_flight or parts.calls.unsettled:
+                quiet = 0.0
+
+
+def _policy(settings):
+    policy = settings.policy
+    return world.Policy(
+        queue_patience=policy.queue_patience,
+        first_token_patience=policy.first_token_patience,
+        call_timeout=policy.call_timeout,
+        retry_after=policy.retry_after,
+        grant_lifetime=policy.grant_lifetime,
+        suspect_after=policy.suspect_after,
+    )
+
+
+def _listen(address):
+    return socket.create_server(
+        (str(address.host), address.port), backlog=_BACKLOG, reuse_port=False
+    )
+
+
+def _url(listening):
+    host, port = listening.getsockname()[:2]
+    return f"http://{host}:{port}"
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -0,0 +1,477 @@
+"""The HTTP front towards callers."""
+
+import asyncio
+import dataclasses
+import datetime
+import hashlib
+import secrets
+
+import aiohttp.web
+
+from sesamespindle.daemon import bodies, logs, prompt_runner, replies, tokens
+from sesamespindle.decide import commands, events, hashing
+from sesamespindle.wire import service
+
+_log = logs.part("front")
+_MAX_KEY_LENGTH = 2048
+_RESUME_GRACE_SECONDS = 3.0
+_REPLAYED_HEADER = "Idempotent-Replayed"
+
+
+class Front:
+    """Answers callers.
+
+    Parameters
+    ----------
+    parts : sesamespindle.daemon.assembly.Parts
+        The daemon's parts.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._settings = parts.settings
+        self._driver = parts.driver
+        self._left_runs = set()
+
+    def application(self):
+        """Return the aiohttp application."""
+        limits = self._settings.limits
+        application = aiohttp.web.Application(
+            client_max_size=limits.body_bytes, middlewares=[self._answer_errors]
+        )
+        route = application.router
+        route.add_get("/healthz", self._healthz)
+        route.add_get("/readyz", self._readyz)
+        route.add_get("/v1/entries", self._entries)
+        route.add_get("/v1/models", self._models)
+        route.add_get("/v1/models/{model}", self._model)
+        route.add_post("/v1/chat/completions", self._chat)
+        route.add_post("/v1/completions", self._completion)
+        route.add_post("/v1/tickets", self._ticket)
+        route.add_get("/v1/services/{pool}/{path:.*}", self._service_call)
+        route.add_post("/v1/services/{pool}/{path:.*}", self._service_call)
+        return application
+
+    @aiohttp.web.middleware
+    async def _answer_errors(self, request, handler):
+        """Turn every error into an answer in the API's form."""
+        try:
+            response = await handler(request)
+        except replies.CallerError as error:
+            self._parts.metrics.refused(error.code)
+            response = error.to_response()
+        except aiohttp.web.HTTPException as error:
+            code = "method_not_allowed" if error.status == 405 else "not_found"
+            response = replies.CallerError(
+                error.status, code, f"{request.method} {request.path}: {error.reason}."
+            ).to_response()
+        except Exception:
+            _log.exception("Unexpected error.")
+            response = replies.CallerError(
+                500,
+                "internal",
+                "Something went wrong in the entry.",
+                outcome=commands.Outcome.UNKNOWN,
+            ).to_response()
+        if self._parts.leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _healthz(self, request):
+        return aiohttp.web.json_response({"status": "ok"})
+
+    async def _readyz(self, request):
+        ready = self._parts.declarations.known.is_set() and not self._parts.leaving
+        return aiohttp.web.json_response(
+            {
+                "ready": ready,
+                "leaving": self._parts.leaving,
+                "revision": self._driver.core.state.revision,
+            },
+            status=200 if ready else 503,
+        )
+
+    async def _entries(self, request):
+        account = self._account(request)
+        kept_for = self._settings.entries_kept_for.total_seconds()
+        chosen = self._driver.core.choose_entries(
+            account, self._settings.entries_per_account
+        )
+        return aiohttp.web.json_response(
+            {
+                "entries": [
+                    {
+                        "name": entry.name,
+                        "url": entry.url,
+                        "data_centre": entry.data_centre,
+                    }
+                    for entry in chosen
+                ],
+                "keep_seconds": kept_for,
+            }
+        )
+
+    async def _models(self, request):
+        account = self._account(request)
+        models = self._driver.core.models_of(account)
+        return aiohttp.web.json_response(
+            {"object": "list", "data": [_model_value(model) for model in models]}
+        )
+
+    async def _model(self, request):
+        account = self._account(request)
+        name = request.match_info["model"]
+        for model in self._driver.core.models_of(account):
+            if model.name == name:
+                return aiohttp.web.json_response(_model_value(model))
+        raise replies.CallerError(
+            404, commands.Code.UNKNOWN_MODEL, f"There is no model {name!r}."
+        )
+
+    async def _chat(self, request):
+        return await self._answer_prompt(request, bodies.ChatBody, is_chat=True)
+
+    async def _completion(self, request):
+        return await self._answer_prompt(request, bodies.TextBody, is_chat=False)
+
+    async def _answer_prompt(self, request, model, is_chat):
+        account = self._account(request)
+        body = await bodies.read_model(request, self._settings.limits, model)
+        prompt, token = self._prompt_request(request, account, body)
+        answer_id = token.answer_id if token else f"cmpl-{prompt.request_id}"
+        form = replies.AnswerForm(
+            is_chat, answer_id, body.model, int(self._driver.clock.now().timestamp())
+        )
+        if token and not body.stream:
+            raise replies.CallerError(
+                400, "invalid_request", "Only a streamed answer can be resumed."
+            )
+        sink = _StreamSink(self, request, prompt, form, answer_id)
+        if not body.stream:
+            sink = _WholeSink(self, prompt)
+        run = await self._run_prompt(prompt, body, token, sink)
+        spent = replies.usage(prompt.prompt_tokens, run.delivered, run.started)
+        if not body.stream:
+            value = form.whole(run.text, run.finish_reason, spent)
+            headers = {"X-Sesamespindle-Target": sink.target}
+            return aiohttp.web.json_response(value, headers=headers)
+        wants_usage = body.stream_options and body.stream_options.include_usage
+        return await sink.finish(run, spent if wants_usage else None)
+
+    def _prompt_request(self, request, account, body):
+        text = body.prompt()
+        prompt = prompt_runner.PromptRequest(
+            self._new_request_id(),
+            account,
+            body.model,
+            text,
+            hashing.token_count(text),
+            body.answer_tokens(),
+            self._driver.clock.now() + self._settings.policy.prompt_timeout,
+        )
+        position = request.headers.get("Last-Event-ID", "")
+        if not position:
+            return prompt, None
+        try:
+            token, delivered = self._parts.signer.read_position(position, account)
+        except tokens.BadTokenError as error:
+            raise _unknown_stream() from error
+        if token.model != body.model:
+            raise _unknown_stream()
+        resumed = dataclasses.replace(
+            prompt, resume_stream=token.stream, delivered=delivered
+        )
+        return resumed, token
+
+    async def _run_prompt(self, prompt, body, token, sink):
+        """Run a prompt and return its `prompt_runner.PromptRun`."""
+        exchange = self._driver.open(prompt.request_id)
+        run = prompt_runner.PromptRun(
+            self._driver, self._parts.engines, exchange, prompt, sink
+        )
+        resume = None
+        if token is not None:
+            resume = events.StreamPosition(
+                token.target, token.version, prompt.delivered
+            )
+        try:
+            self._driver.feed(
+                events.PromptArrived(
+                    prompt.request_id,
+                    prompt.account,
+                    prompt.model,
+                    prompt.prompt,
+                    prompt.prompt_tokens,
+                    prompt.answer_tokens,
+                    prompt.deadline,
+                    body.prompt_cache_key,
+                    resume,
+                )
+            )
+            await run.run()
+        except replies.CallerError as error:
+            if not sink.prepared:
+                raise
+            await sink.fail(error)
+        except (asyncio.CancelledError, ConnectionError):
+            self._leave_run(prompt, run, can_resume=sink.prepared)
+            raise
+        self._end_run(prompt.request_id)
+        return run
+
+    def _end_run(self, request_id):
+        self._driver.close(request_id)
+        self._driver.feed(events.CallerLeft(request_id))
+
+    def _leave_run(self, prompt, run, can_resume):
+        """Give a caller whose link broke a while to read on at another entry.
+
+        The slot of the account's limit is held meanwhile, so that the engine
+        never has more streams of the account than the contract allows.
+        """
+        self._driver.close(prompt.request_id)
+        grace = _RESUME_GRACE_SECONDS if can_resume else 0.0
+        task = asyncio.create_task(self._cancel_later(prompt.request_id, run, grace))
+        self._left_runs.add(task)
+        task.add_done_callback(self._left_runs.discard)
+
+    async def _cancel_later(self, request_id, run, grace):
+        await asyncio.sleep(grace)
+        await run.cancel()
+        self._driver.feed(events.CallerLeft(request_id))
+
+    async def _ticket(self, request):
+        account = self._account(request)
+        await bodies.read(request, self._settings.limits)
+        if self._parts.leaving:
+            raise replies.CallerError(
+                503,
+                commands.Code.SHUTTING_DOWN,
+                "The entry is leaving and mints no more tickets.",
+                self._settings.policy.retry_after,
+            )
+        expires_at = self._driver.clock.now() + self._settings.ticket_lifetime
+        ticket = self._parts.signer.mint_ticket(
+            account, self._driver.core.state.me, expires_at
+        )
+        return aiohttp.web.json_response(
+            {
+                "ticket": ticket,
+                "expires_at": expires_at.isoformat(),
+                "entry": self._driver.core.state.me.name,
+            },
+            status=201,
+        )
+
+    async def _service_call(self, request):
+        account = self._account(request)
+        raw = await bodies.read(request, self._settings.limits)
+        key = request.headers.get("Idempotency-Key", "")
+        if len(key) > _MAX_KEY_LENGTH:
+            raise replies.CallerError(
+                400, "invalid_request", "The Idempotency-Key is too long."
+            )
+        pool = request.match_info["pool"]
+        call = service.ServiceRequest(
+            request.method,
+            request.match_info["path"],
+            request.content_type,
+            raw,
+            self._new_request_id(),
+            key,
+        )
+        reply = await self._make_call(account, pool, call)
+        headers = {_REPLAYED_HEADER: "true"} if reply.replayed else {}
+        return aiohttp.web.Response(
+            status=reply.answer.status,
+            body=reply.answer.body,
+            content_type=reply.answer.content_type,
+            headers=headers,
+        )
+
+    async def _make_call(self, account, pool, call):
+        if not call.key.startswith(tokens.TICKET_PREFIX):
+            kind = events.KeyKind.CALLER if call.key else events.KeyKind.NONE
+            arrival = self._arrival(account, pool, call, kind)
+            return await self._parts.calls.run(arrival, call)
+        return await self._parts.tickets.call(account, pool, call)
+
+    def _arrival(self, account, pool, call, kind):
+        return call_arrival(
+            self._driver, account, pool, call, kind, self._settings.policy.call_timeout
+        )
+
+    def _account(self, request):
+        """Return the account of a request's key; nothing runs without one."""
+        account = self._parts.keyring.account_of(
+            request.headers.get("Authorization", "")
+        )
+        if account is None:
+            raise replies.CallerError(
+                401, "invalid_api_key", "The API key is not known."
+            )
+        return account
+
+    def _new_request_id(self):
+        return f"{self._settings.name}-{secrets.token_hex(6)}"
+
+    def note_first_token(self, prompt, started, waited):
+        """Record the time to first token of a prompt."""
+        self._driver.event_log.add(
+            "first_token", prompt.request_id, f"after {waited * 1000:.0f} ms"
+        )
+        if started is not None:
+            self._parts.metrics.first_token(prompt.account, waited * 1000, started)
+
+    @property
+    def signer(self):
+        """Return the signer of positions."""
+        return self._parts.signer
+
+    @property
+    def clock(self):
+        """Return the clock."""
+        return self._driver.clock
+
+
+class _WholeSink:
+    """Takes an answer that is given to the caller in one piece."""
+
+    prepared = False
+
+    def __init__(self, front, prompt):
+        self._front = front
+        self._prompt = prompt
+        self._arrived_at = front.clock.now()
+        self._first = True
+        self.target = ""
+
+    async def begin(self, target, stream, version):
+        self.target = target
+        if self._first:
+            self._first = False
+            waited = self._front.clock.now() - self._arrived_at
+            self._front.note_first_token(self._prompt, None, waited.total_seconds())
+
+    async def take(self, piece):
+        """Do nothing: the run keeps the text."""
+
+
+class _StreamSink:
+    """Writes an answer to the caller as server-sent events.
+
+    Each event's id is a position from which any entry can read on.
+    """
+
+    def __init__(self, front, request, prompt, form, answer_id):
+        self._front = front
+        self._request = request
+        self._prompt = prompt
+        self._form = form
+        self._answer_id = answer_id
+        self._arrived_at = front.clock.now()
+        self._response = aiohttp.web.StreamResponse()
+        self._position = None
+        self._failed = False
+
+    @property
+    def prepared(self):
+        """Return whether the caller has the start of the answer."""
+        return self._response.prepared
+
+    async def begin(self, target, stream, version):
+        token = tokens.StreamToken(
+            self._prompt.account,
+            self._prompt.model,
+            target,
+            stream,
+            version,
+            self._answer_id,
+        )
+        self._position = self._front.signer.stream_signer(token)
+        if self._response.prepared:
+            return
+        waited = self._front.clock.now() - self._arrived_at
+        self._front.note_first_token(self._prompt, None, waited.total_seconds())
+        self._response.headers["X-Sesamespindle-Target"] = target
+        await self._prepare()
+        first = self._form.first_chunk()
+        if first is not None and not self._prompt.resume_stream:
+            await self._write(0, first)
+
+    async def take(self, piece):
+        if not self._response.prepared:
+            await self.begin_resumed(piece)
+        if piece.last:
+            return
+        await self._write(piece.sequence, self._form.chunk(piece.text))
+
+    async def begin_resumed(self, piece):
+        """Begin a response to a caller that reads on."""
+        token, _ = self._front.signer.read_position(
+            self._request.headers["Last-Event-ID"], self._prompt.account
+        )
+        self._position = self._front.signer.stream_signer(token)
+        await self._prepare()
+
+    async def _prepare(self):
+        self._response.headers["Content-Type"] = "text/event-stream"
+        self._response.headers["Cache-Control"] = "no-cache"
+        await self._response.prepare(self._request)
+
+    async def _write(self, sequence, data):
+        text = f"id: {self._position(sequence)}\ndata: {data}\n\n"
+        await self._response.write(text.encode())
+
+    async def finish(self, run, spent):
+        """Write the end of the answer and return the response."""
+        if self._failed:
+            return self._response
+        await self._write(run.delivered, self._form.last_chunk(run.finish_reason))
+        if spent is not None:
+            await self._write(run.delivered, self._form.usage_chunk(spent))
+        await self._response.write(b"data: [DONE]\n\n")
+        await self._response.write_eof()
+        return self._response
+
+    async def fail(self, error):
+        """Write an error into an answer that has begun."""
+        self._failed = True
+        text = f"data: {aiohttp.web.json_response(error.to_value()).text}\n\n"
+        await self._response.write(text.encode())
+        await self._response.write_eof()
+
+
+def call_arrival(driver, account, pool, call, kind, timeout):
+    """Return the event of a call's arrival."""
+    declared_pool = driver.core.state.pools.get(pool)
+    repeatable = call.method == "GET" or (
+        declared_pool is not None and call.path in declared_pool.repeatable_paths
+    )
+    parts = [pool.encode(), call.method.encode(), call.path.encode(), call.body]
+    fingerprint = hashlib.sha256(b"\0".join(parts)).hexdigest()
+    return events.CallArrived(
+        call.request_id,
+        account,
+        pool,
+        driver.clock.now() + timeout,
+        kind,
+        call.key,
+        fingerprint,
+        repeatable,
+    )
+
+
+def _unknown_stream():
+    return replies.CallerError(
+        404, "unknown_stream", "The Last-Event-ID names no stream."
+    )
+
+
+def _model_value(model):
+    return {
+        "id": model.name,
+        "object": "model",
+        "created": int(datetime.datetime(2026, 1, 1).timestamp()),
+        "owned_by": "sesamespindle",
+    }
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/main.py
@@ -0,0 +1,67 @@
+"""The program that runs on every entry host."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import aiomisc
+import cyclopts
+
+from sesamespindle.daemon import assembly, logs
+from sesamespindle.declare import findings, settings
+
+_EXIT_BAD_SETTINGS = 2
+_ANNOUNCED = ("name", "data_centre", "url", "peer_address", "admin_url", "incarnation")
+
+app = cyclopts.App(
+    name="sesamespindled", help="Run the daemon of an entry host.", version="0.1.0"
+)
+
+
+@app.default
+def run(config: pathlib.Path):
+    """Run the daemon until it is told to leave by SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    config
+        The YAML file with the settings of this host.
+    """
+    try:
+        loaded = settings.load(config, os.environ)
+    except findings.FindingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    logs.set_up(loaded.log, loaded.name)
+    stop_asked = asyncio.Event()
+    daemon = assembly.Daemon(loaded, _announce, stop_asked)
+    grace = loaded.shutdown_grace.total_seconds()
+    with aiomisc.entrypoint(
+        daemon,
+        log_config=False,
+        pool_size=1,
+        shutdown_timeout=grace * 2,
+        catch_signals=(signal.SIGUSR2,),
+    ) as loop:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop_asked.set)
+        loop.run_until_complete(stop_asked.wait())
+
+
+def _announce(me):
+    """Print where the daemon listens, as one line of JSON."""
+    fields = dataclasses.asdict(me)
+    print(json.dumps({name: fields[name] for name in _ANNOUNCED}), flush=True)
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -0,0 +1,337 @@
+"""Talking to the other daemons by gRPC."""
+
+import asyncio
+import datetime
+import itertools
+import json
+
+import grpc
+
+from sesamespindle.daemon import call_runner, front, logs, peermessages, replies
+from sesamespindle.decide import commands, events
+from sesamespindle.wire import head, peers_pb2, peers_pb2_grpc, service
+
+_log = logs.part("peers")
+_RPC_SECONDS = 1.0
+_FETCH_SECONDS = 5.0
+_KEY_METADATA = "peer-key"
+_OPTIONS = (("grpc.enable_http_proxy", 0),)
+
+
+def bind(host, port):
+    """Return a server, and the port that it is bound to; it answers nobody yet."""
+    server = grpc.aio.server(options=_OPTIONS)
+    return server, server.add_insecure_port(f"{host}:{port}")
+
+
+class Peering(peers_pb2_grpc.PeersServicer):
+    """Serves peers, and carries out commands that go to peers.
+
+    Parameters
+    ----------
+    declarations : sesamespindle.daemon.watchers.DeclarationsWatcher
+        Where revisions from peers go, and come from.
+    server : grpc.aio.Server
+        From `bind`; owned from now on.
+    key : str
+        The secret that all daemons share; a peer without it is refused.
+    """
+
+    def __init__(self, driver, declarations, server, key):
+        self._driver = driver
+        self._clock = driver.event_log.clock
+        self._declarations = declarations
+        self._metadata = ((_KEY_METADATA, key),)
+        self._key = key
+        self._calls = None
+        self._call_timeout = None
+        self._channel_by_address = {}
+        self._reply_by_exchange = {}
+        self._exchange_ids = itertools.count()
+        self._tasks = set()
+        self._fetching = False
+        self._server = server
+        self._on_commands()
+
+    def _on_commands(self):
+        driver = self._driver
+        driver.on(commands.GossipTo, lambda item: self._spawn(self._gossip(item)))
+        driver.on(commands.AskSlices, lambda item: self._spawn(self._ask(item)))
+        driver.on(
+            commands.AskHoldings, lambda item: self._spawn(self._ask_holdings(item))
+        )
+        driver.on(
+            commands.FetchDeclarations, lambda item: self._spawn(self._fetch(item))
+        )
+        for kind in (commands.GossipReply, commands.GrantSlices, commands.TellHoldings):
+            driver.on(kind, self._take_reply)
+
+    def serve_calls(self, calls, timeout):
+        """Make calls that peers pass on with this runner."""
+        self._calls = calls
+        self._call_timeout = timeout
+
+    async def start(self):
+        """Begin to answer peers at the port that was bound."""
+        peers_pb2_grpc.add_PeersServicer_to_server(self, self._server)
+        await self._server.start()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop(None)
+        for channel in self._channel_by_address.values():
+            await channel.close()
+
+    # What peers ask of this daemon.
+
+    async def Gossip(self, request, context):
+        """Answer a peer's half of a round."""
+        await self._check(request, context)
+        message = peermessages.gossip_from_wire(request)
+        reply = await self._exchange(
+            lambda exchange_id: events.GossipReceived(exchange_id, message)
+        )
+        return peermessages.gossip_to_wire(reply.message, self._clock.stamp())
+
+    async def AskSlices(self, request, context):
+        """Grant slices of the accounts that this daemon owns."""
+        await self._check(request, context)
+        asks = peermessages.asks_from_wire(request.asks)
+        reply = await self._exchange(
+            lambda exchange_id: events.SlicesAsked(exchange_id, request.entry, asks)
+        )
+        return peers_pb2.SliceGrants(
+            grants=peermessages.grants_to_wire(reply.grants), clock=self._clock.stamp()
+        )
+
+    async def AskHoldings(self, request, context):
+        """Tell a new owner what this daemon holds."""
+        await self._check(request, context)
+        accounts = tuple(request.accounts)
+        reply = await self._exchange(
+            lambda exchange_id: events.HoldingsAsked(exchange_id, accounts)
+        )
+        return peers_pb2.SliceAsks(
+            entry=self._driver.core.state.me.name,
+            asks=peermessages.asks_to_wire(reply.holdings),
+            clock=self._clock.stamp(),
+        )
+
+    async def ForwardCall(self, request, context):
+        """Make a call under a ticket that this daemon minted."""
+        await self._check(request, context)
+        call = service.ServiceRequest(
+            request.method,
+            request.path,
+            request.content_type,
+            request.body,
+            request.request_id,
+            request.ticket,
+        )
+        arrival = front.call_arrival(
+            self._driver,
+            request.account,
+            request.pool,
+            call,
+            events.KeyKind.TICKET,
+            datetime.timedelta(seconds=request.seconds_left),
+        )
+        try:
+            reply = await self._calls.run(arrival, call)
+        except replies.CallerError as error:
+            return _refusal_to_wire(error, self._clock.stamp())
+        return peers_pb2.ForwardedAnswer(
+            status=reply.answer.status,
+            content_type=reply.answer.content_type,
+            body=reply.answer.body,
+            replayed=reply.replayed,
+            clock=self._clock.stamp(),
+        )
+
+    async def FetchDeclarations(self, request, context):
+        """Give a peer the declarations in force here."""
+        await self._check(request, context, has_clock=False)
+        in_force, content_by_digest = self._declarations.contents(request.known_digests)
+        return peers_pb2.DeclarationsFound(
+            revision=in_force.revision,
+            head=json.dumps(in_force.to_value()).encode(),
+            documents={
+                digest: json.dumps(content).encode()
+                for digest, content in content_by_digest.items()
+            },
+        )
+
+    # What this daemon asks of peers.
+
+    async def forward_call(self, address, account, pool, call, timeout):
+        """Pass a call on and return its `call_runner.CallReply`.
+
+        Returns None where the peer can't be reached or does not answer, so
+        that it isn't known whether the call ran.
+
+        Raises
+        ------
+        replies.CallerError
+            If the peer refused the call.
+        """
+        seconds = timeout.total_seconds()
+        request = peers_pb2.ForwardedCall(
+            request_id=call.request_id,
+            account=account,
+            pool=pool,
+            path=call.path,
+            method=call.method,
+            content_type=call.content_type,
+            body=call.body,
+            ticket=call.key,
+            seconds_left=seconds,
+            clock=self._clock.stamp(),
+        )
+        answer = await self._call(address, "ForwardCall", request, seconds + 1.0)
+        if answer is None:
+            return None
+        if answer.code:
+            raise _refusal_from_wire(answer)
+        stored = events.StoredAnswer(answer.status, answer.content_type, answer.body)
+        return call_runner.CallReply(stored, answer.replayed)
+
+    async def _gossip(self, command):
+        message = peermessages.gossip_to_wire(command.message, self._clock.stamp())
+        answer = await self._call(command.peer_address, "Gossip", message)
+        if answer is not None:
+            self._driver.feed(
+                events.GossipAnswered(
+                    command.peer_address, peermessages.gossip_from_wire(answer)
+                )
+            )
+
+    async def _ask(self, command):
+        asked_at = self._driver.clock.now()
+        request = peers_pb2.SliceAsks(
+            entry=self._driver.core.state.me.name,
+            incarnation=self._driver.core.state.me.incarnation,
+            asks=peermessages.asks_to_wire(command.asks),
+            clock=self._clock.stamp(),
+        )
+        answer = await self._call(command.peer_address, "AskSlices", request)
+        if answer is not None:
+            grants = peermessages.grants_from_wire(answer.grants)
+            self._driver.feed(events.SlicesGranted(asked_at, grants))
+
+    async def _ask_holdings(self, command):
+        request = peers_pb2.HoldingsWanted(
+            accounts=command.accounts, clock=self._clock.stamp()
+        )
+        answer = await self._call(command.peer_address, "AskHoldings", request)
+        if answer is not None:
+            holdings = peermessages.asks_from_wire(answer.asks)
+            self._driver.feed(events.HoldingsTold(command.entry, holdings))
+
+    async def _fetch(self, command):
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            await self._fetch_from(command.peer_address)
+        finally:
+            self._fetching = False
+
+    async def _fetch_from(self, address):
+        in_force, content_by_digest = self._declarations.contents(())
+        request = peers_pb2.DeclarationsWanted(
+            above_revision=in_force.revision, known_digests=list(content_by_digest)
+        )
+        answer = await self._call(address, "FetchDeclarations", request, _FETCH_SECONDS)
+        if answer is None:
+            return
+        value = json.loads(answer.head)
+        found = head.Head(
+            value["revision"], value["digest_by_key"], tuple(value["nonces"])
+        )
+        documents = {
+            digest: json.loads(raw) for digest, raw in answer.documents.items()
+        }
+        await self._declarations.adopt(found, documents)
+
+    async def _call(self, address, method, request, seconds=_RPC_SECONDS):
+        stub = peers_pb2_grpc.PeersStub(self._channel(address))
+        try:
+            answer = await getattr(stub, method)(
+                request, timeout=seconds, metadata=self._metadata
+            )
+        except grpc.RpcError as error:
+            _log.debug("{} at {} failed: {}.", method, address, error.code())
+            return None
+        if hasattr(answer, "clock"):
+            self._clock.merge(answer.clock)
+        return answer
+
+    def _channel(self, address):
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            self._channel_by_address[address] = channel
+        return channel
+
+    async def _check(self, request, context, has_clock=True):
+        """Refuse a caller that is not a peer, and take its stamp in."""
+        keys = [
+            value
+            for name, value in context.invocation_metadata()
+            if name == _KEY_METADATA
+        ]
+        if keys != [self._key]:
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "not a peer")
+        if has_clock:
+            self._clock.merge(request.clock)
+
+    async def _exchange(self, make_event):
+        """Feed an event and wait for the command that answers it."""
+        exchange_id = str(next(self._exchange_ids))
+        reply = asyncio.get_running_loop().create_future()
+        self._reply_by_exchange[exchange_id] = reply
+        try:
+            self._driver.feed(make_event(exchange_id))
+            return await reply
+        finally:
+            del self._reply_by_exchange[exchange_id]
+
+    def _take_reply(self, command):
+        reply = self._reply_by_exchange.get(command.exchange_id)
+        if reply is not None and not reply.done():
+            reply.set_result(command)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _refusal_to_wire(error, stamp):
+    seconds = error.retry_after.total_seconds() if error.retry_after else 0.0
+    return peers_pb2.ForwardedAnswer(
+        status=error.status,
+        code=error.code,
+        outcome=error.outcome.value,
+        message=error.message,
+        retry_after=seconds,
+        clock=stamp,
+    )
+
+
+def _refusal_from_wire(answer):
+    retry_after = None
+    if answer.retry_after:
+        retry_after = datetime.timedelta(seconds=answer.retry_after)
+    return replies.CallerError(
+        answer.status,
+        answer.code,
+        answer.message,
+        retry_after,
+        commands.Outcome(answer.outcome),
+    )
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -0,0 +1,136 @@
+"""Turning the decision logic's peer messages into protobuf and back."""
+
+from sesamespindle.decide import events
+from sesamespindle.wire import peers_pb2
+
+
+def gossip_to_wire(message, stamp):
+    """Return the protobuf form of an `events.GossipMessage`."""
+    return peers_pb2.GossipMessage(
+        sender=message.sender,
+        data_centre=message.data_centre,
+        digests=[
+            peers_pb2.MemberDigest(
+                name=item.name, incarnation=item.incarnation, heartbeat=item.heartbeat
+            )
+            for item in message.digests
+        ],
+        data_centres=[
+            peers_pb2.DataCentreDigest(
+                name=item.name, digest=item.digest, pulse=item.pulse
+            )
+            for item in message.data_centres
+        ],
+        members=[_member_to_wire(item) for item in message.members],
+        wanted=message.wanted,
+        leaving_targets=[
+            peers_pb2.LeavingTarget(name=item.name, url=item.url)
+            for item in message.leaving_targets
+        ],
+        revision=message.revision,
+        clock=stamp,
+    )
+
+
+def gossip_from_wire(message):
+    """Return the `events.GossipMessage` of a protobuf message."""
+    return events.GossipMessage(
+        message.sender,
+        message.data_centre,
+        tuple(
+            events.MemberDigest(item.name, item.incarnation, item.heartbeat)
+            for item in message.digests
+        ),
+        tuple(
+            events.DataCentreDigest(item.name, item.digest, item.pulse)
+            for item in message.data_centres
+        ),
+        tuple(_member_from_wire(item) for item in message.members),
+        tuple(message.wanted),
+        tuple(
+            events.LeavingTarget(item.name, item.url)
+            for item in message.leaving_targets
+        ),
+        message.revision,
+    )
+
+
+def asks_to_wire(asks):
+    """Return the protobuf forms of `events.SliceAsk` records."""
+    return [
+        peers_pb2.SliceAsk(
+            account=ask.account,
+            resource=ask.resource,
+            in_use=ask.in_use,
+            wanted=ask.wanted,
+            held=ask.held,
+            grant=ask.grant,
+        )
+        for ask in asks
+    ]
+
+
+def asks_from_wire(asks):
+    """Return the `events.SliceAsk` records of protobuf messages."""
+    return tuple(
+        events.SliceAsk(
+            ask.account,
+            events.Resource(ask.resource),
+            ask.in_use,
+            ask.wanted,
+            ask.held,
+            ask.grant,
+        )
+        for ask in asks
+    )
+
+
+def grants_to_wire(grants):
+    """Return the protobuf forms of `events.SliceGrant` records."""
+    return [
+        peers_pb2.SliceGrant(
+            account=grant.account,
+            resource=grant.resource,
+            slots=grant.slots,
+            grant=grant.grant,
+        )
+        for grant in grants
+    ]
+
+
+def grants_from_wire(grants):
+    """Return the `events.SliceGrant` records of protobuf messages."""
+    return tuple(
+        events.SliceGrant(
+            grant.account, events.Resource(grant.resource), grant.slots, grant.grant
+        )
+        for grant in grants
+    )
+
+
+def _member_to_wire(item):
+    return peers_pb2.Member(
+        name=item.name,
+        data_centre=item.data_centre,
+        url=item.url,
+        peer_address=item.peer_address,
+        admin_url=item.admin_url,
+        incarnation=item.incarnation,
+        heartbeat=item.heartbeat,
+        state=item.state.value,
+        revision=item.revision,
+    )
+
+
+def _member_from_wire(item):
+    return events.Member(
+        item.name,
+        item.data_centre,
+        item.url,
+        item.peer_address,
+        item.admin_url,
+        item.incarnation,
+        item.heartbeat,
+        events.HostState(item.state),
+        item.revision,
+    )
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -0,0 +1,142 @@
+"""Reading what the outside tells: declarations, hosts and loads."""
+
+import asyncio
+import datetime
+import random
+
+from sesamespindle.daemon import logs
+from sesamespindle.decide import declared, events, retries
+from sesamespindle.declare import documents, findings
+from sesamespindle.wire import head, platform
+
+_log = logs.part("watch")
+
+
+class DeclarationsWatcher:
+    """Adopts every higher revision of the declarations.
+
+    Parameters
+    ----------
+    driver : sesamespindle.daemon.driver.Driver
+        Gets `events.DeclarationsAdopted`.
+    keyring : sesamespindle.daemon.auth.Keyring
+        Gets the keys of the contracts.
+    """
+
+    def __init__(self, driver, keyring, client, settings):
+        self._driver = driver
+        self._keyring = keyring
+        self._client = client
+        self._settings = settings
+        self._content_by_digest = {}
+        self.head = head.Head()
+        self.known = asyncio.Event()
+
+    async def run(self):
+        """Watch the head for as long as the daemon runs."""
+        source = random.Random(self._driver.core.state.me.incarnation)
+        version = 0
+        while True:
+            try:
+                version = await self._wait_for_change(version)
+            except (platform.PlatformAwayError, findings.FindingsError) as error:
+                _log.warning("No declarations from the platform. {}", error)
+                pause = retries.spread(self._settings.host_list_interval, source)
+                await asyncio.sleep(pause.total_seconds())
+
+    async def _wait_for_change(self, version):
+        found = await self._client.watch(
+            head.HEAD_KIND, head.HEAD_NAME, version, self._settings.watch_timeout
+        )
+        if found is None:
+            return version
+        stored = head.from_object(found)
+        missing = self.missing(stored.head)
+        await self.adopt(stored.head, await head.read_documents(self._client, missing))
+        return stored.version
+
+    def missing(self, wanted):
+        """Return the digests of a head's documents that aren't known here."""
+        return set(wanted.digest_by_key.values()) - self._content_by_digest.keys()
+
+    def contents(self, known_digests):
+        """Return the head in force and its documents but for the known ones."""
+        wanted = set(self.head.digest_by_key.values()) - set(known_digests)
+        return self.head, {digest: self._content_by_digest[digest] for digest in wanted}
+
+    async def adopt(self, new_head, content_by_digest):
+        """Put a head in force if it is higher than the one that is."""
+        if new_head.revision <= self.head.revision:
+            return
+        self._content_by_digest |= content_by_digest
+        entities = head.entities_of(new_head, self._content_by_digest)
+        declarations = documents.to_declarations(entities)
+        self.head = new_head
+        kept = set(new_head.digest_by_key.values())
+        for digest in self._content_by_digest.keys() - kept:
+            del self._content_by_digest[digest]
+        self._put_in_force(new_head.revision, declarations)
+
+    def _put_in_force(self, revision, declarations):
+        self._driver.feed(events.DeclarationsAdopted(revision, declarations))
+        self._keyring.replace(declarations.contracts)
+        self.known.set()
+        _log.info("Revision {} is in force.", revision)
+
+
+class HostsWatcher:
+    """Reads the platform's lagging list of hosts again and again."""
+
+    def __init__(self, driver, client, settings):
+        self._driver = driver
+        self._client = client
+        self._settings = settings
+
+    async def run(self):
+        """Read the list for as long as the daemon runs."""
+        source = random.Random(self._driver.core.state.me.incarnation + 1)
+        while True:
+            try:
+                hosts = await self._client.list_hosts()
+                self._driver.feed(events.HostsListed(hosts))
+            except platform.PlatformAwayError as error:
+                _log.warning("No host list from the platform. {}", error)
+            pause = retries.spread(self._settings.host_list_interval, source)
+            await asyncio.sleep(pause.total_seconds())
+
+
+class LoadWatcher:
+    """Reads the load reports of the engines, which lag."""
+
+    def __init__(self, driver, engines, settings):
+        self._driver = driver
+        self._engines = engines
+        self._interval = settings.load_interval.total_seconds()
+
+    async def run(self):
+        """Read the reports for as long as the daemon runs."""
+        while True:
+            targets = self._driver.core.state.targets
+            engines = targets.where("kind", declared.TargetKind.ENGINE)
+            await asyncio.gather(
+                *(self._read(row.name, row.url) for row in engines if row.url)
+            )
+            await asyncio.sleep(self._interval)
+
+    async def _read(self, target, url):
+        value = await self._engines.load(url)
+        if value is None:
+            return
+        age = datetime.timedelta(seconds=value["age_seconds"])
+        self._driver.feed(
+            events.LoadReported(
+                target,
+                self._driver.clock.now() - age,
+                value["backlog_tokens"],
+                value["running"],
+                value["prefill_rate"],
+                value["version"],
+            )
+        )
+        if value.get("leaving"):
+            self._driver.feed(events.TargetLeaving(target))
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/__init__.py
@@ -0,0 +1,1 @@
+"""The decision logic of sesamespindle: pure, deterministic and without I/O."""
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/admission.py
@@ -0,0 +1,79 @@
+"""Letting requests in by account: slots, fair queues, and early refusal."""
+
+import datetime
+
+from sesamespindle.decide import fairqueue
+
+_HOLDING_TIME_WEIGHT = 0.1
+_NO_WAIT = datetime.timedelta(0)
+
+
+class Admission:
+    """The requests of one resource that wait for slots of their accounts.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    resource : events.Resource
+        The limit of the contract that counts here.
+    slices : slices.Slices
+        The slots that this entry may use.
+    """
+
+    def __init__(self, state, resource, slices):
+        self._state = state
+        self._resource = resource
+        self._slices = slices
+        self._queue = fairqueue.FairQueue()
+
+    def waiting(self, account):
+        """Return how many requests of an account wait."""
+        return self._queue.waiting(account)
+
+    def expected_wait(self, account, now):
+        """Return how long a new request of an account row would wait."""
+        slots = self._slices.prospect(account, self._resource, now)
+        usage = account.usage_by_resource[self._resource]
+        free = slots - usage.running - self._queue.waiting(account.name)
+        if free > 0:
+            return _NO_WAIT
+        return usage.holding_time * ((1 - free) / max(slots, 1))
+
+    def push(self, account, request_id, now):
+        """Queue a request, and ask for a larger slice if it needs one."""
+        self._queue.push(account, request_id)
+        self._slices.need(account, self._resource, now)
+
+    def take(self, now):
+        """Return the id of the next request that has a slot, or None."""
+        return self._queue.take(lambda name: self._has_slot(name, now), self._weight)
+
+    def remove(self, account, request_id):
+        """Take out a request that no longer waits."""
+        self._queue.remove(account, request_id)
+
+    def begin(self, account):
+        """Count a request that starts against its account's slots."""
+        account.usage_by_resource[self._resource].running += 1
+
+    def end(self, account_name, held):
+        """Free the slot of a request that held it for a time."""
+        account = self._state.accounts.get(account_name)
+        if account is None:
+            return
+        usage = account.usage_by_resource[self._resource]
+        usage.running = max(0, usage.running - 1)
+        usage.holding_time += (held - usage.holding_time) * _HOLDING_TIME_WEIGHT
+
+    def _has_slot(self, name, now):
+        account = self._state.accounts.get(name)
+        if account is None:
+            # The contract has ended; the request is taken out to be refused.
+            return True
+        running = account.usage_by_resource[self._resource].running
+        return running < self._slices.slots(account, self._resource, now)
+
+    def _weight(self, name):
+        account = self._state.accounts.get(name)
+        return account.contract.priority if account else 1
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/catalogue.py
@@ -0,0 +1,171 @@
+"""Keeping the tables in step with declarations and the host list."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import commands, events, world
+
+_SHUN = datetime.timedelta(milliseconds=500)
+_MAX_SHUN_DOUBLINGS = 5
+
+
+class Catalogue:
+    """Adopts declarations and hosts, and remembers which targets fail."""
+
+    def __init__(self, state):
+        self._state = state
+
+    def adopt(self, event):
+        """Put a higher revision in force.
+
+        Guards against an old read of the platform, or a stale peer, taking a
+        change back: a revision that is not higher than the one in force is
+        ignored, and revisions are never taken from anywhere but the head
+        object, whose number only rises.
+        """
+        state = self._state
+        if event.revision <= state.revision:
+            return
+        state.revision = event.revision
+        state.declarations = event.declarations
+        self._adopt_accounts(event.declarations)
+        self._adopt_targets(event.declarations)
+        _replace_all(state.models, event.declarations.models)
+        _replace_all(state.pools, event.declarations.pools)
+        state.region_by_data_centre = {
+            row.name: row.region for row in event.declarations.data_centres
+        }
+        state.emit(commands.Note("revision", str(event.revision)))
+
+    def _adopt_accounts(self, declarations):
+        accounts = self._state.accounts
+        contract_by_account = {row.account: row for row in declarations.contracts}
+        for name in [row.name for row in accounts]:
+            if name not in contract_by_account:
+                accounts.remove(name)
+        for name, contract in contract_by_account.items():
+            row = accounts.get(name)
+            if row is None:
+                accounts.add(world.AccountRow(name, contract))
+            else:
+                row.contract = contract
+
+    def _adopt_targets(self, declarations):
+        targets = self._state.targets
+        pool_by_name = {pool.name: pool for pool in declarations.pools}
+        declared_names = {target.name for target in declarations.targets}
+        for name in [row.name for row in targets]:
+            if name not in declared_names:
+                targets.remove(name)
+        for target in declarations.targets:
+            kind = pool_by_name[target.pool].kind
+            row = targets.get(target.name)
+            if row is not None and (row.pool, row.kind) == (target.pool, kind):
+                row.checks_fencing = target.checks_fencing
+                row.data_centre = target.data_centre
+                continue
+            targets.add(
+                world.TargetRow(
+                    target.name,
+                    target.pool,
+                    kind,
+                    target.data_centre,
+                    target.checks_fencing,
+                )
+            )
+
+    def list_hosts(self, event, now):
+        """Take in the platform's list, which may lag."""
+        state = self._state
+        listed_names = set()
+        for host in event.hosts:
+            listed_names.add(host.name)
+            if host.role == "entry":
+                self._list_entry(host, now)
+            else:
+                self._list_target(host)
+        for row in state.targets:
+            if row.name not in listed_names:
+                row.listed = False
+
+    def _list_target(self, host):
+        row = self._state.targets.get(host.name)
+        if row is None:
+            return
+        if row.url != host.url:
+            row.url = host.url
+            row.leaving = False
+            row.shunned_until = None
+            row.failures = 0
+        row.listed = host.state is not events.HostState.DEAD
+        if host.state is events.HostState.LEAVING:
+            self.leave(host.name)
+
+    def _list_entry(self, host, now):
+        """Add an entry that gossip hasn't shown yet; gossip knows the rest."""
+        entries = self._state.entries
+        known = entries.get(host.name)
+        if known is not None and known.incarnation >= host.incarnation:
+            return
+        entries.add(
+            world.EntryRow(
+                host.name,
+                host.data_centre,
+                host.url,
+                host.peer_address,
+                host.admin_url,
+                host.incarnation,
+                host.state,
+                heard_at=now,
+            )
+        )
+
+    def leave(self, name):
+        """Give a target no new work from now on."""
+        row = self._state.targets.get(name)
+        if row is None or row.leaving:
+            return
+        row.leaving = True
+        self._state.emit(commands.Note("target_leaving", name))
+
+    def report_load(self, event):
+        """Take in a load report, unless an older one overtook it."""
+        row = self._state.targets.get(event.target)
+        if row is None:
+            return
+        if row.reported_at is not None and event.as_of < row.reported_at:
+            return
+        row.reported_at = event.as_of
+        row.reported_backlog = event.backlog_tokens
+        row.prefill_rate = max(event.prefill_rate, 1.0)
+        row.version = event.version
+
+
+def note_failure(state, row, now):
+    """Keep new work from a target that has just failed, for a growing time."""
+    row.failures += 1
+    doublings = min(row.failures - 1, _MAX_SHUN_DOUBLINGS)
+    row.shunned_until = now + _SHUN * 2**doublings
+    state.emit(commands.Note("target_failed", row.name, f"{row.failures} in a row"))
+
+
+def note_success(row):
+    """Forget a target's failures."""
+    row.failures = 0
+    row.shunned_until = None
+
+
+def _replace_all(table, rows):
+    names = {row.name for row in rows}
+    for name in [row.name for row in table]:
+        if name not in names:
+            table.remove(name)
+    for row in rows:
+        table.add(row)
+
+
+def me_as_entry(me):
+    """Return the row of this daemon itself."""
+    fields = dataclasses.asdict(me)
+    del fields["role"]
+    return world.EntryRow(**fields)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -0,0 +1,159 @@
+"""The decision logic as a whole: one step from events to commands."""
+
+from sesamespindle.decide import (
+    admission,
+    calls,
+    catalogue,
+    events,
+    hashing,
+    membership,
+    prompts,
+    slices,
+    world,
+)
+
+
+class Core:
+    """Everything that a daemon decides.
+
+    Parameters
+    ----------
+    me : events.Host
+        This daemon's own entry host.
+    policy : world.Policy, optional
+        The numbers in force.
+    seed : int
+        The seed of all random choices.
+    seeds : tuple of str
+        Peer addresses to begin with where the platform is away.
+    """
+
+    def __init__(self, me, policy=None, seed=0, seeds=()):
+        self.state = world.World(me, policy, seed)
+        self.state.entries.add(catalogue.me_as_entry(me))
+        self._now = None
+        self._catalogue = catalogue.Catalogue(self.state)
+        self.slices = slices.Slices(self.state, self._usage)
+        self._admission_by_resource = {
+            resource: admission.Admission(self.state, resource, self.slices)
+            for resource in events.Resource
+        }
+        self.prompts = prompts.Prompts(
+            self.state, self._admission_by_resource[events.Resource.PROMPTS]
+        )
+        self.calls = calls.Calls(
+            self.state, self._admission_by_resource[events.Resource.CALLS]
+        )
+        self.membership = membership.Membership(self.state, seeds)
+
+    def step(self, now, happened):
+        """Take events in, in their order, and return the commands they lead to.
+
+        Parameters
+        ----------
+        now : datetime.datetime
+            The present, by the daemon's clock.
+        happened : iterable
+            Records of `events`.
+
+        Returns
+        -------
+        commands : list
+            Records of `commands`, to be carried out in this order.
+        """
+        self._now = now
+        for event in happened:
+            self._take(event, now)
+        return self.state.take_commands()
+
+    def choose_entries(self, account, count):
+        """Return the entries that an account's callers should use, best first.
+
+        Rendezvous hashing gives each account its own few entries in each data
+        centre, so that a rush meets few entries and an entry few accounts. The
+        nearest data centre comes first; the others follow for when it is lost.
+        """
+        live = [
+            row
+            for row in self.state.live_entries()
+            if self.membership.is_reachable(row.data_centre, self._now)
+        ]
+        row_by_name = {row.name: row for row in live}
+        ranked = [row_by_name[name] for name in hashing.rank(account, row_by_name)]
+        ranked.sort(key=lambda row: self.state.distance(row.data_centre))
+        return ranked[:count]
+
+    def models_of(self, account):
+        """Return the models that an account may use."""
+        row = self.state.accounts.get(account)
+        if row is None:
+            return []
+        return [model for model in self.state.models if prompts.may_use(row, model)]
+
+    def _take(self, event, now):
+        match event:
+            case events.PromptArrived():
+                self.prompts.arrive(event, now)
+            case events.CallArrived():
+                self.calls.arrive(event, now)
+            case events.FirstToken():
+                self.prompts.first_token(event, now)
+            case events.AttemptEnded():
+                self.prompts.end_attempt(event, now)
+                self.calls.end_attempt(event, now)
+            case events.CallAnswered():
+                self.calls.answered(event, now)
+            case events.ClaimTaken():
+                self.calls.claim_taken(event, now)
+            case events.ClaimFound():
+                self.calls.claim_found(event, now)
+            case events.ClaimFailed():
+                self.calls.claim_failed(event, now)
+            case events.CallerLeft():
+                self.prompts.leave(event.request_id, now)
+            case events.Tick():
+                self._tick(now)
+            case _:
+                self._take_from_outside(event, now)
+
+    def _take_from_outside(self, event, now):
+        """Take in what the platform, targets and peers tell."""
+        match event:
+            case events.LoadReported():
+                self._catalogue.report_load(event)
+            case events.TargetLeaving():
+                self._catalogue.leave(event.name)
+            case events.HostsListed():
+                self._catalogue.list_hosts(event, now)
+            case events.DeclarationsAdopted():
+                self._catalogue.adopt(event)
+            case events.GossipReceived():
+                self.membership.receive(event, now)
+            case events.GossipAnswered():
+                self.membership.answered(event, now)
+            case events.LeaveAsked():
+                self.membership.leave(now)
+            case events.SlicesAsked():
+                self.slices.asked(event, now)
+            case events.SlicesGranted():
+                self.slices.granted(event)
+                self.prompts.drain(now)
+                self.calls.drain(now)
+            case events.HoldingsAsked():
+                self.slices.tell(event, now)
+            case events.HoldingsTold():
+                self.slices.told(event, now)
+
+    def _tick(self, now):
+        self.membership.tick(now)
+        self.slices.tick(now)
+        self.prompts.tick(now)
+        self.calls.tick(now)
+
+    def _usage(self, account, resource):
+        """Return what an account uses here, and what waits for a slot."""
+        row = self.state.accounts.get(account)
+        if row is None:
+            return 0, 0
+        waiting = self._admission_by_resource[resource].waiting(account)
+        return row.usage_by_resource[resource].running, waiting
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -0,0 +1,292 @@
+"""Who is there: gossip in full inside a data centre, in digests between them."""
+
+import datetime
+
+import xxhash
+
+from sesamespindle.decide import commands, events, world
+
+GOSSIP_INTERVAL = datetime.timedelta(milliseconds=500)
+PEERS_INSIDE = 2
+PEERS_OUTSIDE = 1
+MAX_LEAVING_TARGETS = 256
+_REVIVE_CHANCE = 0.1
+_DEAD_KEPT_FOR = datetime.timedelta(minutes=10)
+_State = events.HostState
+_RANK_BY_STATE = {
+    _State.LIVE: 0,
+    _State.SUSPECT: 0,
+    _State.LEAVING: 1,
+    _State.DEAD: 2,
+}
+
+
+class Membership:
+    """Keeps the table of entries true, and tells peers of it.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    seeds : tuple of str
+        Peer addresses to begin with where the platform is away.
+    """
+
+    def __init__(self, state, seeds=()):
+        self._state = state
+        self._seeds = seeds
+        self._next_round = None
+        self._pulse_by_data_centre = {}
+        self._pulse_heard_at = {}
+
+    def tick(self, now):
+        """Judge silence, and begin rounds of gossip when it is time."""
+        self._judge_silence(now)
+        if self._next_round is None or now >= self._next_round:
+            self._next_round = now + GOSSIP_INTERVAL
+            self.spread(now)
+
+    def spread(self, now):
+        """Begin a round of gossip with a few peers."""
+        me = self._state.entries.get(self._state.me.name)
+        me.heartbeat += 1
+        me.heard_at = now
+        me.revision = self._state.revision
+        for address, inside in self._choose_peers():
+            self._state.emit(commands.GossipTo(address, self._message(inside)))
+
+    def leave(self, now):
+        """Tell peers at once that this daemon leaves."""
+        self._state.leaving = True
+        me = self._state.entries.get(self._state.me.name)
+        me.state = _State.LEAVING
+        self._state.emit(commands.Note("leaving", me.name))
+        self.spread(now)
+
+    def receive(self, event, now):
+        """Answer a peer's half of a round with what it lacks."""
+        message = event.message
+        self._merge(message, now)
+        inside = message.data_centre == self._state.me.data_centre
+        newer, wanted = self._compare(message)
+        reply = self._message(inside, newer, wanted)
+        self._state.emit(commands.GossipReply(event.exchange_id, reply))
+
+    def answered(self, event, now):
+        """Take a peer's answer in, and send it what it asked for."""
+        self._merge(event.message, now)
+        self._fetch_revision(event.peer_address, event.message.revision)
+        asked_for = [
+            self._state.entries.get(name)
+            for name in event.message.wanted
+            if name in self._state.entries
+        ]
+        if asked_for:
+            message = self._message(True, [_member(row) for row in asked_for])
+            self._state.emit(commands.GossipTo(event.peer_address, message))
+
+    def is_reachable(self, data_centre, now):
+        """Return whether a data centre has been heard of lately."""
+        heard_at = self._pulse_heard_at.get(data_centre)
+        if data_centre == self._state.me.data_centre or heard_at is None:
+            return True
+        return now - heard_at < 2 * self._state.policy.suspect_after
+
+    def _fetch_revision(self, peer_address, revision):
+        if revision > self._state.revision:
+            self._state.emit(
+                commands.FetchDeclarations(peer_address, self._state.revision)
+            )
+
+    def _judge_silence(self, now):
+        """Suspect, then give up, members of this data centre that are silent.
+
+        Other data centres judge their own members. Suspicion comes first, so
+        that one late message takes nobody out of the table.
+        """
+        state = self._state
+        limit = state.policy.suspect_after
+        for row in list(state.entries):
+            if row.name == state.me.name or row.data_centre != state.me.data_centre:
+                continue
+            silence = now - (row.heard_at or now)
+            if row.state is _State.DEAD:
+                if silence > _DEAD_KEPT_FOR:
+                    state.entries.remove(row.name)
+            elif silence > 2 * limit:
+                row.state = _State.DEAD
+                state.emit(commands.Note("entry_dead", row.name))
+            elif silence > limit and row.state is _State.LIVE:
+                row.state = _State.SUSPECT
+                state.emit(commands.Note("entry_suspect", row.name))
+
+    def _choose_peers(self):
+        """Return (address, whether inside) of the peers of one round."""
+        state = self._state
+        inside, outside, dead = [], [], []
+        for row in state.entries:
+            if row.name == state.me.name or not row.peer_address:
+                continue
+            if row.state is _State.DEAD:
+                dead.append(row)
+            elif row.data_centre == state.me.data_centre:
+                inside.append(row)
+            else:
+                outside.append(row)
+        chosen = self._sample(inside, PEERS_INSIDE)
+        chosen += self._sample(outside, PEERS_OUTSIDE)
+        if dead and state.random.random() < _REVIVE_CHANCE:
+            chosen += self._sample(dead, 1)
+        peers = [
+            (row.peer_address, row.data_centre == state.me.data_centre)
+            for row in chosen
+        ]
+        if not peers:
+            peers = [(address, True) for address in self._seeds]
+        return peers
+
+    def _sample(self, rows, count):
+        return self._state.random.sample(rows, min(count, len(rows)))
+
+    def _message(self, inside, members=(), wanted=()):
+        state = self._state
+        digests = ()
+        if inside:
+            digests = tuple(
+                events.MemberDigest(row.name, row.incarnation, row.heartbeat)
+                for row in state.entries
+                if row.data_centre == state.me.data_centre
+            )
+        return events.GossipMessage(
+            state.me.name,
+            state.me.data_centre,
+            digests,
+            self._data_centre_digests(),
+            tuple(members),
+            tuple(wanted),
+            self._leaving_targets(),
+            state.revision,
+        )
+
+    def _leaving_targets(self):
+        leaving = [
+            events.LeavingTarget(row.name, row.url)
+            for row in self._state.targets
+            if row.leaving
+        ]
+        return tuple(leaving[:MAX_LEAVING_TARGETS])
+
+    def _data_centre_digests(self):
+        rows_by_data_centre = {}
+        for row in self._state.entries:
+            rows_by_data_centre.setdefault(row.data_centre, []).append(row)
+        here = self._state.me.data_centre
+        digests = []
+        for name, rows in sorted(rows_by_data_centre.items()):
+            pulse = self._pulse_by_data_centre.get(name, 0)
+            if name == here:
+                pulse = sum(row.heartbeat for row in rows)
+            digests.append(events.DataCentreDigest(name, _digest(rows), pulse))
+        return tuple(digests)
+
+    def _compare(self, message):
+        """Return our newer records, and the names whose records we lack."""
+        newer = {}
+        wanted = []
+        seen_names = set()
+        for digest in message.digests:
+            seen_names.add(digest.name)
+            row = self._state.entries.get(digest.name)
+            theirs = (digest.incarnation, digest.heartbeat)
+            ours = (row.incarnation, row.heartbeat) if row else (-1, -1)
+            if ours > theirs:
+                newer[digest.name] = _member(row)
+            elif ours < theirs:
+                wanted.append(digest.name)
+        ours_by_name = {item.name: item for item in self._data_centre_digests()}
+        theirs_by_name = {item.name: item for item in message.data_centres}
+        for name, ours in ours_by_name.items():
+            theirs = theirs_by_name.get(name)
+            if theirs is not None and theirs.digest == ours.digest:
+                continue
+            for row in self._state.entries:
+                if row.data_centre == name and row.name not in seen_names:
+                    newer[row.name] = _member(row)
+        return list(newer.values()), wanted
+
+    def _merge(self, message, now):
+        for member in message.members:
+            self._merge_member(member, now)
+        for digest in message.data_centres:
+            self._merge_pulse(digest, now)
+        for leaving in message.leaving_targets:
+            self._merge_leaving(leaving)
+
+    def _merge_pulse(self, digest, now):
+        if digest.pulse > self._pulse_by_data_centre.get(digest.name, -1):
+            self._pulse_by_data_centre[digest.name] = digest.pulse
+            self._pulse_heard_at[digest.name] = now
+
+    def _merge_leaving(self, leaving):
+        row = self._state.targets.get(leaving.name)
+        if row is not None and not row.leaving and row.url == leaving.url:
+            row.leaving = True
+            self._state.emit(commands.Note("target_leaving", leaving.name, "heard"))
+
+    def _merge_member(self, member, now):
+        """Take a record that is newer than ours, by incarnation and heartbeat.
+
+        At the same heartbeat the worse state goes before the better, so that
+        all daemons come to the same table in whatever order records arrive.
+        """
+        state = self._state
+        if member.name == state.me.name:
+            return
+        row = state.entries.get(member.name)
+        if row is None and member.state is _State.DEAD:
+            return
+        if row is not None and _precedence(member) <= _precedence(row):
+            return
+        before = row.state if row is not None else None
+        state.entries.add(
+            world.EntryRow(
+                member.name,
+                member.data_centre,
+                member.url,
+                member.peer_address,
+                member.admin_url,
+                member.incarnation,
+                member.state,
+                member.heartbeat,
+                now,
+                member.revision,
+            )
+        )
+        if before is not member.state:
+            state.emit(commands.Note(f"entry_{member.state.value}", member.name))
+
+
+def _precedence(record):
+    return (record.incarnation, record.heartbeat, _RANK_BY_STATE[record.state])
+
+
+def _member(row):
+    spoken = _State.LIVE if row.state is _State.SUSPECT else row.state
+    return events.Member(
+        row.name,
+        row.data_centre,
+        row.url,
+        row.peer_address,
+        row.admin_url,
+        row.incarnation,
+        row.heartbeat,
+        spoken,
+        row.revision,
+    )
+
+
+def _digest(rows):
+    parts = sorted(
+        f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}" for row in rows
+    )
+    return xxhash.xxh3_64_intdigest("\n".join(parts).encode())
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/prompts.py
@@ -0,0 +1,399 @@
+"""Prompts from arrival to end: admission, queueing, sending, recovery."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import (
+    catalogue,
+    commands,
+    contexts,
+    events,
+    hashing,
+    retries,
+    routing,
+    tables,
+    world,
+)
+
+_NO_PAUSE = datetime.timedelta(0)
+
+
+@dataclasses.dataclass(slots=True)
+class PromptRow:
+    """A prompt that waits or runs.
+
+    Attributes
+    ----------
+    ids : tuple of str
+        The chain of block ids.
+    version : str
+        The weight version that its first token came from; empty before that.
+    resume_target : str
+        The target of a stream that another entry began, so that the text
+        already delivered isn't known here; empty for a prompt begun here.
+    """
+
+    request_id: str
+    account: str
+    model: str
+    pool: str
+    ids: tuple[str, ...]
+    home_key: str
+    salt: str
+    tokens: int
+    arrived_at: datetime.datetime
+    deadline: datetime.datetime
+    started_at: datetime.datetime | None = None
+    attempt: int = 0
+    starts: int = 0
+    resumes: int = 0
+    target: str = ""
+    tried: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+    resume_target: str = ""
+    delivered: int = 0
+    version: str = ""
+
+
+class Prompts:
+    """Decides which prompt runs where and when, and what happens after a fault.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    admission : admission.Admission
+        The slots of accounts for prompts.
+    """
+
+    def __init__(self, state, admission):
+        self._state = state
+        self._admission = admission
+        self.rows: tables.Table[PromptRow] = tables.Table("request_id")
+        self.contexts = contexts.Contexts()
+
+    def arrive(self, event, now):
+        """Queue a prompt, or refuse it at once."""
+        state = self._state
+        model = state.models.get(event.model)
+        account = state.accounts.get(event.account)
+        if account is None or model is None or not may_use(account, model):
+            self._refuse_unrun(
+                event.request_id,
+                commands.Code.UNKNOWN_MODEL,
+                f"There is no model {event.model!r}.",
+            )
+            return
+        if event.tokens + event.answer_tokens > model.context_tokens:
+            self._refuse_unrun(
+                event.request_id,
+                commands.Code.CONTEXT_TOO_LONG,
+                f"The model takes {model.context_tokens} tokens in all.",
+            )
+            return
+        wait = self._admission.expected_wait(account, now)
+        if wait > state.policy.queue_patience:
+            self._refuse_unrun(
+                event.request_id,
+                commands.Code.CONCURRENCY,
+                "The account has as many prompts running as its contract allows.",
+                wait,
+            )
+            return
+        self.rows.add(_row(event, model, now))
+        self._admission.push(event.account, event.request_id, now)
+        self.drain(now)
+
+    def drain(self, now):
+        """Start queued prompts while there are slots for them."""
+        while True:
+            request_id = self._admission.take(now)
+            if request_id is None:
+                return
+            self._start(self.rows.get(request_id), now)
+
+    def tick(self, now):
+        """Give up prompts whose time has passed, and start what can start."""
+        for row in [row for row in self.rows if row.started_at is None]:
+            waited_too_long = now - row.arrived_at > self._state.policy.queue_patience
+            if waited_too_long or now >= row.deadline:
+                self._drop(row, now)
+                self._refuse_unrun(
+                    row.request_id,
+                    commands.Code.CONCURRENCY,
+                    "No slot of the account's limit came free in time.",
+                    self._state.policy.retry_after,
+                )
+        self.drain(now)
+
+    def first_token(self, event, now):
+        """Learn where the context is now, and which weights the answer is of."""
+        row = self.rows.get(event.request_id)
+        if row is None:
+            return
+        target = self._state.targets.get(row.target)
+        if target is not None:
+            target.sent_by_request.pop(row.request_id, None)
+            row.version = row.version or target.version
+            catalogue.note_success(target)
+        self.contexts.learn(row.ids, row.target, now)
+
+    def end_attempt(self, event, now):
+        """Decide how a prompt goes on after an attempt ended."""
+        row = self.rows.get(event.request_id)
+        if row is None or row.attempt != event.attempt:
+            return
+        row.delivered = event.delivered
+        target = self._state.targets.get(row.target)
+        match event.ending:
+            case events.Ending.COMPLETED:
+                if target is not None:
+                    catalogue.note_success(target)
+                self._drop(row, now)
+                self.drain(now)
+            case events.Ending.NOT_SENT:
+                self._fail(target, now)
+                self._start_elsewhere(row, now)
+            case events.Ending.REFUSED:
+                self._start_elsewhere(row, now, event.retry_after)
+            case events.Ending.LINK_LOST:
+                row.may_have_run = True
+                self._resume(row, target, now)
+            case events.Ending.STREAM_GONE:
+                row.may_have_run = True
+                self._fail(target, now)
+                self._start_elsewhere(row, now)
+            case events.Ending.TIMED_OUT:
+                row.may_have_run = True
+                self._give_up(
+                    row, commands.Code.DEADLINE, "The deadline has passed.", now
+                )
+
+    def leave(self, request_id, now):
+        """Forget a prompt whose caller is gone or has its answer."""
+        row = self.rows.get(request_id)
+        if row is not None:
+            self._drop(row, now)
+            self.drain(now)
+
+    def _start(self, row, now):
+        state = self._state
+        account = state.accounts.get(row.account)
+        if account is None:
+            self._drop(row, now)
+            self._refuse_unrun(
+                row.request_id, commands.Code.UNKNOWN_MODEL, "The contract has ended."
+            )
+            return
+        row.started_at = now
+        self._admission.begin(account)
+        if row.resume_target:
+            self._take_over(row, now)
+            return
+        state.budget_by_pool[row.pool].earn()
+        self._send(row, now)
+
+    def _take_over(self, row, now):
+        """Read on a stream that another entry began."""
+        target = self._state.targets.get(row.resume_target)
+        if target is None or not target.url:
+            self._give_up_taken_over(row, now)
+            return
+        row.target = target.name
+        target.running_here += 1
+        self._resume(row, target, now)
+
+    def _give_up_taken_over(self, row, now):
+        """Refuse to go on with an answer whose beginning isn't known here.
+
+        Guards against splicing the end of another generation onto it.
+        """
+        self._give_up(
+            row,
+            commands.Code.STREAM_LOST,
+            "The stream is gone. Send the prompt again for a whole answer.",
+            now,
+        )
+
+    def _send(self, row, now, retry_after=None):
+        state = self._state
+        place = routing.choose(state, row, self.contexts, now, avoid=row.tried)
+        if place is None:
+            self._give_up(
+                row,
+                commands.Code.NO_TARGET,
+                "No target of the pool can take the prompt now.",
+                now,
+                retry_after,
+            )
+            return
+        patience = state.policy.first_token_patience.total_seconds()
+        if place.expected_seconds > patience:
+            self._give_up(
+                row,
+                commands.Code.OVERLOADED,
+                "The pool has more work than it can start in time.",
+                now,
+                datetime.timedelta(seconds=place.expected_seconds / 2),
+            )
+            return
+        self._place(row, place, now)
+
+    def _place(self, row, place, now):
+        target = place.target
+        self._leave_target(row)
+        row.attempt += 1
+        row.starts += 1
+        row.resumes = 0
+        row.target = target.name
+        row.tried.add(target.name)
+        target.running_here += 1
+        target.sent_by_request[row.request_id] = world.SentWork(
+            now, row.tokens - place.reused_tokens
+        )
+        account = self._state.accounts.get(row.account)
+        self._state.emit(
+            commands.SendPrompt(
+                row.request_id,
+                row.attempt,
+                target.name,
+                target.url,
+                account.contract.priority if account else 1,
+                row.salt,
+                row.version,
+                self._store_url(target, now),
+            )
+        )
+
+    def _store_url(self, target, now):
+        """Return the store host of a target's pool that is nearest to it."""
+        pool = self._state.pools.get(target.pool)
+        stores = [
+            store
+            for store in self._state.targets.where("pool", pool.store if pool else "")
+            if store.usable(now)
+        ]
+        store = min(
+            stores,
+            key=lambda row: (row.data_centre != target.data_centre, row.name),
+            default=None,
+        )
+        return store.url if store else ""
+
+    def _resume(self, row, target, now):
+        """Read on from the same stream, so that nothing is generated twice."""
+        policy = self._state.policy
+        if target is None or row.resumes >= policy.resume_attempts:
+            self._fail(target, now)
+            self._start_elsewhere(row, now)
+            return
+        row.resumes += 1
+        row.attempt += 1
+        pause = retries.backoff(row.resumes + 1, self._state.random)
+        self._state.emit(
+            commands.ResumeStream(
+                row.request_id,
+                row.attempt,
+                target.name,
+                target.url,
+                pause if row.resumes > 1 else _NO_PAUSE,
+            )
+        )
+
+    def _start_elsewhere(self, row, now, retry_after=None):
+        policy = self._state.policy
+        if now >= row.deadline:
+            self._give_up(row, commands.Code.DEADLINE, "The deadline has passed.", now)
+        elif row.resume_target:
+            self._give_up_taken_over(row, now)
+        elif row.starts >= policy.max_attempts:
+            self._give_up(
+                row,
+                commands.Code.OVERLOADED,
+                "Several targets failed or refused the prompt.",
+                now,
+                retry_after,
+            )
+        elif not self._state.budget_by_pool[row.pool].spend():
+            self._give_up(
+                row,
+                commands.Code.RETRY_BUDGET,
+                "The pool fails more often than retries are allowed for.",
+                now,
+                retry_after,
+            )
+        else:
+            self._send(row, now, retry_after)
+
+    def _give_up(self, row, code, message, now, retry_after=None):
+        """Give the final answer now; "not run" only where that is sure."""
+        outcome = (
+            commands.Outcome.UNKNOWN if row.may_have_run else commands.Outcome.NOT_RUN
+        )
+        wait = retry_after or self._state.policy.retry_after
+        self._drop(row, now)
+        self._state.emit(
+            commands.Refuse(
+                row.request_id,
+                code,
+                outcome,
+                message,
+                retries.spread(wait, self._state.random),
+            )
+        )
+
+    def _refuse_unrun(self, request_id, code, message, wait=None):
+        retry_after = retries.spread(wait, self._state.random) if wait else None
+        self._state.emit(
+            commands.Refuse(
+                request_id, code, commands.Outcome.NOT_RUN, message, retry_after
+            )
+        )
+
+    def _fail(self, target, now):
+        if target is not None:
+            catalogue.note_failure(self._state, target, now)
+
+    def _drop(self, row, now):
+        self.rows.remove(row.request_id)
+        self._admission.remove(row.account, row.request_id)
+        self._leave_target(row)
+        if row.started_at is not None:
+            self._admission.end(row.account, now - row.started_at)
+
+    def _leave_target(self, row):
+        target = self._state.targets.get(row.target)
+        if target is not None:
+            target.running_here = max(0, target.running_here - 1)
+            target.sent_by_request.pop(row.request_id, None)
+        row.target = ""
+
+
+def may_use(account, model):
+    """Return whether an account's contract covers a model's pool."""
+    pools = account.contract.pools
+    return not pools or model.pool in pools
+
+
+def _row(event, model, now):
+    salt = hashing.salt(event.account, model.name, model.version)
+    ids = hashing.chain(salt, event.text)
+    hint = event.cache_hint or (ids[0] if ids else event.request_id)
+    row = PromptRow(
+        event.request_id,
+        event.account,
+        model.name,
+        model.pool,
+        ids,
+        f"{event.account}/{hint}",
+        salt.hex(),
+        event.tokens,
+        now,
+        event.deadline,
+    )
+    if event.resume is not None:
+        row.may_have_run = True
+        row.resume_target = event.resume.target
+        row.version = event.resume.version
+        row.delivered = event.resume.delivered
+    return row
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -0,0 +1,48 @@
+"""Retry budgets, and retry times that don't bring everybody back at once."""
+
+import datetime
+
+BUDGET_RATIO = 0.1
+BUDGET_BURST = 10.0
+_SPREAD = 0.5
+
+
+class RetryBudget:
+    """Tokens that first attempts earn and retries spend.
+
+    Guards against retries that finish off a target which is only slow: over
+    any long time at most `BUDGET_RATIO` of the attempts are retries. Each pool
+    has its own, so a failing pool can't spend another's.
+    """
+
+    def __init__(self):
+        self._tokens = BUDGET_BURST
+
+    def earn(self):
+        """Count a first attempt."""
+        self._tokens = min(self._tokens + BUDGET_RATIO, BUDGET_BURST)
+
+    def spend(self):
+        """Return whether a retry may be made, and count it if so."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def spread(base, random):
+    """Return a time from `base` to half as long again, drawn evenly.
+
+    Parameters
+    ----------
+    base : datetime.timedelta
+        The shortest wait.
+    random : random.Random
+        The seeded source.
+    """
+    return base * (1.0 + _SPREAD * random.random())
+
+
+def backoff(attempt, random, first=datetime.timedelta(milliseconds=20)):
+    """Return how long to wait before the attempt with this number, from 2."""
+    return spread(first * (2 ** min(attempt - 2, 6)), random)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/slices.py
@@ -0,0 +1,392 @@
+"""Keeping accounts' limits over all entries without agreement among them.
+
+An account's owner is one entry, by rendezvous over the live ones. It cuts the
+limit into slices, which entries hold for one grant lifetime. The sum of what
+the owner has to count never exceeds the limit.
+"""
+
+import collections
+import dataclasses
+import datetime
+
+from sesamespindle.decide import commands, events, hashing, tables
+
+# The owner counts a slice for a little longer than its holder uses it.
+OWNER_MARGIN = datetime.timedelta(milliseconds=500)
+_RENEW_AT = 0.5
+_IDLE_KEPT_FOR = datetime.timedelta(seconds=30)
+_WAITED_FOR_LEARNING = datetime.timedelta(milliseconds=400)
+
+
+@dataclasses.dataclass(slots=True)
+class HeldRow:
+    """A slice that this entry holds, with the grant it came by.
+
+    Attributes
+    ----------
+    asked_for : int
+        The slots that were last asked for.
+    limited : bool
+        Whether the last grant was smaller than what was asked for.
+    """
+
+    key: tuple[str, events.Resource]
+    slots: int = 0
+    grant: int = 0
+    expires_at: datetime.datetime | None = None
+    asked_at: datetime.datetime | None = None
+    needed_at: datetime.datetime | None = None
+    asked_for: int = 0
+    limited: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class GivenSlice:
+    """A slice that this owner gave to an entry, or learned of."""
+
+    slots: int
+    in_use: int
+    wanted: int
+    grant: int
+    expires_at: datetime.datetime
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedRow:
+    """An account's limit as its owner has cut it.
+
+    Attributes
+    ----------
+    unlearned : set of str
+        Entries that may hold slices of an earlier owner.
+    learned_at : datetime.datetime
+        When slices of an earlier owner have run out in any case.
+    """
+
+    key: tuple[str, events.Resource]
+    unlearned: set[str]
+    learned_at: datetime.datetime
+    given_by_entry: dict[str, GivenSlice] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingAsk:
+    """Asks that are answered once the owner has learned what is out."""
+
+    event: events.SlicesAsked
+    until: datetime.datetime
+
+
+class Slices:
+    """Both halves: what this entry holds, and what it gives as an owner.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    usage : callable
+        What an account uses and would use here: (in use, waiting), by the
+        account's name and a resource.
+    """
+
+    def __init__(self, state, usage):
+        self._state = state
+        self._usage = usage
+        self.held: tables.Table[HeldRow] = tables.Table("key")
+        self.owned: tables.Table[OwnedRow] = tables.Table("key")
+        self._waiting_asks = []
+        self._next_grant = state.me.incarnation << 20
+        self._last_tick = None
+
+    def slots(self, account, resource, now):
+        """Return how many requests of an account may run here now.
+
+        Without an owner's slice this is the account's fallback share.
+        """
+        row = self.held.get((account.name, resource))
+        if row is not None and row.expires_at is not None and now < row.expires_at:
+            return row.slots
+        if row is not None and row.asked_at is not None:
+            lifetime = self._state.policy.grant_lifetime
+            if row.expires_at is not None and now - row.expires_at > OWNER_MARGIN:
+                return self._fallback_share(_limit(account.contract, resource))
+            if row.expires_at is None and now - row.asked_at > 2 * lifetime:
+                return self._fallback_share(_limit(account.contract, resource))
+        return 0
+
+    def prospect(self, account, resource, now):
+        """Return how many slots an account may expect here after asking."""
+        row = self.held.get((account.name, resource))
+        if row is None or not row.limited:
+            return _limit(account.contract, resource)
+        return self.slots(account, resource, now)
+
+    def need(self, account, resource, now):
+        """Ask the owner now, where the slice held is too small for a request."""
+        row = self._held(account, resource)
+        row.needed_at = now
+        in_use, waiting = self._usage(account, resource)
+        lasts = row.expires_at is not None and now < row.expires_at
+        if lasts and in_use + waiting <= row.slots:
+            return
+        self._ask([row], now)
+
+    def tick(self, now):
+        """Renew slices, drop idle ones, and answer asks that waited."""
+        self._forget_after_pause(now)
+        self._answer_waiting(now)
+        self._ask([row for row in self.held if self._is_due(row, now)], now)
+        for row in [row for row in self.held if self._is_idle(row, now)]:
+            self.held.remove(row.key)
+        self._drop_expired(now)
+
+    def granted(self, event):
+        """Use the slices that an owner gave."""
+        lifetime = self._state.policy.grant_lifetime
+        for grant in event.grants:
+            row = self.held.get((grant.account, grant.resource))
+            expires_at = event.asked_at + lifetime
+            if row is None or not grant.grant:
+                continue
+            if row.expires_at is not None and expires_at < row.expires_at:
+                continue
+            row.slots = grant.slots
+            row.grant = grant.grant
+            row.limited = grant.slots < row.asked_for
+            row.expires_at = expires_at
+
+    def tell(self, event, now):
+        """Tell a new owner what this entry holds."""
+        holdings = [
+            self._ask_of(row, now) for row in self.held if row.key[0] in event.accounts
+        ]
+        self._state.emit(commands.TellHoldings(event.exchange_id, tuple(holdings)))
+
+    def asked(self, event, now):
+        """Answer an entry, at once or when what is out has been learned."""
+        for ask in event.asks:
+            self._note_ask(event.entry, ask, now)
+        if all(self._is_learned(ask, now) for ask in event.asks):
+            self._grant(event, now)
+            return
+        self._waiting_asks.append(WaitingAsk(event, now + _WAITED_FOR_LEARNING))
+
+    def told(self, event, now):
+        """Count what an entry holds of an earlier owner's slices."""
+        for holding in event.holdings:
+            row = self.owned.get((holding.account, holding.resource))
+            if row is not None and event.entry not in row.given_by_entry:
+                self._note_holding(row, event.entry, holding, now)
+        for row in self.owned:
+            row.unlearned.discard(event.entry)
+        self._answer_waiting(now)
+
+    def owner(self, account):
+        """Return the entry row of an account's owner, or None."""
+        rows_by_name = {row.name: row for row in self._state.live_entries()}
+        return rows_by_name.get(hashing.first(account, rows_by_name))
+
+    def _forget_after_pause(self, now):
+        """Forget what this owner gave if it was paused for long.
+
+        Guards against an owner that was frozen while another took over: what
+        it gave has run out by its clock, and it would give the whole limit
+        again beside the new owner. It learns what is out first.
+        """
+        paused_for = now - (self._last_tick or now)
+        self._last_tick = now
+        if paused_for > self._state.policy.grant_lifetime / 2:
+            for row in list(self.owned):
+                self.owned.remove(row.key)
+            self._state.emit(commands.Note("paused", self._state.me.name))
+
+    def _fallback_share(self, limit):
+        return limit // (2 * max(1, len(self._state.entries)))
+
+    def _held(self, account, resource):
+        key = (account, resource)
+        row = self.held.get(key)
+        if row is None:
+            row = HeldRow(key)
+            self.held.add(row)
+        return row
+
+    def _is_due(self, row, now):
+        if row.expires_at is None:
+            return True
+        left = row.expires_at - now
+        in_use, waiting = self._usage(*row.key)
+        lifetime = self._state.policy.grant_lifetime
+        return left < lifetime * _RENEW_AT or in_use + waiting > row.slots
+
+    def _is_idle(self, row, now):
+        in_use, waiting = self._usage(*row.key)
+        if in_use or waiting:
+            return False
+        return row.needed_at is None or now - row.needed_at > _IDLE_KEPT_FOR
+
+    def _ask_of(self, row, now):
+        account_name, resource = row.key
+        in_use, waiting = self._usage(account_name, resource)
+        lasts = row.expires_at is not None and now < row.expires_at
+        wanted = in_use + waiting + max(1, in_use // 4)
+        return events.SliceAsk(
+            account_name,
+            resource,
+            in_use,
+            wanted,
+            row.slots if lasts else 0,
+            row.grant if lasts else 0,
+        )
+
+    def _ask(self, rows, now):
+        asks_by_address = collections.defaultdict(list)
+        for row in rows:
+            owner = self.owner(row.key[0])
+            if owner is not None:
+                row.asked_at = row.asked_at or now
+                ask = self._ask_of(row, now)
+                row.asked_for = ask.wanted
+                asks_by_address[owner.peer_address].append(ask)
+        for address, asks in asks_by_address.items():
+            self._state.emit(commands.AskSlices(address, tuple(asks)))
+
+    def _note_ask(self, entry, ask, now):
+        if not self._is_owner(ask.account):
+            return
+        row = self.owned.get((ask.account, ask.resource))
+        if row is None:
+            row = self._begin_owning(ask, now)
+        if entry not in row.given_by_entry:
+            self._note_holding(row, entry, ask, now)
+        given = row.given_by_entry[entry]
+        given.in_use = ask.in_use
+        given.wanted = ask.wanted
+        row.unlearned.discard(entry)
+
+    def _begin_owning(self, ask, now):
+        """Begin to own an account: learn what is out, or wait until it ran out.
+
+        Guards against two owners' slices adding up to more than the limit: an
+        earlier owner's slices are counted, and entries that can't be asked are
+        waited for as long as a slice can last.
+        """
+        state = self._state
+        lifetime = state.policy.grant_lifetime
+        others = {
+            row.name: row
+            for row in state.entries
+            if row.state is not events.HostState.DEAD and row.incarnation
+        }
+        row = OwnedRow(
+            (ask.account, ask.resource), set(others), now + lifetime + OWNER_MARGIN
+        )
+        row.unlearned.discard(state.me.name)
+        self.owned.add(row)
+        mine = self.held.get(row.key)
+        if mine is not None:
+            self._note_holding(row, state.me.name, self._ask_of(mine, now), now)
+        for name in sorted(row.unlearned):
+            address = others[name].peer_address
+            state.emit(commands.AskHoldings(name, address, (ask.account,)))
+        return row
+
+    def _note_holding(self, row, entry, holding, now):
+        lifetime = self._state.policy.grant_lifetime
+        row.given_by_entry[entry] = GivenSlice(
+            holding.held,
+            holding.in_use,
+            holding.wanted,
+            holding.grant,
+            now + lifetime + OWNER_MARGIN,
+        )
+
+    def _is_owner(self, account):
+        owner = self.owner(account)
+        return owner is not None and owner.name == self._state.me.name
+
+    def _is_learned(self, ask, now):
+        row = self.owned.get((ask.account, ask.resource))
+        return row is None or not row.unlearned or now >= row.learned_at
+
+    def _answer_waiting(self, now):
+        waiting, self._waiting_asks = self._waiting_asks, []
+        for item in waiting:
+            learned = all(self._is_learned(ask, now) for ask in item.event.asks)
+            if learned or now >= item.until:
+                self._grant(item.event, now)
+            else:
+                self._waiting_asks.append(item)
+
+    def _grant(self, event, now):
+        grants = [
+            self._grant_one(event.entry, ask, now)
+            for ask in event.asks
+            if self._is_owner(ask.account)
+        ]
+        self._state.emit(commands.GrantSlices(event.exchange_id, tuple(grants)))
+
+    def _grant_one(self, entry, ask, now):
+        row = self.owned.get((ask.account, ask.resource))
+        account = self._state.accounts.get(ask.account)
+        if row is None or account is None or entry not in row.given_by_entry:
+            return events.SliceGrant(ask.account, ask.resource, 0, 0)
+        limit = _limit(account.contract, ask.resource)
+        given = row.given_by_entry[entry]
+        if self._is_learned(ask, now):
+            slots = self._fair_slots(row, entry, limit, now)
+        else:
+            slots = min(ask.held, limit)
+        # What the entry still runs above its new slice is counted too.
+        given.slots = slots
+        self._next_grant += 1
+        given.grant = self._next_grant
+        lifetime = self._state.policy.grant_lifetime
+        given.expires_at = now + lifetime + OWNER_MARGIN
+        return events.SliceGrant(ask.account, ask.resource, slots, given.grant)
+
+    def _fair_slots(self, row, entry, limit, now):
+        """Return what an entry may have: its demand, or its share of the limit."""
+        given = row.given_by_entry[entry]
+        others = [
+            other
+            for name, other in row.given_by_entry.items()
+            if name != entry and (other.expires_at > now or other.in_use)
+        ]
+        counted = sum(max(other.slots, other.in_use) for other in others)
+        free = max(0, limit - self._reserve(row, limit) - counted)
+        wanted = given.wanted + sum(other.wanted for other in others)
+        share = given.wanted
+        if wanted > limit:
+            share = max(1, limit * given.wanted // wanted)
+        return min(given.wanted, share, free)
+
+    def _reserve(self, row, limit):
+        """Return what entries that can't be reached may use as fallback."""
+        unreachable = sum(
+            entry.state in (events.HostState.SUSPECT, events.HostState.DEAD)
+            for entry in self._state.entries
+        )
+        return unreachable * self._fallback_share(limit)
+
+    def _drop_expired(self, now):
+        """Drop slices that have run out, with those of entries that are dead."""
+        for row in list(self.owned):
+            for name, given in list(row.given_by_entry.items()):
+                if given.expires_at <= now and not self._may_still_run(name, given):
+                    del row.given_by_entry[name]
+            if not row.given_by_entry:
+                self.owned.remove(row.key)
+
+    def _may_still_run(self, name, given):
+        entry = self._state.entries.get(name)
+        lost = entry is None or entry.state is events.HostState.DEAD
+        return given.in_use > 0 and not lost
+
+
+def _limit(contract, resource):
+    match resource:
+        case events.Resource.PROMPTS:
+            return contract.concurrency
+        case events.Resource.CALLS:
+            return contract.call_concurrency
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -0,0 +1,185 @@
+"""The tables that all systems of one daemon's decision logic share."""
+
+import collections
+import dataclasses
+import datetime
+import random
+
+from sesamespindle.decide import declared, events, retries, tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """Numbers that operators may set for a process.
+
+    Attributes
+    ----------
+    queue_patience : datetime.timedelta
+        The longest that a request is expected to wait for a slot.
+    first_token_patience : datetime.timedelta
+        The longest expected time to first token that is still tried.
+    resume_attempts : int
+        How often a lost link to one stream is taken up again.
+    max_attempts : int
+        Starts of one request at targets, resumes not counted.
+    call_timeout : datetime.timedelta
+        The longest that a plain service may take.
+    retry_after : datetime.timedelta
+        When to come back, where nothing better is known.
+    grant_lifetime : datetime.timedelta
+        How long an entry may use a slice of an account's limit.
+    suspect_after : datetime.timedelta
+        Silence after which an entry is taken for dead.
+    """
+
+    queue_patience: datetime.timedelta = datetime.timedelta(seconds=2)
+    first_token_patience: datetime.timedelta = datetime.timedelta(seconds=30)
+    resume_attempts: int = 4
+    max_attempts: int = 4
+    call_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
+    retry_after: datetime.timedelta = datetime.timedelta(seconds=1)
+    grant_lifetime: datetime.timedelta = datetime.timedelta(seconds=6)
+    suspect_after: datetime.timedelta = datetime.timedelta(seconds=4)
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """What an account uses here of one limit, and how long it usually holds it."""
+
+    running: int = 0
+    holding_time: datetime.timedelta = datetime.timedelta(seconds=1)
+
+
+def _no_usage():
+    return {resource: Usage() for resource in events.Resource}
+
+
+@dataclasses.dataclass(slots=True)
+class AccountRow:
+    """A client account: its contract and what it uses here."""
+
+    name: str
+    contract: declared.Contract
+    usage_by_resource: dict[events.Resource, Usage] = dataclasses.field(
+        default_factory=_no_usage
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class SentWork:
+    """Prompt tokens sent to a target whose first token hasn't come."""
+
+    at: datetime.datetime
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRow:
+    """A target: what is declared, listed, reported and seen of it."""
+
+    name: str
+    pool: str
+    kind: declared.TargetKind
+    data_centre: str
+    checks_fencing: bool
+    url: str = ""
+    listed: bool = False
+    leaving: bool = False
+    shunned_until: datetime.datetime | None = None
+    failures: int = 0
+    running_here: int = 0
+    version: str = ""
+    reported_at: datetime.datetime | None = None
+    reported_backlog: int = 0
+    prefill_rate: float = 20_000.0
+    sent_by_request: dict[str, SentWork] = dataclasses.field(default_factory=dict)
+
+    def usable(self, now):
+        """Return whether the target may get new work."""
+        if not self.listed or self.leaving or not self.url:
+            return False
+        return self.shunned_until is None or now >= self.shunned_until
+
+    def backlog(self, now):
+        """Return the prompt tokens that are expected to wait there.
+
+        The report lags, so what was sent since it was taken is added, and
+        what the target has worked off since then is taken away.
+        """
+        if self.reported_at is None:
+            return sum(work.tokens for work in self.sent_by_request.values())
+        since = (now - self.reported_at).total_seconds()
+        left = max(0.0, self.reported_backlog - since * self.prefill_rate)
+        added = sum(
+            work.tokens
+            for work in self.sent_by_request.values()
+            if work.at > self.reported_at
+        )
+        return left + added
+
+
+@dataclasses.dataclass(slots=True)
+class EntryRow:
+    """An entry host, by the list, by gossip, or by both."""
+
+    name: str
+    data_centre: str
+    url: str
+    peer_address: str
+    admin_url: str
+    incarnation: int
+    state: events.HostState
+    heartbeat: int = 0
+    heard_at: datetime.datetime | None = None
+    revision: int = 0
+
+
+class World:
+    """The state of one daemon, and the commands of the step under way.
+
+    Parameters
+    ----------
+    me : events.Host
+        This daemon's own entry host.
+    policy : Policy
+        The numbers in force.
+    seed : int
+        The seed of the only source of randomness.
+    """
+
+    def __init__(self, me, policy=None, seed=0):
+        self.me = me
+        self.policy = policy or Policy()
+        self.random = random.Random(seed)
+        self.revision = 0
+        self.declarations = declared.Declarations()
+        self.leaving = False
+        self.accounts: tables.Table[AccountRow] = tables.Table("name")
+        self.models: tables.Table[declared.Model] = tables.Table("name", "pool")
+        self.pools: tables.Table[declared.Pool] = tables.Table("name")
+        self.targets: tables.Table[TargetRow] = tables.Table("name", "pool", "kind")
+        self.entries: tables.Table[EntryRow] = tables.Table("name")
+        self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
+        self.region_by_data_centre: dict[str, str] = {}
+        self._out = []
+
+    def emit(self, command):
+        """Add a command to those that the step returns."""
+        self._out.append(command)
+
+    def take_commands(self):
+        """Return the commands emitted since the last call."""
+        out, self._out = self._out, []
+        return out
+
+    def live_entries(self):
+        """Return the entries that may be given to callers, this one included."""
+        return [entry for entry in self.entries if entry.state is events.HostState.LIVE]
+
+    def distance(self, data_centre):
+        """Return the rank of a data centre's distance: 0, 1 or 2."""
+        if data_centre == self.me.data_centre:
+            return 0
+        region = self.region_by_data_centre.get(data_centre)
+        here = self.region_by_data_centre.get(self.me.data_centre)
+        return 1 if region == here else 2
--- /dev/null
+++ b/packages/declare/sesamespindle/declare/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations and settings of sesamespindle: checked YAML."""
--- /dev/null
+++ b/packages/declare/sesamespindle/declare/settings.py
@@ -0,0 +1,155 @@
+"""The settings of one daemon: defaults, file, and secrets from outside."""
+
+import datetime
+import pathlib
+import typing
+
+import pydantic
+import yaml
+
+from sesamespindle.declare import findings, kinds, units, yamlfile
+
+TOKEN_KEY_VARIABLE = "SESAMESPINDLE_TOKEN_KEY"
+ADMIN_KEY_VARIABLE = "SESAMESPINDLE_ADMIN_KEY"
+_MIN_KEY_LENGTH = 16
+_SECRET_VARIABLE_BY_NAME = {
+    "token_key": TOKEN_KEY_VARIABLE,
+    "admin_key": ADMIN_KEY_VARIABLE,
+}
+
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535, strict=True)]
+Positive = typing.Annotated[int, pydantic.Field(ge=1, strict=True)]
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Address(_Section):
+    """Where to listen; port 0 lets the system choose."""
+
+    host: pydantic.IPvAnyAddress
+    port: Port
+
+
+class Statsd(_Section):
+    """Where metrics go; an empty host turns them off."""
+
+    host: str
+    port: Port
+    prefix: str
+
+
+class Log(_Section):
+    """How log lines look."""
+
+    format: typing.Literal["text", "json"]
+    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class Limits(_Section):
+    """What a caller's request may be like."""
+
+    body_bytes: Positive
+    header_bytes: Positive
+    json_depth: Positive
+    body_timeout: units.Duration
+
+
+class Policy(_Section):
+    """Numbers of the decision logic; see `sesamespindle.decide.world.Policy`."""
+
+    queue_patience: units.Duration
+    first_token_patience: units.Duration
+    call_timeout: units.Duration
+    prompt_timeout: units.Duration
+    retry_after: units.Duration
+    grant_lifetime: units.Duration
+    suspect_after: units.Duration
+
+
+class Settings(_Section):
+    """Everything that a daemon is told at its start."""
+
+    name: kinds.Name
+    data_centre: kinds.Name
+    region: str
+    listen: Address
+    peers: Address
+    admin: Address
+    seeds: tuple[str, ...]
+    platform_url: pydantic.HttpUrl
+    token_key: pydantic.SecretStr = pydantic.Field(min_length=_MIN_KEY_LENGTH)
+    admin_key: pydantic.SecretStr = pydantic.Field(min_length=_MIN_KEY_LENGTH)
+    statsd: Statsd
+    log: Log
+    limits: Limits
+    policy: Policy
+    tick: units.Duration
+    host_list_interval: units.Duration
+    load_interval: units.Duration
+    watch_timeout: units.Duration
+    platform_timeout: units.Duration
+    entries_per_account: Positive
+    entries_kept_for: units.Duration
+    shutdown_grace: units.Duration
+    ticket_lifetime: units.Duration
+    event_log_size: Positive
+
+    @property
+    def tick_seconds(self):
+        """Return the time between ticks, in seconds."""
+        return self.tick / datetime.timedelta(seconds=1)
+
+
+def load(path, environment):
+    """Return the settings of a file over the defaults.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        The YAML file.
+    environment : mapping
+        Where secrets are looked up; they go before the file's.
+
+    Raises
+    ------
+    findings.FindingsError
+        With everything that is wrong.
+    """
+    path = pathlib.Path(path)
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise findings.FindingsError(
+            [findings.Finding(str(path), 1, 1, "unreadable", str(error))]
+        ) from error
+    documents = yamlfile.read(str(path), text)
+    if len(documents) != 1 or not isinstance(documents[0].value, dict):
+        raise findings.FindingsError(
+            [findings.Finding(str(path), 1, 1, "not_a_mapping", "One mapping please.")]
+        )
+    document = documents[0]
+    document.value = _merge(_defaults(), document.value)
+    for name, variable in _SECRET_VARIABLE_BY_NAME.items():
+        if environment.get(variable):
+            document.value[name] = environment[variable]
+    made, found = yamlfile.check(document, Settings)
+    if found:
+        raise findings.FindingsError(found)
+    return made
+
+
+def _defaults():
+    path = pathlib.Path(__file__).with_name("defaults.yaml")
+    return yaml.safe_load(path.read_text("utf-8"))
+
+
+def _merge(defaults, given):
+    merged = dict(defaults)
+    for key, value in given.items():
+        base = merged.get(key)
+        if isinstance(base, dict) and isinstance(value, dict):
+            value = _merge(base, value)
+        merged[key] = value
+    return merged
--- /dev/null
+++ b/packages/declare/sesamespindle/declare/yamlfile.py
@@ -0,0 +1,172 @@
+"""Reading YAML so that every value keeps the place it was written at."""
+
+import dataclasses
+import difflib
+
+import pydantic
+import yaml
+
+from sesamespindle.declare import findings
+
+_CODE_BY_PYDANTIC_TYPE = {
+    "extra_forbidden": "unknown_key",
+    "missing": "missing_key",
+    "wrong_unit": "wrong_unit",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """A line and a column, from 1."""
+
+    line: int
+    column: int
+
+
+@dataclasses.dataclass(slots=True)
+class Document:
+    """One YAML document and the places of its values.
+
+    Attributes
+    ----------
+    value : object
+        The plain value: mappings, sequences and scalars.
+    place_by_path : dict
+        Places by the path of keys and indices from the document's root.
+    """
+
+    file: str
+    value: object
+    place_by_path: dict
+
+    def place(self, path):
+        """Return the place of a path, or of the nearest one above it."""
+        path = tuple(path)
+        while path not in self.place_by_path and path:
+            path = path[:-1]
+        return self.place_by_path.get(path, Place(1, 1))
+
+    def finding(self, path, code, message):
+        """Return a finding at the place of a path."""
+        place = self.place(path)
+        return findings.Finding(self.file, place.line, place.column, code, message)
+
+
+def read(file, text):
+    """Return the documents of a YAML text.
+
+    Raises
+    ------
+    findings.FindingsError
+        If the text is not YAML, or a mapping has a key twice.
+    """
+    loader = yaml.SafeLoader(text)
+    documents = []
+    try:
+        while loader.check_node():
+            documents.append(_document(file, loader, loader.get_node()))
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        line, column = (mark.line + 1, mark.column + 1) if mark else (1, 1)
+        finding = findings.Finding(
+            file, line, column, "yaml", str(error.problem or error.context)
+        )
+        raise findings.FindingsError([finding]) from error
+    finally:
+        loader.dispose()
+    return documents
+
+
+def check(document, model, skip=()):
+    """Return the model made of a document, and the findings about it.
+
+    Parameters
+    ----------
+    document : Document
+        The document, which should hold a mapping.
+    model : type
+        A pydantic model.
+    skip : collection of str
+        Keys of the document that aren't the model's.
+
+    Returns
+    -------
+    made : object or None
+        The model, or None where there are findings.
+    found : list of findings.Finding
+        All that is wrong.
+    """
+    if not isinstance(document.value, dict):
+        return None, [document.finding((), "not_a_mapping", "A mapping is expected.")]
+    value = {key: item for key, item in document.value.items() if key not in skip}
+    try:
+        return model.model_validate(value), []
+    except pydantic.ValidationError as error:
+        return None, [_finding(document, model, item) for item in error.errors()]
+
+
+def _document(file, loader, node):
+    place_by_path = {}
+    _collect_places(node, (), place_by_path)
+    return Document(file, loader.construct_document(node), place_by_path)
+
+
+def _collect_places(node, path, place_by_path):
+    mark = node.start_mark
+    place_by_path.setdefault(path, Place(mark.line + 1, mark.column + 1))
+    match node:
+        case yaml.MappingNode():
+            _collect_mapping(node, path, place_by_path)
+        case yaml.SequenceNode():
+            for index, item in enumerate(node.value):
+                _collect_places(item, (*path, index), place_by_path)
+
+
+def _collect_mapping(node, path, place_by_path):
+    seen = set()
+    for key, item in node.value:
+        if key.value in seen:
+            raise yaml.MarkedYAMLError(
+                problem=f"The key {key.value!r} stands twice.",
+                problem_mark=key.start_mark,
+            )
+        seen.add(key.value)
+        mark = key.start_mark
+        place_by_path[(*path, key.value)] = Place(mark.line + 1, mark.column + 1)
+        _collect_places(item, (*path, key.value), place_by_path)
+
+
+def _finding(document, model, item):
+    path = item["loc"]
+    code = _CODE_BY_PYDANTIC_TYPE.get(item["type"], "wrong_value")
+    name = ".".join(str(part) for part in path)
+    match code:
+        case "unknown_key":
+            message = f"The key {name!r} is not known."
+            message += _nearest(str(path[-1]), model, path[:-1])
+        case "missing_key":
+            message = f"The key {name!r} is missing."
+        case _:
+            message = f"{name}: {item['msg']}."
+    return document.finding(path, code, message)
+
+
+def _nearest(key, model, path):
+    for part in path:
+        model = _inner_model(model, part)
+    names = list(model.model_fields) if model else []
+    near = difflib.get_close_matches(key, names, n=1)
+    return f" Did you mean {near[0]!r}?" if near else ""
+
+
+def _inner_model(model, part):
+    if model is None or isinstance(part, int):
+        return model
+    field = model.model_fields.get(part)
+    if field is None:
+        return None
+    kinds = [field.annotation, *getattr(field.annotation, "__args__", ())]
+    for kind in kinds:
+        if isinstance(kind, type) and issubclass(kind, pydantic.BaseModel):
+            return kind
+    return None
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -0,0 +1,380 @@
+"""A stand-in for a model engine: batching, prefix cache, streams, loads."""
+
+import asyncio
+import collections
+import dataclasses
+import heapq
+import itertools
+import json
+import time
+
+import aiohttp
+import aiohttp.web
+
+from sesamespindle.decide import hashing
+from sesamespindle.lab import answers, kvlink, standin
+
+_PING_SECONDS = 0.5
+
+
+@dataclasses.dataclass
+class Model:
+    """How fast the engine is, and what it has room for.
+
+    Attributes
+    ----------
+    prefill_rate : float
+        Prompt tokens a second.
+    decode_interval : float
+        Seconds between the tokens of every running stream.
+    cache_blocks : int
+        Blocks that the prefix cache holds.
+    """
+
+    version: str
+    prefill_rate: float = 20_000.0
+    decode_interval: float = 0.005
+    cache_blocks: int = 2_000
+    max_running: int = 256
+    max_waiting: int = 512
+    load_lag: float = 0.2
+    unread_window: float = 10.0
+
+
+class Stream:
+    """One answer as it grows; it outlives the links that read it."""
+
+    def __init__(self, request, ids):
+        self.id = request["stream"]
+        self.request = request
+        self.ids = ids
+        self.digest = answers.digest(request["prompt"])
+        self.first = request["continued_tokens"] + 1
+        self.tokens = []
+        self.started = None
+        self.done = False
+        self.cancelled = False
+        self.readers = 0
+        self.unread_since = time.monotonic()
+        self.changed = asyncio.Condition()
+
+    @property
+    def wanted(self):
+        """Return the number of tokens still to be made."""
+        made = self.first - 1 + len(self.tokens)
+        return self.request["max_tokens"] - made
+
+    def pieces_after(self, sequence):
+        """Return the pieces past a sequence number, with the end mark if due."""
+        pieces = [
+            self._piece(self.first + index, text)
+            for index, text in enumerate(self.tokens)
+            if self.first + index > sequence
+        ]
+        if self.done:
+            pieces.append(self._piece(self.first + len(self.tokens), "", last=True))
+        return pieces
+
+    def _piece(self, sequence, text, last=False):
+        return {
+            "stream": self.id,
+            "sequence": sequence,
+            "text": text,
+            "last": last,
+            "finish_reason": "length" if last else "",
+        }
+
+
+class Engine:
+    """Serves streams; one task processes prompts, another makes tokens."""
+
+    def __init__(self, model):
+        self._model = model
+        self._stream_by_id = {}
+        self._waiting = []
+        self._order = itertools.count()
+        self._wake = asyncio.Event()
+        self._running = []
+        self._cache = collections.OrderedDict()
+        self._counts = collections.Counter()
+        self._running_by_account = collections.Counter()
+        self._most_by_account = collections.Counter()
+        self._load = {}
+        self._finishing = set()
+        self._session = None
+        self._faults = standin.Faults(
+            refuse=False,
+            delay=0.0,
+            double_pieces=False,
+            shuffle_pieces=False,
+            cut_after_pieces=0,
+            hide_end_mark=0,
+            foreign_pieces=False,
+            load_frozen=False,
+            leaving=False,
+        )
+
+    def application(self):
+        """Return the aiohttp application."""
+        application = aiohttp.web.Application(client_max_size=64_000_000)
+        route = application.router
+        route.add_post("/streams", self._start)
+        route.add_get("/streams/{stream}", self._resume)
+        route.add_delete("/streams/{stream}", self._cancel)
+        route.add_get("/load", self._show_load)
+        route.add_post("/evict", self._evict)
+        route.add_post("/version", self._set_version)
+        route.add_get("/counts", self._show_counts)
+        self._faults.add_route(application)
+        application.cleanup_ctx.append(self._run_tasks)
+        return application
+
+    async def _run_tasks(self, application):
+        self._session = aiohttp.ClientSession()
+        loops = (self._process_prompts, self._make_tokens, self._report_load)
+        tasks = [asyncio.create_task(loop()) for loop in loops]
+        yield
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._session.close()
+
+    async def _start(self, request):
+        body = await request.json()
+        self._counts["received"] += 1
+        wrong_version = body["version"] and body["version"] != self._model.version
+        full = len(self._waiting) >= self._model.max_waiting
+        if self._faults["refuse"] or wrong_version or full:
+            status = 409 if wrong_version else 503
+            return aiohttp.web.Response(status=status, headers={"Retry-After": "1"})
+        ids = hashing.chain(bytes.fromhex(body["salt"]), body["prompt"])
+        stream = Stream(body, ids)
+        self._stream_by_id[stream.id] = stream
+        heapq.heappush(self._waiting, (-body["priority"], next(self._order), stream))
+        self._wake.set()
+        return await self._send(request, stream, stream.first - 1)
+
+    async def _resume(self, request):
+        stream = self._stream_by_id.get(request.match_info["stream"])
+        if stream is None or stream.cancelled:
+            raise aiohttp.web.HTTPNotFound
+        return await self._send(request, stream, int(request.query["after"]))
+
+    async def _cancel(self, request):
+        stream = self._stream_by_id.get(request.match_info["stream"])
+        if stream is not None and not stream.readers:
+            self._drop(stream)
+        return aiohttp.web.json_response({})
+
+    def _drop(self, stream):
+        stream.cancelled = True
+        self._stream_by_id.pop(stream.id, None)
+
+    async def _send(self, request, stream, after):
+        response = aiohttp.web.StreamResponse(
+            headers={"Content-Type": "text/event-stream"}
+        )
+        stream.readers += 1
+        try:
+            await response.prepare(request)
+            await self._send_pieces(request, response, stream, after)
+        finally:
+            stream.readers -= 1
+            stream.unread_since = time.monotonic()
+        return response
+
+    async def _send_pieces(self, request, response, stream, after):
+        told_start = False
+        while not stream.cancelled:
+            await self._wait_for_change(response, stream, after, told_start)
+            if stream.started is not None and not told_start:
+                told_start = True
+                await _write(response, stream.started)
+            for piece in self._struck_pieces(stream, after):
+                if self._faults["cut_after_pieces"] and self._is_cut(piece):
+                    await standin.until_cut(request.transport)
+                    return
+                await _write(response, piece)
+                after = max(after, piece["sequence"])
+                if piece["last"]:
+                    return
+
+    async def _wait_for_change(self, response, stream, after, told_start):
+        def has_news():
+            if stream.cancelled or (stream.started and not told_start):
+                return True
+            made = stream.first - 1 + len(stream.tokens)
+            return stream.started is not None and (made > after or stream.done)
+
+        while True:
+            try:
+                async with asyncio.timeout(_PING_SECONDS), stream.changed:
+                    await stream.changed.wait_for(has_news)
+                return
+            except TimeoutError:
+                await response.write(b": ping\n\n")
+
+    def _is_cut(self, piece):
+        if piece["sequence"] < self._faults["cut_after_pieces"]:
+            return False
+        return self._faults.take("cut_after_pieces")
+
+    def _struck_pieces(self, stream, after):
+        """Return the next pieces as the faults in force let them out."""
+        pieces = stream.pieces_after(after)
+        if pieces and pieces[-1]["last"] and self._faults.take("hide_end_mark"):
+            pieces = []
+        if self._faults["shuffle_pieces"]:
+            tokens = [piece for piece in pieces if not piece["last"]]
+            pieces = tokens[::-1] + [piece for piece in pieces if piece["last"]]
+        if self._faults["double_pieces"]:
+            pieces = [piece for piece in pieces for _ in range(2)]
+        return pieces
+
+    async def _process_prompts(self):
+        """Process waiting prompts, one at a time, highest priority first."""
+        while True:
+            while not self._waiting or len(self._running) >= self._model.max_running:
+                self._wake.clear()
+                await self._wake.wait()
+            _, _, stream = heapq.heappop(self._waiting)
+            if stream.cancelled:
+                continue
+            if self._faults["delay"]:
+                await asyncio.sleep(self._faults["delay"])
+            stream.started = await self._prefill(stream)
+            self._running.append(stream)
+            self._count_running(stream, 1)
+            async with stream.changed:
+                stream.changed.notify_all()
+
+    async def _prefill(self, stream):
+        reused = self._cached_blocks(stream.ids)
+        imported = await self._import(stream, reused)
+        prompt_tokens = hashing.token_count(stream.request["prompt"])
+        prompt_tokens += stream.request["continued_tokens"]
+        ready = (reused + imported) * hashing.BLOCK_TOKENS
+        computed = max(0, prompt_tokens - ready)
+        await asyncio.sleep(computed / self._model.prefill_rate)
+        for block_id in stream.ids:
+            self._keep(block_id)
+        self._counts["computed_tokens"] += computed
+        self._counts["reused_tokens"] += reused * hashing.BLOCK_TOKENS
+        self._counts["imported_tokens"] += imported * hashing.BLOCK_TOKENS
+        return {
+            "reused_tokens": reused * hashing.BLOCK_TOKENS,
+            "imported_tokens": imported * hashing.BLOCK_TOKENS,
+            "computed_tokens": computed,
+            "version": self._model.version,
+        }
+
+    async def _import(self, stream, reused):
+        """Fetch the blocks past those in the cache, where that is quicker."""
+        url = stream.request["store_url"]
+        missing = stream.ids[reused:]
+        if not url or not missing:
+            return 0
+        rate = self._model.prefill_rate / hashing.BLOCK_TOKENS
+        return await kvlink.fetch(self._session, url, stream.ids, reused, rate)
+
+    def _cached_blocks(self, ids):
+        count = 0
+        for block_id in ids:
+            if block_id not in self._cache:
+                break
+            count += 1
+        return count
+
+    def _keep(self, block_id):
+        self._cache[block_id] = True
+        self._cache.move_to_end(block_id)
+        while len(self._cache) > self._model.cache_blocks:
+            self._cache.popitem(last=False)
+
+    async def _make_tokens(self):
+        """Make one token of every running stream, again and again."""
+        while True:
+            await asyncio.sleep(self._model.decode_interval)
+            now = time.monotonic()
+            for stream in list(self._running):
+                await self._make_token(stream, now)
+
+    async def _make_token(self, stream, now):
+        unread = not stream.readers and now - stream.unread_since
+        if unread and unread > self._model.unread_window:
+            self._drop(stream)
+        if not stream.cancelled and stream.wanted > 0:
+            place = stream.first + len(stream.tokens)
+            stream.tokens.append(answers.token(stream.digest, place))
+        stream.done = stream.wanted <= 0
+        if stream.done or stream.cancelled:
+            self._running.remove(stream)
+            self._count_running(stream, -1)
+            self._wake.set()
+            if stream.done:
+                self._spawn(self._finish(stream))
+        async with stream.changed:
+            stream.changed.notify_all()
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._finishing.add(task)
+        task.add_done_callback(self._finishing.discard)
+
+    async def _finish(self, stream):
+        """Export the context, and forget the stream when nobody wants it."""
+        url = stream.request["store_url"]
+        if url:
+            await kvlink.export(self._session, url, stream.ids)
+        await asyncio.sleep(self._model.unread_window)
+        self._stream_by_id.pop(stream.id, None)
+
+    def _count_running(self, stream, change):
+        account = stream.request["account"]
+        self._running_by_account[account] += change
+        running = self._running_by_account[account]
+        self._most_by_account[account] = max(self._most_by_account[account], running)
+
+    async def _report_load(self):
+        while True:
+            if not self._faults["load_frozen"]:
+                tokens = sum(
+                    hashing.token_count(stream.request["prompt"])
+                    for _, _, stream in self._waiting
+                )
+                self._load = {
+                    "taken_at": time.monotonic(),
+                    "backlog_tokens": tokens,
+                    "running": len(self._running),
+                    "prefill_rate": self._model.prefill_rate,
+                    "version": self._model.version,
+                }
+            await asyncio.sleep(self._model.load_lag)
+
+    async def _show_load(self, request):
+        load = dict(self._load)
+        load["age_seconds"] = time.monotonic() - load.pop("taken_at")
+        load["leaving"] = self._faults["leaving"]
+        return aiohttp.web.json_response(load)
+
+    async def _evict(self, request):
+        self._cache.clear()
+        return aiohttp.web.json_response({})
+
+    async def _set_version(self, request):
+        self._model.version = (await request.json())["version"]
+        return aiohttp.web.json_response({})
+
+    async def _show_counts(self, request):
+        return aiohttp.web.json_response(
+            {
+                **self._counts,
+                "running": len(self._running),
+                "most_by_account": dict(self._most_by_account),
+                "cached_blocks": len(self._cache),
+            }
+        )
+
+
+async def _write(response, value):
+    await response.write(f"data: {json.dumps(value)}\n\n".encode())
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/fleet.py
@@ -0,0 +1,412 @@
+"""A small fleet of real processes: stand-ins, daemons, and what is declared."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import shutil
+
+import aiohttp
+import yaml
+
+from sesamespindle.declare import documents, settings
+from sesamespindle.lab import processes
+
+TOKEN_KEY = "lab-token-key-not-for-real-use"
+ADMIN_KEY = "lab-admin-key-not-for-real-use"
+_LAB = "sesamespindle.lab.main"
+_DAEMON = "sesamespindle.daemon.main"
+_CLI = "sesamespindle.cli.main"
+_READY_SECONDS = 60.0
+_POLL_SECONDS = 0.05
+_ENGINE_KINDS = ("engine",)
+
+
+class FleetError(Exception):
+    """The fleet could not be made ready."""
+
+    code = "fleet"
+
+
+@dataclasses.dataclass
+class Plan:
+    """What a fleet is made of.
+
+    Attributes
+    ----------
+    entries, engines : int
+        How many of each; engines are taken from the example's targets.
+    data_centres : int
+        Over how many of the example's data centres the entries are spread.
+    engine_options, store_options, platform_options : list of str
+        Further arguments of the stand-ins.
+    proxied : frozenset of str
+        Targets that are reached only through a fault proxy.
+    settings : dict
+        What the daemons' settings say beyond the defaults.
+    """
+
+    example: pathlib.Path = pathlib.Path("examples/umoja")
+    folder: pathlib.Path = pathlib.Path(".run")
+    entries: int = 3
+    engines: int = 3
+    store_hosts: int = 1
+    services: int = 1
+    data_centres: int = 2
+    engine_options: list = dataclasses.field(default_factory=list)
+    store_options: list = dataclasses.field(default_factory=list)
+    platform_options: list = dataclasses.field(default_factory=list)
+    proxied: frozenset = frozenset()
+    proxy_platform: bool = False
+    settings: dict = dataclasses.field(default_factory=dict)
+
+
+def demo_key(account):
+    """Return the key of an account of the examples."""
+    return f"sk-demo-{account}"
+
+
+class Fleet:
+    """A running fleet; ends every process it started when it is left.
+
+    Parameters
+    ----------
+    plan : Plan
+        What to start.
+    progress : callable
+        Gets a line of text for each step.
+    """
+
+    def __init__(self, plan, progress=lambda line: None):
+        self.plan = plan
+        self._progress = progress
+        self._stack = contextlib.AsyncExitStack()
+        self._entities = documents.read_folder(plan.example)
+        self.session = None
+        self.platform = None
+        self.process_by_name = {}
+        self.role_by_name = {}
+        self.proxy_by_name = {}
+        self._data_centre_by_name = {}
+
+    async def __aenter__(self):
+        shutil.rmtree(self.plan.folder, ignore_errors=True)
+        self.plan.folder.mkdir(parents=True)
+        self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        try:
+            await self._start_all()
+        except BaseException:
+            await self._end_all()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._end_all()
+
+    @property
+    def accounts(self):
+        """Return the names of the declared accounts."""
+        return self._names("Contract")
+
+    @property
+    def models(self):
+        """Return the names of the declared models."""
+        return self._names("Model")
+
+    @property
+    def entry_names(self):
+        """Return the names of the daemons, in the order they were started."""
+        return [name for name, role in self.role_by_name.items() if role == "daemon"]
+
+    def names_of(self, role):
+        """Return the names of the processes of a role."""
+        return [name for name, held in self.role_by_name.items() if held == role]
+
+    def url(self, name):
+        """Return where a process listens itself, not its proxy."""
+        return self.process_by_name[name].url
+
+    @property
+    def environment(self):
+        """Return what the operators' command line needs."""
+        return {
+            "SESAMESPINDLE_PLATFORM": self.platform_url,
+            "SESAMESPINDLE_ADMIN_KEY": ADMIN_KEY,
+        }
+
+    @property
+    def platform_url(self):
+        """Return where the platform's API is, past no proxy."""
+        return self.platform.url
+
+    async def fault(self, name, **faults):
+        """Switch faults of a stand-in."""
+        await self._post(f"{self.url(name)}/faults", faults)
+
+    async def proxy_fault(self, name, **faults):
+        """Switch faults of the proxy before a process."""
+        await self._post(f"{self.proxy_by_name[name].url}/faults", faults)
+
+    async def post(self, name, path, value):
+        """Post to a stand-in and return its answer."""
+        return await self._post(f"{self.url(name)}{path}", value)
+
+    async def counts(self, name):
+        """Return what a stand-in has counted."""
+        async with self.session.get(f"{self.url(name)}/counts") as response:
+            return await response.json()
+
+    async def status(self, name):
+        """Return a daemon's status."""
+        url = self.process_by_name[name].announced["admin_url"]
+        headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
+        async with self.session.get(f"{url}/status", headers=headers) as response:
+            return await response.json()
+
+    async def cli(self, *arguments, environment=None):
+        """Run the operators' command line; return its exit code and output."""
+        child = await asyncio.create_subprocess_exec(
+            processes.sys.executable,
+            "-m",
+            _CLI,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env=os.environ | self.environment | (environment or {}),
+        )
+        output, _ = await child.communicate()
+        return child.returncode, output.decode()
+
+    async def start_entry(self, name, data_centre, **changed):
+        """Start a daemon, and have the platform list it."""
+        path = self.plan.folder / f"{name}.yaml"
+        values = {
+            "name": name,
+            "data_centre": data_centre,
+            "platform_url": self._platform_url_for_daemons(),
+            **self.plan.settings,
+            **changed,
+        }
+        path.write_text(yaml.safe_dump(values), "utf-8")
+        secrets = {
+            settings.TOKEN_KEY_VARIABLE: TOKEN_KEY,
+            settings.ADMIN_KEY_VARIABLE: ADMIN_KEY,
+        }
+        process = await processes.start(
+            name, [_DAEMON, str(path)], self.plan.folder, secrets
+        )
+        self._keep(name, "daemon", data_centre, process)
+        await self._list(name, "entry", data_centre, process.announced)
+        return process
+
+    async def restart_target(self, name):
+        """Start a stand-in that was killed anew, at a new address."""
+        role = self.role_by_name[name]
+        data_centre = self._data_centre_by_name[name]
+        await self._start_target(name, role, data_centre)
+
+    async def wait_ready(self, names=None):
+        """Wait until daemons are ready and see all live targets and each other."""
+        names = names or self.entry_names
+        targets = {
+            name
+            for name, role in self.role_by_name.items()
+            if role in ("engine", "store_host", "service")
+        }
+        async with asyncio.timeout(_READY_SECONDS):
+            for name in names:
+                while not await self._is_ready(name, names, targets):
+                    await asyncio.sleep(_POLL_SECONDS)
+
+    async def until(self, condition):
+        """Wait until an asynchronous condition holds, or fail after a minute."""
+        async with asyncio.timeout(_READY_SECONDS):
+            while not await condition():
+                await asyncio.sleep(_POLL_SECONDS)
+
+    def describe(self):
+        """Return the fleet as the values of its JSON file."""
+        described = [
+            {
+                "role": self.role_by_name[name],
+                "name": name,
+                "data_centre": self._data_centre_by_name[name],
+                "pid": process.pid,
+                "url": process.url,
+                **(
+                    {"admin_url": process.announced["admin_url"]}
+                    if "admin_url" in process.announced
+                    else {}
+                ),
+            }
+            for name, process in self.process_by_name.items()
+            if process.running
+        ]
+        return {
+            "processes": described,
+            "accounts": [
+                {"name": name, "api_key": demo_key(name)} for name in self.accounts
+            ],
+            "models": self.models,
+            "service_pools": [
+                entity.model.name
+                for entity in self._entities.values()
+                if entity.kind == "Pool" and entity.model.targets == "service"
+            ],
+            "admin_key": ADMIN_KEY,
+        }
+
+    def write_description(self):
+        """Write the fleet's JSON file, all at once."""
+        path = self.plan.folder / "fleet.json"
+        draft = path.with_suffix(".draft")
+        draft.write_text(json.dumps(self.describe(), indent=2), "utf-8")
+        draft.replace(path)
+        return path
+
+    async def _start_all(self):
+        plan = self.plan
+        self._progress("Starting the platform.")
+        arguments = [_LAB, "standin", "platform", *plan.platform_options]
+        self.platform = await processes.start("platform", arguments, plan.folder)
+        data_centres = self._names("DataCentre")
+        self._keep("platform", "platform", data_centres[0], self.platform)
+        if plan.proxy_platform:
+            self.proxy_by_name["platform"] = await self._start_proxy(self.platform)
+        await self._start_targets()
+        self._progress(f"Applying {plan.example}.")
+        code, output = await self.cli("apply", str(plan.example))
+        if code:
+            raise FleetError(output)
+        used = data_centres[: plan.data_centres]
+        self._progress(f"Starting {plan.entries} daemons in {', '.join(used)}.")
+        await asyncio.gather(
+            *(
+                self.start_entry(f"entry-{number + 1}", used[number % len(used)])
+                for number in range(plan.entries)
+            )
+        )
+        await self.wait_ready()
+        self._progress("All are ready.")
+
+    async def _start_targets(self):
+        plan = self.plan
+        wanted = {
+            "engine": plan.engines,
+            "store_host": plan.store_hosts,
+            "service": plan.services,
+        }
+        chosen = [
+            (target.name, kind, target.data_centre)
+            for kind, count in wanted.items()
+            for target in self._targets_of(kind)[:count]
+        ]
+        names = ", ".join(name for name, _, _ in chosen)
+        self._progress(f"Starting the targets {names}.")
+        await asyncio.gather(*(self._start_target(*item) for item in chosen))
+
+    def _targets_of(self, kind):
+        """Return the declared targets of a kind, one pool after the other."""
+        kind_by_pool = {
+            entity.model.name: entity.model.targets
+            for entity in self._entities.values()
+            if entity.kind == "Pool"
+        }
+        return [
+            entity.model
+            for entity in self._entities.values()
+            if entity.kind == "Target" and kind_by_pool[entity.model.pool] == kind
+        ]
+
+    async def _start_target(self, name, role, data_centre):
+        plan = self.plan
+        arguments = [_LAB, "standin", role.replace("_", "-")]
+        if role == "engine":
+            arguments += ["--version", self._version_of(name), *plan.engine_options]
+        if role == "store_host":
+            arguments += plan.store_options
+        process = await processes.start(name, arguments, plan.folder)
+        self._keep(name, role, data_centre, process)
+        announced = dict(process.announced)
+        if name in plan.proxied:
+            proxy = await self._start_proxy(process)
+            self.proxy_by_name[name] = proxy
+            announced["url"] = proxy.announced["proxy_url"]
+        await self._list(name, role, data_centre, announced)
+
+    async def _start_proxy(self, process):
+        name = f"{process.name}-proxy"
+        arguments = [_LAB, "proxy", process.url.removeprefix("http://")]
+        proxy = await processes.start(name, arguments, self.plan.folder)
+        self._stack.push_async_callback(proxy.stop)
+        return proxy
+
+    def _platform_url_for_daemons(self):
+        proxy = self.proxy_by_name.get("platform")
+        return proxy.announced["proxy_url"] if proxy else self.platform.url
+
+    def _version_of(self, target):
+        pool = self._entities[f"Target/{target}"].model.pool
+        for entity in self._entities.values():
+            if entity.kind == "Model" and entity.model.pool == pool:
+                return entity.model.version
+        return "none"
+
+    async def _list(self, name, role, data_centre, announced):
+        host = {
+            "name": name,
+            "role": role,
+            "data_centre": data_centre,
+            "url": announced["url"],
+            "peer_address": announced.get("peer_address", ""),
+            "admin_url": announced.get("admin_url", ""),
+            "state": "live",
+        }
+        async with self.session.put(
+            f"{self.platform.url}/hosts/{name}", json=host
+        ) as response:
+            response.raise_for_status()
+
+    async def _is_ready(self, name, entries, targets):
+        async with self.session.get(f"{self.url(name)}/readyz") as response:
+            if response.status != 200:
+                return False
+        status = await self.status(name)
+        usable = {item["name"] for item in status["targets"] if item["usable"]}
+        live = {
+            item["name"]
+            for item in status["entries"]
+            if item["state"] == "live" and item["incarnation"]
+        }
+        return targets <= usable and set(entries) <= live
+
+    async def _post(self, url, value):
+        async with self.session.post(url, json=value) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    def _keep(self, name, role, data_centre, process):
+        self.process_by_name[name] = process
+        self.role_by_name[name] = role
+        self._data_centre_by_name[name] = data_centre
+
+    def _names(self, kind):
+        return [
+            entity.model.name
+            for entity in self._entities.values()
+            if entity.kind == kind
+        ]
+
+    async def _end_all(self):
+        """End daemons first, so that they need not do without their targets."""
+        daemons = [self.process_by_name[name] for name in self.entry_names]
+        others = [
+            process
+            for name, process in self.process_by_name.items()
+            if name not in self.entry_names
+        ]
+        await asyncio.gather(*(process.stop() for process in daemons))
+        await asyncio.gather(*(process.stop() for process in others))
+        await self._stack.aclose()
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/kvlink.py
@@ -0,0 +1,74 @@
+"""The stand-in engine's side of export and import of KV cache."""
+
+import hashlib
+
+import aiohttp
+
+_PAYLOAD_BYTES = 32
+
+
+def payload(block_id):
+    """Return the bytes that stand for a block's KV cache."""
+    return hashlib.blake2b(block_id.encode(), digest_size=_PAYLOAD_BYTES).digest()
+
+
+async def export(session, url, ids):
+    """Write the blocks that the store host lacks; the commit comes last."""
+    try:
+        found = await _post(session, f"{url}/lookup", {"ids": ids})
+        missing = list(ids[found["blocks"] :])
+        if not missing:
+            return
+        begun = await _post(session, f"{url}/segments", {"ids": missing})
+        name = begun["name"]
+        data = b"".join(payload(block_id) for block_id in missing)
+        async with session.put(f"{url}/segments/{name}/data", data=data) as answer:
+            answer.raise_for_status()
+        checksum = hashlib.sha256(data).hexdigest()
+        await _post(session, f"{url}/segments/{name}/commit", {"checksum": checksum})
+    except (TimeoutError, aiohttp.ClientError, ValueError):
+        return
+
+
+async def fetch(session, url, ids, reused, compute_blocks_per_second):
+    """Return how many blocks past the cached ones were fetched.
+
+    Nothing is fetched where computing is quicker than the link. Data that does
+    not match its manifest is not used.
+    """
+    try:
+        found = await _post(session, f"{url}/lookup", {"ids": ids})
+        useful = found["blocks"] - reused
+        if useful <= 0 or not _link_is_quicker(
+            found, useful, compute_blocks_per_second
+        ):
+            return 0
+        blocks = 0
+        for segment in found["segments"]:
+            blocks += await _fetch_segment(session, url, segment)
+        return max(0, min(blocks, found["blocks"]) - reused)
+    except (TimeoutError, aiohttp.ClientError, ValueError):
+        return 0
+
+
+def _link_is_quicker(found, blocks, compute_blocks_per_second):
+    waiting = 1 + found["link_waiting"]
+    size = sum(len(item["ids"]) for item in found["segments"]) * found["block_bytes"]
+    link_seconds = waiting * size / found["link_bytes_per_second"]
+    return link_seconds < blocks / compute_blocks_per_second
+
+
+async def _fetch_segment(session, url, segment):
+    async with session.get(f"{url}/segments/{segment['name']}/data") as answer:
+        answer.raise_for_status()
+        data = await answer.read()
+    whole = len(data) == segment["length"]
+    if not whole or hashlib.sha256(data).hexdigest() != segment["checksum"]:
+        raise ValueError("The data does not match its manifest.")
+    return len(segment["ids"])
+
+
+async def _post(session, url, value):
+    async with session.post(url, json=value) as answer:
+        answer.raise_for_status()
+        return await answer.json()
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/main.py
@@ -0,0 +1,174 @@
+"""The command line of the lab: demo, fleet, bench, and single stand-ins."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import time
+
+import cyclopts
+import uvloop
+
+from sesamespindle.lab import (
+    demo,
+    engine,
+    fleet,
+    platform,
+    proxy,
+    service,
+    standin,
+    store_host,
+)
+
+app = cyclopts.App(name="lab", help="Stand-ins, fleets and measurements.")
+standins = cyclopts.App(name="standin", help="Run one stand-in.")
+app.command(standins)
+_EXIT_FAILED = 1
+
+
+@app.command(name="demo")
+def run_demo():
+    """Run the tour of `make demo`."""
+    show = _progress()
+    try:
+        uvloop.run(demo.run(fleet.Plan(), show))
+    except (demo.DemoError, fleet.FleetError) as error:
+        print(f"lab: {error}", file=sys.stderr)
+        sys.exit(_EXIT_FAILED)
+
+
+@app.command(name="fleet")
+def run_fleet():
+    """Run a fleet in the foreground until it is interrupted.
+
+    FLEET_ENTRIES, FLEET_ENGINES and FLEET_EXAMPLE change its size and example.
+    """
+    example = pathlib.Path("examples") / os.environ.get("FLEET_EXAMPLE", "umoja")
+    plan = fleet.Plan(
+        example=example,
+        entries=int(os.environ.get("FLEET_ENTRIES", "3")),
+        engines=int(os.environ.get("FLEET_ENGINES", "3")),
+    )
+    show = _progress()
+
+    async def run():
+        stop_asked = _stop_asked()
+        async with fleet.Fleet(plan, show) as running:
+            path = running.write_description()
+            show(f"The processes are listed in {path}. Interrupt to stop.")
+            for name, value in running.environment.items():
+                show(f"export {name}={value}")
+            await stop_asked.wait()
+            show("Stopping everything.")
+
+    uvloop.run(run())
+
+
+@standins.command(name="platform")
+def run_platform(
+    port: int = 0,
+    reads_per_second: int = 2000,
+    writes_per_second: int = 500,
+    host_lag: float = 0.3,
+):
+    """Run the platform's stand-in."""
+    made = platform.Platform(reads_per_second, writes_per_second, host_lag)
+    _serve(made.application(), port)
+
+
+@standins.command(name="engine")
+def run_engine(
+    version: str,
+    port: int = 0,
+    prefill_rate: float = 20_000.0,
+    decode_interval: float = 0.005,
+    cache_blocks: int = 2_000,
+    max_running: int = 256,
+    unread_window: float = 10.0,
+):
+    """Run an engine's stand-in."""
+    model = engine.Model(
+        version,
+        prefill_rate,
+        decode_interval,
+        cache_blocks,
+        max_running,
+        unread_window=unread_window,
+    )
+
+    async def run():
+        await standin.serve(engine.Engine(model).application(), port, _stop_asked())
+
+    uvloop.run(run())
+
+
+@standins.command(name="store-host")
+def run_store_host(
+    port: int = 0,
+    capacity_blocks: int = 50_000,
+    block_bytes: int = 65_536,
+    link_bytes_per_second: float = 500_000_000.0,
+):
+    """Run a store host's stand-in."""
+
+    async def run():
+        made = store_host.StoreHost(capacity_blocks, block_bytes, link_bytes_per_second)
+        await standin.serve(made.application(), port, _stop_asked())
+
+    uvloop.run(run())
+
+
+@standins.command(name="service")
+def run_service(port: int = 0):
+    """Run a plain service's stand-in."""
+
+    async def run():
+        await standin.serve(service.Service().application(), port, _stop_asked())
+
+    uvloop.run(run())
+
+
+@app.command(name="proxy")
+def run_proxy(target: str):
+    """Run a fault-injecting proxy before an address, as HOST:PORT."""
+    host, port = target.split(":")
+
+    async def run():
+        await proxy.Proxy(host, int(port)).serve(_stop_asked())
+
+    uvloop.run(run())
+
+
+def _serve(application, port):
+    async def run():
+        await standin.serve(application, port, _stop_asked())
+
+    uvloop.run(run())
+
+
+def _stop_asked():
+    """Return an event that SIGTERM and SIGINT set."""
+    stop_asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_asked.set)
+    return stop_asked
+
+
+def _progress():
+    begun = time.monotonic()
+
+    def show(line):
+        print(f"[{time.monotonic() - begun:5.1f} s] {line}", flush=True)
+
+    return show
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/platform.py
@@ -0,0 +1,154 @@
+"""A stand-in for the platform: versioned objects, watches, a lagging host list."""
+
+import asyncio
+import collections
+import time
+
+import aiohttp.web
+
+from sesamespindle.lab import standin
+
+MAX_VALUE_BYTES = 1_000_000
+_UNCHANGED = 304
+
+
+class _Rate:
+    """A token bucket that fills at a rate a second."""
+
+    def __init__(self, per_second):
+        self._per_second = per_second
+        self._tokens = per_second
+        self._at = time.monotonic()
+
+    def take(self):
+        now = time.monotonic()
+        filled = self._tokens + (now - self._at) * self._per_second
+        self._tokens = min(filled, self._per_second)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Platform:
+    """Keeps objects in memory; faults make it slow, deaf, forgetful or stale."""
+
+    def __init__(self, reads_per_second=2000, writes_per_second=500, host_lag=1.0):
+        self._object_by_key = {}
+        self._previous_by_key = {}
+        self._changed = asyncio.Condition()
+        self._host_by_name = {}
+        self._listed_by_name = {}
+        self._host_lag = host_lag
+        self._reads = _Rate(reads_per_second)
+        self._writes = _Rate(writes_per_second)
+        self._count_by_call = collections.Counter()
+        self._faults = standin.Faults(
+            away=False, delay=0.0, lose_answers=0, stale_reads=False, hosts_frozen=False
+        )
+
+    def application(self):
+        """Return the aiohttp application."""
+        application = aiohttp.web.Application(
+            client_max_size=MAX_VALUE_BYTES, middlewares=[self._strike]
+        )
+        route = application.router
+        route.add_get("/objects/{kind}/{name}", self._get)
+        route.add_put("/objects/{kind}/{name}", self._put)
+        route.add_get("/hosts", self._hosts)
+        route.add_put("/hosts/{name}", self._put_host)
+        route.add_delete("/hosts/{name}", self._delete_host)
+        route.add_get("/counts", self._counts)
+        self._faults.add_route(application)
+        return application
+
+    @aiohttp.web.middleware
+    async def _strike(self, request, handler):
+        """Let the faults in force strike a call of the API."""
+        if request.path in ("/faults", "/counts") or request.path.startswith("/hosts/"):
+            return await handler(request)
+        if self._faults["away"]:
+            await standin.until_cut(request.transport)
+            raise aiohttp.web.HTTPServiceUnavailable
+        if self._faults["delay"]:
+            await asyncio.sleep(self._faults["delay"])
+        rate = self._writes if request.method == "PUT" else self._reads
+        if not rate.take():
+            self._count_by_call["throttled"] += 1
+            raise aiohttp.web.HTTPTooManyRequests
+        self._count_by_call[request.method] += 1
+        response = await handler(request)
+        if request.method == "PUT" and self._faults.take("lose_answers"):
+            await standin.until_cut(request.transport)
+        return response
+
+    async def _get(self, request):
+        key = (request.match_info["kind"], request.match_info["name"])
+        if "after" in request.query:
+            return await self._watch(request, key)
+        if self._faults["stale_reads"] and key in self._previous_by_key:
+            return _object_response(self._previous_by_key[key])
+        return _object_response(self._object_by_key.get(key))
+
+    async def _watch(self, request, key):
+        after = int(request.query["after"])
+        wait = float(request.query["wait"])
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: self._version(key) > after)
+        except TimeoutError:
+            return aiohttp.web.Response(status=_UNCHANGED)
+        return _object_response(self._object_by_key[key])
+
+    def _version(self, key):
+        found = self._object_by_key.get(key)
+        return found["version"] if found else 0
+
+    async def _put(self, request):
+        key = (request.match_info["kind"], request.match_info["name"])
+        value = await request.json()
+        version = self._version(key)
+        expected = request.headers.get("If-Match", "0")
+        if int(expected) != version:
+            found = self._object_by_key.get(key, {"version": 0, "value": None})
+            return aiohttp.web.json_response(found, status=412)
+        if version:
+            self._previous_by_key[key] = self._object_by_key[key]
+        self._object_by_key[key] = {"version": version + 1, "value": value}
+        async with self._changed:
+            self._changed.notify_all()
+        return aiohttp.web.json_response({"version": version + 1})
+
+    async def _hosts(self, request):
+        value = list(self._listed_by_name.values())
+        return aiohttp.web.json_response({"version": 1, "value": value})
+
+    async def _put_host(self, request):
+        host = await request.json()
+        self._host_by_name[host["name"]] = host
+        self._list_later()
+        return aiohttp.web.json_response({})
+
+    async def _delete_host(self, request):
+        self._host_by_name.pop(request.match_info["name"], None)
+        self._list_later()
+        return aiohttp.web.json_response({})
+
+    def _list_later(self):
+        """Show a change in the list only after the lag."""
+        snapshot = dict(self._host_by_name)
+        asyncio.get_running_loop().call_later(self._host_lag, self._show, snapshot)
+
+    def _show(self, snapshot):
+        if not self._faults["hosts_frozen"]:
+            self._listed_by_name = snapshot
+
+    async def _counts(self, request):
+        return aiohttp.web.json_response(dict(self._count_by_call))
+
+
+def _object_response(found):
+    if found is None:
+        return aiohttp.web.json_response({}, status=404)
+    return aiohttp.web.json_response(found)
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/processes.py
@@ -0,0 +1,118 @@
+"""Starting and ending the processes of a fleet; nobody else starts any."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+
+_START_SECONDS = 30.0
+_END_SECONDS = 15.0
+
+
+class StartError(Exception):
+    """A process ended, or stayed silent, before it said where it listens."""
+
+    code = "start"
+
+
+class Process:
+    """One process, known by what it announced as a line of JSON.
+
+    Attributes
+    ----------
+    announced : dict
+        What the process said of itself.
+    """
+
+    def __init__(self, name, child, announced, log):
+        self.name = name
+        self.announced = announced
+        self._child = child
+        self._log = log
+
+    @property
+    def pid(self):
+        """Return the process id."""
+        return self._child.pid
+
+    @property
+    def url(self):
+        """Return where the process listens."""
+        return self.announced["url"]
+
+    @property
+    def running(self):
+        """Return whether the process has not ended."""
+        return self._child.returncode is None
+
+    def send_signal(self, number):
+        """Send a signal, if the process still runs."""
+        if self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self._child.send_signal(number)
+
+    async def kill(self):
+        """End the process without a word, as a host that dies does."""
+        self.send_signal(signal.SIGKILL)
+        await self._child.wait()
+        self._log.close()
+
+    async def stop(self):
+        """Ask the process to end, and return its exit code."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(_END_SECONDS):
+                await self._child.wait()
+        except TimeoutError:
+            await self.kill()
+        self._log.close()
+        return self._child.returncode
+
+    async def wait(self):
+        """Wait for the end of the process and return its exit code."""
+        return await self._child.wait()
+
+
+async def start(name, arguments, folder, environment=None):
+    """Start a Python module as a process and return it once it announced itself.
+
+    Parameters
+    ----------
+    arguments : list of str
+        The module and its arguments.
+    folder : pathlib.Path
+        Where its log goes.
+
+    Raises
+    ------
+    StartError
+        If it did not announce itself.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        *arguments,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=log,
+        env=os.environ | (environment or {}),
+    )
+    try:
+        async with asyncio.timeout(_START_SECONDS):
+            line = await child.stdout.readline()
+    except TimeoutError:
+        line = b""
+    if not line:
+        with contextlib.suppress(ProcessLookupError):
+            child.kill()
+        await child.wait()
+        raise StartError(f"{name} did not start; see {folder / name}.log.")
+    announced = json.loads(line)
+    if "proxy_url" in announced:
+        announced |= json.loads(await child.stdout.readline())
+    return Process(name, child, announced, log)
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/proxy.py
@@ -0,0 +1,103 @@
+"""A TCP proxy that delays, cuts, freezes, or drops one direction."""
+
+import asyncio
+import contextlib
+import enum
+import json
+
+import aiohttp.web
+
+from sesamespindle.lab import standin
+
+_CHUNK_BYTES = 65536
+
+
+class Mode(enum.StrEnum):
+    """What the proxy does with bytes."""
+
+    PASS = "pass"
+    FREEZE = "freeze"
+    DROP_ANSWERS = "drop_answers"
+    DROP_REQUESTS = "drop_requests"
+    REFUSE = "refuse"
+
+
+class Proxy:
+    """Passes TCP connections on to one address, as the faults allow.
+
+    Faults: ``mode``, one of `Mode`; ``delay``, seconds before each chunk;
+    ``cut``, which ends all connections at once; ``cut_after_bytes``, which
+    ends each connection after that many bytes towards the target.
+    """
+
+    def __init__(self, target_host, target_port):
+        self._target = (target_host, target_port)
+        self._mode = Mode.PASS
+        self._delay = 0.0
+        self._cut_after_bytes = 0
+        self._changed = asyncio.Condition()
+        self._writers = set()
+
+    def application(self):
+        """Return the aiohttp application of the proxy's door for faults."""
+        application = aiohttp.web.Application()
+        application.router.add_post("/faults", self._switch)
+        return application
+
+    async def serve(self, stop_asked):
+        """Serve until told to stop; print where the two ports are."""
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        print(json.dumps({"proxy_url": f"http://{host}:{port}"}), flush=True)
+        async with server:
+            await standin.serve(self.application(), 0, stop_asked)
+            self._cut()
+
+    async def _switch(self, request):
+        wanted = await request.json()
+        self._mode = Mode(wanted.get("mode", self._mode))
+        self._delay = wanted.get("delay", self._delay)
+        self._cut_after_bytes = wanted.get("cut_after_bytes", self._cut_after_bytes)
+        if wanted.get("cut"):
+            self._cut()
+        async with self._changed:
+            self._changed.notify_all()
+        return aiohttp.web.json_response({"mode": self._mode})
+
+    def _cut(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        if self._mode is Mode.REFUSE:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pump(reader, far_writer, Mode.DROP_REQUESTS, self._cut_after_bytes),
+            self._pump(far_reader, writer, Mode.DROP_ANSWERS, 0),
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _pump(self, reader, writer, drop_mode, limit):
+        passed = 0
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(_CHUNK_BYTES):
+                if self._delay:
+                    await asyncio.sleep(self._delay)
+                async with self._changed:
+                    await self._changed.wait_for(lambda: self._mode is not Mode.FREEZE)
+                if self._mode is drop_mode:
+                    continue
+                passed += len(chunk)
+                if limit and passed >= limit:
+                    self._cut()
+                    return
+                writer.write(chunk)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/service.py
@@ -0,0 +1,62 @@
+"""A stand-in for a plain service that counts how often each request ran."""
+
+import asyncio
+import collections
+
+import aiohttp.web
+
+from sesamespindle.lab import standin
+
+
+class Service:
+    """Runs every call it gets, and counts the runs by the call's subject.
+
+    The subject is the ``reference`` of a JSON body, which the caller chooses:
+    the count is made without the system's own ids, so that it can judge them.
+    """
+
+    def __init__(self):
+        self._runs_by_reference = collections.Counter()
+        self._faults = standin.Faults(
+            delay=0.0, cut_before=0, cut_after=0, cut_inside=0, status=200
+        )
+        self._received = 0
+
+    def application(self):
+        """Return the aiohttp application."""
+        application = aiohttp.web.Application()
+        route = application.router
+        route.add_get("/counts", self._counts)
+        self._faults.add_route(application)
+        route.add_route("*", "/{path:.*}", self._run)
+        return application
+
+    async def _run(self, request):
+        self._received += 1
+        if self._faults.take("cut_before"):
+            await standin.until_cut(request.transport)
+            raise aiohttp.web.HTTPServiceUnavailable
+        body = await request.json() if request.can_read_body else {}
+        reference = str(body.get("reference", request.path))
+        self._runs_by_reference[reference] += 1
+        run = self._runs_by_reference[reference]
+        if self._faults["delay"]:
+            await asyncio.sleep(self._faults["delay"])
+        if self._faults.take("cut_after"):
+            await standin.until_cut(request.transport)
+        value = {"reference": reference, "run": run, "path": request.path}
+        if self._faults.take("cut_inside"):
+            return await self._half_answer(request)
+        return aiohttp.web.json_response(value, status=self._faults["status"])
+
+    async def _half_answer(self, request):
+        response = aiohttp.web.StreamResponse(headers={"Content-Length": "1000"})
+        await response.prepare(request)
+        await response.write(b'{"reference":')
+        await standin.until_cut(request.transport)
+        return response
+
+    async def _counts(self, request):
+        return aiohttp.web.json_response(
+            {"received": self._received, "runs": dict(self._runs_by_reference)}
+        )
--- /dev/null
+++ b/packages/wire/sesamespindle/wire/service.py
@@ -0,0 +1,103 @@
+"""A plain service, whose calls may not be repeated."""
+
+import asyncio
+import dataclasses
+import types
+
+import aiohttp
+
+from sesamespindle.decide import events
+from sesamespindle.wire import engine
+
+_CONNECT_SECONDS = 2.0
+MAX_ANSWER_BYTES = 700_000
+
+
+class AnswerTimeoutError(Exception):
+    """No answer came in time; the call may have run."""
+
+    code = "timed_out"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A call as it is sent to a plain service."""
+
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    request_id: str
+    key: str
+
+
+class ServiceClient:
+    """Makes calls to plain services, each over a connection of its own.
+
+    Guards against a second run that nobody decided on: on a kept connection
+    the HTTP library may send a request again by itself when the connection
+    turns out to be closed, and a failed write could not be told from a lost
+    answer. A new connection each time makes "nothing was sent" sure: the
+    connection was never made.
+    """
+
+    def __init__(self):
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_end.append(_note_connected)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            trace_configs=[tracing],
+        )
+
+    async def close(self):
+        """Close what the client holds."""
+        await self._session.close()
+
+    async def call(self, url, request, timeout):
+        """Make a call and return its `events.StoredAnswer`.
+
+        Raises
+        ------
+        engine.NotSentError
+            If no connection was made.
+        AnswerTimeoutError, engine.LinkLostError
+            If the call may have run.
+        """
+        progress = types.SimpleNamespace(connected=False)
+        try:
+            return await self._call(url, request, timeout, progress)
+        except (TimeoutError, aiohttp.ClientError) as error:
+            if not progress.connected:
+                raise engine.NotSentError(repr(error)) from error
+            if isinstance(error, asyncio.TimeoutError):
+                raise AnswerTimeoutError(repr(error)) from error
+            raise engine.LinkLostError(repr(error)) from error
+
+    async def _call(self, url, request, timeout, progress):
+        headers = {
+            "Content-Type": request.content_type,
+            "X-Request-Id": request.request_id,
+        }
+        if request.key:
+            headers["Idempotency-Key"] = request.key
+        async with self._session.request(
+            request.method,
+            f"{url}/{request.path}",
+            data=request.body,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout.total_seconds(), sock_connect=_CONNECT_SECONDS
+            ),
+        ) as response:
+            body = await response.content.read(MAX_ANSWER_BYTES + 1)
+            while len(body) <= MAX_ANSWER_BYTES and not response.content.at_eof():
+                body += await response.content.read(MAX_ANSWER_BYTES + 1 - len(body))
+            if len(body) > MAX_ANSWER_BYTES:
+                raise aiohttp.ClientPayloadError("The answer is too long to keep.")
+            return events.StoredAnswer(response.status, response.content_type, body)
+
+
+async def _note_connected(session, context, params):
+    context.trace_request_ctx.connected = True
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,39 @@
+"""Fixtures that all tests share: a loop, and fleets of real processes."""
+
+import asyncio
+import pathlib
+
+import pytest
+import uvloop
+
+from sesamespindle.lab import fleet
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.fixture(scope="session")
+def loop_runner():
+    """Give the one loop that the tests' own coroutines run on."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        yield runner
+
+
+@pytest.fixture(scope="module")
+def start_fleet(loop_runner, tmp_path_factory):
+    """Give a function that starts a fleet, which ends with the module."""
+    started = []
+
+    def start(example="umoja", **changed):
+        plan = fleet.Plan(
+            example=ROOT / "examples" / example,
+            folder=tmp_path_factory.mktemp("fleet"),
+            **changed,
+        )
+        made = fleet.Fleet(plan)
+        loop_runner.run(made.__aenter__())
+        started.append(made)
+        return made
+
+    yield start
+    for made in reversed(started):
+        loop_runner.run(made.__aexit__(None, None, None))
