Prove that no booking runs twice and that "not run" is true

Fifteen scenarios with real processes: entries killed and frozen around the claim and the dispatch, the service's link cut before, inside and after the request, the platform's answer lost, the same key at three entries at once, and the platform away. The service's own count is the judge.

--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -137,7 +137,7 @@
             keyring,
             signer,
             metrics.Metrics(settings.statsd),
-            engine.EngineClient(session),
+            engine.EngineClient(session, settings.engine_silence),
             declarations,
             calls,
             tickets.Tickets(driving, calls, signer, peers, timeout),
--- a/packages/daemon/sesamespindle/daemon/front.py
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -65,6 +65,9 @@
             response = replies.CallerError(
                 error.status, code, f"{request.method} {request.path}: {error.reason}."
             ).to_response()
+        except ConnectionError:
+            # The caller is gone; there is nobody to answer.
+            raise
         except Exception:
             _log.exception("Unexpected error.")
             response = replies.CallerError(
@@ -210,9 +213,11 @@
             )
             await run.run()
         except replies.CallerError as error:
+            self._end_run(prompt.request_id)
             if not sink.prepared:
                 raise
             await sink.fail(error)
+            return run
         except (asyncio.CancelledError, ConnectionError):
             self._leave_run(prompt, run, can_resume=sink.prepared)
             raise
@@ -272,9 +277,12 @@
                 400, "invalid_request", "The Idempotency-Key is too long."
             )
         pool = request.match_info["pool"]
+        path = request.match_info["path"]
+        if request.query_string:
+            path = f"{path}?{request.query_string}"
         call = service.ServiceRequest(
             request.method,
-            request.match_info["path"],
+            path,
             request.content_type,
             raw,
             self._new_request_id(),
@@ -446,7 +454,8 @@
     """Return the event of a call's arrival."""
     declared_pool = driver.core.state.pools.get(pool)
     repeatable = call.method == "GET" or (
-        declared_pool is not None and call.path in declared_pool.repeatable_paths
+        declared_pool is not None
+        and call.path.partition("?")[0] in declared_pool.repeatable_paths
     )
     parts = [pool.encode(), call.method.encode(), call.path.encode(), call.body]
     fingerprint = hashlib.sha256(b"\0".join(parts)).hexdigest()
--- a/packages/declare/sesamespindle/declare/settings.py
+++ b/packages/declare/sesamespindle/declare/settings.py
@@ -88,6 +88,7 @@
     tick: units.Duration
     host_list_interval: units.Duration
     load_interval: units.Duration
+    engine_silence: units.Duration
     watch_timeout: units.Duration
     platform_timeout: units.Duration
     entries_per_account: Positive
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -14,7 +14,7 @@
 from sesamespindle.decide import hashing
 from sesamespindle.lab import answers, kvlink, standin
 
-_PING_SECONDS = 0.5
+_PING_SECONDS = 0.2
 
 
 @dataclasses.dataclass
@@ -105,11 +105,11 @@
         self._faults = standin.Faults(
             refuse=False,
             delay=0.0,
+            hold_prompts=False,
             double_pieces=False,
             shuffle_pieces=False,
             cut_after_pieces=0,
             hide_end_mark=0,
-            foreign_pieces=False,
             load_frozen=False,
             leaving=False,
         )
@@ -240,6 +240,7 @@
             _, _, stream = heapq.heappop(self._waiting)
             if stream.cancelled:
                 continue
+            await self._faults.held("hold_prompts")
             if self._faults["delay"]:
                 await asyncio.sleep(self._faults["delay"])
             stream.started = await self._prefill(stream)
--- a/packages/lab/sesamespindle/lab/platform.py
+++ b/packages/lab/sesamespindle/lab/platform.py
@@ -45,7 +45,12 @@
         self._writes = _Rate(writes_per_second)
         self._count_by_call = collections.Counter()
         self._faults = standin.Faults(
-            away=False, delay=0.0, lose_answers=0, stale_reads=False, hosts_frozen=False
+            away=False,
+            delay=0.0,
+            lose_answers=0,
+            stale_reads=False,
+            hosts_frozen=False,
+            hold_claims=False,
         )
 
     def application(self):
@@ -79,6 +84,9 @@
             raise aiohttp.web.HTTPTooManyRequests
         self._count_by_call[request.method] += 1
         response = await handler(request)
+        if request.path.startswith("/objects/claims/") and request.method == "PUT":
+            self._count_by_call["claims"] += 1
+            await self._faults.held("hold_claims")
         if request.method == "PUT" and self._faults.take("lose_answers"):
             await standin.until_cut(request.transport)
         return response
--- a/packages/lab/sesamespindle/lab/proxy.py
+++ b/packages/lab/sesamespindle/lab/proxy.py
@@ -10,6 +10,7 @@
 from sesamespindle.lab import standin
 
 _CHUNK_BYTES = 65536
+_HOST = "127.0.0.1"
 
 
 class Mode(enum.StrEnum):
@@ -37,6 +38,8 @@
         self._cut_after_bytes = 0
         self._changed = asyncio.Condition()
         self._writers = set()
+        self._port = 0
+        self._server = None
 
     def application(self):
         """Return the aiohttp application of the proxy's door for faults."""
@@ -46,12 +49,22 @@
 
     async def serve(self, stop_asked):
         """Serve until told to stop; print where the two ports are."""
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        print(json.dumps({"proxy_url": f"http://{host}:{port}"}), flush=True)
-        async with server:
-            await standin.serve(self.application(), 0, stop_asked)
-            self._cut()
+        await self._listen()
+        print(json.dumps({"proxy_url": f"http://{_HOST}:{self._port}"}), flush=True)
+        await standin.serve(self.application(), 0, stop_asked)
+        await self._close()
+        self._cut()
+
+    async def _listen(self):
+        """Accept connections, after a refusal at the same port as before."""
+        self._server = await asyncio.start_server(self._accept, _HOST, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def _close(self):
+        """Have the system refuse connections, as a host without the program."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     async def _switch(self, request):
         wanted = await request.json()
@@ -60,6 +73,10 @@
         self._cut_after_bytes = wanted.get("cut_after_bytes", self._cut_after_bytes)
         if wanted.get("cut"):
             self._cut()
+        if self._mode is Mode.REFUSE:
+            await self._close()
+        elif self._server is None:
+            await self._listen()
         async with self._changed:
             self._changed.notify_all()
         return aiohttp.web.json_response({"mode": self._mode})
@@ -69,9 +86,6 @@
             writer.transport.abort()
 
     async def _accept(self, reader, writer):
-        if self._mode is Mode.REFUSE:
-            writer.transport.abort()
-            return
         try:
             far_reader, far_writer = await asyncio.open_connection(*self._target)
         except OSError:
--- a/packages/lab/sesamespindle/lab/service.py
+++ b/packages/lab/sesamespindle/lab/service.py
@@ -18,7 +18,7 @@
     def __init__(self):
         self._runs_by_reference = collections.Counter()
         self._faults = standin.Faults(
-            delay=0.0, cut_before=0, cut_after=0, cut_inside=0, status=200
+            delay=0.0, hold=False, cut_before=0, cut_after=0, cut_inside=0, status=200
         )
         self._received = 0
 
@@ -40,6 +40,7 @@
         reference = str(body.get("reference", request.path))
         self._runs_by_reference[reference] += 1
         run = self._runs_by_reference[reference]
+        await self._faults.held("hold")
         if self._faults["delay"]:
             await asyncio.sleep(self._faults["delay"])
         if self._faults.take("cut_after"):
--- a/packages/lab/sesamespindle/lab/standin.py
+++ b/packages/lab/sesamespindle/lab/standin.py
@@ -6,6 +6,8 @@
 
 import aiohttp.web
 
+_HOLD_STEP_SECONDS = 0.005
+
 
 class Faults:
     """Faults that are switched by ``POST /faults`` with a JSON object.
@@ -30,6 +32,11 @@
         self._value_by_name[name] -= 1
         return True
 
+    async def held(self, name):
+        """Wait for as long as a holding fault is switched on."""
+        while self._value_by_name[name]:
+            await asyncio.sleep(_HOLD_STEP_SECONDS)
+
     def add_route(self, application):
         """Add the door through which faults are switched."""
         application.router.add_post("/faults", self._switch)
--- a/packages/wire/sesamespindle/wire/engine.py
+++ b/packages/wire/sesamespindle/wire/engine.py
@@ -9,7 +9,6 @@
 from sesamespindle.decide import streams
 
 _CONNECT_SECONDS = 2.0
-_SILENCE_SECONDS = 15.0
 _DATA = b"data: "
 
 
@@ -88,10 +87,20 @@
 
 
 class EngineClient:
-    """One engine's API over HTTP; streams come as server-sent events."""
+    """One engine's API over HTTP; streams come as server-sent events.
 
-    def __init__(self, session):
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Owned by the caller.
+    silence : datetime.timedelta
+        An engine sends something more often than this on every stream; a link
+        that is silent for longer is taken for lost.
+    """
+
+    def __init__(self, session, silence):
         self._session = session
+        self._silence = silence.total_seconds()
 
     async def start(self, url, request):
         """Yield `Started`, then every `streams.Piece` of a new stream.
@@ -149,7 +158,7 @@
 
     async def _read(self, method, url, body):
         timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=_CONNECT_SECONDS, sock_read=_SILENCE_SECONDS
+            total=None, sock_connect=_CONNECT_SECONDS, sock_read=self._silence
         )
         try:
             async with self._session.request(
--- /dev/null
+++ b/tests/promises/test_at_most_once.py
@@ -0,0 +1,366 @@
+"""Promise 1: "not run" is true, and no booking runs twice."""
+
+import asyncio
+import itertools
+import signal
+import time
+
+import pytest
+import pytest_bdd
+
+from sesamespindle.lab import caller, fleet
+
+pytest_bdd.scenarios("at_most_once.feature")
+
+SERVICE = "bookings-1"
+CALL_SECONDS = 2.0
+_references = itertools.count(1)
+
+
+@pytest.fixture(scope="module")
+def running(start_fleet):
+    return start_fleet(
+        engines=0,
+        store_hosts=0,
+        proxied=frozenset({SERVICE}),
+        settings={
+            "policy": {
+                "call_timeout": f"{CALL_SECONDS} s",
+                "suspect_after": "1500 ms",
+                "grant_lifetime": "3 s",
+            },
+            "platform_timeout": "10 s",
+        },
+    )
+
+
+class Booking:
+    """One booking under test: its reference, its key and what came of it."""
+
+    def __init__(self, running):
+        self.running = running
+        self.reference = f"booking-{next(_references)}"
+        self.key = f"key-of-{self.reference}"
+        self.caller = caller.Caller(running.session, fleet.demo_key("bookings-desk"))
+        self.reply = None
+        self.replies = []
+        self.repeat = None
+
+    async def send(self, entry="entry-1"):
+        return await self.caller.call(
+            self.running.url(entry),
+            "bookings",
+            "confirm",
+            {"reference": self.reference, "padding": "x" * 100_000},
+            self.key,
+        )
+
+    async def runs(self):
+        counts = await self.running.counts(SERVICE)
+        return counts["runs"].get(self.reference, 0)
+
+    async def until_claimed(self, before):
+        async def claimed():
+            counts = await self.running.counts("platform")
+            return counts.get("claims", 0) > before
+
+        await self.running.until(claimed)
+
+    async def until_run(self):
+        async def ran():
+            return await self.runs() == 1
+
+        await self.running.until(ran)
+
+    async def claims(self):
+        return (await self.running.counts("platform")).get("claims", 0)
+
+
+@pytest.fixture
+def booking(running):
+    return Booking(running)
+
+
+@pytest.fixture
+def go(loop_runner):
+    return loop_runner.run
+
+
+async def kill_and_replace(running, name):
+    data_centre = (await running.status(name))["data_centre"]
+    await running.process_by_name[name].kill()
+    return data_centre
+
+
+@pytest_bdd.given("a fleet whose service is behind a proxy")
+def fleet_is_running(running, go):
+    async def settle():
+        await running.fault("platform", away=False, hold_claims=False, lose_answers=0)
+        await running.fault(SERVICE, hold=False)
+        await running.proxy_fault(SERVICE, mode="pass", cut_after_bytes=0)
+        for name in running.entry_names:
+            if not running.process_by_name[name].running:
+                await running.start_entry(name, "kgl-1")
+        await running.wait_ready()
+
+    go(settle())
+
+
+@pytest_bdd.when(
+    "the entry is killed between claim and dispatch of a booking with a key"
+)
+def kill_after_claim(running, booking, go):
+    async def run():
+        before = await booking.claims()
+        await running.fault("platform", hold_claims=True)
+        sending = asyncio.create_task(booking.send())
+        await booking.until_claimed(before)
+        await running.process_by_name["entry-1"].kill()
+        await running.fault("platform", hold_claims=False)
+        booking.reply = await sending
+
+    go(run())
+
+
+@pytest_bdd.when(
+    "the entry is killed between dispatch and answer of a booking with a key"
+)
+def kill_after_dispatch(running, booking, go):
+    async def run():
+        await running.fault(SERVICE, hold=True)
+        sending = asyncio.create_task(booking.send())
+        await booking.until_run()
+        await running.process_by_name["entry-1"].kill()
+        await running.fault(SERVICE, hold=False)
+        booking.reply = await sending
+
+    go(run())
+
+
+@pytest_bdd.when("the entry is killed after the answer of a booking with a key")
+def kill_after_answer(running, booking, go):
+    async def run():
+        before = await booking.claims()
+        booking.reply = await booking.send()
+        # The claim and its settlement.
+        await booking.until_claimed(before + 1)
+        await running.process_by_name["entry-1"].kill()
+
+    go(run())
+
+
+@pytest_bdd.when("the booking is repeated with the same key at another entry")
+def repeat_elsewhere(running, booking, go):
+    async def entry_is_dead():
+        status = await running.status("entry-2")
+        states = {item["name"]: item["state"] for item in status["entries"]}
+        return states.get("entry-1") != "live"
+
+    async def run():
+        await running.until(entry_is_dead)
+        booking.repeat = await booking.send("entry-2")
+        while booking.repeat.code == "still_running":
+            booking.repeat = await booking.send("entry-2")
+
+    go(run())
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("the repeat is answered with {answer}"))
+def repeat_is_answered(booking, answer):
+    if answer == "the first run":
+        assert booking.repeat.value == booking.reply.value
+        assert booking.repeat.headers["Idempotent-Replayed"] == "true"
+    else:
+        assert (booking.repeat.code, booking.repeat.outcome) == (answer, "unknown")
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("the service ran it {count:d} times"))
+def service_ran(booking, go, count):
+    assert go(booking.runs()) == count
+
+
+@pytest_bdd.when(
+    "the entry is frozen past the call's deadline before it learns of its claim"
+)
+def freeze_past_deadline(running, booking, go):
+    async def run():
+        before = await booking.claims()
+        await running.fault("platform", hold_claims=True)
+        sending = asyncio.create_task(booking.send())
+        await booking.until_claimed(before)
+        entry = running.process_by_name["entry-1"]
+        entry.send_signal(signal.SIGSTOP)
+        stopped_at = time.monotonic()
+        await running.fault("platform", hold_claims=False)
+
+        async def deadline_is_past():
+            return time.monotonic() > stopped_at + CALL_SECONDS
+
+        await running.until(deadline_is_past)
+        entry.send_signal(signal.SIGCONT)
+        booking.reply = await sending
+
+    go(run())
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("the link to the service is cut {where}"))
+def cut_link(running, booking, go, where):
+    async def run():
+        match where:
+            case "before the request":
+                await running.proxy_fault(SERVICE, mode="refuse")
+            case "inside the request":
+                await running.proxy_fault(SERVICE, cut_after_bytes=50_000)
+            case "after the request":
+                await running.fault(SERVICE, cut_after=1)
+            case "inside the answer":
+                await running.fault(SERVICE, cut_inside=1)
+        booking.reply = await booking.send()
+
+    go(run())
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.parse("the booking is answered with {code} and {outcome}")
+)
+def booking_is_answered(booking, code, outcome):
+    assert (booking.reply.code, booking.reply.outcome) == (code, outcome)
+
+
+@pytest_bdd.when("the platform loses its answer to the claim")
+def lose_claim_answer(running, booking, go):
+    async def run():
+        await running.fault("platform", lose_answers=1)
+        booking.reply = await booking.send()
+
+    go(run())
+
+
+@pytest_bdd.when("the platform loses its answer to the claim and goes away")
+def lose_claim_answer_and_go(running, booking, go):
+    async def run():
+        before = await booking.claims()
+        await running.fault("platform", hold_claims=True)
+        sending = asyncio.create_task(booking.send())
+        await booking.until_claimed(before)
+        await running.fault("platform", away=True, lose_answers=1, hold_claims=False)
+        booking.reply = await sending
+
+    go(run())
+
+
+@pytest_bdd.when(
+    "the platform is back and the booking is repeated until it is answered"
+)
+def repeat_until_answered(running, booking, go):
+    async def run():
+        await running.fault("platform", away=False, lose_answers=0)
+
+        async def answered():
+            booking.repeat = await booking.send("entry-2")
+            return booking.repeat.status == 200
+
+        await running.until(answered)
+
+    go(run())
+
+
+@pytest_bdd.then("the booking is answered by the service")
+def answered_by_service(booking):
+    assert (booking.reply.status, booking.reply.value["run"]) == (200, 1)
+
+
+@pytest_bdd.when("the same booking comes to all entries at once")
+def send_everywhere(running, booking, go):
+    async def run():
+        sending = (booking.send(name) for name in running.entry_names)
+        booking.replies = await asyncio.gather(*sending)
+
+    go(run())
+
+
+@pytest_bdd.then("every answer is the first run's, or says that it still runs")
+def answers_are_of_one_run(booking):
+    assert len(booking.replies) == 3
+    answered = [reply for reply in booking.replies if reply.status == 200]
+    others = [reply for reply in booking.replies if reply.status != 200]
+    assert answered
+    assert {reply.value["run"] for reply in answered} == {1}
+    assert {(reply.code, reply.outcome) for reply in others} <= {
+        ("still_running", "unknown")
+    }
+
+
+@pytest_bdd.when(
+    "the platform is away and a booking comes under a ticket and one by key"
+)
+def book_without_platform(running, booking, go):
+    async def run():
+        await running.fault("platform", away=True)
+        ticketed = Booking(running)
+        ticketed.key = await ticketed.caller.ticket(running.url("entry-1"))
+        ticketed.reply = await ticketed.send("entry-1")
+        booking.replies = [ticketed]
+        booking.reply = await booking.send("entry-1")
+
+    go(run())
+
+
+@pytest_bdd.then("the ticket's booking ran once, and the other was refused as not run")
+def ticket_ran(booking, go):
+    (ticketed,) = booking.replies
+    assert ticketed.reply.status == 200
+    assert go(ticketed.runs()) == 1
+    assert (booking.reply.code, booking.reply.outcome) == ("platform_away", "not_run")
+    assert float(booking.reply.headers["Retry-After"]) > 0
+    assert go(booking.runs()) == 0
+
+
+@pytest_bdd.when("a ticket's booking comes to all entries at once")
+def send_ticket_everywhere(running, booking, go):
+    async def run():
+        booking.key = await booking.caller.ticket(running.url("entry-2"))
+        sending = (booking.send(name) for name in running.entry_names)
+        booking.replies = await asyncio.gather(*sending)
+
+    go(run())
+
+
+async def run_ticket_and_kill(running, booking):
+    booking.key = await booking.caller.ticket(running.url("entry-1"))
+    await running.fault(SERVICE, hold=True)
+    sending = asyncio.create_task(booking.send("entry-1"))
+    await booking.until_run()
+    await running.process_by_name["entry-1"].kill()
+    await running.fault(SERVICE, hold=False)
+    booking.reply = await sending
+
+
+@pytest_bdd.when("the entry is killed while a ticket's booking runs")
+def kill_during_ticket(running, booking, go):
+    go(run_ticket_and_kill(running, booking))
+
+
+@pytest_bdd.when("the platform goes away and the entry that minted a ticket is killed")
+def kill_during_outage(running, booking, go):
+    async def run():
+        await running.fault("platform", away=True)
+        await run_ticket_and_kill(running, booking)
+
+    go(run())
+
+
+@pytest_bdd.then(
+    "a repeat of its booking is unknown, and a new ticket's booking runs once"
+)
+def tickets_go_on(running, booking, go):
+    async def run():
+        booking.repeat = await booking.send("entry-2")
+        fresh = Booking(running)
+        fresh.key = await fresh.caller.ticket(running.url("entry-2"))
+        reply = await fresh.send("entry-3")
+        return reply.status, await fresh.runs()
+
+    assert go(run()) == (200, 1)
+    assert (booking.repeat.code, booking.repeat.outcome) == ("entry_gone", "unknown")
+    assert go(booking.runs()) == 1
