Prove that every caller gets its whole answer

Fourteen scenarios: engines killed before the first token, mid-stream and before the end mark; links frozen, cut and delayed; pieces doubled and reordered; the entry killed and the stream read on at another; both killed; and 200 callers at once, checked to the letter.

--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -190,7 +190,10 @@
             if stream.started is not None and not told_start:
                 told_start = True
                 await _write(response, stream.started)
-            for piece in self._struck_pieces(stream, after):
+            pieces = self._struck_pieces(stream, after)
+            if not pieces:
+                await asyncio.sleep(self._model.decode_interval)
+            for piece in pieces:
                 if self._faults["cut_after_pieces"] and self._is_cut(piece):
                     await standin.until_cut(request.transport)
                     return
@@ -223,7 +226,7 @@
         """Return the next pieces as the faults in force let them out."""
         pieces = stream.pieces_after(after)
         if pieces and pieces[-1]["last"] and self._faults.take("hide_end_mark"):
-            pieces = []
+            pieces.pop()
         if self._faults["shuffle_pieces"]:
             tokens = [piece for piece in pieces if not piece["last"]]
             pieces = tokens[::-1] + [piece for piece in pieces if piece["last"]]
@@ -371,6 +374,10 @@
             {
                 **self._counts,
                 "running": len(self._running),
+                "longest_running": max(
+                    (len(stream.tokens) for stream in self._stream_by_id.values()),
+                    default=0,
+                ),
                 "most_by_account": dict(self._most_by_account),
                 "cached_blocks": len(self._cache),
             }
--- /dev/null
+++ b/tests/promises/test_whole_answers.py
@@ -0,0 +1,289 @@
+"""Promise 2: every caller receives the whole answer to its own request."""
+
+import asyncio
+import itertools
+
+import pytest
+import pytest_bdd
+
+from sesamespindle.lab import answers, caller, fleet
+
+pytest_bdd.scenarios("whole_answers.feature")
+
+ENGINES = ("glossary-1", "glossary-2", "glossary-3")
+TOKENS = 60
+MIDWAY = 15
+_numbers = itertools.count(1)
+
+
+@pytest.fixture(scope="module")
+def running(start_fleet):
+    return start_fleet(
+        store_hosts=0,
+        services=0,
+        proxied=frozenset(ENGINES),
+        engine_options=["--decode-interval", "0.01"],
+        settings={
+            "engine_silence": "700 ms",
+            "policy": {"suspect_after": "1500 ms", "grant_lifetime": "3 s"},
+        },
+    )
+
+
+class Reading:
+    """One answer under test, and the engine that began it."""
+
+    def __init__(self, running):
+        self.running = running
+        self.prompt = f"Prompt {next(_numbers)} asks for its own answer."
+        self.caller = caller.Caller(running.session, fleet.demo_key("interpreters"))
+        self.streamed = None
+        self.reply = None
+        self.engine = ""
+        self.received_before = {}
+
+    @property
+    def expected(self):
+        return answers.expected(self.prompt, TOKENS)
+
+    async def stream(self, entry="entry-1", streamed=None, watch=None):
+        self.streamed = await self.caller.stream(
+            self.running.url(entry), "glossary", self.prompt, TOKENS, streamed, watch
+        )
+
+    async def read_whole(self):
+        self.reply = await self.caller.complete(
+            self.running.url("entry-1"), "glossary", self.prompt, TOKENS
+        )
+
+    async def note_received(self):
+        for name in ENGINES:
+            if self.running.process_by_name[name].running:
+                counts = await self.running.counts(name)
+                self.received_before[name] = counts.get("received", 0)
+
+    async def find_engine(self):
+        """Return the engine that got a prompt since `note_received`."""
+
+        async def found():
+            for name, before in self.received_before.items():
+                counts = await self.running.counts(name)
+                if counts.get("received", 0) > before:
+                    self.engine = name
+            return bool(self.engine)
+
+        await self.running.until(found)
+        return self.engine
+
+    async def until_made(self, count):
+        """Wait until the engine that began has made a number of tokens."""
+
+        async def made():
+            counts = await self.running.counts(self.engine)
+            return counts["longest_running"] >= count
+
+        await self.running.until(made)
+
+    async def starts(self):
+        total = 0
+        for name, before in self.received_before.items():
+            counts = await self.running.counts(name)
+            total += counts.get("received", 0) - before
+        return total
+
+
+@pytest.fixture
+def reading(running):
+    return Reading(running)
+
+
+@pytest.fixture
+def go(loop_runner):
+    return loop_runner.run
+
+
+async def fault_all(running, **faults):
+    for name in ENGINES:
+        await running.fault(name, **faults)
+
+
+@pytest_bdd.given("a fleet whose engines are behind proxies")
+def fleet_is_running(running, reading, go):
+    async def settle():
+        for name in ENGINES:
+            if not running.process_by_name[name].running:
+                await running.restart_target(name)
+            await running.proxy_fault(name, mode="pass", delay=0.0)
+        await fault_all(
+            running,
+            hold_prompts=False,
+            hide_end_mark=0,
+            double_pieces=False,
+            shuffle_pieces=False,
+            cut_after_pieces=0,
+        )
+        for name in running.entry_names:
+            if not running.process_by_name[name].running:
+                await running.start_entry(name, "kgl-1")
+        await running.wait_ready()
+        await reading.note_received()
+
+    go(settle())
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse("the engine is killed {moment} of a {form} answer")
+)
+def kill_engine(running, reading, go, moment, form):
+    async def run():
+        if moment == "before the first token":
+            await fault_all(running, hold_prompts=True)
+        if moment.startswith("after the last token"):
+            await fault_all(running, hide_end_mark=1_000_000)
+        begun = reading.stream() if form == "streamed" else reading.read_whole()
+        sending = asyncio.create_task(begun)
+        engine = await reading.find_engine()
+        if moment == "mid-stream":
+            await reading.until_made(MIDWAY)
+        if moment.startswith("after the last token"):
+            await reading.until_made(TOKENS)
+        await running.process_by_name[engine].kill()
+        for name in ENGINES:
+            if name != engine:
+                await running.fault(name, hold_prompts=False, hide_end_mark=0)
+        await sending
+
+    go(run())
+
+
+@pytest_bdd.then("the caller has the whole answer")
+def answer_is_whole(reading):
+    if reading.reply is not None:
+        assert reading.reply.status == 200, reading.reply
+        assert reading.reply.value["choices"][0]["text"] == reading.expected
+    else:
+        assert reading.streamed.refusal is None
+        assert reading.streamed.text == reading.expected
+        assert reading.streamed.whole
+
+
+@pytest_bdd.then("the rest came from another engine")
+def other_engine_went_on(reading, go):
+    del reading.received_before[reading.engine]
+    assert go(reading.starts()) == 1
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("an engine sends its pieces {how}"))
+def misbehaving_pieces(running, reading, go, how):
+    async def run():
+        await fault_all(
+            running,
+            double_pieces="doubled" in how,
+            shuffle_pieces="reordered" in how,
+            cut_after_pieces=3 if how == "with cuts" else 0,
+        )
+        if how == "delayed":
+            for name in ENGINES:
+                await running.proxy_fault(name, delay=0.05)
+        await reading.stream()
+
+    go(run())
+
+
+@pytest_bdd.when("the link to the engine freezes mid-stream and wakes")
+def freeze_link(running, reading, go):
+    async def run():
+        sending = asyncio.create_task(reading.stream())
+        engine = await reading.find_engine()
+        await reading.until_made(MIDWAY)
+        await running.proxy_fault(engine, mode="freeze")
+
+        async def noticed():
+            code, output = await running.cli("timeline")
+            assert code == 0, output
+            return " resume           entry-1" in output
+
+        await running.until(noticed)
+        await running.proxy_fault(engine, mode="pass")
+        await sending
+
+    go(run())
+
+
+@pytest_bdd.then("the engine made it once")
+def made_once(reading, go):
+    assert go(reading.starts()) == 1
+
+
+async def read_until_killed(running, reading, kill_engine_too):
+    killed = asyncio.Event()
+
+    async def kill_midway(streamed):
+        if len(streamed.tokens) >= MIDWAY and not killed.is_set():
+            killed.set()
+            await running.process_by_name["entry-1"].kill()
+
+    await reading.stream(watch=kill_midway)
+    assert killed.is_set()
+    assert not reading.streamed.whole
+    if kill_engine_too:
+        await running.process_by_name[await reading.find_engine()].kill()
+    await reading.stream("entry-2", streamed=reading.streamed)
+
+
+@pytest_bdd.when("the entry is killed mid-stream and the caller goes on elsewhere")
+def kill_entry(running, reading, go):
+    go(read_until_killed(running, reading, kill_engine_too=False))
+
+
+@pytest_bdd.when(
+    "the entry and the engine are killed mid-stream and the caller goes on elsewhere"
+)
+def kill_entry_and_engine(running, reading, go):
+    go(read_until_killed(running, reading, kill_engine_too=True))
+
+
+@pytest_bdd.then("the caller is told that the stream is lost")
+def stream_is_lost(reading):
+    refusal = reading.streamed.refusal
+    assert (refusal.code, refusal.outcome) == ("stream_lost", "unknown")
+    assert reading.expected.startswith(reading.streamed.text)
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse(
+        "{count:d} callers stream at once over links that misbehave"
+    ),
+    target_fixture="crowd",
+)
+def stream_crowd(running, go, count):
+    async def run():
+        await fault_all(
+            running, double_pieces=True, shuffle_pieces=True, cut_after_pieces=10
+        )
+        crowd = [Reading(running) for _ in range(count)]
+        accounts = ("interpreters", "ministry-of-health", "parliament", "delegates")
+        for number, reading in enumerate(crowd):
+            key = fleet.demo_key(accounts[number % len(accounts)])
+            reading.caller = caller.Caller(running.session, key)
+
+        async def read(number, reading):
+            entry = f"entry-{number % 3 + 1}"
+            await reading.stream(entry)
+            while reading.streamed.refusal is not None:
+                assert reading.streamed.refusal.status == 429
+                await asyncio.sleep(0.2)
+                await reading.stream(entry)
+
+        await asyncio.gather(*(read(number, item) for number, item in enumerate(crowd)))
+        return crowd
+
+    return go(run())
+
+
+@pytest_bdd.then("each has the whole answer to its own prompt")
+def each_is_whole(crowd):
+    assert len(crowd) == 200
+    for reading in crowd:
+        assert reading.streamed.text == reading.expected
+        assert reading.streamed.whole
