--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,18 @@
         yield runner
 
 
+@pytest.fixture(scope="session")
+def shared_fleet(loop_runner, tmp_path_factory):
+    """Give one fleet to all tests that do it no harm."""
+    plan = fleet.Plan(
+        example=ROOT / "examples" / "umoja", folder=tmp_path_factory.mktemp("shared")
+    )
+    made = fleet.Fleet(plan)
+    loop_runner.run(made.__aenter__())
+    yield made
+    loop_runner.run(made.__aexit__(None, None, None))
+
+
 @pytest.fixture(scope="module")
 def start_fleet(loop_runner, tmp_path_factory):
     """Give a function that starts a fleet, which ends with the module."""
--- a/tests/paths/test_whole_path.py
+++ b/tests/paths/test_whole_path.py
@@ -12,9 +12,9 @@
 pytest_bdd.scenarios("whole_path.feature")
 
 
-@pytest.fixture(scope="module")
-def running(start_fleet):
-    return start_fleet()
+@pytest.fixture
+def running(shared_fleet):
+    return shared_fleet
 
 
 @pytest.fixture
