Count slices by incarnation, and grants until they are acknowledged

Cause: an owner counted one slice for each entry name, the latest. Three ways led to more prompts at the targets than the contract allows, each found by the state machine over step (LIMIT 5, 6 seen): an entry restarted at once asked with nothing held while its earlier streams still ran; an owner restarted at once took over without asking entries it knew from the list only; a smaller grant was counted although its message was lost and the larger one still held.

Ruled out: waiting one grant lifetime at every take-over, which costs 6.5 s of refusals at each start of a fleet; entries that have seen nobody replaced now say so, and the owner starts at once.

Before: fails within 40 steps. After: 120 derandomized examples of 40 steps pass in 5 s, with messages delayed without bound, lost and reordered.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -103,7 +103,13 @@
         await self._check(request, context)
         asks = peermessages.asks_from_wire(request.asks)
         reply = await self._exchange(
-            lambda exchange_id: events.SlicesAsked(exchange_id, request.entry, asks)
+            lambda exchange_id: events.SlicesAsked(
+                exchange_id,
+                request.entry,
+                request.incarnation,
+                request.sequence,
+                asks,
+            )
         )
         return peers_pb2.SliceGrants(
             grants=peermessages.grants_to_wire(reply.grants), clock=self._clock.stamp()
@@ -114,11 +120,15 @@
         await self._check(request, context)
         accounts = tuple(request.accounts)
         reply = await self._exchange(
-            lambda exchange_id: events.HoldingsAsked(exchange_id, accounts)
+            lambda exchange_id: events.HoldingsAsked(
+                exchange_id, request.owner, request.owner_incarnation, accounts
+            )
         )
         return peers_pb2.SliceAsks(
             entry=self._driver.core.state.me.name,
+            incarnation=self._driver.core.state.me.incarnation,
             asks=peermessages.asks_to_wire(reply.holdings),
+            settled=reply.settled,
             clock=self._clock.stamp(),
         )
 
@@ -215,6 +225,7 @@
         request = peers_pb2.SliceAsks(
             entry=self._driver.core.state.me.name,
             incarnation=self._driver.core.state.me.incarnation,
+            sequence=command.sequence,
             asks=peermessages.asks_to_wire(command.asks),
             clock=self._clock.stamp(),
         )
@@ -225,12 +236,19 @@
 
     async def _ask_holdings(self, command):
         request = peers_pb2.HoldingsWanted(
-            accounts=command.accounts, clock=self._clock.stamp()
+            accounts=command.accounts,
+            owner=self._driver.core.state.me.name,
+            owner_incarnation=self._driver.core.state.me.incarnation,
+            clock=self._clock.stamp(),
         )
         answer = await self._call(command.peer_address, "AskHoldings", request)
         if answer is not None:
             holdings = peermessages.asks_from_wire(answer.asks)
-            self._driver.feed(events.HoldingsTold(command.entry, holdings))
+            self._driver.feed(
+                events.HoldingsTold(
+                    command.entry, answer.incarnation, holdings, answer.settled
+                )
+            )
 
     async def _fetch(self, command):
         if self._fetching:
--- a/packages/decide/sesamespindle/decide/catalogue.py
+++ b/packages/decide/sesamespindle/decide/catalogue.py
@@ -77,6 +77,7 @@
     def list_hosts(self, event, now):
         """Take in the platform's list, which may lag."""
         state = self._state
+        state.knows_entries = True
         listed_names = set()
         for host in event.hosts:
             listed_names.add(host.name)
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -170,6 +170,7 @@
     """Ask an account owner for slices."""
 
     peer_address: str
+    sequence: int
     asks: tuple[events.SliceAsk, ...]
 
 
@@ -196,3 +197,4 @@
 
     exchange_id: str
     holdings: tuple[events.SliceAsk, ...]
+    settled: bool
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -383,10 +383,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlicesAsked:
-    """An entry asks this daemon; a `commands.GrantSlices` follows."""
+    """An entry asks this daemon; a `commands.GrantSlices` follows.
+
+    Attributes
+    ----------
+    sequence : int
+        Rises with every ask of the entry's incarnation.
+    """
 
     exchange_id: str
     entry: str
+    incarnation: int
+    sequence: int
     asks: tuple[SliceAsk, ...]
 
 
@@ -410,10 +418,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HoldingsTold:
-    """What an entry holds of accounts whose owner this daemon has become."""
+    """What an entry holds of accounts whose owner this daemon has become.
+
+    Attributes
+    ----------
+    settled : bool
+        Whether the entry knows of no other that was replaced so lately that
+        slices of its earlier incarnation may still be in use.
+    """
 
     entry: str
+    incarnation: int
     holdings: tuple[SliceAsk, ...]
+    settled: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -421,4 +438,6 @@
     """A new owner asks; a `commands.TellHoldings` follows."""
 
     exchange_id: str
+    owner: str
+    owner_incarnation: int
     accounts: tuple[str, ...]
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -74,6 +74,7 @@
 
     def answered(self, event, now):
         """Take a peer's answer in, and send it what it asked for."""
+        self._state.knows_entries = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
         asked_for = [
@@ -241,7 +242,10 @@
         """
         state = self._state
         if member.name == state.me.name:
+            if 0 < member.incarnation < state.me.incarnation:
+                state.replaced_at = now
             return
+        state.note_incarnation(member.name, member.incarnation, now)
         row = state.entries.get(member.name)
         if row is None and member.state is _State.DEAD:
             return
--- a/packages/decide/sesamespindle/decide/slices.py
+++ b/packages/decide/sesamespindle/decide/slices.py
@@ -13,6 +13,9 @@
 
 # The owner counts a slice for a little longer than its holder uses it.
 OWNER_MARGIN = datetime.timedelta(milliseconds=500)
+# Stands among the unlearned entries for one that can't be asked: the earlier
+# incarnation of some entry, or an entry that this daemon hasn't heard of yet.
+_UNKNOWN = ""
 _RENEW_AT = 0.5
 _IDLE_KEPT_FOR = datetime.timedelta(seconds=30)
 _WAITED_FOR_LEARNING = datetime.timedelta(milliseconds=400)
@@ -41,14 +44,50 @@
 
 
 @dataclasses.dataclass(slots=True)
-class GivenSlice:
-    """A slice that this owner gave to an entry, or learned of."""
+class Promise:
+    """Slots that an entry may use until a time, by the number of their grant."""
 
+    grant: int
     slots: int
+    expires_at: datetime.datetime
+
+
+@dataclasses.dataclass(slots=True)
+class GivenSlice:
+    """What this owner gave to an entry, or learned that it holds.
+
+    Attributes
+    ----------
+    promises : list of Promise
+        Grants that the entry may act on: the latest, and those before it that
+        the entry has not yet shown to have replaced.
+    """
+
     in_use: int
     wanted: int
-    grant: int
-    expires_at: datetime.datetime
+    sequence: int
+    promises: list[Promise]
+
+    def counted(self, now):
+        """Return the slots that the entry may be using.
+
+        Guards against a smaller grant whose message is lost: the entry goes on
+        with the larger one before it, until that runs out.
+        """
+        promised = [item.slots for item in self.promises if item.expires_at > now]
+        return max([self.in_use, *promised])
+
+    def lasts(self, now):
+        """Return whether any grant has not run out."""
+        return any(item.expires_at > now for item in self.promises)
+
+    def promise(self, promise):
+        """Add a grant."""
+        self.promises.append(promise)
+
+    def acknowledge(self, grant):
+        """Drop the grants before one that the entry shows to act on."""
+        self.promises = [item for item in self.promises if item.grant >= grant]
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +98,9 @@
     ----------
     unlearned : set of str
         Entries that may hold slices of an earlier owner.
+    given_by_holder : dict
+        Slices by name and incarnation of their holder. A new incarnation has
+        none of the old one's, which may still run at the targets.
     learned_at : datetime.datetime
         When slices of an earlier owner have run out in any case.
     """
@@ -66,7 +108,9 @@
     key: tuple[str, events.Resource]
     unlearned: set[str]
     learned_at: datetime.datetime
-    given_by_entry: dict[str, GivenSlice] = dataclasses.field(default_factory=dict)
+    given_by_holder: dict[tuple[str, int], GivenSlice] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +140,7 @@
         self.owned: tables.Table[OwnedRow] = tables.Table("key")
         self._waiting_asks = []
         self._next_grant = state.me.incarnation << 20
+        self._next_ask = 0
         self._last_tick = None
 
     def slots(self, account, resource, now):
@@ -160,12 +205,19 @@
         holdings = [
             self._ask_of(row, now) for row in self.held if row.key[0] in event.accounts
         ]
-        self._state.emit(commands.TellHoldings(event.exchange_id, tuple(holdings)))
+        self._state.note_incarnation(event.owner, event.owner_incarnation, now)
+        self._state.emit(
+            commands.TellHoldings(
+                event.exchange_id, tuple(holdings), self._is_settled(now)
+            )
+        )
 
     def asked(self, event, now):
         """Answer an entry, at once or when what is out has been learned."""
+        self._state.note_incarnation(event.entry, event.incarnation, now)
+        holder = (event.entry, event.incarnation)
         for ask in event.asks:
-            self._note_ask(event.entry, ask, now)
+            self._note_ask(holder, event.sequence, ask, now)
         if all(self._is_learned(ask, now) for ask in event.asks):
             self._grant(event, now)
             return
@@ -173,11 +225,14 @@
 
     def told(self, event, now):
         """Count what an entry holds of an earlier owner's slices."""
+        holder = (event.entry, event.incarnation)
         for holding in event.holdings:
             row = self.owned.get((holding.account, holding.resource))
-            if row is not None and event.entry not in row.given_by_entry:
-                self._note_holding(row, event.entry, holding, now)
+            if row is not None and holder not in row.given_by_holder:
+                self._note_holding(row, holder, 0, holding, now)
         for row in self.owned:
+            if not event.settled:
+                row.unlearned.add(_UNKNOWN)
             row.unlearned.discard(event.entry)
         self._answer_waiting(now)
 
@@ -249,20 +304,25 @@
                 row.asked_for = ask.wanted
                 asks_by_address[owner.peer_address].append(ask)
         for address, asks in asks_by_address.items():
-            self._state.emit(commands.AskSlices(address, tuple(asks)))
+            self._next_ask += 1
+            self._state.emit(commands.AskSlices(address, self._next_ask, tuple(asks)))
 
-    def _note_ask(self, entry, ask, now):
+    def _note_ask(self, holder, sequence, ask, now):
         if not self._is_owner(ask.account):
             return
         row = self.owned.get((ask.account, ask.resource))
         if row is None:
             row = self._begin_owning(ask, now)
-        if entry not in row.given_by_entry:
-            self._note_holding(row, entry, ask, now)
-        given = row.given_by_entry[entry]
+        if holder not in row.given_by_holder:
+            self._note_holding(row, holder, sequence, ask, now)
+        given = row.given_by_holder[holder]
+        if sequence < given.sequence:
+            return
+        given.sequence = sequence
         given.in_use = ask.in_use
         given.wanted = ask.wanted
-        row.unlearned.discard(entry)
+        given.acknowledge(ask.grant)
+        row.unlearned.discard(holder[0])
 
     def _begin_owning(self, ask, now):
         """Begin to own an account: learn what is out, or wait until it ran out.
@@ -276,7 +336,7 @@
         others = {
             row.name: row
             for row in state.entries
-            if row.state is not events.HostState.DEAD and row.incarnation
+            if row.state is not events.HostState.DEAD
         }
         row = OwnedRow(
             (ask.account, ask.resource), set(others), now + lifetime + OWNER_MARGIN
@@ -285,20 +345,27 @@
         self.owned.add(row)
         mine = self.held.get(row.key)
         if mine is not None:
-            self._note_holding(row, state.me.name, self._ask_of(mine, now), now)
-        for name in sorted(row.unlearned):
+            me = (state.me.name, state.me.incarnation)
+            self._note_holding(row, me, 0, self._ask_of(mine, now), now)
+        names = sorted(row.unlearned)
+        if not self._is_settled(now) or not state.knows_entries:
+            row.unlearned.add(_UNKNOWN)
+        for name in names:
             address = others[name].peer_address
             state.emit(commands.AskHoldings(name, address, (ask.account,)))
         return row
 
-    def _note_holding(self, row, entry, holding, now):
+    def _is_settled(self, now):
+        """Return whether no slice of a replaced entry can still be in use."""
+        replaced_at = self._state.replaced_at
+        lifetime = self._state.policy.grant_lifetime
+        return replaced_at is None or now - replaced_at > lifetime + OWNER_MARGIN
+
+    def _note_holding(self, row, holder, sequence, holding, now):
         lifetime = self._state.policy.grant_lifetime
-        row.given_by_entry[entry] = GivenSlice(
-            holding.held,
-            holding.in_use,
-            holding.wanted,
-            holding.grant,
-            now + lifetime + OWNER_MARGIN,
+        held = Promise(holding.grant, holding.held, now + lifetime + OWNER_MARGIN)
+        row.given_by_holder[holder] = GivenSlice(
+            holding.in_use, holding.wanted, sequence, [held]
         )
 
     def _is_owner(self, account):
@@ -319,41 +386,43 @@
                 self._waiting_asks.append(item)
 
     def _grant(self, event, now):
+        holder = (event.entry, event.incarnation)
         grants = [
-            self._grant_one(event.entry, ask, now)
+            self._grant_one(holder, event.sequence, ask, now)
             for ask in event.asks
             if self._is_owner(ask.account)
         ]
         self._state.emit(commands.GrantSlices(event.exchange_id, tuple(grants)))
 
-    def _grant_one(self, entry, ask, now):
+    def _grant_one(self, holder, sequence, ask, now):
         row = self.owned.get((ask.account, ask.resource))
         account = self._state.accounts.get(ask.account)
-        if row is None or account is None or entry not in row.given_by_entry:
+        if row is None or account is None or holder not in row.given_by_holder:
             return events.SliceGrant(ask.account, ask.resource, 0, 0)
         limit = _limit(account.contract, ask.resource)
-        given = row.given_by_entry[entry]
+        given = row.given_by_holder[holder]
+        if sequence < given.sequence:
+            # A later ask overtook this one, which tells of the past.
+            return events.SliceGrant(ask.account, ask.resource, 0, 0)
         if self._is_learned(ask, now):
-            slots = self._fair_slots(row, entry, limit, now)
+            slots = self._fair_slots(row, holder, limit, now)
         else:
             slots = min(ask.held, limit)
-        # What the entry still runs above its new slice is counted too.
-        given.slots = slots
         self._next_grant += 1
-        given.grant = self._next_grant
         lifetime = self._state.policy.grant_lifetime
-        given.expires_at = now + lifetime + OWNER_MARGIN
-        return events.SliceGrant(ask.account, ask.resource, slots, given.grant)
+        expires_at = now + lifetime + OWNER_MARGIN
+        given.promise(Promise(self._next_grant, slots, expires_at))
+        return events.SliceGrant(ask.account, ask.resource, slots, self._next_grant)
 
-    def _fair_slots(self, row, entry, limit, now):
+    def _fair_slots(self, row, holder, limit, now):
         """Return what an entry may have: its demand, or its share of the limit."""
-        given = row.given_by_entry[entry]
+        given = row.given_by_holder[holder]
         others = [
             other
-            for name, other in row.given_by_entry.items()
-            if name != entry and (other.expires_at > now or other.in_use)
+            for key, other in row.given_by_holder.items()
+            if key != holder and (other.lasts(now) or other.in_use)
         ]
-        counted = sum(max(other.slots, other.in_use) for other in others)
+        counted = sum(other.counted(now) for other in others)
         free = max(0, limit - self._reserve(row, limit) - counted)
         wanted = given.wanted + sum(other.wanted for other in others)
         share = given.wanted
@@ -372,15 +441,20 @@
     def _drop_expired(self, now):
         """Drop slices that have run out, with those of entries that are dead."""
         for row in list(self.owned):
-            for name, given in list(row.given_by_entry.items()):
-                if given.expires_at <= now and not self._may_still_run(name, given):
-                    del row.given_by_entry[name]
-            if not row.given_by_entry:
+            for holder, given in list(row.given_by_holder.items()):
+                if not given.lasts(now) and not self._may_still_run(holder, given):
+                    del row.given_by_holder[holder]
+            if not row.given_by_holder:
                 self.owned.remove(row.key)
 
-    def _may_still_run(self, name, given):
+    def _may_still_run(self, holder, given):
+        name, incarnation = holder
         entry = self._state.entries.get(name)
-        lost = entry is None or entry.state is events.HostState.DEAD
+        lost = (
+            entry is None
+            or entry.state is events.HostState.DEAD
+            or entry.incarnation > incarnation
+        )
         return given.in_use > 0 and not lost
 
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -154,6 +154,10 @@
         self.revision = 0
         self.declarations = declared.Declarations()
         self.leaving = False
+        # Whether the platform's list or a peer has told of the other entries.
+        self.knows_entries = False
+        # When an entry was last seen to be replaced by a new incarnation.
+        self.replaced_at = None
         self.accounts: tables.Table[AccountRow] = tables.Table("name")
         self.models: tables.Table[declared.Model] = tables.Table("name", "pool")
         self.pools: tables.Table[declared.Pool] = tables.Table("name")
@@ -172,6 +176,12 @@
         out, self._out = self._out, []
         return out
 
+    def note_incarnation(self, name, incarnation, now):
+        """Remember that an entry was replaced, if a higher incarnation shows it."""
+        known = self.entries.get(name)
+        if known is not None and 0 < known.incarnation < incarnation:
+            self.replaced_at = now
+
     def live_entries(self):
         """Return the entries that may be given to callers, this one included."""
         return [entry for entry in self.entries if entry.state is events.HostState.LIVE]
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -38,7 +38,7 @@
     max_running: int = 256
     max_waiting: int = 512
     load_lag: float = 0.2
-    unread_window: float = 10.0
+    unread_window: float = 5.0
 
 
 class Stream:
--- a/packages/lab/sesamespindle/lab/main.py
+++ b/packages/lab/sesamespindle/lab/main.py
@@ -85,7 +85,7 @@
     decode_interval: float = 0.005,
     cache_blocks: int = 2_000,
     max_running: int = 256,
-    unread_window: float = 10.0,
+    unread_window: float = 5.0,
 ):
     """Run an engine's stand-in."""
     model = engine.Model(
--- /dev/null
+++ b/tests/decide/test_slices.py
@@ -0,0 +1,310 @@
+"""Slices of limits: never more at the targets than the contract allows."""
+
+import datetime
+import random
+
+import hypothesis
+import hypothesis.stateful
+import pytest
+from hypothesis import strategies
+
+from sesamespindle.decide import commands, core, declared, events
+
+START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
+LIMIT = 5
+NAMES = ("entry-1", "entry-2", "entry-3", "entry-4")
+ENGINE_KEEPS = datetime.timedelta(seconds=5)
+# The default time after which a silent entry is given up is twice this.
+LONGEST_PAUSE = datetime.timedelta(seconds=5)
+
+DECLARATIONS = declared.Declarations(
+    contracts=(declared.Contract("desk", LIMIT, 2, 5, 1000, (), ()),),
+    models=(declared.Model("words", "pool", "v1", 100_000),),
+    pools=(declared.Pool("pool", declared.TargetKind.ENGINE, 100),),
+    targets=(declared.Target("engine-1", "pool", "dc", True),),
+    data_centres=(declared.DataCentre("dc", "region"),),
+)
+ENGINE = events.Host("engine-1", "engine", "dc", "http://engine-1")
+
+
+class Fleet:
+    """Several daemons' decision logic, with the messages between them.
+
+    Messages of gossip arrive at once. Messages about slices wait in `wire`
+    until they are delivered, in any order, or lost.
+    """
+
+    def __init__(self, names=NAMES):
+        self.now = START
+        self.core_by_name = {}
+        self.running_by_name = {}
+        self.lingering_until = []
+        self.paused_until = {}
+        self.wire = []
+        self.exchanges = {}
+        self.numbers = iter(range(1, 1_000_000))
+        for name in names:
+            self.boot(name)
+
+    def boot(self, name):
+        incarnation = int(self.now.timestamp() * 1000)
+        me = events.Host(name, "entry", "dc", name, name, name, incarnation)
+        self.core_by_name[name] = core.Core(me, seed=incarnation)
+        self.running_by_name[name] = {}
+        hosts = [events.Host(other, "entry", "dc", other, other) for other in NAMES]
+        self.feed(
+            name,
+            events.DeclarationsAdopted(1, DECLARATIONS),
+            events.HostsListed((ENGINE, *hosts)),
+        )
+
+    def feed(self, name, *happened):
+        for command in self.core_by_name[name].step(self.now, happened):
+            self.carry_out(name, command)
+
+    def carry_out(self, name, command):
+        match command:
+            case commands.GossipTo(peer_address=peer, message=message):
+                self.gossip(name, peer, message)
+            case commands.AskSlices():
+                content = (
+                    name,
+                    self.incarnation(name),
+                    command.sequence,
+                    self.now,
+                    command.asks,
+                )
+                self.post(command.peer_address, "ask", content)
+            case commands.AskHoldings(entry=entry, accounts=accounts):
+                self.post(entry, "want", (name, self.incarnation(name), accounts))
+            case commands.GrantSlices(exchange_id=exchange, grants=grants):
+                asker, asked_at = self.exchanges.pop(exchange)
+                self.post(asker, "grant", (asked_at, grants))
+            case commands.TellHoldings():
+                content = (
+                    name,
+                    self.incarnation(name),
+                    command.holdings,
+                    command.settled,
+                )
+                self.post(self.exchanges.pop(command.exchange_id), "told", content)
+            case commands.SendPrompt(request_id=request_id, attempt=attempt):
+                self.running_by_name[name][request_id] = attempt
+
+    def incarnation(self, name):
+        return self.core_by_name[name].state.me.incarnation
+
+    def is_up(self, name):
+        return name in self.core_by_name and name not in self.paused_until
+
+    def gossip(self, name, peer, message):
+        if not self.is_up(peer):
+            return
+        exchange = str(next(self.numbers))
+        made = self.core_by_name[peer].step(
+            self.now, [events.GossipReceived(exchange, message)]
+        )
+        for command in made:
+            if isinstance(command, commands.GossipReply):
+                self.feed(name, events.GossipAnswered(peer, command.message))
+            else:
+                self.carry_out(peer, command)
+
+    def post(self, receiver, kind, content):
+        self.wire.append((receiver, kind, content))
+
+    def deliver(self, index):
+        receiver, kind, content = self.wire.pop(index)
+        if receiver not in self.core_by_name:
+            return
+        if receiver in self.paused_until:
+            # It waits in the socket until the process wakes.
+            self.wire.append((receiver, kind, content))
+            return
+        exchange = str(next(self.numbers))
+        match kind:
+            case "ask":
+                asker, incarnation, sequence, asked_at, asks = content
+                self.exchanges[exchange] = (asker, asked_at)
+                self.feed(
+                    receiver,
+                    events.SlicesAsked(exchange, asker, incarnation, sequence, asks),
+                )
+            case "want":
+                self.exchanges[exchange] = content[0]
+                self.feed(receiver, events.HoldingsAsked(exchange, *content))
+            case "grant":
+                self.feed(receiver, events.SlicesGranted(*content))
+            case "told":
+                self.feed(receiver, events.HoldingsTold(*content))
+
+    def deliver_all(self):
+        for _ in range(1000):
+            open_indices = [
+                index
+                for index, (receiver, _, _) in enumerate(self.wire)
+                if receiver not in self.paused_until
+            ]
+            if not open_indices:
+                return
+            self.deliver(open_indices[0])
+        raise AssertionError("the messages never end")
+
+    def pass_time(self, duration):
+        end = self.now + duration
+        while self.now < end:
+            self.now += datetime.timedelta(milliseconds=200)
+            self.lingering_until = [at for at in self.lingering_until if at > self.now]
+            for name in list(self.core_by_name):
+                if name in self.paused_until and self.now >= self.paused_until[name]:
+                    del self.paused_until[name]
+                if self.is_up(name):
+                    self.feed(name, events.Tick())
+
+    def send(self, name):
+        number = next(self.numbers)
+        deadline = self.now + datetime.timedelta(minutes=5)
+        self.feed(
+            name,
+            events.PromptArrived(
+                f"{name}/{number}", "desk", "words", "text", 1, 1, deadline
+            ),
+        )
+
+    def finish(self, name):
+        running = self.running_by_name[name]
+        if running:
+            request_id, attempt = running.popitem()
+            self.feed(
+                name,
+                events.AttemptEnded(request_id, attempt, events.Ending.COMPLETED),
+            )
+
+    def kill(self, name):
+        del self.core_by_name[name]
+        self.paused_until.pop(name, None)
+        # Nobody reads its streams any more; the engine drops them in a while.
+        count = len(self.running_by_name.pop(name))
+        self.lingering_until += [self.now + ENGINE_KEEPS] * count
+        self.wire = [item for item in self.wire if item[0] != name]
+
+    def at_engine(self):
+        running = sum(len(running) for running in self.running_by_name.values())
+        return running + len(self.lingering_until)
+
+
+class SlicesMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Entries die, join, pause and lose messages while callers come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+        self.fleet.pass_time(datetime.timedelta(seconds=2))
+
+    names = strategies.sampled_from(NAMES)
+
+    @hypothesis.stateful.rule(name=names, count=strategies.integers(1, 8))
+    def send(self, name, count):
+        if self.fleet.is_up(name):
+            for _ in range(count):
+                self.fleet.send(name)
+
+    @hypothesis.stateful.rule(name=names)
+    def finish(self, name):
+        if self.fleet.is_up(name):
+            self.fleet.finish(name)
+
+    @hypothesis.stateful.rule()
+    def deliver_everything(self):
+        self.fleet.deliver_all()
+
+    @hypothesis.stateful.rule(index=strategies.integers(0, 30))
+    def deliver_one(self, index):
+        if self.fleet.wire:
+            self.fleet.deliver(index % len(self.fleet.wire))
+
+    @hypothesis.stateful.rule(index=strategies.integers(0, 30))
+    def lose_one(self, index):
+        if self.fleet.wire:
+            self.fleet.wire.pop(index % len(self.fleet.wire))
+
+    @hypothesis.stateful.rule(ticks=strategies.integers(1, 30))
+    def pass_time(self, ticks):
+        self.fleet.pass_time(datetime.timedelta(milliseconds=200) * ticks)
+
+    @hypothesis.stateful.rule(name=names)
+    def kill_or_boot(self, name):
+        if name in self.fleet.core_by_name:
+            self.fleet.kill(name)
+        else:
+            self.fleet.boot(name)
+
+    @hypothesis.stateful.rule(name=names, ticks=strategies.integers(1, 25))
+    def pause(self, name, ticks):
+        if self.fleet.is_up(name):
+            pause = datetime.timedelta(milliseconds=200) * ticks
+            self.fleet.paused_until[name] = self.fleet.now + min(pause, LONGEST_PAUSE)
+
+    @hypothesis.stateful.invariant()
+    def limit_is_kept(self):
+        assert self.fleet.at_engine() <= LIMIT
+
+
+def test_limit_is_kept_whatever_happens():
+    """Callers rush in while entries die, join and pause and messages get lost.
+
+    Two owners of an account give out its limit at once, or an owner that was
+    paused gives it out again, and the targets see more than the contract
+    allows.
+    """
+    hypothesis.stateful.run_state_machine_as_test(
+        SlicesMachine,
+        settings=hypothesis.settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=120,
+            stateful_step_count=40,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
+
+
+@pytest.mark.parametrize("dead", NAMES)
+def test_full_use_returns_after_an_entry_died(dead):
+    """An entry dies with all slots of an account in use there.
+
+    Its slices must come back to the others when they have run out, or the
+    account stays short of its contract for good.
+    """
+    fleet = Fleet()
+    fleet.pass_time(datetime.timedelta(seconds=2))
+    for _ in range(LIMIT):
+        fleet.send(dead)
+        fleet.deliver_all()
+    assert fleet.at_engine() == LIMIT
+    fleet.kill(dead)
+    fleet.pass_time(datetime.timedelta(seconds=10))
+    alive = [name for name in NAMES if name != dead]
+    source = random.Random(1)
+    for _ in range(30):
+        fleet.send(source.choice(alive))
+        fleet.pass_time(datetime.timedelta(milliseconds=400))
+        fleet.deliver_all()
+    assert fleet.at_engine() == LIMIT
+
+
+def test_idle_entry_gives_its_slices_back():
+    """One entry held the whole limit and its callers went to another entry."""
+    fleet = Fleet()
+    fleet.pass_time(datetime.timedelta(seconds=2))
+    for _ in range(LIMIT):
+        fleet.send("entry-1")
+        fleet.deliver_all()
+    for _ in range(LIMIT):
+        fleet.finish("entry-1")
+    for _ in range(12):
+        fleet.send("entry-2")
+        fleet.pass_time(datetime.timedelta(seconds=1))
+        fleet.deliver_all()
+    assert len(fleet.running_by_name["entry-2"]) >= LIMIT - 1
