Keep the cost of watching and ownership from growing with the fleet

Two daemons of a data centre watch the platform and the others learn revisions by gossip; the host list is read with its version and more seldom the larger the fleet; load reports are read of the engines in use and a few others; an account's owner is worked out once for each view of the entries; keys are dropped from the oldest on instead of by a scan each tick.

--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -10,6 +10,13 @@
 from sesamespindle.wire import head, platform
 
 _log = logs.part("watch")
+_HOST_READS_PER_SECOND = 50
+_LOADS_READ = 8
+_MOST_LOADS_READ = 12
+_FEWEST_OTHERS_READ = 2
+# How often a daemon that learns from others makes sure at the platform itself.
+_CHECK_INTERVAL = datetime.timedelta(seconds=30)
+_WATCHER_CHECK_SECONDS = 0.5
 
 
 class DeclarationsWatcher:
@@ -37,6 +44,7 @@
         source = random.Random(self._driver.core.state.me.incarnation)
         version = 0
         while True:
+            await self._wait_for_turn(source)
             try:
                 version = await self._wait_for_change(version)
             except (platform.PlatformAwayError, findings.FindingsError) as error:
@@ -44,6 +52,14 @@
                 pause = retries.spread(self._settings.host_list_interval, source)
                 await asyncio.sleep(pause.total_seconds())
 
+    async def _wait_for_turn(self, source):
+        """Leave the watch to others of the data centre, but for a check."""
+        check_at = self._driver.clock.now() + retries.spread(_CHECK_INTERVAL, source)
+        while self.known.is_set() and self._driver.clock.now() < check_at:
+            if self._driver.core.is_watcher():
+                return
+            await asyncio.sleep(_WATCHER_CHECK_SECONDS)
+
     async def _wait_for_change(self, version):
         found = await self._client.watch(
             head.HEAD_KIND, head.HEAD_NAME, version, self._settings.watch_timeout
@@ -85,7 +101,11 @@
 
 
 class HostsWatcher:
-    """Reads the platform's lagging list of hosts again and again."""
+    """Reads the platform's lagging list of hosts again and again.
+
+    The larger the fleet, the more seldom: the reads of all daemons together
+    grow no more once there are `_HOST_READS_PER_SECOND` a second.
+    """
 
     def __init__(self, driver, client, settings):
         self._driver = driver
@@ -95,42 +115,59 @@
     async def run(self):
         """Read the list for as long as the daemon runs."""
         source = random.Random(self._driver.core.state.me.incarnation + 1)
+        version = 0
         while True:
             try:
-                hosts = await self._client.list_hosts()
-                self._driver.feed(events.HostsListed(hosts))
+                listed = await self._client.list_hosts_after(version)
+                if listed is not None:
+                    version = listed.version
+                    self._driver.feed(events.HostsListed(listed.value))
             except platform.PlatformAwayError as error:
                 _log.warning("No host list from the platform. {}", error)
-            pause = retries.spread(self._settings.host_list_interval, source)
-            await asyncio.sleep(pause.total_seconds())
+            entries = len(self._driver.core.state.entries)
+            fair = datetime.timedelta(seconds=entries / _HOST_READS_PER_SECOND)
+            interval = max(self._settings.host_list_interval, fair)
+            await asyncio.sleep(retries.spread(interval, source).total_seconds())
 
 
 class LoadWatcher:
-    """Reads the load reports of the engines, which lag."""
+    """Reads the load reports of the engines, which lag.
+
+    Each round reads the engines that this entry uses, and a few others at
+    random, so that the cost does not grow with the number of engines.
+    """
 
     def __init__(self, driver, engines, settings):
         self._driver = driver
         self._engines = engines
         self._interval = settings.load_interval.total_seconds()
+        self._random = random.Random(driver.core.state.me.incarnation + 2)
 
     async def run(self):
         """Read the reports for as long as the daemon runs."""
         while True:
-            targets = self._driver.core.state.targets
-            engines = targets.where("kind", declared.TargetKind.ENGINE)
-            await asyncio.gather(
-                *(self._read(row.name, row.url) for row in engines if row.url)
-            )
+            await asyncio.gather(*(self._read(row) for row in self._choose()))
             await asyncio.sleep(self._interval)
 
-    async def _read(self, target, url):
-        value = await self._engines.load(url)
+    def _choose(self):
+        targets = self._driver.core.state.targets
+        engines = [
+            row for row in targets.where("kind", declared.TargetKind.ENGINE) if row.url
+        ]
+        used = [row for row in engines if row.running_here]
+        others = [row for row in engines if not row.running_here]
+        chosen = self._random.sample(used, min(_MOST_LOADS_READ, len(used)))
+        room = max(_FEWEST_OTHERS_READ, _LOADS_READ - len(chosen))
+        return chosen + self._random.sample(others, min(room, len(others)))
+
+    async def _read(self, row):
+        value = await self._engines.load(row.url)
         if value is None:
             return
         age = datetime.timedelta(seconds=value["age_seconds"])
         self._driver.feed(
             events.LoadReported(
-                target,
+                row.name,
                 self._driver.clock.now() - age,
                 value["backlog_tokens"],
                 value["running"],
@@ -139,4 +176,4 @@
             )
         )
         if value.get("leaving"):
-            self._driver.feed(events.TargetLeaving(target))
+            self._driver.feed(events.TargetLeaving(row.name))
--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -14,7 +14,7 @@
 
 # Keys are kept for longer than their claims are trusted, so that a claim of
 # this daemon's own is never judged after the key that explains it was dropped.
-_CLAIM_TRUSTED_FOR = datetime.timedelta(hours=24)
+_CLAIM_TRUSTED_FOR = datetime.timedelta(hours=1)
 _KEY_KEPT_FOR = 2 * _CLAIM_TRUSTED_FOR
 _MAX_STARTS = 4
 
@@ -356,11 +356,17 @@
                     "No slot of the account's limit came free in time.",
                     now,
                 )
-        stale = [key for key in self.keys if now - key.taken_at >= _KEY_KEPT_FOR]
-        for key in stale:
-            self.keys.remove(key.account_and_key)
+        self._drop_old_keys(now)
         self.drain(now)
 
+    def _drop_old_keys(self, now):
+        """Drop keys from the oldest on; the table is in the order of arrival."""
+        while len(self.keys):
+            oldest = next(iter(self.keys))
+            if now - oldest.taken_at < _KEY_KEPT_FOR:
+                return
+            self.keys.remove(oldest.account_and_key)
+
     def _give_up_unrun(self, row, code, message, now):
         if row.may_have_run:
             self._give_up_unknown(row, now)
--- a/packages/decide/sesamespindle/decide/catalogue.py
+++ b/packages/decide/sesamespindle/decide/catalogue.py
@@ -108,7 +108,7 @@
         known = entries.get(host.name)
         if known is not None and known.incarnation >= host.incarnation:
             return
-        entries.add(
+        self._state.put_entry(
             world.EntryRow(
                 host.name,
                 host.data_centre,
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -12,6 +12,8 @@
     world,
 )
 
+_WATCHERS = 2
+
 
 class Core:
     """Everything that a daemon decides.
@@ -30,7 +32,7 @@
 
     def __init__(self, me, policy=None, seed=0, seeds=()):
         self.state = world.World(me, policy, seed)
-        self.state.entries.add(catalogue.me_as_entry(me))
+        self.state.put_entry(catalogue.me_as_entry(me))
         self._now = None
         self._catalogue = catalogue.Catalogue(self.state)
         self.slices = slices.Slices(self.state, self._usage)
@@ -83,6 +85,20 @@
         ranked.sort(key=lambda row: self.state.distance(row.data_centre))
         return ranked[:count]
 
+    def is_watcher(self):
+        """Return whether this daemon watches the platform for its data centre.
+
+        A few do, and the others learn from them, so that the watches on the
+        platform grow with the data centres and not with the fleet.
+        """
+        here = [
+            row.name
+            for row in self.state.live_entries()
+            if row.data_centre == self.state.me.data_centre
+        ]
+        watchers = hashing.rank("declarations", here)[:_WATCHERS]
+        return self.state.me.name in watchers
+
     def models_of(self, account):
         """Return the models that an account may use."""
         row = self.state.accounts.get(account)
@@ -127,6 +143,7 @@
                 self._catalogue.list_hosts(event, now)
             case events.DeclarationsAdopted():
                 self._catalogue.adopt(event)
+                self.membership.spread(now)
             case events.GossipReceived():
                 self.membership.receive(event, now)
             case events.GossipAnswered():
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -60,6 +60,7 @@
         self._state.leaving = True
         me = self._state.entries.get(self._state.me.name)
         me.state = _State.LEAVING
+        self._state.note_view_change()
         self._state.emit(commands.Note("leaving", me.name))
         self.spread(now)
 
@@ -67,6 +68,9 @@
         """Answer a peer's half of a round with what it lacks."""
         message = event.message
         self._merge(message, now)
+        sender = self._state.entries.get(message.sender)
+        if sender is not None:
+            self._fetch_revision(sender.peer_address, message.revision)
         inside = message.data_centre == self._state.me.data_centre
         newer, wanted = self._compare(message)
         reply = self._message(inside, newer, wanted)
@@ -114,12 +118,16 @@
             if row.state is _State.DEAD:
                 if silence > _DEAD_KEPT_FOR:
                     state.entries.remove(row.name)
+                    state.note_view_change()
             elif silence > 2 * limit:
-                row.state = _State.DEAD
-                state.emit(commands.Note("entry_dead", row.name))
+                self._judge(row, _State.DEAD)
             elif silence > limit and row.state is _State.LIVE:
-                row.state = _State.SUSPECT
-                state.emit(commands.Note("entry_suspect", row.name))
+                self._judge(row, _State.SUSPECT)
+
+    def _judge(self, row, entry_state):
+        row.state = entry_state
+        self._state.note_view_change()
+        self._state.emit(commands.Note(f"entry_{entry_state.value}", row.name))
 
     def _choose_peers(self):
         """Return (address, whether inside) of the peers of one round."""
@@ -252,7 +260,7 @@
         if row is not None and _precedence(member) <= _precedence(row):
             return
         before = row.state if row is not None else None
-        state.entries.add(
+        state.put_entry(
             world.EntryRow(
                 member.name,
                 member.data_centre,
--- a/packages/decide/sesamespindle/decide/slices.py
+++ b/packages/decide/sesamespindle/decide/slices.py
@@ -9,7 +9,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, events, hashing, tables
+from sesamespindle.decide import commands, events, tables
 
 # The owner counts a slice for a little longer than its holder uses it.
 OWNER_MARGIN = datetime.timedelta(milliseconds=500)
@@ -236,11 +236,6 @@
             row.unlearned.discard(event.entry)
         self._answer_waiting(now)
 
-    def owner(self, account):
-        """Return the entry row of an account's owner, or None."""
-        rows_by_name = {row.name: row for row in self._state.live_entries()}
-        return rows_by_name.get(hashing.first(account, rows_by_name))
-
     def _forget_after_pause(self, now):
         """Forget what this owner gave if it was paused for long.
 
@@ -297,7 +292,7 @@
     def _ask(self, rows, now):
         asks_by_address = collections.defaultdict(list)
         for row in rows:
-            owner = self.owner(row.key[0])
+            owner = self._state.owner(row.key[0])
             if owner is not None:
                 row.asked_at = row.asked_at or now
                 ask = self._ask_of(row, now)
@@ -369,7 +364,7 @@
         )
 
     def _is_owner(self, account):
-        owner = self.owner(account)
+        owner = self._state.owner(account)
         return owner is not None and owner.name == self._state.me.name
 
     def _is_learned(self, ask, now):
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -5,7 +5,7 @@
 import datetime
 import random
 
-from sesamespindle.decide import declared, events, retries, tables
+from sesamespindle.decide import declared, events, hashing, retries, tables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +166,8 @@
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
         self.region_by_data_centre: dict[str, str] = {}
         self._out = []
+        self._live_entries = None
+        self._owner_by_account = {}
 
     def emit(self, command):
         """Add a command to those that the step returns."""
@@ -176,6 +178,24 @@
         out, self._out = self._out, []
         return out
 
+    def put_entry(self, row):
+        """Add an entry, or replace what was known of it."""
+        self.entries.add(row)
+        self.note_view_change()
+
+    def note_view_change(self):
+        """Forget what was worked out from the entries and their states."""
+        self._live_entries = None
+        self._owner_by_account.clear()
+
+    def owner(self, account):
+        """Return the entry row of an account's owner, or None."""
+        if account not in self._owner_by_account:
+            rows_by_name = {row.name: row for row in self.live_entries()}
+            name = hashing.first(account, rows_by_name)
+            self._owner_by_account[account] = rows_by_name.get(name)
+        return self._owner_by_account[account]
+
     def note_incarnation(self, name, incarnation, now):
         """Remember that an entry was replaced, if a higher incarnation shows it."""
         known = self.entries.get(name)
@@ -184,7 +204,11 @@
 
     def live_entries(self):
         """Return the entries that may be given to callers, this one included."""
-        return [entry for entry in self.entries if entry.state is events.HostState.LIVE]
+        if self._live_entries is None:
+            self._live_entries = [
+                entry for entry in self.entries if entry.state is events.HostState.LIVE
+            ]
+        return self._live_entries
 
     def distance(self, data_centre):
         """Return the rank of a data centre's distance: 0, 1 or 2."""
--- a/packages/lab/sesamespindle/lab/platform.py
+++ b/packages/lab/sesamespindle/lab/platform.py
@@ -41,6 +41,7 @@
         self._host_by_name = {}
         self._listed_by_name = {}
         self._host_lag = host_lag
+        self._list_version = 1
         self._reads = _Rate(reads_per_second)
         self._writes = _Rate(writes_per_second)
         self._count_by_call = collections.Counter()
@@ -129,8 +130,12 @@
         return aiohttp.web.json_response({"version": version + 1})
 
     async def _hosts(self, request):
+        if int(request.query.get("after", "0")) == self._list_version:
+            return aiohttp.web.Response(status=_UNCHANGED)
         value = list(self._listed_by_name.values())
-        return aiohttp.web.json_response({"version": 1, "value": value})
+        return aiohttp.web.json_response(
+            {"version": self._list_version, "value": value}
+        )
 
     async def _put_host(self, request):
         host = await request.json()
@@ -151,6 +156,7 @@
     def _show(self, snapshot):
         if not self._faults["hosts_frozen"]:
             self._listed_by_name = snapshot
+            self._list_version += 1
 
     async def _counts(self, request):
         return aiohttp.web.json_response(dict(self._count_by_call))
--- a/packages/wire/sesamespindle/wire/platform.py
+++ b/packages/wire/sesamespindle/wire/platform.py
@@ -100,8 +100,16 @@
 
     async def list_hosts(self):
         """Return the hosts of the lagging list."""
-        listed = await self._call("GET", f"{self._url}/hosts")
-        return tuple(_host(item) for item in listed.value)
+        listed = await self.list_hosts_after(0)
+        return listed.value
+
+    async def list_hosts_after(self, version):
+        """Return the list as an `Object`, or None if it is still at a version."""
+        params = {"after": str(version)}
+        listed = await self._call("GET", f"{self._url}/hosts", params=params)
+        if listed is None:
+            return None
+        return Object(listed.version, tuple(_host(item) for item in listed.value))
 
     def _object_url(self, kind, name):
         return f"{self._url}/objects/{kind}/{name}"
