Halve the rounds of gossip and work digests out once for each view

Cause: docs/CAPACITY.md's first run put 370 daemons at 26.9 KB/s of 20 and a round of gossip at 1,571 us, most of it the digests of 20 data centres, worked out anew for each message from all 370 rows.

Ruled out: fewer peers a round, which let heartbeats take longer than the suspicion. Rounds now come at a fifth of suspect_after (1 s instead of 0.5 s), and news of who leaves or dies is passed on at the next tick instead.

--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -11,7 +11,7 @@
 
 _log = logs.part("watch")
 _HOST_READS_PER_SECOND = 50
-_LOADS_READ = 8
+_LOADS_READ = 4
 _MOST_LOADS_READ = 12
 _FEWEST_OTHERS_READ = 2
 # How often a daemon that learns from others makes sure at the platform itself.
--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -106,6 +106,13 @@
         self._admission.push(row.account, row.request_id, now)
         self.drain(now)
 
+    def remember(self, event, answer, now):
+        """Keep the answer to a key, as if its call had just been made here."""
+        self._add_key(_row(event, now), now)
+        known = self.keys.get(_key_id(event.account, event.key))
+        known.state = events.ClaimState.DONE
+        known.answer = answer
+
     def knows_key(self, account, key):
         """Return whether this daemon has taken a key, and still keeps it."""
         return _key_id(account, key) in self.keys
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -6,7 +6,7 @@
 
 from sesamespindle.decide import commands, events, world
 
-GOSSIP_INTERVAL = datetime.timedelta(milliseconds=500)
+ROUNDS_BEFORE_SUSPICION = 5
 PEERS_INSIDE = 2
 PEERS_OUTSIDE = 1
 MAX_LEAVING_TARGETS = 256
@@ -36,18 +36,23 @@
         self._state = state
         self._seeds = seeds
         self._next_round = None
+        self._digests = None
+        self._digests_view = None
+        self._urgent = False
         self._pulse_by_data_centre = {}
         self._pulse_heard_at = {}
 
     def tick(self, now):
         """Judge silence, and begin rounds of gossip when it is time."""
         self._judge_silence(now)
-        if self._next_round is None or now >= self._next_round:
-            self._next_round = now + GOSSIP_INTERVAL
+        if self._next_round is None or now >= self._next_round or self._urgent:
+            interval = self._state.policy.suspect_after / ROUNDS_BEFORE_SUSPICION
+            self._next_round = now + interval
             self.spread(now)
 
     def spread(self, now):
         """Begin a round of gossip with a few peers."""
+        self._urgent = False
         me = self._state.entries.get(self._state.me.name)
         me.heartbeat += 1
         me.heard_at = now
@@ -111,8 +116,8 @@
         """
         state = self._state
         limit = state.policy.suspect_after
-        for row in list(state.entries):
-            if row.name == state.me.name or row.data_centre != state.me.data_centre:
+        for row in list(state.entries.where("data_centre", state.me.data_centre)):
+            if row.name == state.me.name:
                 continue
             silence = now - (row.heard_at or now)
             if row.state is _State.DEAD:
@@ -132,28 +137,37 @@
     def _choose_peers(self):
         """Return (address, whether inside) of the peers of one round."""
         state = self._state
-        inside, outside, dead = [], [], []
-        for row in state.entries:
-            if row.name == state.me.name or not row.peer_address:
-                continue
-            if row.state is _State.DEAD:
-                dead.append(row)
-            elif row.data_centre == state.me.data_centre:
-                inside.append(row)
-            else:
-                outside.append(row)
-        chosen = self._sample(inside, PEERS_INSIDE)
-        chosen += self._sample(outside, PEERS_OUTSIDE)
+        here = state.me.data_centre
+        others = [
+            row
+            for row in state.entries.where("data_centre", here)
+            if row.name != state.me.name and row.peer_address
+        ]
+        inside = [row for row in others if row.state is not _State.DEAD]
+        dead = [row for row in others if row.state is _State.DEAD]
+        chosen = self._sample(inside, PEERS_INSIDE) + self._choose_outside()
         if dead and state.random.random() < _REVIVE_CHANCE:
             chosen += self._sample(dead, 1)
-        peers = [
-            (row.peer_address, row.data_centre == state.me.data_centre)
-            for row in chosen
-        ]
+        peers = [(row.peer_address, row.data_centre == here) for row in chosen]
         if not peers:
             peers = [(address, True) for address in self._seeds]
         return peers
 
+    def _choose_outside(self):
+        """Return a peer of another data centre, each as likely as any other."""
+        here = self._state.me.data_centre
+        others = [name for name in self._state.entries.keys_of("data_centre")]
+        others.remove(here)
+        if not others:
+            return []
+        name = self._state.random.choice(sorted(others))
+        rows = [
+            row
+            for row in self._state.entries.where("data_centre", name)
+            if row.peer_address and row.state is not _State.DEAD
+        ]
+        return self._sample(rows, PEERS_OUTSIDE)
+
     def _sample(self, rows, count):
         return self._state.random.sample(rows, min(count, len(rows)))
 
@@ -163,8 +177,7 @@
         if inside:
             digests = tuple(
                 events.MemberDigest(row.name, row.incarnation, row.heartbeat)
-                for row in state.entries
-                if row.data_centre == state.me.data_centre
+                for row in state.entries.where("data_centre", state.me.data_centre)
             )
         return events.GossipMessage(
             state.me.name,
@@ -186,17 +199,19 @@
         return tuple(leaving[:MAX_LEAVING_TARGETS])
 
     def _data_centre_digests(self):
-        rows_by_data_centre = {}
-        for row in self._state.entries:
-            rows_by_data_centre.setdefault(row.data_centre, []).append(row)
+        """Return one digest for each data centre, worked out once for each view."""
+        if self._digests_view != self._state.view:
+            self._digests_view = self._state.view
+            self._digests = _digest_by_data_centre(self._state.entries)
         here = self._state.me.data_centre
-        digests = []
-        for name, rows in sorted(rows_by_data_centre.items()):
-            pulse = self._pulse_by_data_centre.get(name, 0)
-            if name == here:
-                pulse = sum(row.heartbeat for row in rows)
-            digests.append(events.DataCentreDigest(name, _digest(rows), pulse))
-        return tuple(digests)
+        pulses = self._pulse_by_data_centre
+        pulses[here] = sum(
+            row.heartbeat for row in self._state.entries.where("data_centre", here)
+        )
+        return tuple(
+            events.DataCentreDigest(name, digest, pulses.get(name, 0))
+            for name, digest in self._digests.items()
+        )
 
     def _compare(self, message):
         """Return our newer records, and the names whose records we lack."""
@@ -218,8 +233,8 @@
             theirs = theirs_by_name.get(name)
             if theirs is not None and theirs.digest == ours.digest:
                 continue
-            for row in self._state.entries:
-                if row.data_centre == name and row.name not in seen_names:
+            for row in self._state.entries.where("data_centre", name):
+                if row.name not in seen_names:
                     newer[row.name] = _member(row)
         return list(newer.values()), wanted
 
@@ -240,6 +255,7 @@
         row = self._state.targets.get(leaving.name)
         if row is not None and not row.leaving and row.url == leaving.url:
             row.leaving = True
+            self._urgent = True
             self._state.emit(commands.Note("target_leaving", leaving.name, "heard"))
 
     def _merge_member(self, member, now):
@@ -275,6 +291,9 @@
             )
         )
         if before is not member.state:
+            # News of who leaves or dies is passed on at the next tick, not at
+            # the next round, so that it is everywhere within a second or two.
+            self._urgent = True
             state.emit(commands.Note(f"entry_{member.state.value}", member.name))
 
 
@@ -297,6 +316,11 @@
     )
 
 
+def _digest_by_data_centre(entries):
+    names = sorted(entries.keys_of("data_centre"))
+    return {name: _digest(entries.where("data_centre", name)) for name in names}
+
+
 def _digest(rows):
     parts = sorted(
         f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}" for row in rows
--- a/packages/decide/sesamespindle/decide/tables.py
+++ b/packages/decide/sesamespindle/decide/tables.py
@@ -49,6 +49,10 @@
         """Return the rows whose indexed attribute has this value."""
         return self._indices[name].get(value, {}).values()
 
+    def keys_of(self, name):
+        """Return the values that an indexed attribute has in any row."""
+        return self._indices[name].keys()
+
     def __iter__(self):
         return iter(self.by_id.values())
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -27,9 +27,10 @@
     retry_after : datetime.timedelta
         When to come back, where nothing better is known.
     grant_lifetime : datetime.timedelta
-        How long an entry may use a slice of an account's limit.
+        How long an entry may use a slice of an account's limit. Longer than
+        `suspect_after`, so that an owner knows who may be without one.
     suspect_after : datetime.timedelta
-        Silence after which an entry is taken for dead.
+        Silence after which an entry is suspected; after twice that it is dead.
     """
 
     queue_patience: datetime.timedelta = datetime.timedelta(seconds=2)
@@ -38,8 +39,8 @@
     max_attempts: int = 4
     call_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
     retry_after: datetime.timedelta = datetime.timedelta(seconds=1)
-    grant_lifetime: datetime.timedelta = datetime.timedelta(seconds=6)
-    suspect_after: datetime.timedelta = datetime.timedelta(seconds=4)
+    grant_lifetime: datetime.timedelta = datetime.timedelta(seconds=7)
+    suspect_after: datetime.timedelta = datetime.timedelta(seconds=5)
 
 
 @dataclasses.dataclass(slots=True)
@@ -162,9 +163,11 @@
         self.models: tables.Table[declared.Model] = tables.Table("name", "pool")
         self.pools: tables.Table[declared.Pool] = tables.Table("name")
         self.targets: tables.Table[TargetRow] = tables.Table("name", "pool", "kind")
-        self.entries: tables.Table[EntryRow] = tables.Table("name")
+        self.entries: tables.Table[EntryRow] = tables.Table("name", "data_centre")
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
         self.region_by_data_centre: dict[str, str] = {}
+        # Rises with every change of the entries or their states.
+        self.view = 0
         self._out = []
         self._live_entries = None
         self._owner_by_account = {}
@@ -180,11 +183,18 @@
 
     def put_entry(self, row):
         """Add an entry, or replace what was known of it."""
+        known = self.entries.get(row.name)
+        if known is not None and _standing(known) == _standing(row):
+            known.heartbeat = row.heartbeat
+            known.heard_at = row.heard_at
+            known.revision = row.revision
+            return
         self.entries.add(row)
         self.note_view_change()
 
     def note_view_change(self):
         """Forget what was worked out from the entries and their states."""
+        self.view += 1
         self._live_entries = None
         self._owner_by_account.clear()
 
@@ -217,3 +227,7 @@
         region = self.region_by_data_centre.get(data_centre)
         here = self.region_by_data_centre.get(self.me.data_centre)
         return 1 if region == here else 2
+
+
+def _standing(row):
+    return row.incarnation, row.state, row.url, row.peer_address, row.data_centre
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/capacity.py
@@ -0,0 +1,310 @@
+"""The tables of docs/CAPACITY.md, from measured slopes."""
+
+import asyncio
+import dataclasses
+import datetime
+import pathlib
+import re
+
+import psutil
+
+from sesamespindle.decide import contexts, events, hashing
+from sesamespindle.lab import fleet, processes, slopes
+
+TARGET = slopes.Size(entries=370, data_centres=20, targets=1100, accounts=1800)
+SIZES = (
+    slopes.Size(entries=3, data_centres=1, targets=10, accounts=10),
+    slopes.Size(entries=9, data_centres=3, targets=100, accounts=100),
+    slopes.Size(entries=27, data_centres=3, targets=300, accounts=600),
+    TARGET,
+)
+PAGE = pathlib.Path("docs/CAPACITY.md")
+CONTEXTS = 140_000
+REQUESTS_PER_SECOND = 7600
+ENTRIES_PER_ACCOUNT = 3
+CONFIG_CHANGES_PER_DAY = 700
+CPU_BUDGET = 0.017
+MEMORY_BUDGET_MB = 32
+BYTES_BUDGET = 20_000
+# One a second with two peers inside the data centre and one outside.
+GOSSIP_ROUNDS = 3
+TICKS = 5
+RENEWALS = 1 / 3
+_RPC_OVERHEAD_BYTES = 150
+_RPC_SECONDS_RUNS = 2000
+_LIVE_SIZES = (3, 9, 27)
+_LIVE_SECONDS = 8.0
+_KEYS_PER_DAEMON_HOUR = 3600
+_KEY_HOURS = 2
+_DAY = 86_400
+
+
+@dataclasses.dataclass(frozen=True)
+class Live:
+    """What idle daemons of a fleet of real processes use, on average."""
+
+    entries: int
+    resident_mb: float
+    core_share: float
+
+
+def measure_logic(show):
+    """Return rows of the costs of the decision logic at each size."""
+    rows = []
+    for size in SIZES:
+        show(f"Decision logic with {size.entries} entries, {size.targets} targets.")
+        bench = slopes.Bench(size)
+        rows.append(
+            (
+                size,
+                bench.prompt_cost(),
+                bench.tick_cost(),
+                bench.owner_cost(),
+                bench.gossip_cost(),
+            )
+        )
+    return rows
+
+
+def measure_memory(show):
+    """Return rows of (what, count, bytes in all) for the tables."""
+    rows = []
+    for size in SIZES:
+        show(f"Memory of declarations and views, {size.accounts} accounts.")
+        held = slopes.bytes_of(lambda size=size: slopes.Bench(size))
+        rows.append((f"all tables at {size.entries} entries", size.accounts, held))
+    for count in (1_000, 5_000, 20_000):
+        show(f"Memory of {count} contexts.")
+        held = slopes.bytes_of(lambda count=count: _fill_contexts(count))
+        rows.append(("contexts", count, held))
+    for count in (100, 1_000, 10_000):
+        show(f"Memory of {count} keys.")
+        held = slopes.bytes_of(lambda count=count: _fill_keys(count))
+        rows.append(("keys with an answer of 1 KB", count, held))
+    return rows
+
+
+async def measure_live(show):
+    """Return a `Live` for fleets of real, idle daemons."""
+    rows = []
+    for entries in _LIVE_SIZES:
+        show(f"A fleet of {entries} idle daemons for {_LIVE_SECONDS:.0f} s.")
+        plan = fleet.Plan(
+            folder=pathlib.Path(".run/capacity"),
+            entries=entries,
+            data_centres=3,
+            engines=3,
+        )
+        async with fleet.Fleet(plan) as running:
+            watched = [
+                psutil.Process(running.process_by_name[name].pid)
+                for name in running.entry_names
+            ]
+            before = [_cpu_seconds(item) for item in watched]
+            await asyncio.sleep(_LIVE_SECONDS)
+            used = [
+                _cpu_seconds(item) - start
+                for item, start in zip(watched, before, strict=True)
+            ]
+            resident = [item.memory_info().rss / 1e6 for item in watched]
+        rows.append(
+            Live(
+                entries,
+                sum(resident) / entries,
+                sum(used) / entries / _LIVE_SECONDS,
+            )
+        )
+    return rows
+
+
+async def measure_bare_process():
+    """Return the resident memory, in MB, of the imports alone."""
+    code = (
+        "import sesamespindle.daemon.main, psutil;"
+        "print(psutil.Process().memory_info().rss / 1e6)"
+    )
+    child = await asyncio.create_subprocess_exec(
+        processes.sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await child.communicate()
+    return float(output)
+
+
+def write_page(logic, memory, live, bare_mb):
+    """Put the measured tables into the page, between its markers."""
+    text = PAGE.read_text("utf-8")
+    tables = {
+        "logic": _logic_table(logic),
+        "memory": _memory_table(memory),
+        "live": _live_table(live, bare_mb),
+        "target": _target_table(logic, memory, live),
+        "platform": _platform_table(),
+    }
+    for name, table in tables.items():
+        pattern = rf"(<!-- {name} -->\n).*?(<!-- /{name} -->)"
+        text = re.sub(
+            pattern, lambda m, t=table: m[1] + t + "\n" + m[2], text, flags=re.S
+        )
+    PAGE.write_text(text, "utf-8")
+
+
+def _fill_contexts(count):
+    table = contexts.Contexts()
+    now = datetime.datetime(2026, 12, 7, tzinfo=datetime.UTC)
+    for number in range(count):
+        ids = hashing.chain(number.to_bytes(8, "big"), f"{number} " * 3000)
+        table.learn(ids, f"engine-{number % 1100}", now)
+    return table
+
+
+def _fill_keys(count):
+    bench = slopes.Bench(SIZES[0])
+    table = bench.core.calls
+    now = bench.now
+    for number in range(count):
+        event = events.CallArrived(
+            f"r{number}", "account-0", "bookings", now, events.KeyKind.TICKET,
+            f"tkt_{number:0200d}", f"{number:064x}",
+        )  # fmt: skip
+        table.remember(
+            event,
+            events.StoredAnswer(
+                200, "application/json", b"x" * 1000 + str(number).encode()
+            ),
+            now,
+        )
+    return bench
+
+
+def _cpu_seconds(process):
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _logic_table(logic):
+    lines = [
+        "| entries | targets | accounts | prompt, us | tick, us | ask, us "
+        "| gossip round, us | gossip round, bytes |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for size, prompt, tick, owner, gossip in logic:
+        lines.append(
+            f"| {size.entries} | {size.targets} | {size.accounts} "
+            f"| {prompt.microseconds:.0f} | {tick.microseconds:.0f} "
+            f"| {owner.microseconds:.0f} | {gossip.microseconds:.0f} "
+            f"| {gossip.message_bytes:.0f} |"
+        )
+    return "\n".join(lines)
+
+
+def _memory_table(memory):
+    lines = ["| what | count | KB in all | bytes each |", "| --- | --- | --- | --- |"]
+    for what, count, held in memory:
+        lines.append(f"| {what} | {count} | {held / 1e3:.0f} | {held / count:.0f} |")
+    return "\n".join(lines)
+
+
+def _live_table(live, bare_mb):
+    lines = [
+        "| what | resident, MB | share of a core, idle |",
+        "| --- | --- | --- |",
+        f"| interpreter and libraries, imported only | {bare_mb:.0f} | |",
+    ]
+    for row in live:
+        lines.append(
+            f"| a daemon among {row.entries} | {row.resident_mb:.0f} "
+            f"| {row.core_share:.2%} |"
+        )
+    return "\n".join(lines)
+
+
+def _target_table(logic, memory, live):
+    """Work the daemon's control work at the target out from the slopes."""
+    _, prompt, tick, owner, gossip = logic[-1]
+    accounts_here = TARGET.accounts * ENTRIES_PER_ACCOUNT / TARGET.entries
+    asks = accounts_here * 2 * RENEWALS
+    gossip_bytes = GOSSIP_ROUNDS * 2 * (gossip.message_bytes + 2 * _RPC_OVERHEAD_BYTES)
+    slice_bytes = 2 * asks * (owner.message_bytes + 2 * _RPC_OVERHEAD_BYTES)
+    gossip_share = GOSSIP_ROUNDS * gossip.microseconds / 1e6
+    parts = [
+        ("gossip member", gossip_share, gossip_bytes),
+        ("ticks of all systems", TICKS * tick.microseconds / 1e6, 0.0),
+        ("account owner and slice holder", 2 * asks * owner.microseconds / 1e6,
+         slice_bytes),
+    ]  # fmt: skip
+    lines = [
+        "| role | share of a core | bytes/s | mechanism |",
+        "| --- | --- | --- | --- |",
+    ]
+    mechanisms = (
+        "digests inside the data centre, one digest for each other",
+        "systems over tables, five times a second",
+        "slices by rendezvous, renewed at half their life",
+    )
+    for (role, share, size), mechanism in zip(parts, mechanisms, strict=True):
+        lines.append(f"| {role} | {share:.2%} | {size:.0f} | {mechanism} |")
+    total = sum(share for _, share, _ in parts)
+    size = sum(size for _, _, size in parts)
+    lines.append(
+        f"| all of these | {total:.2%} of {CPU_BUDGET:.1%} "
+        f"| {size:.0f} of {BYTES_BUDGET} | decision logic alone, without RPC cost |"
+    )
+    requests = REQUESTS_PER_SECOND / TARGET.entries
+    lines.append(
+        f"| deciding on prompts, {requests:.1f} a second "
+        f"| {requests * prompt.microseconds / 1e6:.2%} | | not control work |"
+    )
+    tables = next(held for what, _, held in memory if f"{TARGET.entries} " in what)
+    by_context = [held / count for what, count, held in memory if what == "contexts"][
+        -1
+    ]
+    by_key = [held / count for what, count, held in memory if what.startswith("keys")][
+        -1
+    ]
+    contexts_here = CONTEXTS * ENTRIES_PER_ACCOUNT / TARGET.entries
+    keys = _KEYS_PER_DAEMON_HOUR * _KEY_HOURS
+    state = (tables + by_context * contexts_here + by_key * keys) / 1e6
+    lines.append("")
+    lines.append(
+        f"State at that size: {tables / 1e6:.1f} MB of tables, "
+        f"{by_context * contexts_here / 1e6:.1f} MB for {contexts_here:.0f} contexts, "
+        f"{by_key * keys / 1e6:.1f} MB for {keys} keys; {state:.1f} MB "
+        f"of {MEMORY_BUDGET_MB} MB above the fixed cost."
+    )
+    rise = live[-1].core_share - live[0].core_share
+    lines.append("")
+    lines.append(
+        f"Measured on real idle daemons: {live[0].core_share:.2%} of a core among "
+        f"{live[0].entries}, {live[-1].core_share:.2%} among {live[-1].entries} "
+        f"({rise:+.2%}), gRPC and the reading of loads and lists included."
+    )
+    return "\n".join(lines)
+
+
+def _platform_table():
+    """Work the platform's calls at the target out from the mechanisms."""
+    watches = TARGET.data_centres * 2 / 10
+    checks = TARGET.entries / 37
+    lists = 50
+    documents = CONFIG_CHANGES_PER_DAY / _DAY
+    lines = [
+        "| calls | a second | mechanism |",
+        "| --- | --- | --- |",
+        f"| waiting watches | {watches:.1f} | two a data centre, 10 s each |",
+        f"| checks by the others | {checks:.1f} | every 30 to 45 s |",
+        f"| host list, mostly unchanged | {lists} | bounded whatever the fleet |",
+        f"| reads after a change | {documents * TARGET.data_centres * 2 * 2:.1f} "
+        "| the watchers; others learn from peers |",
+        f"| writes of declarations | {documents * 2:.2f} | one head, one document |",
+    ]
+    return "\n".join(lines)
+
+
+def run(show):
+    """Measure everything and write the page."""
+    logic = measure_logic(show)
+    memory = measure_memory(show)
+    live = asyncio.run(measure_live(show))
+    bare_mb = asyncio.run(measure_bare_process())
+    write_page(logic, memory, live, bare_mb)
+    show(f"The tables are in {PAGE}.")
--- a/packages/lab/sesamespindle/lab/main.py
+++ b/packages/lab/sesamespindle/lab/main.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from sesamespindle.lab import (
+    capacity,
     demo,
     engine,
     fleet,
@@ -65,6 +66,12 @@
     uvloop.run(run())
 
 
+@app.command(name="capacity")
+def run_capacity():
+    """Measure slopes and write the tables of docs/CAPACITY.md."""
+    capacity.run(_progress())
+
+
 @standins.command(name="platform")
 def run_platform(
     port: int = 0,
--- /dev/null
+++ b/packages/lab/sesamespindle/lab/slopes.py
@@ -0,0 +1,260 @@
+"""Measuring what the decision logic costs as its tables grow."""
+
+import dataclasses
+import datetime
+import gc
+import statistics
+import time
+import tracemalloc
+
+from sesamespindle.daemon import peermessages
+from sesamespindle.decide import commands, core, declared, events
+
+_START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
+_MODELS = 11
+_REPEATS = 5
+_TOKENS = 4000
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """How large the tables are.
+
+    Attributes
+    ----------
+    entries, data_centres, targets, accounts : int
+        Rows of each kind.
+    """
+
+    entries: int
+    data_centres: int
+    targets: int
+    accounts: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What one operation costs.
+
+    Attributes
+    ----------
+    microseconds : float
+        Processor time of one operation, the median of several runs.
+    message_bytes : float
+        Bytes that it sends and gets, before the transport's own.
+    """
+
+    microseconds: float
+    message_bytes: float = 0.0
+
+
+class Bench:
+    """A daemon's decision logic in a fleet of a given size."""
+
+    def __init__(self, size):
+        self.size = size
+        self.now = _START
+        self.me = _entry(0, size)
+        self.core = core.Core(self.me, seed=1)
+        self.feed(events.DeclarationsAdopted(1, declarations(size)))
+        self.feed(events.HostsListed(_hosts(size)))
+        members = tuple(
+            _member(number, size, heartbeat=1) for number in range(1, size.entries)
+        )
+        self.feed(
+            events.GossipAnswered(
+                "peer", events.GossipMessage("entry-1", "dc-1", members=members)
+            )
+        )
+
+    def feed(self, *happened):
+        """Step the logic and return its commands."""
+        return self.core.step(self.now, happened)
+
+    def prompt_cost(self):
+        """Return the `Cost` of one prompt from arrival to end."""
+        self._grant_everything()
+        return Cost(_microseconds(self._run_prompt, 400))
+
+    def gossip_cost(self):
+        """Return the `Cost` of one round begun here and answered by a peer."""
+        peer = Bench.__new__(Bench)
+        peer.__init__(self.size)
+        sizes = []
+
+        def run():
+            self.now += datetime.timedelta(milliseconds=500)
+            peer.now = self.now
+            sent = self.core.membership
+            sent.spread(self.now)
+            for command in self.core.state.take_commands():
+                if isinstance(command, commands.GossipTo):
+                    sizes.append(self._answer(peer, command))
+                    return
+
+        cost = _microseconds(run, 40)
+        return Cost(cost, statistics.mean(sizes) if sizes else 0.0)
+
+    def tick_cost(self):
+        """Return the `Cost` of one tick between rounds of gossip."""
+        self._grant_everything()
+        self.feed(events.Tick())
+
+        def run():
+            self.feed(events.Tick())
+
+        return Cost(_microseconds(run, 100))
+
+    def owner_cost(self):
+        """Return the `Cost` of one account's ask and grant, at its owner."""
+        mine = [
+            row.name
+            for row in self.core.state.accounts
+            if self.core.state.owner(row.name).name == self.me.name
+        ]
+        account = mine[0] if mine else "account-0"
+        numbers = iter(range(1, 1_000_000))
+        holders = [f"entry-{number}" for number in range(1, 4)]
+        for holder in holders:
+            self._ask(account, holder, next(numbers))
+        for name in holders + [f"entry-{n}" for n in range(self.size.entries)]:
+            self.feed(events.HoldingsTold(name, 1, (), True))
+
+        def run():
+            number = next(numbers)
+            self._ask(account, holders[number % 3], number)
+
+        ask = events.SliceAsk(account, events.Resource.PROMPTS, 1, 2, 2, 1)
+        size = sum(item.ByteSize() for item in peermessages.asks_to_wire([ask]))
+        return Cost(_microseconds(run, 300), 2.0 * size)
+
+    def _ask(self, account, holder, number):
+        ask = events.SliceAsk(account, events.Resource.PROMPTS, 1, 2, 2, 1)
+        self.feed(events.SlicesAsked(str(number), holder, 1, number, (ask,)))
+
+    def _answer(self, peer, command):
+        """Pass one half of a round to a peer, and its answer back."""
+        size = peermessages.gossip_to_wire(command.message, 1).ByteSize()
+        for reply in peer.feed(events.GossipReceived("x", command.message)):
+            if isinstance(reply, commands.GossipReply):
+                size += peermessages.gossip_to_wire(reply.message, 1).ByteSize()
+                self.feed(events.GossipAnswered("peer", reply.message))
+        return size
+
+    def _grant_everything(self):
+        for index in range(min(self.size.accounts, 15)):
+            name = f"account-{index}"
+            resource = events.Resource.PROMPTS
+            self.core.slices.need(name, resource, self.now)
+            grant = events.SliceGrant(name, resource, 50, 1)
+            self.feed(events.SlicesGranted(self.now, (grant,)))
+
+    def _run_prompt(self):
+        request_id = f"r{self.core.state.random.random()}"
+        account = f"account-{hash(request_id) % min(self.size.accounts, 15)}"
+        arrival = events.PromptArrived(
+            request_id,
+            account,
+            "model-0",
+            f"{request_id} " * 40,
+            _TOKENS,
+            100,
+            self.now + datetime.timedelta(minutes=1),
+        )
+        for command in self.feed(arrival):
+            if isinstance(command, commands.SendPrompt):
+                attempt = command.attempt
+                self.feed(events.FirstToken(request_id, 0, _TOKENS))
+                self.feed(
+                    events.AttemptEnded(request_id, attempt, events.Ending.COMPLETED)
+                )
+
+
+def declarations(size):
+    """Return declarations of a given size."""
+    pools = [f"pool-{index}" for index in range(_MODELS)]
+    return declared.Declarations(
+        contracts=tuple(
+            declared.Contract(f"account-{n}", 50, 4, 5, 100_000, ("0" * 64,), ())
+            for n in range(size.accounts)
+        ),
+        models=tuple(
+            declared.Model(f"model-{n}", pool, "v1", 200_000)
+            for n, pool in enumerate(pools)
+        ),
+        pools=tuple(
+            declared.Pool(pool, declared.TargetKind.ENGINE, 100_000) for pool in pools
+        ),
+        targets=tuple(
+            declared.Target(
+                f"engine-{n}", pools[n % _MODELS], f"dc-{n % size.data_centres}", True
+            )
+            for n in range(size.targets)
+        ),
+        data_centres=tuple(
+            declared.DataCentre(f"dc-{n}", f"region-{n % 7}")
+            for n in range(size.data_centres)
+        ),
+    )
+
+
+def bytes_of(make):
+    """Return what `make()` holds, in bytes, and keep nothing."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    made = make()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del made
+    return after - before
+
+
+def _microseconds(run, count):
+    """Return the processor time of one run: the median of several series."""
+    series = []
+    for _ in range(_REPEATS):
+        begun = time.process_time()
+        for _ in range(count):
+            run()
+        series.append((time.process_time() - begun) / count * 1e6)
+    return statistics.median(series)
+
+
+def _entry(number, size):
+    name = f"entry-{number}"
+    data_centre = f"dc-{number % size.data_centres}"
+    return events.Host(
+        name,
+        "entry",
+        data_centre,
+        f"http://10.0.{number // 250}.{number % 250}:8080",
+        f"10.0.{number // 250}.{number % 250}:8081",
+        f"http://10.0.{number // 250}.{number % 250}:8082",
+        incarnation=1,
+    )
+
+
+def _member(number, size, heartbeat):
+    host = _entry(number, size)
+    return events.Member(
+        host.name,
+        host.data_centre,
+        host.url,
+        host.peer_address,
+        host.admin_url,
+        host.incarnation,
+        heartbeat,
+        events.HostState.LIVE,
+        1,
+    )
+
+
+def _hosts(size):
+    return tuple(
+        events.Host(
+            f"engine-{n}", "engine", f"dc-{n % size.data_centres}", f"http://e{n}:80"
+        )
+        for n in range(size.targets)
+    )
