--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -11,9 +11,8 @@
 
 _log = logs.part("watch")
 _HOST_READS_PER_SECOND = 50
-_LOADS_READ = 4
 _MOST_LOADS_READ = 12
-_FEWEST_OTHERS_READ = 2
+_OTHERS_READ = 2
 # How often a daemon that learns from others makes sure at the platform itself.
 _CHECK_INTERVAL = datetime.timedelta(seconds=30)
 _WATCHER_CHECK_SECONDS = 0.5
@@ -133,8 +132,8 @@
 class LoadWatcher:
     """Reads the load reports of the engines, which lag.
 
-    Each round reads the engines that this entry uses, and a few others at
-    random, so that the cost does not grow with the number of engines.
+    Each round reads the engines that this entry uses, and a few of the others
+    in turn, so that the cost does not grow with the number of engines.
     """
 
     def __init__(self, driver, engines, settings):
@@ -142,6 +141,7 @@
         self._engines = engines
         self._interval = settings.load_interval.total_seconds()
         self._random = random.Random(driver.core.state.me.incarnation + 2)
+        self._turn = 0
 
     async def run(self):
         """Read the reports for as long as the daemon runs."""
@@ -157,8 +157,11 @@
         used = [row for row in engines if row.running_here]
         others = [row for row in engines if not row.running_here]
         chosen = self._random.sample(used, min(_MOST_LOADS_READ, len(used)))
-        room = max(_FEWEST_OTHERS_READ, _LOADS_READ - len(chosen))
-        return chosen + self._random.sample(others, min(room, len(others)))
+        room = _OTHERS_READ if used else 1
+        for _ in range(min(room, len(others))):
+            self._turn += 1
+            chosen.append(others[self._turn % len(others)])
+        return chosen
 
     async def _read(self, row):
         value = await self._engines.load(row.url)
--- a/packages/lab/sesamespindle/lab/capacity.py
+++ b/packages/lab/sesamespindle/lab/capacity.py
@@ -33,7 +33,8 @@
 _RPC_OVERHEAD_BYTES = 150
 _RPC_SECONDS_RUNS = 2000
 _LIVE_SIZES = (3, 9, 27)
-_LIVE_SECONDS = 8.0
+_SETTLE_SECONDS = 5.0
+_LIVE_SECONDS = 10.0
 _KEYS_PER_DAEMON_HOUR = 3600
 _KEY_HOURS = 2
 _DAY = 86_400
@@ -100,6 +101,7 @@
                 psutil.Process(running.process_by_name[name].pid)
                 for name in running.entry_names
             ]
+            await asyncio.sleep(_SETTLE_SECONDS)
             before = [_cpu_seconds(item) for item in watched]
             await asyncio.sleep(_LIVE_SECONDS)
             used = [
