Don't ask an owner again that grants nothing, and learn account by account

Cause: the state machine, given two accounts, found asks that never end. Each answer without a grant led to a new ask at once, so an entry and an owner that still learned, or was no owner any more, called each other as fast as they could. And what an entry told of one account was taken as told of all.

Ruled out: a pause before each new ask, which would slow the first prompt of each account. Only a real grant is now followed by another ask.

The slices are two modules now, holder and owner, and the front's sinks are a module of their own.

--- a/packages/cli/sesamespindle/cli/timeline.py
+++ b/packages/cli/sesamespindle/cli/timeline.py
@@ -12,8 +12,7 @@
 table {{ border-collapse: collapse; }}
 td, th {{ border-bottom: 1px solid #ddd; padding: 2px 10px; text-align: left; }}
 td.at {{ font-family: monospace; white-space: nowrap; }}
-tr.{marker} td {{ background: #fff3e0; }}
-{lanes}
+tr.marked td {{ background: #fff3e0; }}
 </style>
 <h1>Time line</h1>
 <p>{count} events of {daemons} daemons, causes before effects.
@@ -61,8 +60,6 @@
     headings = "".join(f"<th>{html.escape(name)}</th>" for name in daemons)
     rows = "\n".join(_row(item, daemons) for item in merged)
     return _PAGE.format(
-        marker="marked",
-        lanes="",
         count=len(merged),
         daemons=len(daemons),
         headings=headings,
--- a/packages/daemon/sesamespindle/daemon/front.py
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -3,12 +3,19 @@
 import asyncio
 import dataclasses
 import datetime
-import hashlib
 import secrets
 
 import aiohttp.web
 
-from sesamespindle.daemon import bodies, logs, prompt_runner, replies, tokens
+from sesamespindle.daemon import (
+    arrivals,
+    bodies,
+    logs,
+    prompt_runner,
+    replies,
+    sinks,
+    tokens,
+)
 from sesamespindle.decide import commands, events, hashing
 from sesamespindle.wire import service
 
@@ -149,9 +156,9 @@
             raise replies.CallerError(
                 400, "invalid_request", "Only a streamed answer can be resumed."
             )
-        sink = _StreamSink(self, request, prompt, form, answer_id)
+        sink = sinks.StreamSink(self, request, prompt, form, answer_id)
         if not body.stream:
-            sink = _WholeSink(self, prompt)
+            sink = sinks.WholeSink(self, prompt)
         run = await self._run_prompt(prompt, body, token, sink)
         spent = replies.usage(prompt.prompt_tokens, run.delivered, run.started)
         if not body.stream:
@@ -305,7 +312,7 @@
         return await self._parts.tickets.call(account, pool, call)
 
     def _arrival(self, account, pool, call, kind):
-        return call_arrival(
+        return arrivals.call_arrival(
             self._driver, account, pool, call, kind, self._settings.policy.call_timeout
         )
 
@@ -342,135 +349,6 @@
         return self._driver.clock
 
 
-class _WholeSink:
-    """Takes an answer that is given to the caller in one piece."""
-
-    prepared = False
-
-    def __init__(self, front, prompt):
-        self._front = front
-        self._prompt = prompt
-        self._arrived_at = front.clock.now()
-        self._first = True
-        self.target = ""
-
-    async def begin(self, target, stream, version):
-        self.target = target
-        if self._first:
-            self._first = False
-            waited = self._front.clock.now() - self._arrived_at
-            self._front.note_first_token(self._prompt, None, waited.total_seconds())
-
-    async def take(self, piece):
-        """Do nothing: the run keeps the text."""
-
-
-class _StreamSink:
-    """Writes an answer to the caller as server-sent events.
-
-    Each event's id is a position from which any entry can read on.
-    """
-
-    def __init__(self, front, request, prompt, form, answer_id):
-        self._front = front
-        self._request = request
-        self._prompt = prompt
-        self._form = form
-        self._answer_id = answer_id
-        self._arrived_at = front.clock.now()
-        self._response = aiohttp.web.StreamResponse()
-        self._position = None
-        self._failed = False
-
-    @property
-    def prepared(self):
-        """Return whether the caller has the start of the answer."""
-        return self._response.prepared
-
-    async def begin(self, target, stream, version):
-        token = tokens.StreamToken(
-            self._prompt.account,
-            self._prompt.model,
-            target,
-            stream,
-            version,
-            self._answer_id,
-        )
-        self._position = self._front.signer.stream_signer(token)
-        if self._response.prepared:
-            return
-        waited = self._front.clock.now() - self._arrived_at
-        self._front.note_first_token(self._prompt, None, waited.total_seconds())
-        self._response.headers["X-Sesamespindle-Target"] = target
-        await self._prepare()
-        first = self._form.first_chunk()
-        if first is not None and not self._prompt.resume_stream:
-            await self._write(0, first)
-
-    async def take(self, piece):
-        if not self._response.prepared:
-            await self.begin_resumed(piece)
-        if piece.last:
-            return
-        await self._write(piece.sequence, self._form.chunk(piece.text))
-
-    async def begin_resumed(self, piece):
-        """Begin a response to a caller that reads on."""
-        token, _ = self._front.signer.read_position(
-            self._request.headers["Last-Event-ID"], self._prompt.account
-        )
-        self._position = self._front.signer.stream_signer(token)
-        await self._prepare()
-
-    async def _prepare(self):
-        self._response.headers["Content-Type"] = "text/event-stream"
-        self._response.headers["Cache-Control"] = "no-cache"
-        await self._response.prepare(self._request)
-
-    async def _write(self, sequence, data):
-        text = f"id: {self._position(sequence)}\ndata: {data}\n\n"
-        await self._response.write(text.encode())
-
-    async def finish(self, run, spent):
-        """Write the end of the answer and return the response."""
-        if self._failed:
-            return self._response
-        await self._write(run.delivered, self._form.last_chunk(run.finish_reason))
-        if spent is not None:
-            await self._write(run.delivered, self._form.usage_chunk(spent))
-        await self._response.write(b"data: [DONE]\n\n")
-        await self._response.write_eof()
-        return self._response
-
-    async def fail(self, error):
-        """Write an error into an answer that has begun."""
-        self._failed = True
-        text = f"data: {aiohttp.web.json_response(error.to_value()).text}\n\n"
-        await self._response.write(text.encode())
-        await self._response.write_eof()
-
-
-def call_arrival(driver, account, pool, call, kind, timeout):
-    """Return the event of a call's arrival."""
-    declared_pool = driver.core.state.pools.get(pool)
-    repeatable = call.method == "GET" or (
-        declared_pool is not None
-        and call.path.partition("?")[0] in declared_pool.repeatable_paths
-    )
-    parts = [pool.encode(), call.method.encode(), call.path.encode(), call.body]
-    fingerprint = hashlib.sha256(b"\0".join(parts)).hexdigest()
-    return events.CallArrived(
-        call.request_id,
-        account,
-        pool,
-        driver.clock.now() + timeout,
-        kind,
-        call.key,
-        fingerprint,
-        repeatable,
-    )
-
-
 def _unknown_stream():
     return replies.CallerError(
         404, "unknown_stream", "The Last-Event-ID names no stream."
--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -7,7 +7,7 @@
 
 import grpc
 
-from sesamespindle.daemon import call_runner, front, logs, peermessages, replies
+from sesamespindle.daemon import arrivals, call_runner, logs, peermessages, replies
 from sesamespindle.decide import commands, events
 from sesamespindle.wire import head, peers_pb2, peers_pb2_grpc, service
 
@@ -143,7 +143,7 @@
             request.request_id,
             request.ticket,
         )
-        arrival = front.call_arrival(
+        arrival = arrivals.call_arrival(
             self._driver,
             request.account,
             request.pool,
@@ -246,7 +246,11 @@
             holdings = peermessages.asks_from_wire(answer.asks)
             self._driver.feed(
                 events.HoldingsTold(
-                    command.entry, answer.incarnation, holdings, answer.settled
+                    command.entry,
+                    answer.incarnation,
+                    command.accounts,
+                    holdings,
+                    answer.settled,
                 )
             )
 
--- a/packages/daemon/sesamespindle/daemon/tickets.py
+++ b/packages/daemon/sesamespindle/daemon/tickets.py
@@ -1,6 +1,6 @@
 """Calls under tickets: made by the entry that minted them, passed on by others."""
 
-from sesamespindle.daemon import front, replies, tokens
+from sesamespindle.daemon import arrivals, replies, tokens
 from sesamespindle.decide import commands, events
 
 
@@ -49,7 +49,7 @@
             known = self._driver.core.calls.knows_key(account, call.key)
             if not known:
                 raise _ticket_expired()
-        arrival = front.call_arrival(
+        arrival = arrivals.call_arrival(
             self._driver, account, pool, call, events.KeyKind.TICKET, self._call_timeout
         )
         return await self._calls.run(arrival, call)
--- a/packages/decide/sesamespindle/decide/admission.py
+++ b/packages/decide/sesamespindle/decide/admission.py
@@ -17,7 +17,7 @@
         The shared tables.
     resource : events.Resource
         The limit of the contract that counts here.
-    slices : slices.Slices
+    slices : sliceholder.SliceHolder
         The slots that this entry may use.
     """
 
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -8,7 +8,8 @@
     hashing,
     membership,
     prompts,
-    slices,
+    sliceholder,
+    sliceowner,
     world,
 )
 
@@ -35,7 +36,8 @@
         self.state.put_entry(catalogue.me_as_entry(me))
         self._now = None
         self._catalogue = catalogue.Catalogue(self.state)
-        self.slices = slices.Slices(self.state, self._usage)
+        self.slices = sliceholder.SliceHolder(self.state, self._usage)
+        self.slice_owner = sliceowner.SliceOwner(self.state, self.slices)
         self._admission_by_resource = {
             resource: admission.Admission(self.state, resource, self.slices)
             for resource in events.Resource
@@ -151,7 +153,7 @@
             case events.LeaveAsked():
                 self.membership.leave(now)
             case events.SlicesAsked():
-                self.slices.asked(event, now)
+                self.slice_owner.asked(event, now)
             case events.SlicesGranted():
                 self.slices.granted(event, now)
                 self.prompts.drain(now)
@@ -161,10 +163,11 @@
             case events.HoldingsAsked():
                 self.slices.tell(event, now)
             case events.HoldingsTold():
-                self.slices.told(event, now)
+                self.slice_owner.told(event, now)
 
     def _tick(self, now):
         self.membership.tick(now)
+        self.slice_owner.tick(now)
         self.slices.tick(now)
         self.prompts.tick(now)
         self.calls.tick(now)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -429,6 +429,8 @@
 
     Attributes
     ----------
+    accounts : tuple of str
+        The accounts that were asked for; the entry holds nothing more of them.
     settled : bool
         Whether the entry knows of no other that was replaced so lately that
         slices of its earlier incarnation may still be in use.
@@ -436,6 +438,7 @@
 
     entry: str
     incarnation: int
+    accounts: tuple[str, ...]
     holdings: tuple[SliceAsk, ...]
     settled: bool
 
--- a/packages/lab/sesamespindle/lab/demo.py
+++ b/packages/lab/sesamespindle/lab/demo.py
@@ -1,7 +1,5 @@
 """A short tour: a context, its return after eviction, a booking and its repeat."""
 
-import pathlib
-
 from sesamespindle.cli import sending
 from sesamespindle.lab import answers, fleet
 
@@ -118,8 +116,3 @@
     show(f"The service ran the booking {runs} time(s).")
     if runs != 1:
         raise DemoError("The booking did not run exactly once.")
-
-
-def default_folder():
-    """Return where the demo's files go."""
-    return pathlib.Path(".run")
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -381,6 +381,7 @@
                     (len(stream.tokens) for stream in self._stream_by_id.values()),
                     default=0,
                 ),
+                "running_by_account": dict(self._running_by_account),
                 "most_by_account": dict(self._most_by_account),
                 "cached_blocks": len(self._cache),
             }
--- a/packages/lab/sesamespindle/lab/slopes.py
+++ b/packages/lab/sesamespindle/lab/slopes.py
@@ -118,7 +118,7 @@
         for holder in holders:
             self._ask(account, holder, next(numbers))
         for name in holders + [f"entry-{n}" for n in range(self.size.entries)]:
-            self.feed(events.HoldingsTold(name, 1, (), True))
+            self.feed(events.HoldingsTold(name, 1, (account,), (), True))
 
         def run():
             number = next(numbers)
--- a/tests/decide/test_slices.py
+++ b/tests/decide/test_slices.py
@@ -12,13 +12,16 @@
 
 START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 LIMIT = 5
+ACCOUNTS = ("desk", "hall")
 NAMES = ("entry-1", "entry-2", "entry-3", "entry-4")
 ENGINE_KEEPS = datetime.timedelta(seconds=5)
 # The default time after which a silent entry is given up is twice this.
 LONGEST_PAUSE = datetime.timedelta(seconds=5)
 
 DECLARATIONS = declared.Declarations(
-    contracts=(declared.Contract("desk", LIMIT, 2, 5, 1000, (), ()),),
+    contracts=tuple(
+        declared.Contract(account, LIMIT, 2, 5, 1000, (), ()) for account in ACCOUNTS
+    ),
     models=(declared.Model("words", "pool", "v1", 100_000),),
     pools=(declared.Pool("pool", declared.TargetKind.ENGINE, 100),),
     targets=(declared.Target("engine-1", "pool", "dc", True),),
@@ -38,7 +41,7 @@
         self.now = START
         self.core_by_name = {}
         self.running_by_name = {}
-        self.lingering_until = []
+        self.lingering = []
         self.paused_until = {}
         self.wire = []
         self.exchanges = {}
@@ -87,7 +90,8 @@
                     command.holdings,
                     command.settled,
                 )
-                self.post(self.exchanges.pop(command.exchange_id), "told", content)
+                owner, accounts = self.exchanges.pop(command.exchange_id)
+                self.post(owner, "told", (*content[:2], accounts, *content[2:]))
             case commands.SendPrompt(request_id=request_id, attempt=attempt):
                 self.running_by_name[name][request_id] = attempt
 
@@ -131,7 +135,7 @@
                     events.SlicesAsked(exchange, asker, incarnation, sequence, asks),
                 )
             case "want":
-                self.exchanges[exchange] = content[0]
+                self.exchanges[exchange] = (content[0], content[2])
                 self.feed(receiver, events.HoldingsAsked(exchange, *content))
             case "grant":
                 self.feed(receiver, events.SlicesGranted(*content))
@@ -154,20 +158,20 @@
         end = self.now + duration
         while self.now < end:
             self.now += datetime.timedelta(milliseconds=200)
-            self.lingering_until = [at for at in self.lingering_until if at > self.now]
+            self.lingering = [item for item in self.lingering if item[0] > self.now]
             for name in list(self.core_by_name):
                 if name in self.paused_until and self.now >= self.paused_until[name]:
                     del self.paused_until[name]
                 if self.is_up(name):
                     self.feed(name, events.Tick())
 
-    def send(self, name):
+    def send(self, name, account="desk"):
         number = next(self.numbers)
         deadline = self.now + datetime.timedelta(minutes=5)
         self.feed(
             name,
             events.PromptArrived(
-                f"{name}/{number}", "desk", "words", "text", 1, 1, deadline
+                f"{account}/{number}", account, "words", "text", 1, 1, deadline
             ),
         )
 
@@ -184,13 +188,16 @@
         del self.core_by_name[name]
         self.paused_until.pop(name, None)
         # Nobody reads its streams any more; the engine drops them in a while.
-        count = len(self.running_by_name.pop(name))
-        self.lingering_until += [self.now + ENGINE_KEEPS] * count
+        until = self.now + ENGINE_KEEPS
+        lingering = self.running_by_name.pop(name)
+        self.lingering += [(until, request_id) for request_id in lingering]
         self.wire = [item for item in self.wire if item[0] != name]
 
-    def at_engine(self):
-        running = sum(len(running) for running in self.running_by_name.values())
-        return running + len(self.lingering_until)
+    def at_engine(self, account="desk"):
+        request_ids = [request_id for _, request_id in self.lingering]
+        for running in self.running_by_name.values():
+            request_ids += running
+        return sum(item.startswith(f"{account}/") for item in request_ids)
 
 
 class SlicesMachine(hypothesis.stateful.RuleBasedStateMachine):
@@ -203,11 +210,15 @@
 
     names = strategies.sampled_from(NAMES)
 
-    @hypothesis.stateful.rule(name=names, count=strategies.integers(1, 8))
-    def send(self, name, count):
+    @hypothesis.stateful.rule(
+        name=names,
+        account=strategies.sampled_from(ACCOUNTS),
+        count=strategies.integers(1, 8),
+    )
+    def send(self, name, account, count):
         if self.fleet.is_up(name):
             for _ in range(count):
-                self.fleet.send(name)
+                self.fleet.send(name, account)
 
     @hypothesis.stateful.rule(name=names)
     def finish(self, name):
@@ -247,7 +258,8 @@
 
     @hypothesis.stateful.invariant()
     def limit_is_kept(self):
-        assert self.fleet.at_engine() <= LIMIT
+        for account in ACCOUNTS:
+            assert self.fleet.at_engine(account) <= LIMIT
 
 
 def test_limit_is_kept_whatever_happens():
--- /dev/null
+++ b/tests/promises/test_limits.py
@@ -0,0 +1,89 @@
+"""Promise 8: targets never see more of an account than its contract allows."""
+
+import asyncio
+import itertools
+
+import pytest
+import pytest_bdd
+
+from sesamespindle.lab import caller, fleet
+
+pytest_bdd.scenarios("limits.feature")
+
+ACCOUNT = "training"
+LIMIT = 8
+CALLERS = 24
+ENGINE = "glossary-1"
+
+
+@pytest.fixture(scope="module")
+def running(start_fleet):
+    return start_fleet(
+        engines=1,
+        store_hosts=0,
+        services=0,
+        data_centres=1,
+        engine_options=["--unread-window", "1.0", "--decode-interval", "0.02"],
+        settings={"policy": {"suspect_after": "1500 ms", "grant_lifetime": "3 s"}},
+    )
+
+
+@pytest.fixture
+def go(loop_runner):
+    return loop_runner.run
+
+
+@pytest.fixture
+def seen():
+    return {}
+
+
+async def send_without_end(running, numbers):
+    """Send prompts one after the other, each over the next entry."""
+    user = caller.Caller(running.session, fleet.demo_key(ACCOUNT))
+    while True:
+        number = next(numbers)
+        entry = running.entry_names[number % len(running.entry_names)]
+        await user.complete(running.url(entry), "glossary", f"Prompt {number}.", 20)
+        await asyncio.sleep(0.02)
+
+
+async def until_full(running):
+    async def is_full():
+        counts = await running.counts(ENGINE)
+        return counts["running_by_account"].get(ACCOUNT, 0) == LIMIT
+
+    await running.until(is_full)
+
+
+@pytest_bdd.when("training sends without end while entries are killed and replaced")
+def rush(running, go, seen):
+    async def run():
+        numbers = itertools.count()
+        sending = [
+            asyncio.create_task(send_without_end(running, numbers))
+            for _ in range(CALLERS)
+        ]
+        await until_full(running)
+        for name in ("entry-1", "entry-2"):
+            await running.process_by_name[name].kill()
+            await running.start_entry(name, "kgl-1")
+            await running.wait_ready()
+        await until_full(running)
+        seen["is_full"] = True
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+        seen["counts"] = await running.counts(ENGINE)
+
+    go(run())
+
+
+@pytest_bdd.then("the engine never ran more than 8 of its prompts at once")
+def limit_was_kept(seen):
+    assert seen["counts"]["most_by_account"][ACCOUNT] == LIMIT
+
+
+@pytest_bdd.then("the account comes back to the full use of its contract")
+def is_full(seen):
+    assert seen["is_full"]
