Make blocks' ids for the version that the target has

Cause: ids were made for the declared version whatever the target ran, so while weights are swapped, blocks that the old weights computed could be read under the new ones. The ids are now made for the version that the target last reported, and the target refuses the prompt if it has another by now.

Ruled out: sending only to targets of the declared version, which leaves a pool without targets from the declaration to the swap.

Proof: weight_versions.feature; before, the new request reused the context.

--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -41,7 +41,7 @@
     Attributes
     ----------
     version : str
-        The weight version whose blocks may be reused; empty for any.
+        The weight version that must answer, which `salt` is made for.
     """
 
     request_id: str
--- a/packages/decide/sesamespindle/decide/prompts.py
+++ b/packages/decide/sesamespindle/decide/prompts.py
@@ -40,7 +40,6 @@
     pool: str
     ids: tuple[str, ...]
     home_key: str
-    salt: str
     tokens: int
     arrived_at: datetime.datetime
     deadline: datetime.datetime
@@ -260,6 +259,8 @@
             now, row.tokens - place.reused_tokens
         )
         account = self._state.accounts.get(row.account)
+        version = self._version_at(row, target)
+        salt = hashing.salt(row.account, row.model, version)
         self._state.emit(
             commands.SendPrompt(
                 row.request_id,
@@ -267,12 +268,23 @@
                 target.name,
                 target.url,
                 account.contract.priority if account else 1,
-                row.salt,
-                row.version,
+                salt.hex(),
+                version,
                 self._store_url(target, now),
             )
         )
 
+    def _version_at(self, row, target):
+        """Return the weight version that a prompt asks for at a target.
+
+        Guards against blocks of one version being read under another while
+        weights are swapped: the blocks' ids are made for the version that the
+        target last reported, and the target refuses the prompt if it has
+        another by now. A continued answer keeps the version that it began on.
+        """
+        model = self._state.models.get(row.model)
+        return row.version or target.version or (model.version if model else "")
+
     def _store_url(self, target, now):
         """Return the store host of a target's pool that is nearest to it."""
         pool = self._state.pools.get(target.pool)
@@ -376,7 +388,6 @@
         model.pool,
         ids,
         f"{event.account}/{hint}",
-        salt.hex(),
         event.tokens,
         now,
         event.deadline,
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -143,7 +143,7 @@
     async def _start(self, request):
         body = await request.json()
         self._counts["received"] += 1
-        wrong_version = body["version"] and body["version"] != self._model.version
+        wrong_version = body["version"] != self._model.version
         full = len(self._waiting) >= self._model.max_waiting
         if self._faults["refuse"] or wrong_version or full:
             status = 409 if wrong_version else 503
--- a/packages/wire/sesamespindle/wire/engine.py
+++ b/packages/wire/sesamespindle/wire/engine.py
@@ -66,7 +66,7 @@
     salt : str
         The start of the prompt's chain of block ids, in hexadecimal.
     version : str
-        The only weight version that may answer; empty for any.
+        The only weight version that may answer.
     continuation : str
         The part of the answer that the caller already has.
     continued_tokens : int
