Judge by its tokens that another engine made only the rest

The stand-in's answers depend on the prompt alone, so an engine that began anew could not be told from one that went on, and the test passed without its guard.

--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -312,6 +312,7 @@
             self._drop(stream)
         if not stream.cancelled and stream.wanted > 0:
             place = stream.first + len(stream.tokens)
+            self._counts["made_tokens"] += 1
             stream.tokens.append(answers.token(stream.digest, place))
         stream.done = stream.wanted <= 0
         if stream.done or stream.cancelled:
--- a/tests/promises/test_whole_answers.py
+++ b/tests/promises/test_whole_answers.py
@@ -41,6 +41,8 @@
         self.reply = None
         self.engine = ""
         self.received_before = {}
+        self.made_before = {}
+        self.began = False
 
     @property
     def expected(self):
@@ -61,6 +63,7 @@
             if self.running.process_by_name[name].running:
                 counts = await self.running.counts(name)
                 self.received_before[name] = counts.get("received", 0)
+                self.made_before[name] = counts.get("made_tokens", 0)
 
     async def find_engine(self):
         """Return the engine that got a prompt since `note_received`."""
@@ -84,6 +87,13 @@
 
         await self.running.until(made)
 
+    async def made_since(self, names):
+        total = 0
+        for name in names:
+            counts = await self.running.counts(name)
+            total += counts.get("made_tokens", 0) - self.made_before[name]
+        return total
+
     async def starts(self):
         total = 0
         for name, before in self.received_before.items():
@@ -138,6 +148,7 @@
         begun = reading.stream() if form == "streamed" else reading.read_whole()
         sending = asyncio.create_task(begun)
         engine = await reading.find_engine()
+        reading.began = moment != "before the first token"
         if moment == "mid-stream":
             await reading.until_made(MIDWAY)
         if moment.startswith("after the last token"):
@@ -166,6 +177,9 @@
 def other_engine_went_on(reading, go):
     del reading.received_before[reading.engine]
     assert go(reading.starts()) == 1
+    # It made the rest and not an answer of its own, which need not be the same.
+    made = go(reading.made_since(reading.received_before))
+    assert made < TOKENS if reading.began else made == TOKENS
 
 
 @pytest_bdd.when(pytest_bdd.parsers.parse("an engine sends its pieces {how}"))
