--- a/Makefile
+++ b/Makefile
@@ -2,19 +2,20 @@
 PYTHON ?= python3.11
 VENV := .venv
 RUN := $(VENV)/bin/python
-PACKAGES := decide declare wire daemon cli lab
+PACKAGES := packages/decide packages/declare packages/wire packages/daemon packages/cli \
+	platform packages/lab
 STAMP := $(VENV)/.installed
 
 .PHONY: setup demo fleet bench capacity guards test lint format lock proto clean
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	@command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet uv
 	VIRTUAL_ENV=$(VENV) $(VENV)/bin/uv pip install --quiet --require-hashes -r requirements.lock
 	VIRTUAL_ENV=$(VENV) $(VENV)/bin/uv pip install --quiet --no-deps --no-build-isolation \
-		$(foreach package,$(PACKAGES),-e packages/$(package))
+		$(foreach package,$(PACKAGES),-e $(package))
 	@touch $(STAMP)
 
 demo: setup
--- a/packages/daemon/sesamespindle/daemon/driver.py
+++ b/packages/daemon/sesamespindle/daemon/driver.py
@@ -34,14 +34,17 @@
         The present.
     event_log : sesamespindle.daemon.eventlog.EventLog
         Where notes go.
+    note_level : str
+        The level at which notes are logged.
     """
 
-    def __init__(self, core, clock, event_log):
+    def __init__(self, core, clock, event_log, note_level="DEBUG"):
         self.core = core
         self.clock = clock
         self.event_log = event_log
         self.exchange_by_request = {}
         self._handler_by_command = {}
+        self._note_level = note_level
 
     def on(self, command_type, handler):
         """Have commands of a type that belong to no request carried out."""
@@ -71,7 +74,13 @@
         match command:
             case commands.Note():
                 self.event_log.add(command.kind, command.subject, command.detail)
-                _log.debug("{} {}. {}", command.kind, command.subject, command.detail)
+                _log.log(
+                    self._note_level,
+                    "{} {}. {}",
+                    command.kind,
+                    command.subject,
+                    command.detail,
+                )
                 return
             case commands.SendPrompt() | commands.SendCall():
                 self.event_log.add(
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/measures.py
@@ -0,0 +1,55 @@
+"""Counters and latency histograms, served as text."""
+
+import collections
+
+# Upper bounds of the buckets in seconds; the users' latency goals lie between.
+_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.5, 3.0, 8.0)
+
+
+class Measures:
+    """Counts what happens to requests, in the Prometheus text format."""
+
+    def __init__(self):
+        self._refused_by_code = collections.Counter()
+        self._first_bytes_by_route = {}
+        self._gauges = {}
+
+    def refused(self, code):
+        """Count a refusal."""
+        self._refused_by_code[str(code)] += 1
+
+    def first_byte(self, route, duration):
+        """Record the time to the first byte of an answer."""
+        histogram = self._first_bytes_by_route.setdefault(
+            route, [0] * (len(_BOUNDS) + 1)
+        )
+        seconds = duration.total_seconds()
+        place = sum(seconds > bound for bound in _BOUNDS)
+        histogram[place] += 1
+
+    def gauge(self, name, read):
+        """Have a function called for a value whenever the text is made."""
+        self._gauges[name] = read
+
+    def text(self):
+        """Return all measures."""
+        lines = [
+            f'sesamespindle_refused_total{{code="{code}"}} {count}'
+            for code, count in sorted(self._refused_by_code.items())
+        ]
+        for route, histogram in sorted(self._first_bytes_by_route.items()):
+            lines += _histogram_lines(route, histogram)
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f"sesamespindle_{name} {read()}")
+        return "\n".join(lines) + "\n"
+
+
+def _histogram_lines(route, histogram):
+    total = 0
+    for bound, count in zip((*_BOUNDS, "+Inf"), histogram, strict=True):
+        total += count
+        yield (
+            "sesamespindle_first_byte_seconds_bucket"
+            f'{{route="{route}",le="{bound}"}} {total}'
+        )
+    yield f'sesamespindle_first_byte_seconds_count{{route="{route}"}} {total}'
--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -3,19 +3,25 @@
 import asyncio
 import datetime
 import itertools
-import json
 
 import grpc
 
 from sesamespindle.daemon import arrivals, call_runner, logs, peermessages, replies
 from sesamespindle.decide import commands, events
-from sesamespindle.wire import head, peers_pb2, peers_pb2_grpc, service
+from sesamespindle.wire import peers_pb2, peers_pb2_grpc, service
 
 _log = logs.part("peers")
 _RPC_SECONDS = 1.0
 _FETCH_SECONDS = 5.0
 _KEY_METADATA = "peer-key"
-_OPTIONS = (("grpc.enable_http_proxy", 0),)
+_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    # A peer that was away is tried again within a second; the library's own
+    # pause grows to minutes.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 300),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
 
 
 def bind(host, port):
@@ -166,14 +172,9 @@
     async def FetchDeclarations(self, request, context):
         """Give a peer the declarations in force here."""
         await self._check(request, context, has_clock=False)
-        in_force, content_by_digest = self._declarations.contents(request.known_digests)
+        packed = self._declarations.pack(request.known_digests)
         return peers_pb2.DeclarationsFound(
-            revision=in_force.revision,
-            head=json.dumps(in_force.to_value()).encode(),
-            documents={
-                digest: json.dumps(content).encode()
-                for digest, content in content_by_digest.items()
-            },
+            revision=packed.revision, head=packed.head, documents=packed.documents
         )
 
     # What this daemon asks of peers.
@@ -255,30 +256,26 @@
             )
 
     async def _fetch(self, command):
+        await self.fetch_from(command.peer_address)
+
+    async def fetch_from(self, address):
+        """Get what a peer knows of the platform, unless that is under way."""
         if self._fetching:
             return
         self._fetching = True
         try:
-            await self._fetch_from(command.peer_address)
+            await self._fetch_from(address)
         finally:
             self._fetching = False
 
     async def _fetch_from(self, address):
-        in_force, content_by_digest = self._declarations.contents(())
+        known = self._declarations.known()
         request = peers_pb2.DeclarationsWanted(
-            above_revision=in_force.revision, known_digests=list(content_by_digest)
+            above_revision=known.revision, known_digests=known.digests
         )
         answer = await self._call(address, "FetchDeclarations", request, _FETCH_SECONDS)
-        if answer is None:
-            return
-        value = json.loads(answer.head)
-        found = head.Head(
-            value["revision"], value["digest_by_key"], tuple(value["nonces"])
-        )
-        documents = {
-            digest: json.loads(raw) for digest, raw in answer.documents.items()
-        }
-        await self._declarations.adopt(found, documents)
+        if answer is not None:
+            await self._declarations.unpack(answer.head, answer.documents)
 
     async def _call(self, address, method, request, seconds=_RPC_SECONDS):
         stub = peers_pb2_grpc.PeersStub(self._channel(address))
@@ -288,6 +285,8 @@
             )
         except grpc.RpcError as error:
             _log.debug("{} at {} failed: {}.", method, address, error.code())
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._drop_channel(address)
             return None
         if hasattr(answer, "clock"):
             self._clock.merge(answer.clock)
@@ -300,6 +299,17 @@
             self._channel_by_address[address] = channel
         return channel
 
+    async def _drop_channel(self, address):
+        """Have the next call to a peer make a new connection.
+
+        Guards against a connection that has gone silent without a close: all
+        calls on it would run into their time limits until the system's own,
+        which takes minutes.
+        """
+        channel = self._channel_by_address.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
     async def _check(self, request, context, has_clock=True):
         """Refuse a caller that is not a peer, and take its stamp in."""
         keys = [
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -1,9 +1,28 @@
 """Turning the decision logic's peer messages into protobuf and back."""
 
+import dataclasses
+
 from sesamespindle.decide import events
 from sesamespindle.wire import peers_pb2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """What a daemon has of the platform, so that peers need not send it."""
+
+    revision: int
+    digests: list
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Packed:
+    """What a daemon tells a peer of the platform."""
+
+    revision: int
+    head: bytes
+    documents: dict
+
+
 def gossip_to_wire(message, stamp):
     """Return the protobuf form of an `events.GossipMessage`."""
     return peers_pb2.GossipMessage(
@@ -29,6 +48,13 @@
         ],
         revision=message.revision,
         clock=stamp,
+        seen={item.kind: item.revision for item in message.seen},
+        target_versions=[
+            peers_pb2.TargetVersion(
+                target=item.target, model=item.model, version=item.version
+            )
+            for item in message.target_versions
+        ],
     )
 
 
@@ -52,6 +78,11 @@
             for item in message.leaving_targets
         ),
         message.revision,
+        tuple(events.SeenRevision(*item) for item in message.seen.items()),
+        tuple(
+            events.TargetVersion(item.target, item.model, item.version)
+            for item in message.target_versions
+        ),
     )
 
 
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -0,0 +1,404 @@
+"""Moving bytes between callers and targets, as the decision logic says."""
+
+import asyncio
+import datetime
+
+import aiohttp
+import aiohttp.web
+import yarl
+
+from sesamespindle.daemon import eventstream, logs
+from sesamespindle.decide import commands, forwarding, routes
+
+_log = logs.part("relay")
+# Bodies and answers up to this size are held whole, so that they can be sent
+# again or judged before they are passed on; larger ones pass through.
+_HELD_BYTES = 256 * 1024
+_CHUNK_BYTES = 64 * 1024
+# A target that keeps idle connections for less than this is not trusted with
+# a kept connection: the pool would use it up to its end.
+_SHORTEST_IDLE_SECONDS = 3
+
+
+class _CutOffError(Exception):
+    """The caller's answer has begun and can't be finished."""
+
+    code = "cut_off"
+
+
+class _Body:
+    """A request's body, held or passing through.
+
+    Parameters
+    ----------
+    held : bytes or None
+        The body, or its beginning.
+    rest : aiohttp.StreamReader, optional
+        Where the rest comes from, once.
+    """
+
+    def __init__(self, held, rest=None):
+        self._held = held
+        self._rest = rest
+        self.is_spent = False
+
+    def content(self):
+        """Return what the HTTP library sends as the body."""
+        if self._rest is None:
+            return self._held
+        self.is_spent = True
+        return self._pass_through()
+
+    async def _pass_through(self):
+        yield self._held
+        async for chunk in self._rest.iter_any():
+            yield chunk
+
+
+class _Answer:
+    """What a caller has got of its answer."""
+
+    def __init__(self):
+        self.response = None
+        self.cutter = eventstream.EventCutter()
+        self.failure = None
+
+
+class Relay:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    driver : sesamespindle.daemon.driver.Driver
+        Has the decision logic.
+    dialect : object
+        Reads and writes headers and statuses.
+    session : aiohttp.ClientSession
+        From `connections.make_session`.
+    measures : sesamespindle.daemon.measures.Measures
+        Counters and latencies.
+    """
+
+    def __init__(self, driver, dialect, session, measures):
+        self._driver = driver
+        self._forwarding = driver.core.forwarding
+        self._clock = driver.clock
+        self._dialect = dialect
+        self._session = session
+        self._measures = measures
+        self.last_call_until = None
+        self.in_flight = 0
+
+    async def handle(self, http):
+        """Answer one request."""
+        arrived = self._clock.now()
+        self.in_flight += 1
+        try:
+            return await self._answer(http, arrived)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, http, arrived):
+        request = self._dialect.read_request(http, arrived)
+        if not request.request_id or self._is_taken(request):
+            return self._refuse(http, _malformed(request))
+        if self._is_too_late(request):
+            return self._refuse(http, _leaving(request))
+        body = await self._read_body(http)
+        command = self._decide(self._forwarding.begin, request)
+        answer = _Answer()
+        try:
+            return await self._carry_out(http, request, body, command, answer)
+        except _CutOffError:
+            self._cut(http)
+            return answer.response
+        except asyncio.CancelledError:
+            _log.bind(request=request.request_id).info("The caller has left.")
+            raise
+        finally:
+            self._decide(self._forwarding.close, request.request_id)
+
+    def _is_taken(self, request):
+        return request.request_id in self._forwarding.flight_by_request
+
+    def _is_too_late(self, request):
+        """Return whether a leaving daemon would end before the request does."""
+        if self.last_call_until is None:
+            return False
+        return self._clock.now() >= self.last_call_until
+
+    async def _carry_out(self, http, request, body, command, answer):
+        while True:
+            match command:
+                case commands.Refuse():
+                    if answer.response is not None:
+                        raise _CutOffError
+                    return self._refuse(http, command)
+                case forwarding.PassOn():
+                    if answer.response is not None:
+                        raise _CutOffError
+                    return answer.failure
+                case forwarding.Forward():
+                    command = await self._send(http, body, command, answer)
+                    if command is None:
+                        return answer.response
+
+    async def _send(self, http, body, forward, answer):
+        """Send to one target; return what follows, or None after an answer."""
+        left = (forward.until - self._clock.now()).total_seconds()
+        _log.bind(request=forward.request_id).info(
+            "Sent to target {}, attempt {}, {:.0f} ms left, version {}, {}.",
+            forward.target,
+            forward.attempt,
+            left * 1000,
+            forward.version,
+            "with a fetch" if forward.transfers.seconds else "no fetch",
+        )
+        if body.is_spent:
+            # A body that has passed through can't be sent again.
+            return self._decide(
+                self._forwarding.timed_out, forward.request_id, sent=True
+            )
+        try:
+            async with asyncio.timeout(max(left, 0.001)):
+                ending = await self._exchange(http, body, forward, answer)
+        except TimeoutError:
+            command = self._decide(
+                self._forwarding.timed_out, forward.request_id, sent=True
+            )
+            self._log_end(forward, "timeout", command)
+            return command
+        if ending is None:
+            return None
+        command = self._decide(self._forwarding.ended, forward.request_id, ending)
+        self._log_end(forward, ending.value, command)
+        return command
+
+    def _log_end(self, forward, how, command):
+        _log.bind(request=forward.request_id).info(
+            "The send to target {} ended: {}. Next: {}.",
+            forward.target,
+            how,
+            type(command).__name__
+            if not isinstance(command, commands.Refuse)
+            else f"{command.code}, {command.outcome}",
+        )
+
+    async def _exchange(self, http, body, forward, answer):
+        """Make one exchange with a target.
+
+        Returns
+        -------
+        ending : forwarding.Ending or None
+            None once the caller has its whole answer.
+        """
+        url = yarl.URL(f"http://{forward.address}{http.raw_path}", encoded=True)
+        headers = self._dialect.send_headers(
+            http, forward, self._clock.now(), answer.cutter.last_id
+        )
+        try:
+            async with self._patience(forward, answer) as patience:
+                response = await self._session.request(
+                    http.method,
+                    url,
+                    headers=headers,
+                    data=body.content(),
+                    allow_redirects=False,
+                )
+                async with response:
+                    patience.reschedule(None)
+                    return await self._take(http, forward, response, answer)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return forwarding.Ending.UNREACHABLE
+        except TimeoutError:
+            if not patience.expired():
+                raise
+            return forwarding.Ending.SILENT
+        except aiohttp.ClientError:
+            return forwarding.Ending.LOST
+
+    def _patience(self, forward, answer):
+        seconds = None
+        if forward.patience is not None and answer.response is None:
+            seconds = forward.patience.total_seconds()
+        return asyncio.timeout(seconds)
+
+    async def _take(self, http, forward, response, answer):
+        """Judge a target's answer and pass it on."""
+        load = self._dialect.load(response.headers)
+        if load is not None:
+            self._forwarding.report_load(forward.target, load.running, load.waiting)
+        idle = self._dialect.idle_time(response.headers)
+        keeps = idle is None or idle >= _SHORTEST_IDLE_SECONDS
+        ending = self._dialect.judge(forward, response.status, response.headers)
+        try:
+            if ending is forwarding.Ending.FAILED:
+                answer.failure = await self._read_whole(response)
+                return ending if answer.failure is not None else forwarding.Ending.LOST
+            if ending is not None:
+                if ending is not forwarding.Ending.LOST:
+                    await response.read()
+                return ending
+            if forward.streaming and response.status == 200:
+                return await self._pass_stream(http, forward, response, answer)
+            return await self._pass_plain(http, forward, response, answer)
+        finally:
+            if not keeps or ending is forwarding.Ending.LOST:
+                response.close()
+
+    async def _pass_plain(self, http, forward, response, answer):
+        self._first_byte(forward)
+        if (response.content_length or 0) <= _HELD_BYTES:
+            whole = await self._read_whole(response)
+            if whole is None:
+                return forwarding.Ending.LOST
+            if answer.response is not None:
+                raise _CutOffError
+            answer.response = whole
+            return None
+        await self._begin(http, response, answer)
+        protocol = response.connection.protocol if response.connection else None
+        try:
+            async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
+                await answer.response.write(chunk)
+        except aiohttp.ClientError as error:
+            raise _CutOffError from error
+        if _was_reset(protocol):
+            raise _CutOffError
+        await answer.response.write_eof()
+        return None
+
+    async def _read_whole(self, response):
+        """Return an answer that has come whole, or None."""
+        protocol = response.connection.protocol if response.connection else None
+        try:
+            content = await response.read()
+        except aiohttp.ClientError:
+            return None
+        framed = "Content-Length" in response.headers or _is_chunked(response)
+        if not framed and _was_reset(protocol):
+            return None
+        return aiohttp.web.Response(
+            status=response.status,
+            reason=response.reason,
+            headers=self._dialect.answer_headers(response.raw_headers),
+            body=content,
+        )
+
+    async def _pass_stream(self, http, forward, response, answer):
+        """Pass events on as they come."""
+        resumes = forward.repeats is routes.Repeats.RESUMABLE
+        protocol = response.connection.protocol if response.connection else None
+        answer.cutter.restart()
+        first = True
+        try:
+            async for chunk in response.content.iter_any():
+                if first:
+                    first = False
+                    self._first_byte(forward)
+                if resumes:
+                    chunk = answer.cutter.feed(chunk)
+                if not chunk:
+                    continue
+                if answer.response is None:
+                    await self._begin(http, response, answer)
+                await answer.response.write(chunk)
+        except aiohttp.ClientError:
+            return self._broken(forward, answer)
+        framed = "Content-Length" in response.headers or _is_chunked(response)
+        if (not framed and _was_reset(protocol)) or answer.cutter.has_rest():
+            return self._broken(forward, answer)
+        if answer.response is None:
+            await self._begin(http, response, answer)
+        await answer.response.write_eof()
+        return None
+
+    def _broken(self, forward, answer):
+        """Return the ending of a stream that broke off."""
+        resumes = forward.repeats is routes.Repeats.RESUMABLE
+        if answer.response is not None and not resumes:
+            raise _CutOffError
+        return forwarding.Ending.LOST
+
+    async def _begin(self, http, response, answer):
+        answer.response = aiohttp.web.StreamResponse(
+            status=response.status,
+            reason=response.reason,
+            headers=self._dialect.answer_headers(response.raw_headers),
+        )
+        length = response.headers.get("Content-Length")
+        if length is not None and not self._is_stream(response):
+            answer.response.content_length = int(length)
+        if self.last_call_until is not None:
+            answer.response.force_close()
+        await answer.response.prepare(http)
+
+    def _is_stream(self, response):
+        return response.content_type == "text/event-stream"
+
+    def _first_byte(self, forward):
+        now = self._clock.now()
+        self._forwarding.first_byte(forward.request_id, now)
+        flight = self._forwarding.flight_by_request.get(forward.request_id)
+        if flight is not None:
+            self._measures.first_byte(flight.route.name, now - flight.arrived_at)
+
+    async def _read_body(self, http):
+        """Return the `_Body` of a request, held whole if it is small."""
+        if not http.body_exists:
+            return _Body(None)
+        held = bytearray()
+        async for chunk in http.content.iter_any():
+            held += chunk
+            if len(held) > _HELD_BYTES:
+                return _Body(bytes(held), http.content)
+        return _Body(bytes(held))
+
+    def _decide(self, decide, *args, **named):
+        """Call the decision logic, and carry out what it wants besides."""
+        result = decide(*args, now=self._clock.now(), **named)
+        self._driver.feed()
+        return result
+
+    def _refuse(self, http, refuse):
+        refusal = self._dialect.refusal(refuse)
+        self._measures.refused(refuse.code)
+        _log.bind(request=refuse.request_id).info(
+            "Refused: {}, {}. {}", refuse.code, refuse.outcome, refuse.message
+        )
+        return aiohttp.web.Response(
+            status=refusal.status, headers=refusal.headers, body=refusal.body
+        )
+
+    def _cut(self, http):
+        """Break the caller's connection, so that its answer can't look whole."""
+        if http.transport is not None:
+            http.transport.abort()
+
+
+def _was_reset(protocol):
+    return protocol is not None and protocol.was_reset
+
+
+def _is_chunked(response):
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+
+
+def _malformed(request):
+    return commands.Refuse(
+        request.request_id,
+        commands.Code.NOT_READY,
+        commands.Outcome.NOT_RUN,
+        "The request has no id of its own.",
+        datetime.timedelta(seconds=1),
+    )
+
+
+def _leaving(request):
+    return commands.Refuse(
+        request.request_id,
+        commands.Code.SHUTTING_DOWN,
+        commands.Outcome.NOT_RUN,
+        "This host is leaving; connect to another.",
+        datetime.timedelta(milliseconds=50),
+    )
--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import datetime
+import json
 import random
 
-from sesamespindle.daemon import logs
+from sesamespindle.daemon import logs, peermessages
 from sesamespindle.decide import declared, events, retries
 from sesamespindle.declare import documents, findings
 from sesamespindle.wire import head, platform
@@ -74,10 +75,31 @@
         """Return the digests of a head's documents that aren't known here."""
         return set(wanted.digest_by_key.values()) - self._content_by_digest.keys()
 
-    def contents(self, known_digests):
+    def known(self):
+        """Return what a peer need not send."""
+        digests = list(self.head.digest_by_key.values())
+        return peermessages.Known(self.head.revision, digests)
+
+    def pack(self, known_digests):
         """Return the head in force and its documents but for the known ones."""
         wanted = set(self.head.digest_by_key.values()) - set(known_digests)
-        return self.head, {digest: self._content_by_digest[digest] for digest in wanted}
+        documents_by_digest = {
+            digest: json.dumps(self._content_by_digest[digest]).encode()
+            for digest in wanted
+        }
+        raw_head = json.dumps(self.head.to_value()).encode()
+        return peermessages.Packed(self.head.revision, raw_head, documents_by_digest)
+
+    async def unpack(self, raw_head, documents_by_digest):
+        """Adopt what a peer packed."""
+        value = json.loads(raw_head)
+        found = head.Head(
+            value["revision"], value["digest_by_key"], tuple(value["nonces"])
+        )
+        contents = {
+            digest: json.loads(raw) for digest, raw in documents_by_digest.items()
+        }
+        await self.adopt(found, contents)
 
     async def adopt(self, new_head, content_by_digest):
         """Put a head in force if it is higher than the one that is."""
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -32,6 +32,12 @@
     STREAM_LOST = "stream_lost"
     ENTRY_GONE = "entry_gone"
     SHUTTING_DOWN = "shutting_down"
+    NOT_READY = "not_ready"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    TARGET_FAILED = "target_failed"
+    TIMEOUT = "timeout"
+    BODY_TOO_LARGE = "body_too_large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,6 +171,15 @@
     above_revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAgain:
+    """Read a kind of object anew, since a peer saw a later change of it."""
+
+    kind: str
+    revision: int
+    peer_address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSlices:
     """Ask an account owner for slices."""
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -320,6 +320,23 @@
     url: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRevision:
+    """The revision of the latest change of a kind of object that was seen."""
+
+    kind: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetVersion:
+    """The weight version that a target was seen to run; it only rises."""
+
+    target: str
+    model: str
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipMessage:
     """One half of a round of gossip."""
@@ -332,6 +349,8 @@
     wanted: tuple[str, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
     revision: int = 0
+    seen: tuple[SeenRevision, ...] = ()
+    target_versions: tuple[TargetVersion, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -0,0 +1,166 @@
+"""The decision logic of an entry host on a platform that lists its own targets."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import (
+    budgets,
+    catalogue,
+    commands,
+    directory,
+    events,
+    forwarding,
+    kvstores,
+    lease,
+    membership,
+    rollout,
+    routes,
+    targetlist,
+    weights,
+    world,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """What the platform promises and asks for.
+
+    Attributes
+    ----------
+    budget : budgets.BudgetRule
+        Repeated sends.
+    lease_time : datetime.timedelta
+        How far apart the orders of two holders must lie.
+    weights_within : datetime.timedelta
+        Time from naming weights until no run begins on older ones.
+    """
+
+    budget: budgets.BudgetRule
+    lease_time: datetime.timedelta = datetime.timedelta(seconds=3)
+    weights_within: datetime.timedelta = datetime.timedelta(seconds=8)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """A version of the configuration, from the platform or a peer."""
+
+    configuration: routes.Configuration
+
+
+class Gateway:
+    """Everything that a daemon on the platform decides.
+
+    Parameters
+    ----------
+    me : events.Host
+        This daemon's own entry host.
+    terms : Terms
+        The platform's figures.
+    policy : world.Policy, optional
+        The numbers in force.
+    seed : int
+        The seed of all random choices.
+    seeds : tuple of str
+        Peer addresses to begin with.
+    """
+
+    def __init__(self, me, terms, policy=None, seed=0, seeds=()):
+        self.state = world.World(me, policy, seed)
+        self.state.put_entry(catalogue.me_as_entry(me))
+        self.weights = weights.Weights(self.state, terms.weights_within)
+        self.stores = kvstores.KvStores(self.state)
+        self.forwarding = forwarding.Forwarding(
+            self.state,
+            self.weights,
+            self.stores,
+            budgets.SharedBudgets(terms.budget),
+        )
+        self.lease = lease.Lease(self.state, terms.lease_time)
+        self.rollout = rollout.Rollout(self.state, self.weights, self.lease)
+        self.membership = membership.Membership(self.state, seeds)
+        self._targets = targetlist.TargetList(self.state)
+        self._entries = catalogue.Catalogue(self.state)
+        self._systems = (
+            self._targets,
+            self.weights,
+            self.stores,
+            self.lease,
+            self.rollout,
+        )
+
+    def step(self, now, happened):
+        """Take events in, in their order, and return the commands they lead to."""
+        for event in happened:
+            self._take(event, now)
+        return self.state.take_commands()
+
+    def is_ready(self):
+        """Return whether requests can be served here."""
+        return (
+            self.forwarding.configuration is not None
+            and len(self.state.targets) > 0
+            and not self.state.leaving
+        )
+
+    def addresses(self, data_centre, now):
+        """Return the addresses of entry hosts for a caller in a data centre."""
+
+        def reachable(name):
+            return self.membership.is_reachable(name, now)
+
+        return directory.choose_addresses(self.state, data_centre, reachable)
+
+    def _take(self, event, now):
+        match event:
+            case events.Tick():
+                self._tick(now)
+            case ConfigurationRead():
+                self._adopt(event.configuration, now)
+            case events.HostsListed():
+                self._entries.list_hosts(event, now)
+            case events.GossipReceived():
+                self.membership.receive(event, now)
+            case events.GossipAnswered():
+                self.membership.answered(event, now)
+            case events.LeaveAsked():
+                self.membership.leave(now)
+                self.lease.give_back(now)
+            case events.HasLeft():
+                self.membership.has_left(now)
+            case _:
+                if not any(system.take(event, now) for system in self._systems):
+                    raise TypeError(f"No system takes {event!r}.")
+
+    def _adopt(self, configuration, now):
+        """Put a configuration in force, unless a later one is.
+
+        Guards against an old read, or a peer that is behind, taking a change
+        back: the version only rises within one life of the process.
+        """
+        current = self.forwarding.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.forwarding.configuration = configuration
+        self.stores.adopt(configuration)
+        self.state.emit(commands.Note("configuration", str(configuration.version)))
+        self.membership.spread(now)
+
+    def _tick(self, now):
+        self.membership.tick(now)
+        self._targets.tick(now)
+        self.lease.tick(now)
+        self.rollout.tick(now)
+        if self.lease.is_held(now):
+            self.stores.free_replaced(self._salt_is_kept, now)
+
+    def _salt_is_kept(self, salt):
+        """Return whether a salt may belong to weights that a target runs."""
+        version, _, _ = salt.partition(".")
+        if not version.isdigit():
+            return False
+        running = [
+            known
+            for row in self.state.targets
+            for known in row.version_by_model.values()
+        ]
+        return not running or int(version) >= min(running)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -0,0 +1,338 @@
+"""What the KV stores hold, and what is fetched from and saved to them."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import commands, hashing, tables
+
+# A save that no event has confirmed after this long was lost, and its part may
+# be sent again. Events come within 0.1 s; a large part on a slow link takes 1 s.
+_SAVE_LOST_AFTER = datetime.timedelta(seconds=3)
+# A store that hasn't answered for this long isn't used: an engine that fetches
+# from a dead store waits for some hundred ms.
+_SILENT_AFTER = datetime.timedelta(seconds=2.5)
+# Part of a store's capacity that is filled. The rest covers saves that other
+# daemons have begun and that this one hasn't heard of.
+_FILLED_SHARE = 0.94
+# A fetch is given up after this many times its expected time and a fixed part,
+# so that a link that turned slow costs less than the prompt's reading would.
+_PATIENCE = 2.0
+_PATIENCE_FIXED = datetime.timedelta(milliseconds=120)
+# Links between data centres take twice as long, between regions ten times.
+_CROSS_DATA_CENTRE = 2.0
+# Parts of replaced weights are freed this long after the last engine left them;
+# a fetch of one can't have begun later and ends within a second.
+_FREED_AFTER = datetime.timedelta(seconds=4)
+_FREED_AT_ONCE = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A part of a prompt, which other prompts may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEvent:
+    """A part is whole at a store, or no longer there.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that are stored now; 0 where it is gone.
+    """
+
+    salt: str
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreChanged:
+    """What a store tells of its parts.
+
+    Attributes
+    ----------
+    whole_list : bool
+        Whether `parts` is all that it holds, rather than what has changed.
+    clock_ms : float or None
+        The engines' clock when it told.
+    """
+
+    store: str
+    boot: int
+    parts: tuple[PartEvent, ...]
+    whole_list: bool = False
+    clock_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSilent:
+    """A store did not answer."""
+
+    store: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfers:
+    """Where an engine fetches and saves the parts of one prompt.
+
+    Attributes
+    ----------
+    fetch_from : tuple of str or None
+        A store's address, or None, for each part.
+    save_to : tuple of str or None
+        A store's address, or None, for each part.
+    seconds : float
+        The expected time of the fetches.
+    until_ms : int or None
+        When a fetch is to be given up, on the engines' clock.
+    """
+
+    fetch_from: tuple = ()
+    save_to: tuple = ()
+    seconds: float = 0.0
+    until_ms: int | None = None
+
+
+NO_TRANSFERS = Transfers()
+
+
+@dataclasses.dataclass(slots=True)
+class StoreRow:
+    """A KV store as this daemon knows it."""
+
+    name: str
+    store: object
+    boot: int = 0
+    tokens_by_part: dict = dataclasses.field(default_factory=dict)
+    saving_by_part: dict = dataclasses.field(default_factory=dict)
+    used: int = 0
+    heard_at: datetime.datetime | None = None
+    clock_lead: float | None = None
+
+    def alive(self, now):
+        """Return whether the store has told of itself lately."""
+        return self.heard_at is not None and now - self.heard_at < _SILENT_AFTER
+
+    def has_room(self, tokens):
+        """Return whether a part of this size fits."""
+        saving = sum(count for count, _ in self.saving_by_part.values())
+        return self.used + saving + tokens <= self.store.capacity * _FILLED_SHARE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreeParts:
+    """Have a store free parts, if it hasn't started anew."""
+
+    store: str
+    address: str
+    boot: int
+    parts: tuple[tuple[str, str], ...]
+    until_ms: int | None
+
+
+class KvStores:
+    """Keeps what each store holds, and plans transfers.
+
+    A part is fetched only where the store told that it is whole. Nothing is
+    freed but parts of weights that no engine runs any more, so a part that
+    was planned for a fetch stays whole until the fetch has ended.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self.rows: tables.Table[StoreRow] = tables.Table("name")
+        self._old_salts_since = {}
+
+    def adopt(self, configuration):
+        """Take the stores of a configuration."""
+        stores = {
+            service.name: service.kv_store
+            for service in configuration.service_by_name.values()
+            if service.kv_store is not None
+        }
+        for row in list(self.rows):
+            if row.name not in stores:
+                self.rows.remove(row.name)
+        for name, store in stores.items():
+            row = self.rows.get(name)
+            if row is None or row.store.address != store.address:
+                self.rows.add(StoreRow(name, store))
+            else:
+                row.store = store
+
+    def take(self, event, now):
+        """Take in one of this module's events; return whether it was one."""
+        match event:
+            case StoreChanged():
+                self._change(event, now)
+            case StoreSilent():
+                row = self.rows.get(event.store)
+                if row is not None:
+                    row.heard_at = None
+            case _:
+                return False
+        return True
+
+    def _change(self, event, now):
+        row = self.rows.get(event.store)
+        if row is None:
+            return
+        if row.heard_at is None:
+            self._state.emit(commands.Note("kv_store_heard", row.name))
+        row.heard_at = now
+        if event.clock_ms is not None:
+            row.clock_lead = event.clock_ms - now.timestamp() * 1000.0
+        if event.boot != row.boot or event.whole_list:
+            # A store that started anew holds nothing of what it held before.
+            row.boot = event.boot
+            row.tokens_by_part.clear()
+            row.used = 0
+        for part in event.parts:
+            key = part.salt, part.part_id
+            row.saving_by_part.pop(key, None)
+            row.used -= row.tokens_by_part.pop(key, 0)
+            if part.tokens > 0:
+                row.tokens_by_part[key] = part.tokens
+                row.used += part.tokens
+
+    def plan(self, engines, engine_row, salt, parts, now):
+        """Return the `Transfers` for a prompt's shared parts at an engine.
+
+        Parameters
+        ----------
+        engines : routes.Engines
+            The engine's service.
+        engine_row : world.TargetRow
+            The engine.
+        salt : str
+            What the engine stores the parts under.
+        parts : tuple of Part
+            All parts of the prompt; the last one is its own.
+        """
+        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
+        if not rows or len(parts) < 2:
+            return NO_TRANSFERS
+        near = engine_row.data_centre
+        fetch_from, save_to, seconds = [], [], 0.0
+        reached = True
+        for part in parts[:-1]:
+            holder = self._holder(rows, salt, part, near)
+            if holder is None:
+                reached = False
+                save_to.append(self._save(rows, salt, part, near, now))
+            else:
+                save_to.append(None)
+            if reached:
+                fetch_from.append(holder.store.address)
+                seconds += _transfer_seconds(engines, holder.store, part.tokens, near)
+            else:
+                fetch_from.append(None)
+        fetch_from.append(None)
+        save_to.append(None)
+        until = None
+        if seconds:
+            until = _until(rows, now, seconds)
+        return Transfers(tuple(fetch_from), tuple(save_to), seconds, until)
+
+    def transfer_seconds(self, engines, data_centre, salt, parts, now):
+        """Return the expected time to bring all shared parts, or None."""
+        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
+        seconds = 0.0
+        for part in parts[:-1]:
+            holder = self._holder(rows, salt, part, data_centre)
+            if holder is None:
+                return None
+            seconds += _transfer_seconds(
+                engines, holder.store, part.tokens, data_centre
+            )
+        return seconds
+
+    def free_replaced(self, kept_salts, now):
+        """Free the parts whose salt belongs to weights that nobody runs.
+
+        Parameters
+        ----------
+        kept_salts : callable
+            Whether a salt belongs to weights that any engine may run.
+        """
+        for row in self.rows:
+            if not row.store.managed or not row.alive(now):
+                continue
+            old = [key for key in row.tokens_by_part if not kept_salts(key[0])]
+            if not old:
+                self._old_salts_since.pop(row.name, None)
+                continue
+            since = self._old_salts_since.setdefault(row.name, now)
+            if now - since >= _FREED_AFTER:
+                until = _clock_ms(row, now + _FREED_AFTER)
+                self._state.emit(
+                    FreeParts(
+                        row.name,
+                        row.store.address,
+                        row.boot,
+                        tuple(old[:_FREED_AT_ONCE]),
+                        until,
+                    )
+                )
+
+    def _holder(self, rows, salt, part, near):
+        """Return a store that has all of a part, a near one if there is one."""
+        holders = [
+            row
+            for row in rows
+            if row.tokens_by_part.get((salt, part.part_id), 0) >= part.tokens
+        ]
+        return min(
+            holders,
+            key=lambda row: (row.store.data_centre != near, row.name),
+            default=None,
+        )
+
+    def _save(self, rows, salt, part, near, now):
+        """Return where to save a part, and count on it being saved there."""
+        key = salt, part.part_id
+        for row in rows:
+            saving = row.saving_by_part.get(key)
+            if saving is not None and now - saving[1] < _SAVE_LOST_AFTER:
+                return None
+        for row in rows:
+            row.saving_by_part.pop(key, None)
+        chosen = [row for row in rows if row.has_room(part.tokens)]
+        local = [row for row in chosen if row.store.data_centre == near]
+        row_by_name = {row.name: row for row in local or chosen}
+        name = hashing.first(part.part_id, row_by_name)
+        if name is None:
+            return None
+        row_by_name[name].saving_by_part[key] = part.tokens, now
+        return row_by_name[name].store.address
+
+
+def _transfer_seconds(engines, store, tokens, data_centre):
+    rate = min(engines.link_bits_per_second, store.link_bits_per_second)
+    seconds = tokens * engines.kv_token_bytes * 8.0 / rate
+    if store.data_centre != data_centre:
+        seconds *= _CROSS_DATA_CENTRE
+    return seconds + store.first_byte.total_seconds()
+
+
+def _until(rows, now, seconds):
+    patience = datetime.timedelta(seconds=seconds) * _PATIENCE + _PATIENCE_FIXED
+    known = [row for row in rows if row.clock_lead is not None]
+    if not known:
+        return None
+    return max(_clock_ms(row, now + patience) for row in known)
+
+
+def _clock_ms(row, at):
+    if row.clock_lead is None:
+        return None
+    return int(at.timestamp() * 1000.0 + row.clock_lead)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -0,0 +1,208 @@
+"""A lease in the platform's store, held by one entry host at a time."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import commands, hashing
+
+# The holder acts for this part of the lease's time after it last renewed it,
+# counted from before the renewal was sent, and renews three times as often.
+_ACTING_SHARE = 0.5
+_RENEW_SHARE = 1 / 6
+# Another host takes the lease over once it has seen it unchanged for the time
+# that the holder may act, a whole lease time in which the holder can't have
+# acted, and this much for clocks that run apart.
+_MARGIN = datetime.timedelta(milliseconds=300)
+# A candidate looks this often; only the first two of the fleet are candidates.
+_LOOK_SHARE = 1 / 3
+_CANDIDATES = 2
+_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """The lease as it is stored.
+
+    Attributes
+    ----------
+    holder : str
+        Name and incarnation of the holder; empty where it was given back.
+    epoch : int
+        Rises with every change of the holder; targets compare it.
+    """
+
+    holder: str
+    epoch: int
+    renewals: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLease:
+    """Read the lease."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteLease:
+    """Write the lease in place of the revision that was read; 0 to create it."""
+
+    record: LeaseRecord
+    replaces: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseFound:
+    """The lease as it was read, or as a write met it; no record if none."""
+
+    record: LeaseRecord | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseWritten:
+    """A write of ours took effect."""
+
+    record: LeaseRecord
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseUnknown:
+    """A read or write got no answer; a write may yet take effect."""
+
+
+class Lease:
+    """Decides when to take, renew and give back the lease.
+
+    No clocks of two hosts are compared. The holder counts from before it sent
+    a renewal; others count from when they first saw that renewal, which is
+    later. A holder that was paused finds its time over when it wakes up.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    duration : datetime.timedelta
+        How far apart the acts of two holders must lie.
+    """
+
+    def __init__(self, state, duration):
+        self._state = state
+        self._duration = duration
+        self._me = f"{state.me.name}/{state.me.incarnation}"
+        self._record = None
+        self._revision = 0
+        self._seen_at = None
+        self._held_from = None
+        self._sent_at = None
+        self._busy = False
+        self._next_look = None
+        self._leaving = False
+
+    @property
+    def epoch(self):
+        """The epoch of the lease as it was last seen."""
+        return self._record.epoch if self._record is not None else 0
+
+    def is_held(self, now):
+        """Return whether this host may act as the holder now."""
+        if self._held_from is None:
+            return False
+        return now - self._held_from < self._duration * _ACTING_SHARE
+
+    def tick(self, now):
+        """Renew, look or take over when it is time."""
+        if self._busy and now - self._sent_at < self._duration:
+            return
+        if self._leaving:
+            return
+        if self._mine():
+            if now - self._held_from >= self._duration * _RENEW_SHARE:
+                self._write(self._renewed(), now)
+            return
+        if self._next_look is not None and now < self._next_look:
+            return
+        if not self._is_candidate():
+            self._next_look = now + self._duration * _LOOK_SHARE
+            return
+        if self._may_take_over(now):
+            self._write(LeaseRecord(self._me, self.epoch + 1), now)
+        else:
+            self._look(now)
+
+    def take(self, event, now):
+        """Take in one of this module's events; return whether it was one."""
+        match event:
+            case LeaseFound():
+                self._busy = False
+                self._see(event.record, event.revision, now)
+            case LeaseWritten():
+                self._busy = False
+                if self._held_from is None:
+                    self._state.emit(
+                        commands.Note(
+                            "lease_taken", self._me, f"epoch {event.record.epoch}"
+                        )
+                    )
+                self._record, self._revision = event.record, event.revision
+                self._seen_at = now
+                self._held_from = self._sent_at if event.record.holder else None
+            case LeaseUnknown():
+                # Whether a write took effect shows when the lease is read.
+                self._busy = False
+                self._next_look = now + _RETRY_AFTER
+                if self._mine():
+                    self._look(now)
+            case _:
+                return False
+        return True
+
+    def give_back(self, now):
+        """Leave the lease to others, who still wait until no act can follow."""
+        self._leaving = True
+        if self.is_held(now):
+            record = LeaseRecord("", self.epoch, 0)
+            self._state.emit(WriteLease(record, self._revision))
+        self._held_from = None
+
+    def _mine(self):
+        return self._held_from is not None
+
+    def _renewed(self):
+        return dataclasses.replace(self._record, renewals=self._record.renewals + 1)
+
+    def _see(self, record, revision, now):
+        if revision == self._revision and self._seen_at is not None:
+            return
+        changed_hands = record is None or record.holder != self._me
+        if self._held_from is not None and changed_hands:
+            self._state.emit(commands.Note("lease_lost", self._me))
+            self._held_from = None
+        self._record, self._revision, self._seen_at = record, revision, now
+        if self._held_from is not None:
+            # A renewal of ours took effect though its answer was lost.
+            self._held_from = self._sent_at
+
+    def _may_take_over(self, now):
+        """Return whether nobody can act under the lease any more."""
+        if self._seen_at is None:
+            return False
+        if self._record is None:
+            return True
+        quiet_for = self._duration + _MARGIN
+        if self._record.holder:
+            quiet_for += self._duration * _ACTING_SHARE
+        return now - self._seen_at >= quiet_for
+
+    def _is_candidate(self):
+        names = [row.name for row in self._state.live_entries()]
+        return self._state.me.name in hashing.rank("lease", names)[:_CANDIDATES]
+
+    def _look(self, now):
+        self._busy, self._sent_at = True, now
+        self._next_look = now + self._duration * _LOOK_SHARE
+        self._state.emit(ReadLease())
+
+    def _write(self, record, now):
+        self._busy, self._sent_at = True, now
+        self._next_look = now + _RETRY_AFTER
+        self._state.emit(WriteLease(record, self._revision))
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -10,6 +10,7 @@
 PEERS_INSIDE = 2
 PEERS_OUTSIDE = 1
 MAX_LEAVING_TARGETS = 256
+MAX_TARGET_VERSIONS = 256
 _REVIVE_CHANCE = 0.1
 _DEAD_KEPT_FOR = datetime.timedelta(minutes=10)
 _State = events.HostState
@@ -85,6 +86,7 @@
         sender = self._state.entries.get(message.sender)
         if sender is not None:
             self._fetch_revision(sender.peer_address, message.revision)
+            self._read_again(sender.peer_address, message.seen)
         inside = message.data_centre == self._state.me.data_centre
         newer, wanted = self._compare(message)
         reply = self._message(inside, newer, wanted)
@@ -95,6 +97,7 @@
         self._state.knows_entries = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
+        self._read_again(event.peer_address, event.message.seen)
         asked_for = [
             self._state.entries.get(name)
             for name in event.message.wanted
@@ -117,6 +120,18 @@
                 commands.FetchDeclarations(peer_address, self._state.revision)
             )
 
+    def _read_again(self, peer_address, seen):
+        """Have kinds read again of which the peer saw a change unknown here.
+
+        Guards against a watch that has gone silent, or a platform that turns
+        this host away: the change shows only in what peers say.
+        """
+        for item in seen:
+            if item.revision > self._state.covered_by_kind.get(item.kind, 0):
+                self._state.emit(
+                    commands.ReadAgain(item.kind, item.revision, peer_address)
+                )
+
     def _judge_silence(self, now):
         """Suspect, then give up, members of this data centre that are silent.
 
@@ -125,6 +140,9 @@
         """
         state = self._state
         limit = state.policy.suspect_after
+        for name in state.entries.keys_of("data_centre"):
+            # One that is never heard of counts from when it was first known.
+            self._pulse_heard_at.setdefault(name, now)
         for row in list(state.entries.where("data_centre", state.me.data_centre)):
             if row.name == state.me.name:
                 continue
@@ -197,8 +215,21 @@
             tuple(wanted),
             self._leaving_targets(),
             state.revision,
+            tuple(
+                events.SeenRevision(kind, revision)
+                for kind, revision in state.seen_by_kind.items()
+            ),
+            self._target_versions(),
         )
 
+    def _target_versions(self):
+        versions = [
+            events.TargetVersion(row.name, model, version)
+            for row in self._state.targets
+            for model, version in row.version_by_model.items()
+        ]
+        return tuple(versions[:MAX_TARGET_VERSIONS])
+
     def _leaving_targets(self):
         leaving = [
             events.LeavingTarget(row.name, row.url)
@@ -254,6 +285,14 @@
             self._merge_pulse(digest, now)
         for leaving in message.leaving_targets:
             self._merge_leaving(leaving)
+        for running in message.target_versions:
+            self._merge_version(running)
+
+    def _merge_version(self, running):
+        row = self._state.targets.get(running.target)
+        if row is not None:
+            known = row.version_by_model.get(running.model, 0)
+            row.version_by_model[running.model] = max(known, running.version)
 
     def _merge_pulse(self, digest, now):
         if digest.pulse > self._pulse_by_data_centre.get(digest.name, -1):
--- a/packages/decide/sesamespindle/decide/retries.py
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -13,14 +13,28 @@
     Guards against retries that finish off a target which is only slow: over
     any long time at most `BUDGET_RATIO` of the attempts are retries. Each pool
     has its own, so a failing pool can't spend another's.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by each first attempt.
+    burst : float
+        The most retries that may be saved up.
     """
 
-    def __init__(self):
-        self._tokens = BUDGET_BURST
+    def __init__(self, ratio=BUDGET_RATIO, burst=BUDGET_BURST):
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
 
     def earn(self):
         """Count a first attempt."""
-        self._tokens = min(self._tokens + BUDGET_RATIO, BUDGET_BURST)
+        self._tokens = min(self._tokens + self._ratio, self._burst)
+
+    def limit(self, burst):
+        """Change how many retries may be saved up."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
 
     def spend(self):
         """Return whether a retry may be made, and count it if so."""
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -97,6 +97,15 @@
     reported_backlog: int = 0
     prefill_rate: float = 20_000.0
     sent_by_request: dict[str, SentWork] = dataclasses.field(default_factory=dict)
+    # What follows is kept of targets that the platform lists by incarnation.
+    slots: int = 1
+    revision: int = 0
+    missing_since: datetime.datetime | None = None
+    version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
+    switching_until: datetime.datetime | None = None
+    reported_load: int = 0
+    service_time: datetime.timedelta | None = None
+    failure_rate: float = 0.0
 
     def usable(self, now):
         """Return whether the target may get new work."""
@@ -169,6 +178,10 @@
         self.entries: tables.Table[EntryRow] = tables.Table("name", "data_centre")
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
         self.region_by_data_centre: dict[str, str] = {}
+        # The latest change seen, and the revision up to which all are known,
+        # by kind of object.
+        self.seen_by_kind: dict[str, int] = {}
+        self.covered_by_kind: dict[str, int] = {}
         # Rises with every change of the entries or their states.
         self.view = 0
         # Counts the places given in turn, where routing goes in turn.
--- a/packages/wire/sesamespindle/wire/clock.py
+++ b/packages/wire/sesamespindle/wire/clock.py
@@ -13,19 +13,21 @@
 
 
 class SystemClock:
-    """The host's clock as it was at the start, moved on by the monotonic one.
+    """The host's clock as it was at the start, moved on by the time since boot.
 
     Guards against a host clock that is set back while the process runs, which
-    would make deadlines and leases last longer than they should.
+    would make deadlines and leases last longer than they should. The time
+    since boot also counts while the host is suspended, which the monotonic
+    clock doesn't: a lease that ran out meanwhile is seen to have run out.
     """
 
     def __init__(self):
         self._start = datetime.datetime.now(datetime.UTC)
-        self._monotonic_start = time.monotonic()
+        self._boot_start = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self):
         """Return the present in UTC; it never goes back."""
-        passed = time.monotonic() - self._monotonic_start
+        passed = time.clock_gettime(time.CLOCK_BOOTTIME) - self._boot_start
         return self._start + datetime.timedelta(seconds=passed)
 
 
