Learn weight versions only from what targets show, and release leases by gossip

Cause: a 421 was taken for the newest version, and gossip spread it, so engines that were one version behind refused all sends for good.

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -12,7 +12,7 @@
 # An idle connection is used again for this long. Targets close theirs after a
 # few seconds; a request that crosses the close can't be repeated if it isn't
 # idempotent.
-_IDLE_SECONDS = 2.5
+_IDLE_SECONDS = 4.0
 # A peer that answers no probes is given up after `idle + count * interval`
 # seconds, so that a connection that went silent shows without a close.
 _KEEPALIVE_IDLE_SECONDS = 1
--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -59,6 +59,9 @@
         self._server = server
         self._on_commands()
 
+    def _now(self):
+        return self._driver.clock.now()
+
     def _on_commands(self):
         driver = self._driver
         driver.on(commands.GossipTo, lambda item: self._spawn(self._gossip(item)))
@@ -98,11 +101,12 @@
     async def Gossip(self, request, context):
         """Answer a peer's half of a round."""
         await self._check(request, context)
-        message = peermessages.gossip_from_wire(request)
+        message = peermessages.gossip_from_wire(request, self._now())
         reply = await self._exchange(
             lambda exchange_id: events.GossipReceived(exchange_id, message)
         )
-        return peermessages.gossip_to_wire(reply.message, self._clock.stamp())
+        stamp = self._clock.stamp()
+        return peermessages.gossip_to_wire(reply.message, stamp, self._now())
 
     async def AskSlices(self, request, context):
         """Grant slices of the accounts that this daemon owns."""
@@ -212,12 +216,14 @@
         return call_runner.CallReply(stored, answer.replayed)
 
     async def _gossip(self, command):
-        message = peermessages.gossip_to_wire(command.message, self._clock.stamp())
+        stamp = self._clock.stamp()
+        message = peermessages.gossip_to_wire(command.message, stamp, self._now())
         answer = await self._call(command.peer_address, "Gossip", message)
         if answer is not None:
             self._driver.feed(
                 events.GossipAnswered(
-                    command.peer_address, peermessages.gossip_from_wire(answer)
+                    command.peer_address,
+                    peermessages.gossip_from_wire(answer, self._now()),
                 )
             )
 
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -1,6 +1,7 @@
 """Turning the decision logic's peer messages into protobuf and back."""
 
 import dataclasses
+import datetime
 
 from sesamespindle.decide import events
 from sesamespindle.wire import peers_pb2
@@ -23,7 +24,7 @@
     documents: dict
 
 
-def gossip_to_wire(message, stamp):
+def gossip_to_wire(message, stamp, now):
     """Return the protobuf form of an `events.GossipMessage`."""
     return peers_pb2.GossipMessage(
         sender=message.sender,
@@ -55,10 +56,11 @@
             )
             for item in message.target_versions
         ],
+        lease_release=_release_to_wire(message.lease_release, now),
     )
 
 
-def gossip_from_wire(message):
+def gossip_from_wire(message, now):
     """Return the `events.GossipMessage` of a protobuf message."""
     return events.GossipMessage(
         message.sender,
@@ -83,9 +85,25 @@
             events.TargetVersion(item.target, item.model, item.version)
             for item in message.target_versions
         ),
+        _release_from_wire(message, now),
     )
 
 
+def _release_to_wire(release, now):
+    """Return how long ago the last act was; hosts' clocks aren't compared."""
+    if release is None:
+        return None
+    quiet_for = (now - release.last_act_at).total_seconds()
+    return peers_pb2.LeaseRelease(epoch=release.epoch, quiet_seconds=quiet_for)
+
+
+def _release_from_wire(message, now):
+    if not message.HasField("lease_release"):
+        return None
+    quiet_for = datetime.timedelta(seconds=message.lease_release.quiet_seconds)
+    return events.LeaseRelease(message.lease_release.epoch, now - quiet_for)
+
+
 def asks_to_wire(asks):
     """Return the protobuf forms of `events.SliceAsk` records."""
     return [
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -17,7 +17,7 @@
 _CHUNK_BYTES = 64 * 1024
 # A target that keeps idle connections for less than this is not trusted with
 # a kept connection: the pool would use it up to its end.
-_SHORTEST_IDLE_SECONDS = 3
+_SHORTEST_IDLE_SECONDS = 5
 
 
 class _CutOffError(Exception):
@@ -228,6 +228,9 @@
         load = self._dialect.load(response.headers)
         if load is not None:
             self._forwarding.report_load(forward.target, load.running, load.waiting)
+        version = self._dialect.weight_version(response.headers)
+        if version is not None:
+            self._forwarding.report_version(forward.request_id, version)
         idle = self._dialect.idle_time(response.headers)
         keeps = idle is None or idle >= _SHORTEST_IDLE_SECONDS
         ending = self._dialect.judge(forward, response.status, response.headers)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -337,6 +337,20 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRelease:
+    """A holder will never act under a lease's epoch again.
+
+    Attributes
+    ----------
+    last_act_at : datetime.datetime
+        When it last acted, by the clock of whoever has this record.
+    """
+
+    epoch: int
+    last_act_at: datetime.datetime
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipMessage:
     """One half of a round of gossip."""
@@ -351,6 +365,7 @@
     revision: int = 0
     seen: tuple[SeenRevision, ...] = ()
     target_versions: tuple[TargetVersion, ...] = ()
+    lease_release: LeaseRelease | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -131,7 +131,7 @@
     runs: int = 0
     sent_at: datetime.datetime | None = None
     tried: set = dataclasses.field(default_factory=set)
-    wrong_version: bool = False
+    version: int | None = None
 
 
 class Forwarding:
@@ -234,6 +234,15 @@
         if row is not None:
             row.reported_load = running + waiting
 
+    def report_version(self, request_id, version):
+        """Take in the weight version that a target told with an answer."""
+        flight = self.flight_by_request.get(request_id)
+        if flight is None or not flight.request.model:
+            return
+        row = self._state.targets.get(flight.target)
+        if row is not None:
+            row.learn_version(flight.request.model, version)
+
     def _entries(self):
         return max(len(self._state.live_entries()), 1)
 
@@ -270,6 +279,7 @@
 
     def _start(self, flight, row, version, salt, transfers, now):
         flight.target = row.name
+        flight.version = version
         flight.sends += 1
         flight.sent_at = now
         flight.tried.add(row.name)
@@ -329,16 +339,14 @@
         shared = sum(part.tokens for part in prompt[:-1])
         own = sum(part.tokens for part in prompt[-1:])
         work = placement.Work(shared, own, _affinity(flight.request), seconds)
-        version_of = None
-        if self._weights.prefers_newest(model, now):
 
-            def version_of(row):
-                return row.version_by_model.get(model, 1) >= named
+        def loss_of(row):
+            return self._weights.loss(row, model, now)
 
-        row = placement.choose_engine(rows, work, now, version_of, self._entries())
+        row = placement.choose_engine(rows, work, now, loss_of, self._entries())
         if row is None:
             return None, None, None
-        version = row.version_by_model.get(model, 1)
+        version = self._weights.running(row, model)
         return row, version, self._salt(flight, version)
 
     def _salt(self, flight, version):
@@ -399,7 +407,8 @@
                 self._state.targets.remove(row.name)
                 self._state.emit(commands.Note("target_replaced", row.name, row.url))
             case Ending.WRONG_VERSION:
-                self._weights.note_other_version(row, flight.request.model)
+                self._weights.note_refused(row, flight.request.model, flight.version)
+                flight.tried.discard(row.name)
             case Ending.FAILED | Ending.LOST | Ending.SILENT:
                 _note_result(row, True)
 
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -22,8 +22,10 @@
 _CROSS_DATA_CENTRE = 2.0
 # Parts of replaced weights are freed this long after the last engine left them;
 # a fetch of one can't have begun later and ends within a second.
-_FREED_AFTER = datetime.timedelta(seconds=4)
-_FREED_AT_ONCE = 200
+_FREED_AFTER = datetime.timedelta(seconds=2)
+# An order to free that got no answer is given again after this.
+_FREE_AGAIN_AFTER = datetime.timedelta(seconds=2)
+_FREED_AT_ONCE = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +70,15 @@
     clock_ms: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartsFreed:
+    """A store has freed parts as it was told."""
+
+    store: str
+    boot: int
+    parts: tuple[tuple[str, str], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSilent:
     """A store did not answer."""
@@ -151,6 +162,7 @@
         self._state = state
         self.rows: tables.Table[StoreRow] = tables.Table("name")
         self._old_salts_since = {}
+        self._free_asked_at = {}
 
     def adopt(self, configuration):
         """Take the stores of a configuration."""
@@ -178,10 +190,20 @@
                 row = self.rows.get(event.store)
                 if row is not None:
                     row.heard_at = None
+            case PartsFreed():
+                self._forget(event)
             case _:
                 return False
         return True
 
+    def _forget(self, event):
+        """Forget freed parts; the store's own event of it may get lost."""
+        row = self.rows.get(event.store)
+        if row is None or row.boot != event.boot:
+            return
+        for key in event.parts:
+            row.used -= row.tokens_by_part.pop(key, 0)
+
     def _change(self, event, now):
         row = self.rows.get(event.store)
         if row is None:
@@ -272,7 +294,11 @@
                 self._old_salts_since.pop(row.name, None)
                 continue
             since = self._old_salts_since.setdefault(row.name, now)
+            asked_at = self._free_asked_at.get(row.name)
+            if asked_at is not None and now - asked_at < _FREE_AGAIN_AFTER:
+                continue
             if now - since >= _FREED_AFTER:
+                self._free_asked_at[row.name] = now
                 until = _clock_ms(row, now + _FREED_AFTER)
                 self._state.emit(
                     FreeParts(
--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, hashing
+from sesamespindle.decide import commands, events, hashing
 
 # The holder acts for this part of the lease's time after it last renewed it,
 # counted from before the renewal was sent, and renews three times as often.
@@ -26,7 +26,7 @@
     Attributes
     ----------
     holder : str
-        Name and incarnation of the holder; empty where it was given back.
+        Name and incarnation of the holder.
     epoch : int
         Rises with every change of the holder; targets compare it.
     """
@@ -97,6 +97,8 @@
         self._busy = False
         self._next_look = None
         self._leaving = False
+        self._acted_at = None
+        self._released_epoch = 0
 
     @property
     def epoch(self):
@@ -109,8 +111,14 @@
             return False
         return now - self._held_from < self._duration * _ACTING_SHARE
 
+    def note_act(self, now):
+        """Remember that the holder has acted."""
+        self._acted_at = now
+
     def tick(self, now):
         """Renew, look or take over when it is time."""
+        if self._mine() and not self.is_held(now):
+            self._release(now)
         if self._busy and now - self._sent_at < self._duration:
             return
         if self._leaving:
@@ -145,7 +153,8 @@
                     )
                 self._record, self._revision = event.record, event.revision
                 self._seen_at = now
-                self._held_from = self._sent_at if event.record.holder else None
+                released = event.record.epoch <= self._released_epoch
+                self._held_from = None if released else self._sent_at
             case LeaseUnknown():
                 # Whether a write took effect shows when the lease is read.
                 self._busy = False
@@ -159,10 +168,21 @@
     def give_back(self, now):
         """Leave the lease to others, who still wait until no act can follow."""
         self._leaving = True
-        if self.is_held(now):
-            record = LeaseRecord("", self.epoch, 0)
-            self._state.emit(WriteLease(record, self._revision))
+        if self._mine():
+            self._release(now)
+
+    def _release(self, now):
+        """Give up the epoch for good, and let peers know.
+
+        A holder that can't renew, because it was paused or cut off from the
+        platform, would keep all others waiting until they can be sure that it
+        no longer acts. If it still reaches a peer, that wait is shorter.
+        """
         self._held_from = None
+        self._released_epoch = self.epoch
+        acted_at = self._acted_at or now - self._duration
+        self._state.lease_release = events.LeaseRelease(self.epoch, acted_at)
+        self._state.emit(commands.Note("lease_released", self._me, f"{self.epoch}"))
 
     def _mine(self):
         return self._held_from is not None
@@ -188,9 +208,11 @@
             return False
         if self._record is None:
             return True
+        release = self._state.lease_release
+        if release is not None and release.epoch >= self._record.epoch:
+            return now - release.last_act_at >= self._duration + _MARGIN
         quiet_for = self._duration + _MARGIN
-        if self._record.holder:
-            quiet_for += self._duration * _ACTING_SHARE
+        quiet_for += self._duration * _ACTING_SHARE
         return now - self._seen_at >= quiet_for
 
     def _is_candidate(self):
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -220,6 +220,7 @@
                 for kind, revision in state.seen_by_kind.items()
             ),
             self._target_versions(),
+            state.lease_release,
         )
 
     def _target_versions(self):
@@ -287,12 +288,20 @@
             self._merge_leaving(leaving)
         for running in message.target_versions:
             self._merge_version(running)
+        self._merge_release(message.lease_release)
+
+    def _merge_release(self, release):
+        """Take in a released lease; one of a higher epoch goes before."""
+        known = self._state.lease_release
+        if release is None or (known is not None and known.epoch >= release.epoch):
+            return
+        self._state.lease_release = release
+        self._urgent = True
 
     def _merge_version(self, running):
         row = self._state.targets.get(running.target)
         if row is not None:
-            known = row.version_by_model.get(running.model, 0)
-            row.version_by_model[running.model] = max(known, running.version)
+            row.learn_version(running.model, running.version)
 
     def _merge_pulse(self, digest, now):
         if digest.pulse > self._pulse_by_data_centre.get(digest.name, -1):
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -11,12 +11,9 @@
 # What one more request that waits or runs adds at an engine, in seconds: a
 # decode step of 3 to 4 ms and a part of a prompt.
 _LOAD_SECONDS = 0.004
-# A run on weights that have been replaced is worth less with every second; this
-# many seconds of waiting are taken instead.
+# A run whose worth is lost to old weights counts as a wait of this length, and
+# so does an engine that turns all requests away while it loads.
 _OLD_WEIGHTS_SECONDS = 3.0
-# For this long after new weights are named a run on the older ones is worth
-# as much (the users count 1.5 s), and engines that load can be kept free.
-OLD_WEIGHTS_FREE_FOR = datetime.timedelta(seconds=1.2)
 # One failure in `n` costs about a whole second try.
 _FAILURE_SECONDS = 1.0
 # The price of leaving the data centre: about two crossings.
@@ -60,7 +57,7 @@
     return row_by_name.get(name)
 
 
-def choose_engine(rows, work, now, version_of=None, entries=1):
+def choose_engine(rows, work, now, loss_of, entries=1):
     """Return the engine with the least expected time to first token.
 
     Parameters
@@ -69,8 +66,8 @@
         Engines that may be used.
     work : Work
         The request.
-    version_of : callable, optional
-        Tells whether a row runs the newest weights.
+    loss_of : callable
+        Returns the share of the run's worth that a row's old weights cost.
     entries : int
         Daemons that send; each knows only its own sends for sure.
     """
@@ -81,8 +78,7 @@
         seconds = _prefill_seconds(row, work, at_home)
         seconds += _queue_seconds(row, entries)
         seconds += row.failure_rate * _FAILURE_SECONDS
-        if version_of is not None and not version_of(row):
-            seconds += _OLD_WEIGHTS_SECONDS
+        seconds += loss_of(row) * _OLD_WEIGHTS_SECONDS
         if row.switching_until is not None and now < row.switching_until:
             seconds += _OLD_WEIGHTS_SECONDS
         return seconds
--- a/packages/decide/sesamespindle/decide/rollout.py
+++ b/packages/decide/sesamespindle/decide/rollout.py
@@ -160,8 +160,7 @@
         if row is None:
             return
         for model, version in event.version_by_model.items():
-            known = row.version_by_model.get(model, 0)
-            row.version_by_model[model] = max(known, version)
+            row.learn_version(model, version)
         loading = self._loading_by_target.get(event.target)
         if loading is None or not self._lease.is_held(now):
             return
@@ -190,6 +189,7 @@
         return now - loading.ordered_at >= _ORDER_LOST_AFTER
 
     def _order(self, row, loading, orders, now):
+        self._lease.note_act(now)
         loading.ordered_at = now
         loading.ordered_after = orders
         loading.version = self._weights.named(loading.model)
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -150,8 +150,7 @@
         row.listed = True
         row.slots = target.slots
         for model, version in target.version_by_model.items():
-            known = row.version_by_model.get(model, 0)
-            row.version_by_model[model] = max(known, version)
+            row.learn_version(model, version)
         if target.leaving and not row.leaving:
             row.leaving = True
             self._state.emit(commands.Note("target_leaving", row.name, "listed"))
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -102,11 +102,19 @@
     revision: int = 0
     missing_since: datetime.datetime | None = None
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
+    # What it is thought to run after it refused what it was known to run.
+    guessed_version: int | None = None
     switching_until: datetime.datetime | None = None
     reported_load: int = 0
     service_time: datetime.timedelta | None = None
     failure_rate: float = 0.0
 
+    def learn_version(self, model, version):
+        """Take in a version that the target was seen to run; it only rises."""
+        if version > self.version_by_model.get(model, 0):
+            self.version_by_model[model] = version
+            self.guessed_version = None
+
     def usable(self, now):
         """Return whether the target may get new work."""
         if not self.listed or self.leaving or not self.url:
@@ -182,6 +190,8 @@
         # by kind of object.
         self.seen_by_kind: dict[str, int] = {}
         self.covered_by_kind: dict[str, int] = {}
+        # The latest lease that its holder has given up, as heard.
+        self.lease_release: events.LeaseRelease | None = None
         # Rises with every change of the entries or their states.
         self.view = 0
         # Counts the places given in turn, where routing goes in turn.
--- a/packages/lab/sesamespindle/lab/slopes.py
+++ b/packages/lab/sesamespindle/lab/slopes.py
@@ -134,10 +134,12 @@
 
     def _answer(self, peer, command):
         """Pass one half of a round to a peer, and its answer back."""
-        size = peermessages.gossip_to_wire(command.message, 1).ByteSize()
+        size = peermessages.gossip_to_wire(command.message, 1, self.now).ByteSize()
         for reply in peer.feed(events.GossipReceived("x", command.message)):
             if isinstance(reply, commands.GossipReply):
-                size += peermessages.gossip_to_wire(reply.message, 1).ByteSize()
+                size += peermessages.gossip_to_wire(
+                    reply.message, 1, self.now
+                ).ByteSize()
                 self.feed(events.GossipAnswered("peer", reply.message))
         return size
 
