Keep targets when the list of entry hosts comes after theirs

Cause: the list of entry hosts went through the old host list, which takes every target that isn't in it for unlisted. Test: test_targets_stay_when_the_entries_are_listed_after_them; the other tests of the gateway come with it.

--- a/packages/decide/sesamespindle/decide/catalogue.py
+++ b/packages/decide/sesamespindle/decide/catalogue.py
@@ -89,6 +89,12 @@
             if row.name not in listed_names:
                 row.listed = False
 
+    def list_entries(self, hosts, now):
+        """Take in entry hosts only; what is known of targets stays."""
+        self._state.knows_entries = True
+        for host in hosts:
+            self._list_entry(host, now)
+
     def _list_target(self, host):
         row = self._state.targets.get(host.name)
         if row is None:
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -430,7 +430,7 @@
             return PassOn(request.request_id)
         if flight.runs == 0:
             code = code or commands.Code.OVERLOADED
-            return self._refuse(request, code, "No target can take the request now.")
+            return self._refuse(request, code, self._describe(flight, now))
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
@@ -438,6 +438,16 @@
             request, code, "The target gave no whole answer.", commands.Outcome.UNKNOWN
         )
 
+    def _describe(self, flight, now):
+        """Return what is known of the service's targets, for the caller's log."""
+        rows = list(self._state.targets.where("pool", flight.service))
+        usable = sum(row.usable(now) for row in rows)
+        running = sum(row.running_here for row in rows)
+        return (
+            f"Of {len(rows)} targets {usable} may be used; "
+            f"{running} requests run from here, {self._entries()} entries."
+        )
+
     def timed_out(self, request_id, now, sent):
         """Return the final answer at the end of a request's time."""
         flight = self.flight_by_request[request_id]
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -117,7 +117,7 @@
             case ConfigurationRead():
                 self._adopt(event.configuration, now)
             case events.HostsListed():
-                self._entries.list_hosts(event, now)
+                self._entries.list_entries(event.hosts, now)
             case events.GossipReceived():
                 self.membership.receive(event, now)
             case events.GossipAnswered():
--- /dev/null
+++ b/tests/decide/test_gateway.py
@@ -0,0 +1,296 @@
+"""The decision logic on the platform, without a network."""
+
+import datetime
+
+import pytest
+
+from sesamespindle.decide import (
+    budgets,
+    commands,
+    events,
+    forwarding,
+    gateway,
+    kvstores,
+    routes,
+    targetlist,
+    weights,
+)
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+
+
+def make_route(name, prefix, repeats, streaming=False, **changed):
+    fields = {
+        "timeout": 10 * SECOND,
+        "latency_goal": SECOND,
+        "max_attempts": 2,
+        "rank": 1,
+        "shares": (routes.Share("desk", 1.0),),
+    }
+    fields |= changed
+    return routes.Route(name, "a.example", prefix, repeats, streaming, **fields)
+
+
+def make_configuration(version=1, **changed):
+    engines = routes.Engines(("m",), 8, 100_000, 1000, 1e9)
+    store = routes.KvStore("10.0.0.9:1", "dc-1", 10_000, 1e9, 0 * SECOND, True)
+    fields = {
+        "routes": (
+            make_route("once", "/once/", routes.Repeats.ONCE),
+            make_route("read", "/read/", routes.Repeats.IDEMPOTENT),
+            make_route(
+                "chat",
+                "/chat/",
+                routes.Repeats.RESUMABLE,
+                True,
+                shares=(routes.Share("llm", 1.0),),
+            ),
+        ),
+        "service_by_name": {
+            "desk": routes.Service("desk", 100),
+            "llm": routes.Service("llm", 100, engines),
+            "store": routes.Service("store", 0, None, store),
+        },
+        "account_by_key": {"key-1": routes.Account("acme")},
+        "needs_keys": True,
+    }
+    return routes.Configuration(version, **(fields | changed))
+
+
+def make_target(name, service="desk", leaving=False, revision=1, versions=None):
+    return targetlist.ListedTarget(
+        name,
+        service,
+        f"10.1.0.{name[-1]}:80",
+        "dc-1",
+        8,
+        leaving,
+        versions or {},
+        revision,
+    )
+
+
+def make_gateway(slack=50.0):
+    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
+    terms = gateway.Terms(budgets.BudgetRule(0.2, slack))
+    made = gateway.Gateway(me, terms, seed=7)
+    made.step(NOW, [gateway.ConfigurationRead(make_configuration())])
+    return made
+
+
+@pytest.fixture
+def core():
+    """Give a gateway with a configuration, two plain targets and two engines."""
+    made = make_gateway()
+    targets = (
+        make_target("desk-1"),
+        make_target("desk-2"),
+        make_target("llm-3", "llm", versions={"m": 1}),
+        make_target("llm-4", "llm", versions={"m": 1}),
+    )
+    made.step(NOW, [targetlist.TargetsListed(targets)])
+    return made
+
+
+def make_request(path, request_id="r1", key="key-1", **changed):
+    fields = {"deadline": NOW + 20 * SECOND}
+    return forwarding.Request(request_id, "a.example", path, key, **(fields | changed))
+
+
+def begin(core, path, now=NOW, **changed):
+    return core.forwarding.begin(make_request(path, **changed), now=now)
+
+
+def test_targets_stay_when_the_entries_are_listed_after_them(core):
+    """All hosts lose power and start together.
+
+    The list of entry hosts was read after the list of targets. It held no
+    target, so every target was taken for unlisted, and for as long as the
+    processes lived each request was refused for want of one.
+    """
+    host = events.Host("entry-2", "entry", "dc-1", "10.0.0.2:80", "10.0.0.2:81")
+    core.step(NOW, [events.HostsListed((host,))])
+    assert isinstance(begin(core, "/once/1"), forwarding.Forward)
+
+
+def test_refuses_what_no_route_or_key_allows(core):
+    assert begin(core, "/none/").code is commands.Code.NO_ROUTE
+    assert begin(core, "/once/", key="old").code is commands.Code.UNKNOWN_KEY
+
+
+def test_says_not_ready_rather_than_unknown_before_a_configuration():
+    """A host that has just started is asked for a route that exists.
+
+    It knows no configuration yet. A 404 or 401 would be final for the caller,
+    although the next host would serve it.
+    """
+    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80")
+    core = gateway.Gateway(me, gateway.Terms(budgets.BudgetRule()))
+    refused = begin(core, "/once/1")
+    assert refused.code is commands.Code.NOT_READY
+    assert refused.outcome is commands.Outcome.NOT_RUN
+
+
+def test_never_repeats_what_may_run_once(core):
+    """The target's answer to a booking is lost.
+
+    It isn't known whether it ran, so it goes nowhere else and the caller isn't
+    told that it hasn't run.
+    """
+    begin(core, "/once/1")
+    refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    assert isinstance(refused, commands.Refuse)
+    assert refused.outcome is commands.Outcome.UNKNOWN
+
+
+def test_sends_on_what_the_target_did_not_run(core):
+    first = begin(core, "/once/1")
+    second = core.forwarding.ended("r1", forwarding.Ending.TURNED_AWAY, now=NOW)
+    assert second.target != first.target
+
+
+def test_repeats_a_lookup_at_another_target_up_to_its_attempts(core):
+    first = begin(core, "/read/1")
+    second = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
+    assert second.target != first.target
+    last = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
+    assert isinstance(last, forwarding.PassOn)
+
+
+def test_repeats_stay_within_the_shared_budget():
+    """A service fails all lookups at a busy hour.
+
+    If each were tried twice its targets would get twice the load just when
+    they can't carry it. One host's repeats stay below its share of the slack
+    and the ratio of its own requests.
+    """
+    core = make_gateway(slack=10.0)
+    core.step(NOW, [targetlist.TargetsListed((make_target("desk-1"),))])
+    repeats = 0
+    for number in range(200):
+        request_id = f"r{number}"
+        begin(core, "/read/1", request_id=request_id)
+        ended = core.forwarding.ended(request_id, forwarding.Ending.FAILED, now=NOW)
+        repeats += isinstance(ended, forwarding.Forward)
+        core.forwarding.close(request_id, now=NOW)
+    assert 20 < repeats <= 0.2 * 200 + 10
+
+
+def test_a_configuration_never_goes_back(core):
+    newer = make_configuration(3, routes=())
+    core.step(NOW, [gateway.ConfigurationRead(newer)])
+    core.step(NOW, [gateway.ConfigurationRead(make_configuration(2))])
+    assert core.forwarding.configuration.version == 3
+
+
+def test_a_leaving_target_gets_nothing_new(core):
+    leaving = make_target("desk-1", leaving=True, revision=2)
+    core.step(NOW, [targetlist.TargetChanged(leaving)])
+    targets = {
+        begin(core, "/read/1", request_id=f"r{number}").target for number in range(9)
+    }
+    assert targets == {"desk-2"}
+
+
+def test_an_old_record_does_not_bring_a_leaving_target_back(core):
+    core.step(NOW, [targetlist.TargetChanged(make_target("desk-1", "desk", True, 5))])
+    core.step(NOW, [targetlist.TargetChanged(make_target("desk-1", revision=4))])
+    assert core.state.targets.get("desk-1").leaving
+
+
+def test_targets_that_lapsed_with_the_platform_are_used_until_they_are_back(core):
+    """The platform was away so long that all its entries lapsed.
+
+    The first list after its return is empty. The targets serve all the same,
+    and have entered themselves again two seconds later; nothing is refused.
+    """
+    core.step(NOW, [targetlist.PlatformBack(), targetlist.TargetsListed(())])
+    later = NOW + 2 * SECOND
+    core.step(later, [events.Tick()])
+    assert isinstance(begin(core, "/read/1", now=later), forwarding.Forward)
+    much_later = NOW + 3 * SECOND
+    core.step(much_later, [events.Tick()])
+    refused = begin(core, "/read/1", now=much_later, request_id="r2")
+    assert refused.code is commands.Code.NO_TARGET
+
+
+def prompt(*parts):
+    return tuple(kvstores.Part(part_id, tokens) for part_id, tokens in parts)
+
+
+def chat(core, request_id="c1", now=NOW, account="key-1", parts=None):
+    parts = parts or prompt(("a", 100), ("b", 4000), (request_id, 50))
+    return begin(
+        core,
+        "/chat/1",
+        now=now,
+        request_id=request_id,
+        key=account,
+        model="m",
+        prompt=parts,
+    )
+
+
+def test_prompts_of_one_context_share_a_target(core):
+    targets = set()
+    for number in range(12):
+        sent = chat(core, f"c{number}")
+        targets.add(sent.target)
+        core.forwarding.first_byte(f"c{number}", now=NOW)
+        core.forwarding.close(f"c{number}", now=NOW)
+    assert len(targets) == 1
+
+
+def test_cache_of_an_isolated_account_is_walled_off():
+    """Two accounts send the same prompt, and one of them is isolated.
+
+    If both kept it under one name an engine would serve one's cache to the
+    other.
+    """
+    accounts = {
+        "key-1": routes.Account("acme"),
+        "key-2": routes.Account("bank", isolated=True),
+    }
+    core = make_gateway()
+    core.step(
+        NOW, [gateway.ConfigurationRead(make_configuration(2, account_by_key=accounts))]
+    )
+    core.step(
+        NOW,
+        [targetlist.TargetsListed((make_target("llm-3", "llm", versions={"m": 1}),))],
+    )
+    assert chat(core, "c1").salt != chat(core, "c2", account="key-2").salt
+
+
+def test_salt_and_expected_version_are_what_the_target_runs(core):
+    core.step(NOW, [weights.VersionNamed("m", 2)])
+    sent = chat(core)
+    assert sent.version == 1
+    assert sent.salt == "1"
+    row = core.state.targets.get(sent.target)
+    row.learn_version("m", 2)
+    sent = chat(core, "c2", NOW + 5 * SECOND)
+    assert (sent.target, sent.version, sent.salt) == (row.name, 2, "2")
+
+
+def test_a_refused_version_is_not_taken_for_the_newest(core):
+    """Engines are two versions apart when a third is named.
+
+    An engine refused a request because it had moved on by one. It was then
+    taken to run the newest, peers heard so, and all refused it from then on.
+    """
+    core.step(NOW, [weights.VersionNamed("m", 2), weights.VersionNamed("m", 3)])
+    row = core.state.targets.get("llm-3")
+    core.weights.note_refused(row, "m", 1)
+    assert core.weights.running(row, "m") == 2
+    assert row.version_by_model == {"m": 1}
+    core.weights.note_refused(row, "m", 2)
+    core.weights.note_refused(row, "m", 3)
+    assert core.weights.running(row, "m") == 1
+
+
+def test_nothing_begins_on_weights_that_should_be_gone(core):
+    core.step(NOW, [weights.VersionNamed("m", 2)])
+    refused = chat(core, now=NOW + 7 * SECOND)
+    assert isinstance(refused, commands.Refuse)
