Choose engines by expected worth, with what peers have sent

Cause: after new weights are named all prompts went to the first two engines that had them, and first tokens took 0.8 s while three engines idled.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -57,6 +57,7 @@
             for item in message.target_versions
         ],
         lease_release=_release_to_wire(message.lease_release, now),
+        pending={item.target: item.tokens for item in message.pending},
     )
 
 
@@ -86,6 +87,7 @@
             for item in message.target_versions
         ),
         _release_from_wire(message, now),
+        tuple(events.PendingWork(*item) for item in message.pending.items()),
     )
 
 
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -337,6 +337,14 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingWork:
+    """Prompt tokens that the sender has sent to a target and that wait there."""
+
+    target: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRelease:
     """A holder will never act under a lease's epoch again.
@@ -366,6 +374,7 @@
     seen: tuple[SeenRevision, ...] = ()
     target_versions: tuple[TargetVersion, ...] = ()
     lease_release: LeaseRelease | None = None
+    pending: tuple[PendingWork, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -338,12 +338,13 @@
         )
         shared = sum(part.tokens for part in prompt[:-1])
         own = sum(part.tokens for part in prompt[-1:])
-        work = placement.Work(shared, own, _affinity(flight.request), seconds)
+        goal = flight.route.latency_goal.total_seconds()
+        work = placement.Work(shared, own, _affinity(flight.request), seconds, goal)
 
         def loss_of(row):
             return self._weights.loss(row, model, now)
 
-        row = placement.choose_engine(rows, work, now, loss_of, self._entries())
+        row = placement.choose_engine(rows, work, now, loss_of)
         if row is None:
             return None, None, None
         version = self._weights.running(row, model)
@@ -363,7 +364,8 @@
 
     def _hopeless(self, flight, row, now):
         left = flight.until - now
-        return placement.expected_wait(row, self._entries()) > left * _HOPELESS_SHARE
+        wait = datetime.timedelta(seconds=placement.queue_seconds(row, now))
+        return wait > left * _HOPELESS_SHARE
 
     def _patience(self, flight, row, now):
         """Return how long silence is borne, where another target may be tried."""
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -11,6 +11,7 @@
 PEERS_OUTSIDE = 1
 MAX_LEAVING_TARGETS = 256
 MAX_TARGET_VERSIONS = 256
+MAX_PENDING = 64
 _REVIVE_CHANCE = 0.1
 _DEAD_KEPT_FOR = datetime.timedelta(minutes=10)
 _State = events.HostState
@@ -221,8 +222,19 @@
             ),
             self._target_versions(),
             state.lease_release,
+            self._pending(),
         )
 
+    def _pending(self):
+        """Return what waits at targets from here, the most first."""
+        pending = [
+            events.PendingWork(row.name, sum(work.tokens for work in sent.values()))
+            for row in self._state.targets
+            if (sent := row.sent_by_request)
+        ]
+        pending.sort(key=lambda item: -item.tokens)
+        return tuple(pending[:MAX_PENDING])
+
     def _target_versions(self):
         versions = [
             events.TargetVersion(row.name, model, version)
@@ -289,6 +301,17 @@
         for running in message.target_versions:
             self._merge_version(running)
         self._merge_release(message.lease_release)
+        self._merge_pending(message, now)
+
+    def _merge_pending(self, message, now):
+        """Take in what a peer has sent, in place of what it told before."""
+        for row in self._state.targets:
+            row.peer_work_by_entry.pop(message.sender, None)
+        for item in message.pending:
+            row = self._state.targets.get(item.target)
+            if row is not None:
+                work = world.SentWork(now, item.tokens)
+                row.peer_work_by_entry[message.sender] = work
 
     def _merge_release(self, release):
         """Take in a released lease; one of a higher epoch goes before."""
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -11,9 +11,21 @@
 # What one more request that waits or runs adds at an engine, in seconds: a
 # decode step of 3 to 4 ms and a part of a prompt.
 _LOAD_SECONDS = 0.004
-# A run whose worth is lost to old weights counts as a wait of this length, and
-# so does an engine that turns all requests away while it loads.
-_OLD_WEIGHTS_SECONDS = 3.0
+# An engine that turns all requests away while it loads counts as this wait.
+_SWITCHING_SECONDS = 3.0
+# What a late first token costs of an answer's worth; the users state 0.8 for
+# all their prompts. Estimates are off by half, so the loss begins at half of
+# the latency goal and is whole at one and a half.
+_LATE_LOSS = 0.8
+_LATE_FROM, _LATE_AT = 0.5, 1.5
+# The loss for each second of waiting below that, so that the faster of two
+# timely engines is taken.
+_LOSS_PER_SECOND = 0.1
+# What reading a shared context again costs of an answer's worth, where all of
+# the prompt is shared; about what the users charge.
+_READ_AGAIN_LOSS = 0.3
+# What a peer told of its sends counts for this long.
+_PEER_WORK_KEPT = datetime.timedelta(seconds=1.5)
 # One failure in `n` costs about a whole second try.
 _FAILURE_SECONDS = 1.0
 # The price of leaving the data centre: about two crossings.
@@ -35,12 +47,21 @@
         What requests with the same shared context have in common, or empty.
     transfer_seconds : float or None
         Expected time to bring the shared context from a store, if one has it.
+    goal_seconds : float
+        The time to first token within which an answer is worth all it can be.
     """
 
     shared_tokens: int = 0
     own_tokens: int = 0
     affinity: str = ""
     transfer_seconds: float | None = None
+    goal_seconds: float = 0.0
+
+    @property
+    def shared_part(self):
+        """The part of the prompt that is shared, from 0 to 1."""
+        total = self.shared_tokens + self.own_tokens
+        return self.shared_tokens / total if total else 0.0
 
 
 def usable(rows, now):
@@ -57,8 +78,8 @@
     return row_by_name.get(name)
 
 
-def choose_engine(rows, work, now, loss_of, entries=1):
-    """Return the engine with the least expected time to first token.
+def choose_engine(rows, work, now, loss_of):
+    """Return the engine at which a prompt's answer is expected to be worth most.
 
     Parameters
     ----------
@@ -68,24 +89,37 @@
         The request.
     loss_of : callable
         Returns the share of the run's worth that a row's old weights cost.
-    entries : int
-        Daemons that send; each knows only its own sends for sure.
     """
     home_row = home(rows, work.affinity) if work.affinity else None
 
     def cost(row):
         at_home = row is home_row
-        seconds = _prefill_seconds(row, work, at_home)
-        seconds += _queue_seconds(row, entries)
-        seconds += row.failure_rate * _FAILURE_SECONDS
-        seconds += loss_of(row) * _OLD_WEIGHTS_SECONDS
-        if row.switching_until is not None and now < row.switching_until:
-            seconds += _OLD_WEIGHTS_SECONDS
-        return seconds
+        seconds = expected_seconds(row, work, at_home, now)
+        loss = loss_of(row) + _late_loss(seconds, work.goal_seconds)
+        loss += row.failure_rate + _LOSS_PER_SECOND * seconds
+        if not at_home and work.transfer_seconds is None:
+            loss += _READ_AGAIN_LOSS * work.shared_part
+        return loss
 
     return min(rows, key=cost, default=None)
 
 
+def expected_seconds(row, work, at_home, now):
+    """Return the expected time to first token at an engine."""
+    seconds = _prefill_seconds(row, work, at_home) + queue_seconds(row, now)
+    if row.switching_until is not None and now < row.switching_until:
+        seconds += _SWITCHING_SECONDS
+    return seconds * row.slowness
+
+
+def _late_loss(seconds, goal_seconds):
+    """Return the share of the worth that is lost by lateness, as expected."""
+    if goal_seconds <= 0:
+        return 0.0
+    part = (seconds / goal_seconds - _LATE_FROM) / (_LATE_AT - _LATE_FROM)
+    return _LATE_LOSS * min(max(part, 0.0), 1.0)
+
+
 def choose_plain(rows, data_centre, now):
     """Return the target of a plain service with the least expected wait."""
 
@@ -102,11 +136,6 @@
     return min(rows, key=cost, default=None)
 
 
-def expected_wait(row, entries):
-    """Return how long a new request is expected to wait at an engine."""
-    return datetime.timedelta(seconds=_queue_seconds(row, entries))
-
-
 def _prefill_seconds(row, work, at_home):
     tokens = work.own_tokens
     seconds = tokens / PREFILL_TOKENS_PER_SECOND
@@ -118,12 +147,14 @@
     return seconds + read
 
 
-def _queue_seconds(row, entries):
+def queue_seconds(row, now):
     """Return the expected wait for what was sent before.
 
-    The engine's own count lags and misses what is on its way, and this daemon
-    sees only its own sends; the other daemons send as much on average.
+    The engine's own count lags and misses what is on its way, so what this
+    daemon and its peers have sent and not seen begin is counted instead.
     """
-    mine = sum(work.tokens for work in row.sent_by_request.values())
-    pending = mine * min(entries, 2) / PREFILL_TOKENS_PER_SECOND
-    return pending + row.reported_load * _LOAD_SECONDS
+    pending = sum(work.tokens for work in row.sent_by_request.values())
+    for work in row.peer_work_by_entry.values():
+        if now - work.at < _PEER_WORK_KEPT:
+            pending += work.tokens
+    return pending / PREFILL_TOKENS_PER_SECOND + row.reported_load * _LOAD_SECONDS
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -108,6 +108,10 @@
     reported_load: int = 0
     service_time: datetime.timedelta | None = None
     failure_rate: float = 0.0
+    # How much longer first tokens take than expected, on average.
+    slowness: float = 1.0
+    # What peers have sent and told of, by the peer's name.
+    peer_work_by_entry: dict[str, SentWork] = dataclasses.field(default_factory=dict)
 
     def learn_version(self, model, version):
         """Take in a version that the target was seen to run; it only rises."""
