--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -147,12 +147,11 @@
         """Send to one target; return what follows, or None after an answer."""
         left = (forward.until - self._clock.now()).total_seconds()
         _log.bind(request=forward.request_id).info(
-            "Sent to target {}, attempt {}, {:.0f} ms left, version {}, {}.",
+            "Sent to target {}, attempt {}, {:.0f} ms left. {}",
             forward.target,
             forward.attempt,
             left * 1000,
-            forward.version,
-            "with a fetch" if forward.transfers.seconds else "no fetch",
+            forward.reason,
         )
         if body.is_spent:
             # A body that has passed through can't be sent again.
@@ -344,7 +343,13 @@
         self._forwarding.first_byte(forward.request_id, now)
         flight = self._forwarding.flight_by_request.get(forward.request_id)
         if flight is not None:
-            self._measures.first_byte(flight.route.name, now - flight.arrived_at)
+            waited = now - flight.arrived_at
+            self._measures.first_byte(flight.route.name, waited)
+            _log.bind(request=forward.request_id).info(
+                "First byte from target {} after {:.0f} ms.",
+                forward.target,
+                waited.total_seconds() * 1000,
+            )
 
     async def _read_body(self, http):
         """Return the `_Body` of a request, held whole if it is small."""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -107,6 +107,7 @@
     salt: str | None = None
     transfers: kvstores.Transfers = kvstores.NO_TRANSFERS
     patience: datetime.timedelta | None = None
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,23 +272,24 @@
         if engines is not None and self._hopeless(flight, row, now):
             return self._give_up(flight, ending, now, commands.Code.OVERLOADED)
         transfers = kvstores.NO_TRANSFERS
+        read_tokens = 0
         if salt is not None:
-            transfers = self._stores.plan(
-                engines, row, salt, flight.request.prompt, now
-            )
-        return self._start(flight, row, version, salt, transfers, now)
+            prompt = flight.request.prompt
+            read_tokens = self._effort(flight, engines, row, now).read_tokens
+            transfers = self._stores.plan(engines, row, salt, prompt, now)
+            row.note_read(salt, prompt[:-1], engines.kv_capacity)
+        return self._start(flight, row, version, salt, transfers, read_tokens, now)
 
-    def _start(self, flight, row, version, salt, transfers, now):
+    def _start(self, flight, row, version, salt, transfers, read_tokens, now):
         flight.target = row.name
         flight.version = version
         flight.sends += 1
         flight.sent_at = now
         flight.tried.add(row.name)
         row.running_here += 1
-        tokens = sum(part.tokens for part in flight.request.prompt[-1:])
-        if row.name != self._home_name(flight) and not transfers.seconds:
-            tokens = sum(part.tokens for part in flight.request.prompt)
-        row.sent_by_request[flight.request.request_id] = world.SentWork(now, tokens)
+        row.sent_by_request[flight.request.request_id] = world.SentWork(
+            now, read_tokens
+        )
         account = flight.account
         rank = flight.route.rank
         if account is not None and account.rank is not None:
@@ -306,6 +308,30 @@
             salt,
             transfers,
             self._patience(flight, row, now),
+            self._explain(flight, row, version, transfers, now),
+        )
+
+    def _explain(self, flight, row, version, transfers, now):
+        """Return the inputs of a choice, for the log."""
+        text = (
+            f"Route {flight.route.name}, load {row.reported_load}, "
+            f"{row.running_here} from here"
+        )
+        if version is None:
+            return text + "."
+        prompt = flight.request.prompt
+        fetched = sum(
+            part.tokens
+            for part, address in zip(prompt, transfers.fetch_from, strict=False)
+            if address
+        )
+        saved = sum(address is not None for address in transfers.save_to)
+        home = "at home" if row.name == self._home_name(flight) else "away from home"
+        return (
+            f"{text}, {home}, version {version}, "
+            f"{sum(part.tokens for part in prompt)} tokens, {fetched} to fetch, "
+            f"{saved} parts to save, {placement.queue_seconds(row, now) * 1000:.0f} ms "
+            f"queued, slowness {row.slowness:.2f}."
         )
 
     def _home_name(self, flight):
@@ -329,17 +355,14 @@
     def _place_prompt(self, flight, engines, rows, now):
         """Return (row, version, salt) for a prompt; no row if all weights are old."""
         model = flight.request.model
-        named = self._weights.named(model)
         rows = [row for row in rows if self._weights.may_begin(row, model, now)]
         prompt = flight.request.prompt
-        salt = self._salt(flight, named)
-        seconds = self._stores.transfer_seconds(
-            engines, self._state.me.data_centre, salt, prompt, now
+        work = placement.Work(
+            sum(part.tokens for part in prompt),
+            _affinity(flight.request),
+            flight.route.latency_goal.total_seconds(),
+            lambda row: self._effort(flight, engines, row, now),
         )
-        shared = sum(part.tokens for part in prompt[:-1])
-        own = sum(part.tokens for part in prompt[-1:])
-        goal = flight.route.latency_goal.total_seconds()
-        work = placement.Work(shared, own, _affinity(flight.request), seconds, goal)
 
         def loss_of(row):
             return self._weights.loss(row, model, now)
@@ -350,6 +373,25 @@
         version = self._weights.running(row, model)
         return row, version, self._salt(flight, version)
 
+    def _effort(self, flight, engines, row, now):
+        """Return what the prompt is expected to cost at an engine.
+
+        A part is there if this daemon had the engine read it lately, and can
+        be brought if a store holds it; all after the first part that is
+        neither has to be read.
+        """
+        prompt = flight.request.prompt
+        salt = self._salt(flight, self._weights.running(row, flight.request.model))
+        seconds, left = 0.0, sum(part.tokens for part in prompt)
+        for part in prompt[:-1]:
+            if (salt, part.part_id) not in row.read_parts:
+                brought = self._stores.part_seconds(engines, row, salt, part, now)
+                if brought is None:
+                    break
+                seconds += brought
+            left -= part.tokens
+        return placement.Effort(left, seconds)
+
     def _salt(self, flight, version):
         """Return what KV cache is kept under: the weights, and any wall.
 
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -265,18 +265,14 @@
             until = _until(rows, now, seconds)
         return Transfers(tuple(fetch_from), tuple(save_to), seconds, until)
 
-    def transfer_seconds(self, engines, data_centre, salt, parts, now):
-        """Return the expected time to bring all shared parts, or None."""
+    def part_seconds(self, engines, engine_row, salt, part, now):
+        """Return the expected time to bring a part to an engine, or None."""
         rows = [row for row in self.rows if row.store.managed and row.alive(now)]
-        seconds = 0.0
-        for part in parts[:-1]:
-            holder = self._holder(rows, salt, part, data_centre)
-            if holder is None:
-                return None
-            seconds += _transfer_seconds(
-                engines, holder.store, part.tokens, data_centre
-            )
-        return seconds
+        near = engine_row.data_centre
+        holder = self._holder(rows, salt, part, near)
+        if holder is None:
+            return None
+        return _transfer_seconds(engines, holder.store, part.tokens, near)
 
     def free_replaced(self, kept_salts, now):
         """Free the parts whose salt belongs to weights that nobody runs.
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import typing
 
 from sesamespindle.decide import hashing
 
@@ -21,9 +22,9 @@
 # The loss for each second of waiting below that, so that the faster of two
 # timely engines is taken.
 _LOSS_PER_SECOND = 0.1
-# What reading a shared context again costs of an answer's worth, where all of
-# the prompt is shared; about what the users charge.
-_READ_AGAIN_LOSS = 0.3
+# What reading a whole prompt away from its home costs of an answer's worth:
+# another engine may just be reading the same context, or hold it already.
+_READ_AGAIN_LOSS = 0.2
 # What a peer told of its sends counts for this long.
 _PEER_WORK_KEPT = datetime.timedelta(seconds=1.5)
 # One failure in `n` costs about a whole second try.
@@ -33,35 +34,42 @@
 _USUAL_SERVICE_SECONDS = 0.04
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Effort:
+    """What a prompt costs at one engine.
+
+    Attributes
+    ----------
+    read_tokens : int
+        Tokens that the engine is expected to read.
+    transfer_seconds : float
+        The expected time to bring the rest from stores.
+    """
+
+    read_tokens: int
+    transfer_seconds: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
-    """What placing needs to know of a request.
+    """What placing needs to know of a prompt.
 
     Attributes
     ----------
-    shared_tokens : int
-        Prompt tokens that an engine or store may already hold.
-    own_tokens : int
-        Prompt tokens that no other request has.
+    tokens : int
+        All of its tokens.
     affinity : str
-        What requests with the same shared context have in common, or empty.
-    transfer_seconds : float or None
-        Expected time to bring the shared context from a store, if one has it.
+        What prompts with the same shared context have in common, or empty.
     goal_seconds : float
         The time to first token within which an answer is worth all it can be.
+    effort_at : callable
+        Returns the `Effort` at an engine.
     """
 
-    shared_tokens: int = 0
-    own_tokens: int = 0
-    affinity: str = ""
-    transfer_seconds: float | None = None
-    goal_seconds: float = 0.0
-
-    @property
-    def shared_part(self):
-        """The part of the prompt that is shared, from 0 to 1."""
-        total = self.shared_tokens + self.own_tokens
-        return self.shared_tokens / total if total else 0.0
+    tokens: int
+    affinity: str
+    goal_seconds: float
+    effort_at: typing.Callable
 
 
 def usable(rows, now):
@@ -93,20 +101,21 @@
     home_row = home(rows, work.affinity) if work.affinity else None
 
     def cost(row):
-        at_home = row is home_row
-        seconds = expected_seconds(row, work, at_home, now)
+        effort = work.effort_at(row)
+        seconds = expected_seconds(row, effort, now)
         loss = loss_of(row) + _late_loss(seconds, work.goal_seconds)
         loss += row.failure_rate + _LOSS_PER_SECOND * seconds
-        if not at_home and work.transfer_seconds is None:
-            loss += _READ_AGAIN_LOSS * work.shared_part
+        if row is not home_row and work.tokens:
+            loss += _READ_AGAIN_LOSS * effort.read_tokens / work.tokens
         return loss
 
     return min(rows, key=cost, default=None)
 
 
-def expected_seconds(row, work, at_home, now):
+def expected_seconds(row, effort, now):
     """Return the expected time to first token at an engine."""
-    seconds = _prefill_seconds(row, work, at_home) + queue_seconds(row, now)
+    seconds = effort.read_tokens / PREFILL_TOKENS_PER_SECOND
+    seconds += effort.transfer_seconds + queue_seconds(row, now)
     if row.switching_until is not None and now < row.switching_until:
         seconds += _SWITCHING_SECONDS
     return seconds * row.slowness
@@ -136,17 +145,6 @@
     return min(rows, key=cost, default=None)
 
 
-def _prefill_seconds(row, work, at_home):
-    tokens = work.own_tokens
-    seconds = tokens / PREFILL_TOKENS_PER_SECOND
-    if at_home:
-        return seconds
-    read = work.shared_tokens / PREFILL_TOKENS_PER_SECOND
-    if work.transfer_seconds is not None:
-        read = min(read, work.transfer_seconds)
-    return seconds + read
-
-
 def queue_seconds(row, now):
     """Return the expected wait for what was sent before.
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -110,6 +110,9 @@
     failure_rate: float = 0.0
     # How much longer first tokens take than expected, on average.
     slowness: float = 1.0
+    # Parts of prompts that this daemon had it read, least recently used first.
+    read_parts: dict[tuple, int] = dataclasses.field(default_factory=dict)
+    read_tokens: int = 0
     # What peers have sent and told of, by the peer's name.
     peer_work_by_entry: dict[str, SentWork] = dataclasses.field(default_factory=dict)
 
@@ -119,6 +122,17 @@
             self.version_by_model[model] = version
             self.guessed_version = None
 
+    def note_read(self, salt, parts, capacity):
+        """Remember that the target holds parts now, and forget the oldest."""
+        for part in parts:
+            key = salt, part.part_id
+            self.read_tokens -= self.read_parts.pop(key, 0)
+            self.read_parts[key] = part.tokens
+            self.read_tokens += part.tokens
+        while self.read_tokens > capacity and self.read_parts:
+            oldest = next(iter(self.read_parts))
+            self.read_tokens -= self.read_parts.pop(oldest)
+
     def usable(self, now):
         """Return whether the target may get new work."""
         if not self.listed or self.leaving or not self.url:
