--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -35,6 +35,9 @@
 _BUSY_SHUN = datetime.timedelta(milliseconds=100)
 # Sends of one request that targets may turn away unread before it is refused.
 _MAX_SENDS = 4
+# Ranks of routes that are told apart within one rank of accounts. Targets know
+# ten urgencies, so three ranks of accounts keep their order.
+_ROUTE_RANKS = 3
 
 
 class Ending(enum.Enum):
@@ -99,7 +102,7 @@
     target: str
     address: str
     until: datetime.datetime
-    rank: int
+    urgency: int
     account: str | None
     repeats: routes.Repeats
     streaming: bool
@@ -291,16 +294,13 @@
             now, read_tokens
         )
         account = flight.account
-        rank = flight.route.rank
-        if account is not None and account.rank is not None:
-            rank = account.rank
         return Forward(
             flight.request.request_id,
             flight.sends,
             row.name,
             row.url,
             flight.until,
-            rank,
+            _urgency(flight),
             account.name if account is not None else None,
             flight.route.repeats,
             flight.route.streaming,
@@ -512,6 +512,18 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
+def _urgency(flight):
+    """Return the urgency at the target, 0 first.
+
+    The account's rank goes before the route's, which orders requests of equal
+    accounts: their short prompts then don't wait behind long ones.
+    """
+    first = second = flight.route.rank
+    if flight.account is not None and flight.account.rank is not None:
+        first = flight.account.rank
+    return first * _ROUTE_RANKS + min(second, _ROUTE_RANKS - 1)
+
+
 def _affinity(request):
     """Return what the requests of one context have in common, or empty."""
     if len(request.prompt) < 2:
