Name what a daemon has of the platform apart from the event of it

Cause: the method took the name of an event that peers wait for, so a daemon that learned of a revision by gossip could not fetch it (five tests of configurations and limits).

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -275,7 +275,7 @@
             self._fetching = False
 
     async def _fetch_from(self, address):
-        known = self._declarations.known()
+        known = self._declarations.summary()
         request = peers_pb2.DeclarationsWanted(
             above_revision=known.revision, known_digests=known.digests
         )
--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -75,7 +75,7 @@
         """Return the digests of a head's documents that aren't known here."""
         return set(wanted.digest_by_key.values()) - self._content_by_digest.keys()
 
-    def known(self):
+    def summary(self):
         """Return what a peer need not send."""
         digests = list(self.head.digest_by_key.values())
         return peermessages.Known(self.head.revision, digests)
