Play the platform's path with stand-ins and a real daemon

Fifteen scenarios with a real process: a request, streams, a stream that goes on elsewhere, a lost answer, a second answer, a reused address, a leaving target, configurations, a store that is away or turns one host away, SIGTERM, a caller that leaves, bad settings and bad requests.

--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,355 @@
+"""The whole path on the platform, with a real daemon and small stand-ins."""
+
+import asyncio
+import importlib.util
+import pathlib
+
+import pytest
+
+_SPEC = importlib.util.spec_from_file_location(
+    "platform_standins", pathlib.Path(__file__).parent / "standins.py"
+)
+standins = importlib.util.module_from_spec(_SPEC)
+_SPEC.loader.exec_module(standins)
+
+
+@pytest.fixture
+def play(go):
+    """Give a function that plays a scenario in a world of its own."""
+
+    def run(scenario):
+        async def in_world():
+            async with standins.World() as world:
+                await scenario(world)
+
+        go(in_world())
+
+    return run
+
+
+def test_a_request_goes_through_unchanged_but_for_the_systems_headers(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        status, headers, body = await world.ask(
+            daemon, "/once/a%2Fb?x=%20", "r1", **{"X-Hold": "mine", "X-Tenant": "bank"}
+        )
+        assert (status, body) == (200, b"desk-1 ran r1")
+        assert headers["X-Server-Stamp"] == "s"
+        run = target.runs[0]
+        assert run["x-tenant"] == "acme"
+        assert run["x-expect-instance"] == "desk-1"
+        assert int(run["x-deadline-ms"]) <= 9000
+        assert "x-api-key" not in run
+        assert "x-hold" not in run
+
+    play(scenario)
+
+
+def test_a_stream_comes_event_by_event(play):
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        target.release.clear()
+        daemon = await world.add_daemon()
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": "r1",
+            "X-Api-Key": standins.KEY,
+            "X-Model": "m",
+            "X-Prompt-Prefix": "aa:100,bb:10",
+        }
+        async with world.session.post(
+            daemon.url("/chat/1"), headers=headers
+        ) as response:
+            first = await response.content.readuntil(b"\n\n")
+            assert first == b"id: 1\ndata: token\n\n"
+            target.release.set()
+            rest = await response.content.read()
+        assert rest.count(b"id: ") == 2
+        assert target.runs[0]["x-expect-version"] == "1"
+
+    play(scenario)
+
+
+def test_a_stream_goes_on_at_another_engine_when_its_engine_dies(play):
+    """An engine dies in the middle of a stream that may be resumed.
+
+    The caller must get each event once and in order, so another engine is
+    asked for what comes after the last whole event.
+    """
+
+    async def scenario(world):
+        engines = [await world.add_target(f"llm-{n}", "llm") for n in (1, 2)]
+        for engine in engines:
+            engine.release.clear()
+        daemon = await world.add_daemon()
+        headers = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
+        asking = asyncio.create_task(world.ask(daemon, "/chat/1", "r1", **headers))
+        await world.until(lambda: _any_ran(engines))
+        dying = next(engine for engine in engines if engine.runs)
+        other = next(engine for engine in engines if not engine.runs)
+        other.release.set()
+        await world.until(lambda: _cut(dying))
+        status, _, body = await asking
+        assert status == 200
+        assert [line for line in body.splitlines() if line.startswith(b"id")] == [
+            b"id: 1",
+            b"id: 2",
+            b"id: 3",
+        ]
+        assert other.runs[0]["last-event-id"] == "1"
+
+    play(scenario)
+
+
+async def _any_ran(targets):
+    return any(target.runs for target in targets)
+
+
+async def _cut(target):
+    """Break the connections of a target, once it has sent an event."""
+    if not target.writers:
+        return False
+    await asyncio.sleep(0.05)
+    for writer in target.writers:
+        writer.transport.abort()
+    return True
+
+
+def test_a_booking_is_not_sent_again_when_its_answer_is_lost(play):
+    """A target runs a booking and its connection is reset before the answer.
+
+    Sent again it might run twice; "not run" would be untrue.
+    """
+
+    async def scenario(world):
+        targets = [await world.add_target(f"desk-{n}") for n in (1, 2)]
+        for target in targets:
+            target.loses_answers = True
+        daemon = await world.add_daemon()
+        status, _, _ = await world.ask(daemon, "/once/1", "r1")
+        assert status == 502
+        assert sum(len(target.runs) for target in targets) == 1
+
+    play(scenario)
+
+
+def test_a_second_answer_is_given_to_nobody(play):
+    """A target sends a second answer on a connection that is kept.
+
+    The next caller on that connection would get the answer to the request
+    before. Targets echo the request's id, and a connection with bytes that no
+    request asked for isn't used again.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.second_answer = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Server-Stamp: s\r\n"
+            b"Content-Length: 3\r\n\r\nold"
+        )
+        daemon = await world.add_daemon()
+        for number in range(5):
+            status, _, body = await world.ask(daemon, "/read/1", f"r{number}")
+            assert (status, body) == (200, f"desk-1 ran r{number}".encode())
+
+    play(scenario)
+
+
+def test_a_reused_address_runs_nothing_for_the_target_before(play):
+    """A target is gone and its address belongs to another service's target.
+
+    The list still shows the old one. The new one must not run the request, and
+    it goes to the target that is left.
+    """
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        new = await world.add_target("other-1", "other")
+        stale = standins.Target("desk-2", new.address)
+        await world.store.put("servers", "desk-2", stale.entry())
+        daemon = await world.add_daemon()
+        for number in range(4):
+            status, _, body = await world.ask(daemon, "/once/1", f"r{number}")
+            assert (status, body) == (200, f"desk-1 ran r{number}".encode())
+        assert new.runs == []
+
+    play(scenario)
+
+
+def test_a_leaving_target_gets_no_new_request(play):
+    async def scenario(world):
+        targets = [await world.add_target(f"desk-{n}") for n in (1, 2)]
+        daemon = await world.add_daemon()
+        await world.store.put("servers", "desk-1", targets[0].entry("draining"))
+        await world.until(lambda: _said(daemon, "target_leaving desk-1"))
+        for number in range(6):
+            await world.ask(daemon, "/read/1", f"r{number}")
+        assert targets[0].runs == []
+
+    play(scenario)
+
+
+async def _said(daemon, words):
+    return any(words in line for line in daemon.lines())
+
+
+def test_a_changed_configuration_is_in_force_and_an_unreadable_one_is_not(play):
+    """An operator's new version can't be read by this version of the program.
+
+    The daemon says so with the place of the fault, and goes on with the last
+    version that it could read.
+    """
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        await world.store.put("config", "main", {"Version": 2, "Routes": [{}]})
+        await world.until(lambda: _said(daemon, "Routes.0.Host"))
+        assert (await world.ask(daemon, "/once/1", "r1"))[0] == 200
+        changed = standins.make_manifest(3, keys=("new",))
+        await world.store.put("config", "main", changed)
+        await world.until(lambda: _said(daemon, "configuration 3"))
+        assert (await world.ask(daemon, "/once/1", "r2"))[0] == 401
+        status, _, _ = await world.ask(daemon, "/once/1", "r3", **{"X-Api-Key": "new"})
+        assert status == 200
+        assert (await world.ask(daemon, "/none/1", "r4"))[0] == 404
+
+    play(scenario)
+
+
+def test_requests_are_served_while_the_store_is_away(play):
+    async def scenario(world):
+        await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        world.store.is_away = True
+        await world.store.put("servers", "desk-9", {})
+        await world.until(lambda: _said(daemon, "The platform does not answer"))
+        assert (await world.ask(daemon, "/once/1", "r1"))[0] == 200
+
+    play(scenario)
+
+
+def test_a_host_that_the_store_turns_away_learns_from_its_peers(play):
+    """The store serves one host and resets the other's connections.
+
+    A key is taken away meanwhile. The host that is turned away must refuse it
+    too; only its peer can tell.
+    """
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        first = await world.add_daemon()
+        second = await world.add_daemon(seeds=(first.ip,))
+        await world.until(lambda: _knows_both(world, first))
+        world.store.turned_away.add(second.ip)
+        await world.store.put("config", "main", standins.make_manifest(2, keys=()))
+        await world.until(lambda: _said(second, "configuration 2"))
+        assert (await world.ask(second, "/once/1", "r1"))[0] == 401
+
+    play(scenario)
+
+
+async def _knows_both(world, daemon):
+    async with world.session.get(daemon.directory_url()) as response:
+        return len((await response.json())["Addresses"]) == 2
+
+
+def test_a_stopped_daemon_finishes_what_it_has_begun(play):
+    """A host gets SIGTERM while a stream is under way.
+
+    It says at once that it isn't ready, the stream comes to its end, and the
+    process ends by itself with success.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        target.release.clear()
+        daemon = await world.add_daemon()
+        headers = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
+        asking = asyncio.create_task(world.ask(daemon, "/chat/1", "r1", **headers))
+        await target.began.wait()
+        daemon.terminate()
+        await world.until(lambda: _not_ready(world, daemon))
+        target.release.set()
+        status, _, body = await asking
+        assert (status, body.count(b"id: ")) == (200, 3)
+        assert await daemon.ended() == 0
+
+    play(scenario)
+
+
+async def _not_ready(world, daemon):
+    return not await world.is_ready(daemon)
+
+
+def test_a_caller_that_leaves_cancels_at_the_target(play):
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        target.release.clear()
+        daemon = await world.add_daemon()
+        headers = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
+        asking = asyncio.create_task(world.ask(daemon, "/chat/1", "r1", **headers))
+        await target.began.wait()
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        await world.until(lambda: _all_closed(target))
+
+    play(scenario)
+
+
+async def _all_closed(target):
+    return all(reader.at_eof() for reader in target.readers)
+
+
+def test_a_bad_settings_file_names_every_fault(go, tmp_path):
+    async def run():
+        path = tmp_path / "settings"
+        path.write_text("NodeName=a\nno value\nBounds.GraceS=soon\n")
+        child = await asyncio.create_subprocess_exec(
+            standins.sys.executable,
+            "-m",
+            "sesamespindle.platform.main",
+            stderr=asyncio.subprocess.PIPE,
+            env=standins.os.environ | {"SESAMESPINDLE_NODE_FILE": str(path)},
+        )
+        _, errors = await child.communicate()
+        return child.returncode, errors.decode()
+
+    code, errors = go(run())
+    assert code == 2
+    assert ":2:1: no_value" in errors
+    assert ":3:1: float_parsing: Bounds.GraceS" in errors
+    assert "Listen" in errors
+
+
+def test_malformed_requests_reach_no_target(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        reader, writer = await asyncio.open_connection(daemon.ip, daemon.front_port)
+        writer.write(
+            b"POST /once/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/1 HTTP/1.1\r\n\r\n"
+        )
+        answer = await reader.readline()
+        assert b" 400 " in answer
+        assert target.runs == []
+        writer.close()
+
+    play(scenario)
+
+
+def test_a_full_body_passes_through_whole(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        big = b"x" * 900_000
+        headers = {"Host": "a.example", "X-Attempt-Id": "r1", "X-Api-Key": standins.KEY}
+        async with world.session.post(
+            daemon.url("/once/1"), data=big, headers=headers
+        ) as response:
+            assert response.status == 200
+        assert target.body_bytes == len(big)
+
+    play(scenario)
