--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -279,7 +279,9 @@
         if salt is not None:
             prompt = flight.request.prompt
             read_tokens = self._effort(flight, engines, row, now).read_tokens
-            transfers = self._stores.plan(engines, row, salt, prompt, now)
+            transfers = self._stores.plan(
+                engines, row, self._home(flight), salt, prompt, now
+            )
             row.note_read(salt, prompt[:-1], engines.kv_capacity)
         return self._start(flight, row, version, salt, transfers, read_tokens, now)
 
@@ -326,18 +328,23 @@
             if address
         )
         saved = sum(address is not None for address in transfers.save_to)
-        home = "at home" if row.name == self._home_name(flight) else "away from home"
+        home = "at home" if row is self._home(flight) else "away from home"
         return (
-            f"{text}, {home}, version {version}, "
+            f"{text}, context {_affinity(flight.request) or 'none'}, {home}, "
+            f"version {version}, "
             f"{sum(part.tokens for part in prompt)} tokens, {fetched} to fetch, "
             f"{saved} parts to save, {placement.queue_seconds(row, now) * 1000:.0f} ms "
             f"queued, slowness {row.slowness:.2f}."
         )
 
-    def _home_name(self, flight):
+    def _home(self, flight):
+        """Return the engine where prompts of a context usually go, or None."""
+        affinity = _affinity(flight.request)
+        if not affinity:
+            return None
         rows = self._state.targets.where("pool", flight.service)
-        home = placement.home(list(rows), _affinity(flight.request))
-        return home.name if home is not None else ""
+        staying = [row for row in rows if row.listed and not row.leaving]
+        return placement.home(staying, affinity)
 
     def _candidates(self, flight, service, now):
         """Return targets with room for one more connection of this daemon."""
@@ -359,7 +366,6 @@
         prompt = flight.request.prompt
         work = placement.Work(
             sum(part.tokens for part in prompt),
-            _affinity(flight.request),
             flight.route.latency_goal.total_seconds(),
             lambda row: self._effort(flight, engines, row, now),
         )
@@ -367,7 +373,7 @@
         def loss_of(row):
             return self._weights.loss(row, model, now)
 
-        row = placement.choose_engine(rows, work, now, loss_of)
+        row = placement.choose_engine(rows, work, now, loss_of, self._home(flight))
         if row is None:
             return None, None, None
         version = self._weights.running(row, model)
@@ -377,15 +383,19 @@
         """Return what the prompt is expected to cost at an engine.
 
         A part is there if this daemon had the engine read it lately, and can
-        be brought if a store holds it; all after the first part that is
-        neither has to be read.
+        be brought if a store or its home holds it; all after the first part
+        that is neither has to be read.
         """
         prompt = flight.request.prompt
         salt = self._salt(flight, self._weights.running(row, flight.request.model))
+        home = self._home(flight)
         seconds, left = 0.0, sum(part.tokens for part in prompt)
         for part in prompt[:-1]:
-            if (salt, part.part_id) not in row.read_parts:
+            key = salt, part.part_id
+            if key not in row.read_parts:
                 brought = self._stores.part_seconds(engines, row, salt, part, now)
+                if brought is None and home is not None and key in home.read_parts:
+                    brought = kvstores.engine_seconds(engines, home, row, part.tokens)
                 if brought is None:
                     break
                 seconds += brought
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -226,44 +226,46 @@
                 row.tokens_by_part[key] = part.tokens
                 row.used += part.tokens
 
-    def plan(self, engines, engine_row, salt, parts, now):
+    def plan(self, engines, engine_row, home_row, salt, parts, now):
         """Return the `Transfers` for a prompt's shared parts at an engine.
 
+        What no store holds is fetched from the context's home, if that is
+        another engine: it may hold the part, and if not a miss costs a
+        millisecond.
+
         Parameters
         ----------
         engines : routes.Engines
             The engine's service.
         engine_row : world.TargetRow
             The engine.
+        home_row : world.TargetRow or None
+            Where prompts of this context usually go.
         salt : str
             What the engine stores the parts under.
         parts : tuple of Part
             All parts of the prompt; the last one is its own.
         """
-        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
-        if not rows or len(parts) < 2:
+        if len(parts) < 2:
             return NO_TRANSFERS
+        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
         near = engine_row.data_centre
         fetch_from, save_to, seconds = [], [], 0.0
-        reached = True
         for part in parts[:-1]:
             holder = self._holder(rows, salt, part, near)
-            if holder is None:
-                reached = False
-                save_to.append(self._save(rows, salt, part, near, now))
-            else:
-                save_to.append(None)
-            if reached:
+            if holder is not None:
                 fetch_from.append(holder.store.address)
+                save_to.append(None)
                 seconds += _transfer_seconds(engines, holder.store, part.tokens, near)
-            else:
+                continue
+            save_to.append(self._save(rows, salt, part, near, now))
+            if home_row is None or home_row is engine_row:
                 fetch_from.append(None)
-        fetch_from.append(None)
-        save_to.append(None)
-        until = None
-        if seconds:
-            until = _until(rows, now, seconds)
-        return Transfers(tuple(fetch_from), tuple(save_to), seconds, until)
+                continue
+            fetch_from.append(home_row.url)
+            seconds += engine_seconds(engines, home_row, engine_row, part.tokens)
+        until = _until(rows, now, seconds) if seconds else None
+        return Transfers((*fetch_from, None), (*save_to, None), seconds, until)
 
     def part_seconds(self, engines, engine_row, salt, part, now):
         """Return the expected time to bring a part to an engine, or None."""
@@ -346,6 +348,14 @@
     return seconds + store.first_byte.total_seconds()
 
 
+def engine_seconds(engines, source_row, engine_row, tokens):
+    """Return the expected time to bring tokens from one engine to another."""
+    seconds = tokens * engines.kv_token_bytes * 8.0 / engines.link_bits_per_second
+    if source_row.data_centre != engine_row.data_centre:
+        seconds *= _CROSS_DATA_CENTRE
+    return seconds
+
+
 def _until(rows, now, seconds):
     patience = datetime.timedelta(seconds=seconds) * _PATIENCE + _PATIENCE_FIXED
     known = [row for row in rows if row.clock_lead is not None]
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -58,8 +58,6 @@
     ----------
     tokens : int
         All of its tokens.
-    affinity : str
-        What prompts with the same shared context have in common, or empty.
     goal_seconds : float
         The time to first token within which an answer is worth all it can be.
     effort_at : callable
@@ -67,7 +65,6 @@
     """
 
     tokens: int
-    affinity: str
     goal_seconds: float
     effort_at: typing.Callable
 
@@ -86,7 +83,7 @@
     return row_by_name.get(name)
 
 
-def choose_engine(rows, work, now, loss_of):
+def choose_engine(rows, work, now, loss_of, home_row=None):
     """Return the engine at which a prompt's answer is expected to be worth most.
 
     Parameters
@@ -97,8 +94,9 @@
         The request.
     loss_of : callable
         Returns the share of the run's worth that a row's old weights cost.
+    home_row : world.TargetRow or None
+        Where prompts of this context usually go.
     """
-    home_row = home(rows, work.affinity) if work.affinity else None
 
     def cost(row):
         effort = work.effort_at(row)
