--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -57,7 +57,12 @@
             for item in message.target_versions
         ],
         lease_release=_release_to_wire(message.lease_release, now),
-        pending={item.target: item.tokens for item in message.pending},
+        pending=[
+            peers_pb2.PendingWork(
+                target=item.target, tokens=item.tokens, held_tokens=item.held_tokens
+            )
+            for item in message.pending
+        ],
     )
 
 
@@ -87,7 +92,10 @@
             for item in message.target_versions
         ),
         _release_from_wire(message, now),
-        tuple(events.PendingWork(*item) for item in message.pending.items()),
+        tuple(
+            events.PendingWork(item.target, item.tokens, item.held_tokens)
+            for item in message.pending
+        ),
     )
 
 
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -339,10 +339,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingWork:
-    """Prompt tokens that the sender has sent to a target and that wait there."""
+    """What the sender's requests take of a target.
+
+    Attributes
+    ----------
+    tokens : int
+        Prompt tokens that wait to be read.
+    held_tokens : int
+        Tokens of memory that its requests need until they end.
+    """
 
     target: str
     tokens: int
+    held_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -71,6 +71,8 @@
         Length of the body; -1 where it isn't known.
     prompt : tuple of kvstores.Part
         The parts of the prompt, in order.
+    answer_tokens : int
+        The most tokens of its answer.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     deadline: datetime.datetime | None
     model: str = ""
     prompt: tuple[kvstores.Part, ...] = ()
+    answer_tokens: int = 0
     body_bytes: int = -1
 
 
@@ -295,6 +298,9 @@
         row.sent_by_request[flight.request.request_id] = world.SentWork(
             now, read_tokens
         )
+        if version is not None:
+            held = _held_tokens(flight.request)
+            row.held_by_request[flight.request.request_id] = held
         account = flight.account
         return Forward(
             flight.request.request_id,
@@ -366,6 +372,8 @@
         prompt = flight.request.prompt
         work = placement.Work(
             sum(part.tokens for part in prompt),
+            _held_tokens(flight.request),
+            engines.kv_capacity,
             flight.route.latency_goal.total_seconds(),
             lambda row: self._effort(flight, engines, row, now),
         )
@@ -472,6 +480,7 @@
         if row is not None and flight.sent_at is not None:
             row.running_here = max(0, row.running_here - 1)
             row.sent_by_request.pop(flight.request.request_id, None)
+            row.held_by_request.pop(flight.request.request_id, None)
         flight.sent_at = None
 
     def _give_up(self, flight, ending, now, code=None):
@@ -522,6 +531,10 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
+def _held_tokens(request):
+    return sum(part.tokens for part in request.prompt) + request.answer_tokens
+
+
 def _urgency(flight):
     """Return the urgency at the target, 0 first.
 
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -228,9 +228,13 @@
     def _pending(self):
         """Return what waits at targets from here, the most first."""
         pending = [
-            events.PendingWork(row.name, sum(work.tokens for work in sent.values()))
+            events.PendingWork(
+                row.name,
+                sum(work.tokens for work in row.sent_by_request.values()),
+                sum(row.held_by_request.values()),
+            )
             for row in self._state.targets
-            if (sent := row.sent_by_request)
+            if row.sent_by_request or row.held_by_request
         ]
         pending.sort(key=lambda item: -item.tokens)
         return tuple(pending[:MAX_PENDING])
@@ -310,7 +314,7 @@
         for item in message.pending:
             row = self._state.targets.get(item.target)
             if row is not None:
-                work = world.SentWork(now, item.tokens)
+                work = world.SentWork(now, item.tokens, item.held_tokens)
                 row.peer_work_by_entry[message.sender] = work
 
     def _merge_release(self, release):
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -25,6 +25,11 @@
 # What reading a whole prompt away from its home costs of an answer's worth:
 # another engine may just be reading the same context, or hold it already.
 _READ_AGAIN_LOSS = 0.2
+# An engine whose memory runs out throws a run out and reads its prompt again,
+# which is late then and paid twice. Memory is filled up to this part by what is
+# known of runs; the rest covers sends that peers have not told of yet.
+_MEMORY_FILLED = 0.85
+_MEMORY_LOSS = 0.6
 # What a peer told of its sends counts for this long.
 _PEER_WORK_KEPT = datetime.timedelta(seconds=1.5)
 # One failure in `n` costs about a whole second try.
@@ -60,11 +65,17 @@
         All of its tokens.
     goal_seconds : float
         The time to first token within which an answer is worth all it can be.
+    held_tokens : int
+        Tokens of memory that it needs until it ends.
+    capacity : int
+        Tokens that an engine's memory holds.
     effort_at : callable
         Returns the `Effort` at an engine.
     """
 
     tokens: int
+    held_tokens: int
+    capacity: int
     goal_seconds: float
     effort_at: typing.Callable
 
@@ -103,6 +114,8 @@
         seconds = expected_seconds(row, effort, now)
         loss = loss_of(row) + _late_loss(seconds, work.goal_seconds)
         loss += row.failure_rate + _LOSS_PER_SECOND * seconds
+        if held_tokens(row, now) + work.held_tokens > _MEMORY_FILLED * work.capacity:
+            loss += _MEMORY_LOSS
         if row is not home_row and work.tokens:
             loss += _READ_AGAIN_LOSS * effort.read_tokens / work.tokens
         return loss
@@ -143,6 +156,15 @@
     return min(rows, key=cost, default=None)
 
 
+def held_tokens(row, now):
+    """Return the tokens of memory that known runs at an engine need."""
+    held = sum(row.held_by_request.values())
+    for work in row.peer_work_by_entry.values():
+        if now - work.at < _PEER_WORK_KEPT:
+            held += work.held_tokens
+    return held
+
+
 def queue_seconds(row, now):
     """Return the expected wait for what was sent before.
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -71,10 +71,17 @@
 
 @dataclasses.dataclass(slots=True)
 class SentWork:
-    """Prompt tokens sent to a target whose first token hasn't come."""
+    """Prompt tokens sent to a target whose first token hasn't come.
+
+    Attributes
+    ----------
+    held_tokens : int
+        Tokens of memory that the requests need until they end.
+    """
 
     at: datetime.datetime
     tokens: int
+    held_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,6 +120,8 @@
     # Parts of prompts that this daemon had it read, least recently used first.
     read_parts: dict[tuple, int] = dataclasses.field(default_factory=dict)
     read_tokens: int = 0
+    # Tokens of memory that requests from here need, by the request's id.
+    held_by_request: dict[str, int] = dataclasses.field(default_factory=dict)
     # What peers have sent and told of, by the peer's name.
     peer_work_by_entry: dict[str, SentWork] = dataclasses.field(default_factory=dict)
 
