--- /dev/null
+++ b/tests/decide/test_kvstores.py
@@ -0,0 +1,123 @@
+"""What is fetched from KV stores, saved to them and freed there."""
+
+import datetime
+
+import pytest
+
+from sesamespindle.decide import events, kvstores, routes, world
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+ENGINES = routes.Engines(("m",), 8, 100_000, 1000, 8e9)
+PROMPT = tuple(
+    kvstores.Part(part_id, tokens)
+    for part_id, tokens in (("a", 100), ("b", 2000), ("own", 50))
+)
+
+
+def seconds(count):
+    return datetime.timedelta(seconds=count)
+
+
+def make_engine(name):
+    return world.TargetRow(name, "llm", None, "dc-1", False, f"{name}:80")
+
+
+@pytest.fixture
+def stores():
+    """Give the knowledge of one managed store that has told of itself."""
+    state = world.World(events.Host("entry-1", "entry", "dc-1", "u"))
+    made = kvstores.KvStores(state)
+    store = routes.KvStore("s:1", "dc-1", 4000, 8e9, seconds(0), True)
+    made.adopt(
+        routes.Configuration(
+            1, service_by_name={"s": routes.Service("s", 0, None, store)}
+        )
+    )
+    tell(made)
+    return made
+
+
+def tell(stores, *parts, boot=1, now=NOW, whole_list=False):
+    told = tuple(kvstores.PartEvent("1", *part) for part in parts)
+    stores.take(kvstores.StoreChanged("s", boot, told, whole_list, 5000.0), now)
+
+
+def plan(stores, now=NOW, home=None):
+    return stores.plan(ENGINES, make_engine("e1"), home, "1", PROMPT, now)
+
+
+def test_saves_what_no_store_holds_but_never_the_prompts_own_part(stores):
+    assert plan(stores).save_to == ("s:1", "s:1", None)
+    assert plan(stores).fetch_from == (None, None, None)
+
+
+def test_a_part_that_is_being_written_is_neither_fetched_nor_saved_again(stores):
+    """A part is on its way to a store when its next prompt comes.
+
+    Fetched now it would be half a part. Only the store's own word that it is
+    whole makes it usable.
+    """
+    plan(stores)
+    assert plan(stores).save_to == (None, None, None)
+    assert not any(plan(stores).fetch_from)
+    tell(stores, ("a", 100), ("b", 2000))
+    assert plan(stores).fetch_from == ("s:1", "s:1", None)
+
+
+def test_a_part_that_is_not_all_there_is_not_fetched(stores):
+    tell(stores, ("a", 100), ("b", 1999))
+    assert plan(stores).fetch_from == ("s:1", None, None)
+
+
+def test_a_store_that_started_anew_holds_nothing(stores):
+    tell(stores, ("a", 100), ("b", 2000))
+    tell(stores, boot=2)
+    assert not any(plan(stores).fetch_from)
+
+
+def test_a_silent_store_is_left_alone(stores):
+    """A store dies. An engine that fetches from it waits some hundred ms."""
+    tell(stores, ("a", 100), ("b", 2000))
+    assert plan(stores, NOW + seconds(3)).fetch_from == (None, None, None)
+    assert not any(plan(stores, NOW + seconds(3)).save_to)
+
+
+def test_a_full_store_is_sent_no_more(stores):
+    tell(stores, ("x", 2500))
+    assert plan(stores).save_to == ("s:1", None, None)
+
+
+def test_what_no_store_holds_is_fetched_from_the_contexts_home(stores):
+    transfers = plan(stores, home=make_engine("e2"))
+    assert transfers.fetch_from == ("e2:80", "e2:80", None)
+
+
+def test_a_fetch_ends_in_time_on_the_engines_clock(stores):
+    tell(stores, ("a", 100), ("b", 2000))
+    transfers = plan(stores)
+    assert 5000 < transfers.until_ms < 5200
+
+
+def free(stores, kept, at):
+    stores.free_replaced(lambda salt: salt in kept, at)
+    made = stores._state.take_commands()
+    return [item for item in made if isinstance(item, kvstores.FreeParts)]
+
+
+def test_parts_of_weights_that_nobody_runs_are_freed_after_a_while(stores):
+    tell(stores, ("a", 100))
+    assert free(stores, {"2"}, NOW) == []
+    later = NOW + seconds(2)
+    tell(stores, now=later)
+    (command,) = free(stores, {"2"}, later)
+    assert command.parts == (("1", "a"),)
+    assert command.boot == 1
+    assert free(stores, {"2"}, later) == []
+
+
+def test_parts_of_running_weights_are_never_freed(stores):
+    tell(stores, ("a", 100))
+    for step in range(10):
+        at = NOW + seconds(step)
+        tell(stores, now=at)
+        assert free(stores, {"1"}, at) == []
--- /dev/null
+++ b/tests/decide/test_placement.py
@@ -0,0 +1,89 @@
+"""Choosing a target by what its answer is expected to be worth."""
+
+import datetime
+
+from sesamespindle.decide import placement, world
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+
+
+def make_row(name, **changed):
+    row = world.TargetRow(name, "llm", None, "dc-1", False, f"{name}:80", listed=True)
+    for attribute, value in changed.items():
+        setattr(row, attribute, value)
+    return row
+
+
+def make_work(read_tokens=1000, held_tokens=1000):
+    return placement.Work(
+        1000,
+        held_tokens,
+        100_000,
+        0.4,
+        lambda row: placement.Effort(read_tokens),
+    )
+
+
+def choose(rows, loss_by_name=None, home_row=None, **work):
+    losses = loss_by_name or {}
+    return placement.choose_engine(
+        rows, make_work(**work), NOW, lambda row: losses.get(row.name, 0.0), home_row
+    )
+
+
+def sent(tokens, held_tokens=0):
+    return world.SentWork(NOW, tokens, held_tokens)
+
+
+def test_prefers_the_home_of_a_context():
+    rows = [make_row("a"), make_row("b")]
+    assert choose(rows, home_row=rows[1]) is rows[1]
+
+
+def test_leaves_a_home_that_would_be_late():
+    """One context is in great demand while other engines idle.
+
+    Its home has a second of reading before it. What is lost by reading the
+    context elsewhere is less than what a late first token loses.
+    """
+    busy = make_row("a", sent_by_request={"r": sent(60_000)})
+    idle = make_row("b")
+    assert choose([busy, idle], home_row=busy) is idle
+
+
+def test_counts_what_peers_have_sent():
+    rows = [make_row("a", peer_work_by_entry={"e": sent(60_000)}), make_row("b")]
+    assert choose(rows) is rows[1]
+
+
+def test_old_weights_on_time_beat_new_ones_too_late():
+    """New weights are named and two of five engines have them.
+
+    All prompts went to those two and first tokens came a second late, while
+    three engines idled on weights that still earn most of the worth.
+    """
+    crowded = make_row("new", sent_by_request={"r": sent(60_000)})
+    old = make_row("old")
+    assert choose([crowded, old], {"old": 0.3}) is old
+    assert choose([make_row("new"), old], {"old": 0.3}).name == "new"
+
+
+def test_does_not_fill_an_engines_memory():
+    """An engine's memory runs out while its queue is short.
+
+    It would throw out a run and read its prompt again.
+    """
+    full = make_row("a", peer_work_by_entry={"e": sent(0, 80_000)})
+    assert choose([full, make_row("b")], home_row=full, held_tokens=12_000).name == "b"
+
+
+def test_missing_targets_are_used_only_if_no_other_is_left():
+    missing = make_row("a", missing_since=NOW)
+    listed = make_row("b")
+    assert placement.usable([missing, listed], NOW) == [listed]
+    assert placement.usable([missing], NOW) == [missing]
+
+
+def test_a_plain_target_with_less_to_do_goes_first():
+    rows = [make_row("a", reported_load=6, slots=6), make_row("b", slots=6)]
+    assert placement.choose_plain(rows, "dc-1", NOW) is rows[1]
