Explain a request from the logs, and check what is deployed

sesamespindle explain ID LOG... merges logs and names the likely cause; sesamespindle check-deploy checks settings, a configuration and the deploy file.

--- a/packages/cli/sesamespindle/cli/main.py
+++ b/packages/cli/sesamespindle/cli/main.py
@@ -9,8 +9,9 @@
 import aiohttp
 import cyclopts
 
-from sesamespindle.cli import changes, context, outcomes, sending, timeline
+from sesamespindle.cli import changes, context, explain, outcomes, sending, timeline
 from sesamespindle.declare import documents, findings
+from sesamespindle.platform import check
 from sesamespindle.wire import head, platform
 
 Json = typing.Annotated[
@@ -266,6 +267,58 @@
     )
 
 
+@app.command(name="explain")
+def explain_request(request: str, logs: list[pathlib.Path], as_json: Json = False):
+    """Show what the daemons decided on a request, and the likely cause.
+
+    Parameters
+    ----------
+    request
+        The request's id, or its beginning.
+    logs
+        Log files of any daemons; lines of others are passed over.
+    """
+    try:
+        lines = explain.read(logs)
+    except OSError as error:
+        outcomes.fail(outcomes.CommandError(error, outcomes.Exit.USAGE))
+    explanation = explain.explain(lines, request)
+    value = {
+        "request": explanation.request,
+        "decisions": [str(line) for line in explanation.decisions],
+        "beside": [str(line) for line in explanation.beside],
+        "cause": explanation.cause,
+    }
+    outcomes.print_result(value, as_json, str(explanation))
+    if not explanation.decisions:
+        sys.exit(int(outcomes.Exit.FINDINGS))
+
+
+@app.command(name="check-deploy")
+def check_deploy(
+    settings: pathlib.Path | None = None,
+    configuration: pathlib.Path | None = None,
+    deploy: pathlib.Path | None = None,
+):
+    """Check a host's settings, a configuration and the deploy file.
+
+    Parameters
+    ----------
+    settings
+        The settings file that the platform writes for a process.
+    configuration
+        The operator's configuration, as JSON.
+    deploy
+        The deploy file, as TOML.
+    """
+    found = check.check(settings, configuration, deploy)
+    for finding in found:
+        print(finding)
+    if found:
+        sys.exit(int(outcomes.Exit.FINDINGS))
+    print("Nothing wrong.")
+
+
 def _read(folder, as_json):
     try:
         return documents.read_folder(folder)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -322,7 +322,8 @@
     def _explain(self, flight, row, version, transfers, now):
         """Return the inputs of a choice, for the log."""
         text = (
-            f"Route {flight.route.name}, load {row.reported_load}, "
+            f"Configuration {self.configuration.version}, route {flight.route.name}, "
+            f"load {row.reported_load}, "
             f"{row.running_here} from here"
         )
         if version is None:
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -188,8 +188,9 @@
                 self._change(event, now)
             case StoreSilent():
                 row = self.rows.get(event.store)
-                if row is not None:
+                if row is not None and row.heard_at is not None:
                     row.heard_at = None
+                    self._state.emit(commands.Note("kv_store_silent", row.name))
             case PartsFreed():
                 self._forget(event)
             case _:
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,55 @@
+"""From a request's id to its cause, on recorded log lines."""
+
+import json
+
+import pytest
+
+from sesamespindle.cli import explain
+
+AT = "2026-03-01T09:00:0{}+00:00"
+
+
+def line(second, host, request, message, part="relay"):
+    value = {
+        "time": AT.format(second),
+        "level": "INFO",
+        "host": host,
+        "part": part,
+        "request": request,
+        "message": message,
+    }
+    return json.dumps(value)
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Give the logs of two hosts, one with what a process manager adds."""
+    first = [
+        line(2, "entry-1", "abc123", "Sent to target llm-1, attempt 1."),
+        "restarted by the process manager",
+        line(1, "entry-1", "-", "target_leaving llm-1. listed", "decide"),
+        line(3, "entry-1", "abc123", "The send to target llm-1 ended: lost. Next: x."),
+        line(3, "entry-1", "other", "Refused: overloaded, not_run."),
+    ]
+    second = [line(9, "entry-2", "-", "The platform does not answer.", "platform")]
+    paths = [tmp_path / "one.log", tmp_path / "two.log"]
+    paths[0].write_text("12.5 entry-1 " + "\n".join(first))
+    paths[1].write_text("\n".join(second))
+    return paths
+
+
+def test_shows_the_decisions_in_order_and_the_cause(logs):
+    found = explain.explain(explain.read(logs), "abc")
+    assert [item.message[:4] for item in found.decisions] == ["Sent", "The "]
+    assert [item.message for item in found.beside] == ["target_leaving llm-1. listed"]
+    assert "broke before a whole answer" in found.cause
+
+
+def test_says_so_when_no_line_names_the_request(logs):
+    found = explain.explain(explain.read(logs), "nobody")
+    assert str(found) == "No line of any log names request nobody."
+
+
+def test_a_refusal_under_load_is_named(logs):
+    found = explain.explain(explain.read(logs), "other")
+    assert found.cause == "All targets were too busy to answer in time."
--- /dev/null
+++ b/tests/platform/test_check.py
@@ -0,0 +1,42 @@
+"""Settings, configurations and the deploy file, checked before they are used."""
+
+import json
+import pathlib
+
+from sesamespindle.platform import check
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+def test_the_projects_own_deploy_file_is_right():
+    assert check.check(deploy_path=ROOT / "deploy" / "system.toml") == []
+
+
+def test_names_what_a_deploy_file_lacks(tmp_path):
+    path = tmp_path / "system.toml"
+    path.write_text('[roles.entry]\nrun = "x"\nserves = ["front"]\n')
+    messages = [finding.message for finding in check.check(deploy_path=path)]
+    assert messages == [
+        "build is not set",
+        "no role serves directory",
+        "roles.entry.on is not set",
+    ]
+
+
+def test_names_the_place_of_a_fault_in_a_configuration(tmp_path):
+    path = tmp_path / "main.json"
+    path.write_text(json.dumps({"Version": 1, "Routes": [{"Host": "a"}]}))
+    (finding,) = check.check(manifest_path=path)
+    assert finding.message.startswith("Routes.0.PathPrefix")
+
+
+def test_unknown_fields_and_kinds_are_borne(tmp_path):
+    """A later version of the platform adds fields and a kind of route.
+
+    The fields are passed over. A kind that isn't known is treated as the most
+    careful one: at most one run.
+    """
+    path = tmp_path / "main.json"
+    route = {"Host": "a", "PathPrefix": "/", "Kind": "strange", "New": 1}
+    path.write_text(json.dumps({"Version": 1, "Routes": [route], "More": {}}))
+    assert check.check(manifest_path=path) == []
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,128 @@
+"""Headers and statuses of the platform."""
+
+import datetime
+
+import multidict
+import pytest
+
+from sesamespindle.decide import commands, forwarding, kvstores, routes
+from sesamespindle.platform import dialect
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+
+
+class Http:
+    """As much of a request as the dialect reads."""
+
+    raw_path = "/chat/a%2Fb?x=1"
+
+    def __init__(self, **headers):
+        pairs = {name.replace("_", "-"): value for name, value in headers.items()}
+        self.headers = multidict.CIMultiDict({"Host": "a.example:80"} | pairs)
+        self.raw_headers = tuple(
+            (name.encode(), value.encode()) for name, value in self.headers.items()
+        )
+
+
+def make_forward(**changed):
+    fields = {
+        "request_id": "r1",
+        "attempt": 1,
+        "target": "i-1",
+        "address": "10.0.0.1:80",
+        "until": NOW + datetime.timedelta(seconds=2),
+        "urgency": 4,
+        "account": "acme",
+        "repeats": routes.Repeats.ONCE,
+        "streaming": False,
+    }
+    return forwarding.Forward(**(fields | changed))
+
+
+def test_reads_a_request():
+    http = Http(X_Attempt_Id="r1", X_Deadline_Ms="1500", X_Prompt_Prefix="aa:10,bb:5")
+    read = dialect.Dialect().read_request(http, NOW)
+    assert (read.host, read.path) == ("a.example", "/chat/a%2Fb")
+    assert read.deadline == NOW + datetime.timedelta(seconds=1.5)
+    assert read.prompt == (kvstores.Part("aa", 10), kvstores.Part("bb", 5))
+
+
+@pytest.mark.parametrize("value", ["", "aa", "aa:x", "aa:1,:"])
+def test_a_prompt_that_cant_be_read_has_no_parts(value):
+    http = Http(X_Prompt_Prefix=value, X_Deadline_Ms="soon")
+    read = dialect.Dialect().read_request(http, NOW)
+    assert read.prompt in ((), (kvstores.Part("aa", 1),))
+    assert read.deadline is None
+
+
+def test_callers_cannot_set_what_is_the_systems_to_set():
+    """A caller sends the headers by which KV cache is found and held.
+
+    Passed on, they would show it other accounts' cache, or hold an engine's
+    memory.
+    """
+    http = Http(
+        X_Cache_Salt="1.bank",
+        X_Kv_Fetch="10.9.9.9:1",
+        Kv_From="x",
+        X_Hold="h",
+        X_Tenant="bank",
+        X_Api_Key="secret",
+        X_Request_Urgency="0",
+        Connection="X-Secret",
+        X_Secret="s",
+        X_Other="kept",
+    )
+    sent = dialect.Dialect().send_headers(http, make_forward(), NOW)
+    assert dict(sent) == {
+        "Host": "a.example:80",
+        "X-Other": "kept",
+        "X-Deadline-Ms": "2000",
+        "X-Expect-Instance": "i-1",
+        "X-Tenant": "acme",
+    }
+
+
+def judge(status, repeats=routes.Repeats.ONCE, **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    made = multidict.CIMultiDict({"X-Attempt-Id": "r1"} | named)
+    return dialect.Dialect().judge(make_forward(repeats=repeats), status, made)
+
+
+def test_an_answer_to_another_request_is_nobodys():
+    assert judge(200, X_Attempt_Id="r0", X_Server_Stamp="s") is forwarding.Ending.LOST
+
+
+def test_a_refusal_without_the_targets_word_promises_nothing():
+    """A target answers 503 but does not say that it left the request alone.
+
+    Passed on, the 503 would promise the caller that it has not run.
+    """
+    assert judge(503) is forwarding.Ending.LOST
+    assert judge(503, X_Not_Executed="1") is forwarding.Ending.TURNED_AWAY
+
+
+def test_tells_another_target_from_another_version():
+    assert judge(421, X_Instance_Id="i-2") is forwarding.Ending.WRONG_TARGET
+    assert judge(421, X_Instance_Id="i-1") is forwarding.Ending.WRONG_VERSION
+
+
+def test_a_failure_is_repeated_only_where_that_is_allowed():
+    assert judge(500) is None
+    assert judge(500, routes.Repeats.IDEMPOTENT) is forwarding.Ending.FAILED
+
+
+def refusal(code, outcome):
+    retry_after = datetime.timedelta(seconds=0.2)
+    refuse = commands.Refuse("r1", code, outcome, "why", retry_after)
+    return dialect.Dialect().refusal(refuse)
+
+
+def test_a_status_says_whether_the_request_may_have_run():
+    not_run, unknown = commands.Outcome.NOT_RUN, commands.Outcome.UNKNOWN
+    made = refusal(commands.Code.OVERLOADED, not_run)
+    assert (made.status, made.headers["Retry-After"]) == (503, "0.20")
+    assert refusal(commands.Code.TARGET_FAILED, unknown).status == 502
+    assert refusal(commands.Code.TIMEOUT, unknown).status == 504
+    assert refusal(commands.Code.TIMEOUT, not_run).status == 503
+    assert refusal(commands.Code.UNKNOWN_KEY, not_run).status == 401
