--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -66,7 +66,8 @@
 
     def __init__(self, me, terms, policy=None, seed=0, seeds=()):
         self.state = world.World(me, policy, seed)
-        self.state.put_entry(catalogue.me_as_entry(me))
+        # Peers and callers are told of this host once it can serve.
+        self.state.put_entry(catalogue.me_as_entry(dataclasses.replace(me, url="")))
         self.weights = weights.Weights(self.state, terms.weights_within)
         self.stores = kvstores.KvStores(self.state)
         self.forwarding = forwarding.Forwarding(
@@ -146,6 +147,7 @@
         self.membership.spread(now)
 
     def _tick(self, now):
+        self._announce_when_ready(now)
         self.membership.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
@@ -153,6 +155,22 @@
         if self.lease.is_held(now):
             self.stores.free_replaced(self._salt_is_kept, now)
 
+    def _announce_when_ready(self, now):
+        """Have callers sent here from when requests can be served, not before.
+
+        Guards against a host that has just started, knows no configuration
+        because the platform turns it away, and refuses all that callers send.
+        Until it knows one it asks peers at every tick.
+        """
+        me = self.state.entries.get(self.state.me.name)
+        if self.is_ready() and not me.url:
+            me.url = self.state.me.url
+            self.state.note_view_change()
+            self.state.emit(commands.Note("ready", me.name))
+            self.membership.spread(now)
+        elif self.forwarding.configuration is None:
+            self.membership.spread(now)
+
     def _salt_is_kept(self, salt):
         """Return whether a salt may belong to weights that a target runs."""
         version, _, _ = salt.partition(".")
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -314,7 +314,7 @@
         self._child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "sesamespindle.platform.main",
+            "sesamespindle.platform.launch",
             stdout=self.log,
             stderr=self.log,
             env=os.environ | {"SESAMESPINDLE_NODE_FILE": self._settings},
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -309,7 +309,7 @@
         child = await asyncio.create_subprocess_exec(
             standins.sys.executable,
             "-m",
-            "sesamespindle.platform.main",
+            "sesamespindle.platform.launch",
             stderr=asyncio.subprocess.PIPE,
             env=standins.os.environ | {"SESAMESPINDLE_NODE_FILE": str(path)},
         )
