--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -22,9 +22,10 @@
 # The loss for each second of waiting below that, so that the faster of two
 # timely engines is taken.
 _LOSS_PER_SECOND = 0.1
-# What reading a whole prompt away from its home costs of an answer's worth:
-# another engine may just be reading the same context, or hold it already.
-_READ_AGAIN_LOSS = 0.2
+# What reading a thousand tokens away from a context's home costs of an answer's
+# worth: the home may hold them already. A long context of 9,000 tokens loses
+# a little more by it than by a late first token, a short one much less.
+_READ_AGAIN_LOSS = 0.12
 # An engine whose memory runs out throws a run out and reads its prompt again,
 # which is late then and paid twice. Memory is filled up to this part by what is
 # known of runs; the rest covers sends that peers have not told of yet.
@@ -116,8 +117,8 @@
         loss += row.failure_rate + _LOSS_PER_SECOND * seconds
         if held_tokens(row, now) + work.held_tokens > _MEMORY_FILLED * work.capacity:
             loss += _MEMORY_LOSS
-        if row is not home_row and work.tokens:
-            loss += _READ_AGAIN_LOSS * effort.read_tokens / work.tokens
+        if row is not home_row:
+            loss += _READ_AGAIN_LOSS * effort.read_tokens / 1000.0
         return loss
 
     return min(rows, key=cost, default=None)
