--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -8,8 +8,10 @@
 from sesamespindle.decide import (
     catalogue,
     commands,
+    flights,
     kvstores,
     placement,
+    promptplacing,
     retries,
     routes,
     world,
@@ -59,33 +61,6 @@
     SILENT = "silent"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A caller's request, as far as deciding goes.
-
-    Attributes
-    ----------
-    deadline : datetime.datetime or None
-        When the caller gives up.
-    body_bytes : int
-        Length of the body; -1 where it isn't known.
-    prompt : tuple of kvstores.Part
-        The parts of the prompt, in order.
-    answer_tokens : int
-        The most tokens of its answer.
-    """
-
-    request_id: str
-    host: str
-    path: str
-    key: str | None
-    deadline: datetime.datetime | None
-    model: str = ""
-    prompt: tuple[kvstores.Part, ...] = ()
-    answer_tokens: int = 0
-    body_bytes: int = -1
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forward:
     """Send a request to a target.
@@ -123,24 +98,6 @@
     request_id: str
 
 
-@dataclasses.dataclass(slots=True)
-class Flight:
-    """A request that has no final answer yet."""
-
-    request: Request
-    route: routes.Route
-    service: str
-    account: routes.Account | None
-    arrived_at: datetime.datetime
-    until: datetime.datetime
-    target: str = ""
-    sends: int = 0
-    runs: int = 0
-    sent_at: datetime.datetime | None = None
-    tried: set = dataclasses.field(default_factory=set)
-    version: int | None = None
-
-
 class Forwarding:
     """Decides on every request and every end of a send.
 
@@ -159,7 +116,7 @@
     def __init__(self, state, weights, stores, budgets):
         self._state = state
         self._weights = weights
-        self._stores = stores
+        self._placing = promptplacing.PromptPlacing(state, weights, stores)
         self._budgets = budgets
         self.configuration = None
         self.flight_by_request = {}
@@ -189,7 +146,8 @@
         until = now + route.timeout
         if request.deadline is not None:
             until = min(until, request.deadline)
-        flight = Flight(request, route, self._service(route), account, now, until)
+        service = self._service(route)
+        flight = flights.Flight(request, route, service, account, now, until)
         self.flight_by_request[request.request_id] = flight
         self._budgets.earn(flight.service, self._entries())
         return self._send(flight, now)
@@ -267,43 +225,32 @@
         rows = self._candidates(flight, service, now)
         if not rows:
             return self._give_up(flight, ending, now, commands.Code.NO_TARGET)
-        engines = service.engines if service is not None else None
-        if engines is not None and flight.request.model:
-            row, version, salt = self._place_prompt(flight, engines, rows, now)
-        else:
+        if service is None or service.engines is None or not flight.request.model:
             row = placement.choose_plain(rows, self._state.me.data_centre, now)
-            version = salt = None
-        if row is None:
+            return self._start(flight, row, None, now)
+        place = self._placing.choose(flight, service.engines, rows, now)
+        if place is None:
             return self._give_up(flight, ending, now, commands.Code.NO_TARGET)
-        if engines is not None and self._hopeless(flight, row, now):
+        if self._hopeless(flight, place.row, now):
             return self._give_up(flight, ending, now, commands.Code.OVERLOADED)
-        transfers = kvstores.NO_TRANSFERS
-        read_tokens = 0
-        if salt is not None:
-            prompt = flight.request.prompt
-            read_tokens = self._effort(flight, engines, row, now).read_tokens
-            transfers = self._stores.plan(
-                engines, row, self._home(flight), salt, prompt, now
-            )
-            row.note_read(salt, prompt[:-1], engines.kv_capacity)
-        return self._start(flight, row, version, salt, transfers, read_tokens, now)
+        return self._start(flight, place.row, place, now)
 
-    def _start(self, flight, row, version, salt, transfers, read_tokens, now):
+    def _start(self, flight, row, place, now):
+        """Count a send at its target, and return it."""
+        request = flight.request
         flight.target = row.name
-        flight.version = version
+        flight.version = place.version if place else None
         flight.sends += 1
         flight.sent_at = now
         flight.tried.add(row.name)
         row.running_here += 1
-        row.sent_by_request[flight.request.request_id] = world.SentWork(
-            now, read_tokens
-        )
-        if version is not None:
-            held = _held_tokens(flight.request)
-            row.held_by_request[flight.request.request_id] = held
+        if place:
+            sent = world.SentWork(now, place.read_tokens)
+            row.sent_by_request[request.request_id] = sent
+            row.held_by_request[request.request_id] = request.held_tokens
         account = flight.account
         return Forward(
-            flight.request.request_id,
+            request.request_id,
             flight.sends,
             row.name,
             row.url,
@@ -312,47 +259,38 @@
             account.name if account is not None else None,
             flight.route.repeats,
             flight.route.streaming,
-            version,
-            salt,
-            transfers,
-            self._patience(flight, row, now),
-            self._explain(flight, row, version, transfers, now),
+            flight.version,
+            place.salt if place else None,
+            place.transfers if place else kvstores.NO_TRANSFERS,
+            self._patience(flight, row),
+            self._explain(flight, row, place, now),
         )
 
-    def _explain(self, flight, row, version, transfers, now):
+    def _explain(self, flight, row, place, now):
         """Return the inputs of a choice, for the log."""
         text = (
             f"Configuration {self.configuration.version}, route {flight.route.name}, "
-            f"load {row.reported_load}, "
-            f"{row.running_here} from here"
+            f"load {row.reported_load}, {row.running_here} from here"
         )
-        if version is None:
+        if place is None:
             return text + "."
-        prompt = flight.request.prompt
+        request = flight.request
         fetched = sum(
             part.tokens
-            for part, address in zip(prompt, transfers.fetch_from, strict=False)
+            for part, address in zip(
+                request.prompt, place.transfers.fetch_from, strict=False
+            )
             if address
         )
-        saved = sum(address is not None for address in transfers.save_to)
-        home = "at home" if row is self._home(flight) else "away from home"
+        saved = sum(address is not None for address in place.transfers.save_to)
+        queued = placement.queue_seconds(row, now) * 1000
         return (
-            f"{text}, context {_affinity(flight.request) or 'none'}, {home}, "
-            f"version {version}, "
-            f"{sum(part.tokens for part in prompt)} tokens, {fetched} to fetch, "
-            f"{saved} parts to save, {placement.queue_seconds(row, now) * 1000:.0f} ms "
-            f"queued, slowness {row.slowness:.2f}."
+            f"{text}, context {request.affinity or 'none'}, "
+            f"{'at home' if place.at_home else 'away from home'}, "
+            f"version {place.version}, {request.prompt_tokens} tokens, "
+            f"{fetched} to fetch, {saved} parts to save, {queued:.0f} ms queued."
         )
 
-    def _home(self, flight):
-        """Return the engine where prompts of a context usually go, or None."""
-        affinity = _affinity(flight.request)
-        if not affinity:
-            return None
-        rows = self._state.targets.where("pool", flight.service)
-        staying = [row for row in rows if row.listed and not row.leaving]
-        return placement.home(staying, affinity)
-
     def _candidates(self, flight, service, now):
         """Return targets with room for one more connection of this daemon."""
         rows = list(self._state.targets.where("pool", flight.service))
@@ -366,69 +304,12 @@
         most = max(1, service.max_connections // self._entries())
         return [row for row in rows if row.running_here < most]
 
-    def _place_prompt(self, flight, engines, rows, now):
-        """Return (row, version, salt) for a prompt; no row if all weights are old."""
-        model = flight.request.model
-        rows = [row for row in rows if self._weights.may_begin(row, model, now)]
-        prompt = flight.request.prompt
-        work = placement.Work(
-            sum(part.tokens for part in prompt),
-            _held_tokens(flight.request),
-            engines.kv_capacity,
-            flight.route.latency_goal.total_seconds(),
-            lambda row: self._effort(flight, engines, row, now),
-        )
-
-        def loss_of(row):
-            return self._weights.loss(row, model, now)
-
-        row = placement.choose_engine(rows, work, now, loss_of, self._home(flight))
-        if row is None:
-            return None, None, None
-        version = self._weights.running(row, model)
-        return row, version, self._salt(flight, version)
-
-    def _effort(self, flight, engines, row, now):
-        """Return what the prompt is expected to cost at an engine.
-
-        A part is there if this daemon had the engine read it lately, and can
-        be brought if a store or its home holds it; all after the first part
-        that is neither has to be read.
-        """
-        prompt = flight.request.prompt
-        salt = self._salt(flight, self._weights.running(row, flight.request.model))
-        home = self._home(flight)
-        seconds, left = 0.0, sum(part.tokens for part in prompt)
-        for part in prompt[:-1]:
-            key = salt, part.part_id
-            if key not in row.read_parts:
-                brought = self._stores.part_seconds(engines, row, salt, part, now)
-                if brought is None and home is not None and key in home.read_parts:
-                    brought = kvstores.engine_seconds(engines, home, row, part.tokens)
-                if brought is None:
-                    break
-                seconds += brought
-            left -= part.tokens
-        return placement.Effort(left, seconds)
-
-    def _salt(self, flight, version):
-        """Return what KV cache is kept under: the weights, and any wall.
-
-        The engine refuses a request whose expected version isn't its own, so a
-        request can't read what other weights made, nor across accounts where
-        one of them is isolated.
-        """
-        account = flight.account
-        if account is not None and account.isolated:
-            return f"{version}.{account.name}"
-        return f"{version}"
-
     def _hopeless(self, flight, row, now):
         left = flight.until - now
         wait = datetime.timedelta(seconds=placement.queue_seconds(row, now))
         return wait > left * _HOPELESS_SHARE
 
-    def _patience(self, flight, row, now):
+    def _patience(self, flight, row):
         """Return how long silence is borne, where another target may be tried."""
         route = flight.route
         if route.repeats is not routes.Repeats.IDEMPOTENT:
@@ -532,10 +413,6 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
-def _held_tokens(request):
-    return sum(part.tokens for part in request.prompt) + request.answer_tokens
-
-
 def _urgency(flight):
     """Return the urgency at the target, 0 first.
 
@@ -548,13 +425,6 @@
     return first * _ROUTE_RANKS + min(second, _ROUTE_RANKS - 1)
 
 
-def _affinity(request):
-    """Return what the requests of one context have in common, or empty."""
-    if len(request.prompt) < 2:
-        return ""
-    return request.prompt[-2].part_id
-
-
 def _note_result(row, failed):
     row.failure_rate += _NEWEST * ((1.0 if failed else 0.0) - row.failure_rate)
     if not failed:
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -74,7 +74,6 @@
         Returns the `Effort` at an engine.
     """
 
-    tokens: int
     held_tokens: int
     capacity: int
     goal_seconds: float
@@ -130,7 +129,7 @@
     seconds += effort.transfer_seconds + queue_seconds(row, now)
     if row.switching_until is not None and now < row.switching_until:
         seconds += _SWITCHING_SECONDS
-    return seconds * row.slowness
+    return seconds
 
 
 def _late_loss(seconds, goal_seconds):
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -115,8 +115,6 @@
     reported_load: int = 0
     service_time: datetime.timedelta | None = None
     failure_rate: float = 0.0
-    # How much longer first tokens take than expected, on average.
-    slowness: float = 1.0
     # Parts of prompts that this daemon had it read, least recently used first.
     read_parts: dict[tuple, int] = dataclasses.field(default_factory=dict)
     read_tokens: int = 0
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -8,6 +8,7 @@
     budgets,
     commands,
     events,
+    flights,
     forwarding,
     gateway,
     kvstores,
@@ -95,7 +96,7 @@
 
 def make_request(path, request_id="r1", key="key-1", **changed):
     fields = {"deadline": NOW + 20 * SECOND}
-    return forwarding.Request(request_id, "a.example", path, key, **(fields | changed))
+    return flights.Request(request_id, "a.example", path, key, **(fields | changed))
 
 
 def begin(core, path, now=NOW, **changed):
--- a/tests/decide/test_placement.py
+++ b/tests/decide/test_placement.py
@@ -16,7 +16,6 @@
 
 def make_work(read_tokens=1000, held_tokens=1000):
     return placement.Work(
-        1000,
         held_tokens,
         100_000,
         0.4,
