--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -1,6 +1,5 @@
 """The life of a forwarded request: where it goes, and what its caller gets."""
 
-import collections
 import dataclasses
 import datetime
 import enum
@@ -120,7 +119,6 @@
         self._budgets = budgets
         self.configuration = None
         self.flight_by_request = {}
-        self.count_by_code = collections.Counter()
 
     def begin(self, request, now):
         """Return `Forward` or `commands.Refuse` for a new request."""
@@ -189,10 +187,6 @@
         if flight is not None:
             self._release(flight)
 
-    def broken_stream(self, request_id, now):
-        """Return what follows when a stream that has begun breaks off."""
-        return self.ended(request_id, Ending.LOST, now)
-
     def report_load(self, target, running, waiting):
         """Take in the load that a target told with an answer."""
         row = self._state.targets.get(target)
@@ -404,7 +398,6 @@
         )
 
     def _refuse(self, request, code, message, outcome=commands.Outcome.NOT_RUN):
-        self.count_by_code[code] += 1
         retry_after = None
         if outcome is commands.Outcome.NOT_RUN:
             retry_after = retries.spread(
