Log an answer that is cut off after it had begun

Cause: a stream whose engine crashed and that can't be continued ended without a line in the log, so explain found no fault. It is logged and counted now.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -9,6 +9,10 @@
 _CONTEXT_PARTS = ("decide", "platform", "daemon")
 # First match wins; the strongest sign of a cause comes first.
 _CAUSES = (
+    (
+        "Cut off:",
+        "The target stopped in the middle of an answer that can't be continued.",
+    ),
     (
         "unknown_key",
         "The API key isn't in the configuration that the host had in force.",
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -110,6 +110,10 @@
         try:
             return await self._carry_out(http, request, body, command, answer)
         except _CutOffError:
+            _log.bind(request=request.request_id).info(
+                "Cut off: the answer had begun, and nothing can continue it."
+            )
+            self._measures.refused("cut_off")
             self._cut(http)
             return answer.response
         except asyncio.CancelledError:
