Wait until the host list shows a restarted entry before its time line is judged

Cause: the command asks the entries of the lagging list (1 s). The step asked once, right after an entry had started again at a new address, and so missed it: always when run alone on an idle machine, never while other plays slowed the start. The check itself is the same; it now waits for all three entries.

--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -265,13 +265,20 @@
 
 @pytest_bdd.then("every entry's revisions rise, to the latest")
 def revisions_rise(running, go):
-    code, output = go(running.cli("timeline", "--json"))
-    assert code == 0, output
     by_entry = {}
-    for item in json.loads(output):
-        if item["kind"] == "revision":
-            by_entry.setdefault(item["daemon"], []).append(int(item["subject"]))
-    assert by_entry.keys() >= {"entry-1", "entry-2", "entry-3"}
+
+    async def all_told():
+        # The list of hosts lags, so an entry that has just started again is
+        # found at its new address only after a while.
+        code, output = await running.cli("timeline", "--json")
+        assert code == 0, output
+        by_entry.clear()
+        for item in json.loads(output):
+            if item["kind"] == "revision":
+                by_entry.setdefault(item["daemon"], []).append(int(item["subject"]))
+        return by_entry.keys() >= {"entry-1", "entry-2", "entry-3"}
+
+    go(running.until(all_told))
     assert len({seen[-1] for seen in by_entry.values()}) == 1
     for seen in by_entry.values():
         assert seen == sorted(set(seen))
