--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -101,7 +101,7 @@
     async def _answer(self, http, arrived):
         request = self._dialect.read_request(http, arrived)
         if not request.request_id or self._is_taken(request):
-            return self._refuse(http, _malformed(request))
+            return self._refuse(http, _without_own_id(request))
         if self._is_too_late(request):
             return self._refuse(http, _leaving(request))
         body = await self._read_body(http)
@@ -239,7 +239,7 @@
         ending = self._dialect.judge(forward, response.status, response.headers)
         try:
             if ending is forwarding.Ending.FAILED:
-                answer.failure = await self._read_whole(response)
+                answer.failure = await self._read_failure(response)
                 return ending if answer.failure is not None else forwarding.Ending.LOST
             if ending is not None:
                 if ending is not forwarding.Ending.LOST:
@@ -253,37 +253,30 @@
                 response.close()
 
     async def _pass_plain(self, http, forward, response, answer):
+        """Pass an answer on: judged whole if it is small, as it comes if not."""
         self._first_byte(forward)
-        if (response.content_length or 0) <= _HELD_BYTES:
-            whole = await self._read_whole(response)
-            if whole is None:
-                return forwarding.Ending.LOST
-            if answer.response is not None:
-                raise _CutOffError
-            answer.response = whole
-            return None
-        await self._begin(http, response, answer)
-        protocol = response.connection.protocol if response.connection else None
+        protocol = _protocol(response)
+        held = bytearray()
         try:
             async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
-                await answer.response.write(chunk)
-        except aiohttp.ClientError as error:
-            raise _CutOffError from error
-        if _was_reset(protocol):
-            raise _CutOffError
-        await answer.response.write_eof()
+                if answer.response is not None:
+                    await self._write(answer, chunk)
+                    continue
+                held += chunk
+                if len(held) > _HELD_BYTES:
+                    await self._begin(http, response, answer)
+                    await self._write(answer, bytes(held))
+        except aiohttp.ClientError:
+            return self._broken(forward, answer)
+        if not _is_framed(response) and _was_reset(protocol):
+            return self._broken(forward, answer)
+        if answer.response is None:
+            answer.response = self._whole(response, bytes(held))
+        else:
+            await answer.response.write_eof()
         return None
 
-    async def _read_whole(self, response):
-        """Return an answer that has come whole, or None."""
-        protocol = response.connection.protocol if response.connection else None
-        try:
-            content = await response.read()
-        except aiohttp.ClientError:
-            return None
-        framed = "Content-Length" in response.headers or _is_chunked(response)
-        if not framed and _was_reset(protocol):
-            return None
+    def _whole(self, response, content):
         return aiohttp.web.Response(
             status=response.status,
             reason=response.reason,
@@ -291,10 +284,22 @@
             body=content,
         )
 
+    async def _read_failure(self, response):
+        """Return a target's own failure, or None if it didn't come whole."""
+        protocol = _protocol(response)
+        try:
+            content = await response.content.read(_HELD_BYTES)
+            whole = response.content.at_eof() or not await response.content.read(1)
+        except aiohttp.ClientError:
+            return None
+        if not whole or (not _is_framed(response) and _was_reset(protocol)):
+            return None
+        return self._whole(response, content)
+
     async def _pass_stream(self, http, forward, response, answer):
         """Pass events on as they come."""
         resumes = forward.repeats is routes.Repeats.RESUMABLE
-        protocol = response.connection.protocol if response.connection else None
+        protocol = _protocol(response)
         answer.cutter.restart()
         first = True
         try:
@@ -308,19 +313,31 @@
                     continue
                 if answer.response is None:
                     await self._begin(http, response, answer)
-                await answer.response.write(chunk)
+                await self._write(answer, chunk)
         except aiohttp.ClientError:
             return self._broken(forward, answer)
-        framed = "Content-Length" in response.headers or _is_chunked(response)
-        if (not framed and _was_reset(protocol)) or answer.cutter.has_rest():
+        cut = not _is_framed(response) and _was_reset(protocol)
+        if cut or answer.cutter.has_rest():
             return self._broken(forward, answer)
         if answer.response is None:
             await self._begin(http, response, answer)
         await answer.response.write_eof()
         return None
 
+    async def _write(self, answer, chunk):
+        """Write to the caller.
+
+        Guards against a caller that leaves in the middle of a stream: the
+        library's error for it is of the same kind as a target's, and the
+        request would be sent on to another target for nobody.
+        """
+        try:
+            await answer.response.write(chunk)
+        except (aiohttp.ClientError, ConnectionError) as error:
+            raise _CutOffError from error
+
     def _broken(self, forward, answer):
-        """Return the ending of a stream that broke off."""
+        """Return the ending of an answer that broke off."""
         resumes = forward.repeats is routes.Repeats.RESUMABLE
         if answer.response is not None and not resumes:
             raise _CutOffError
@@ -392,17 +409,27 @@
     return protocol is not None and protocol.was_reset
 
 
-def _is_chunked(response):
-    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+def _protocol(response):
+    return response.connection.protocol if response.connection else None
+
+
+def _is_framed(response):
+    """Return whether an answer says itself where it ends."""
+    coding = response.headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" in response.headers or "chunked" in coding
 
 
-def _malformed(request):
+def _without_own_id(request):
+    """Refuse a request that can't be told from another.
+
+    One that bears the id of a request under way is perhaps the same one, so it
+    isn't said that it has not run.
+    """
     return commands.Refuse(
         request.request_id,
-        commands.Code.NOT_READY,
-        commands.Outcome.NOT_RUN,
+        commands.Code.KEY_REUSED,
+        commands.Outcome.UNKNOWN,
         "The request has no id of its own.",
-        datetime.timedelta(seconds=1),
     )
 
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import struct
 import sys
 import tempfile
 
@@ -151,6 +152,8 @@
         self.readers = []
         self.writers = []
         self.loses_answers = False
+        self.unframed_bytes = 0
+        self.resets_unframed = False
         self.body_bytes = 0
         self._server = None
 
@@ -199,10 +202,30 @@
         if self.service == "llm":
             await self._stream(headers, writer)
             return
+        if self.unframed_bytes:
+            await self._answer_unframed(headers, writer)
+            return
         body = f"{self.name} ran {headers['x-attempt-id']}".encode()
         stamp = {"X-Server-Stamp": "s"}
         writer.write(_answer(self.status, headers, stamp, body) + self.second_answer)
 
+    async def _answer_unframed(self, headers, writer):
+        """Answer without a length, and end with the connection."""
+        attempt = headers["x-attempt-id"].encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nConnection: close\r\n"
+            b"X-Attempt-Id: " + attempt + b"\r\n\r\n" + b"x" * self.unframed_bytes
+        )
+        await writer.drain()
+        if self.resets_unframed:
+            linger = struct.pack("ii", 1, 0)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            return
+        writer.close()
+
     async def _stream(self, headers, writer):
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -83,10 +83,11 @@
     }
 
 
-def judge(status, repeats=routes.Repeats.ONCE, **headers):
+def judge(status, repeats=routes.Repeats.ONCE, version=None, **headers):
     named = {name.replace("_", "-"): value for name, value in headers.items()}
     made = multidict.CIMultiDict({"X-Attempt-Id": "r1"} | named)
-    return dialect.Dialect().judge(make_forward(repeats=repeats), status, made)
+    forward = make_forward(repeats=repeats, version=version)
+    return dialect.Dialect().judge(forward, status, made)
 
 
 def test_an_answer_to_another_request_is_nobodys():
@@ -104,7 +105,17 @@
 
 def test_tells_another_target_from_another_version():
     assert judge(421, X_Instance_Id="i-2") is forwarding.Ending.WRONG_TARGET
-    assert judge(421, X_Instance_Id="i-1") is forwarding.Ending.WRONG_VERSION
+    wrong_version = judge(421, version=1, X_Instance_Id="i-1")
+    assert wrong_version is forwarding.Ending.WRONG_VERSION
+
+
+def test_a_plain_target_that_is_misdirected_is_another_target():
+    """A plain target answers 421 and doesn't say who it is.
+
+    It has no weights, so it can't be another version. Taken for one, the
+    decision logic compared a version with nothing and the caller got a 500.
+    """
+    assert judge(421) is forwarding.Ending.WRONG_TARGET
 
 
 def test_a_failure_is_repeated_only_where_that_is_allowed():
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -134,6 +134,51 @@
     play(scenario)
 
 
+def test_a_large_answer_without_a_length_passes_through(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.unframed_bytes = 900_000
+        daemon = await world.add_daemon()
+        status, _, body = await world.ask(daemon, "/once/1", "r1")
+        assert (status, len(body)) == (200, 900_000)
+
+    play(scenario)
+
+
+def test_half_an_answer_without_a_length_does_not_look_whole(play):
+    """A target's answer has no length, and its connection is reset on the way.
+
+    The reset ends the answer just as a close would. Passed on as it came, half
+    of an answer would look whole.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.unframed_bytes = 100
+        target.resets_unframed = True
+        daemon = await world.add_daemon()
+        status, _, _ = await world.ask(daemon, "/once/1", "r1")
+        assert status == 502
+
+    play(scenario)
+
+
+def test_two_requests_of_one_id_are_not_both_run(play):
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        target.release.clear()
+        daemon = await world.add_daemon()
+        headers = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
+        first = asyncio.create_task(world.ask(daemon, "/chat/1", "r1", **headers))
+        await target.began.wait()
+        assert (await world.ask(daemon, "/chat/1", "r1", **headers))[0] == 502
+        target.release.set()
+        assert (await first)[0] == 200
+        assert len(target.runs) == 1
+
+    play(scenario)
+
+
 def test_a_second_answer_is_given_to_nobody(play):
     """A target sends a second answer on a connection that is kept.
 
