Use the whole of an account's limit where all entries want more

Cause: an owner rounded each entry's share down, so with a limit of 8 and three busy entries 6 ran and 2 slots stood idle (seen for 25 s on end) while callers were refused. Shares are rounded up now; what is free still bounds their sum. The new test of slices fails without the change.

--- a/packages/decide/sesamespindle/decide/sliceowner.py
+++ b/packages/decide/sesamespindle/decide/sliceowner.py
@@ -275,7 +275,9 @@
         wanted = given.wanted + sum(other.wanted for other in others)
         share = given.wanted
         if wanted > limit:
-            share = max(1, limit * given.wanted // wanted)
+            # Rounded up, or what the shares leave over would be used by nobody
+            # while all wait; `free` keeps the sum within the limit.
+            share = -(-limit * given.wanted // wanted)
         return min(given.wanted, share, free)
 
     def _reserve(self, row, limit):
--- a/tests/decide/test_slices.py
+++ b/tests/decide/test_slices.py
@@ -376,3 +376,28 @@
     for _ in range(LIMIT):
         fleet.send(idle)
     assert 0 < fleet.at_engine() <= LIMIT
+
+
+def test_equal_demand_uses_the_whole_limit():
+    """Three entries have more callers of one account than it may run.
+
+    Their shares were rounded down, so with a limit of 5 each got 1 and two
+    slots stood idle while callers were refused at all three.
+    """
+    fleet = Fleet()
+    fleet.pass_time(datetime.timedelta(seconds=2))
+    busy = NAMES[:3]
+    for _ in range(20):
+        for name in busy:
+            fleet.send(name)
+        fleet.pass_time(datetime.timedelta(milliseconds=400))
+        fleet.deliver_all()
+    assert fleet.at_engine() == LIMIT
+    for _ in range(20):
+        for name in busy:
+            if fleet.running_by_name[name]:
+                fleet.finish(name)
+            fleet.send(name)
+        fleet.pass_time(datetime.timedelta(milliseconds=400))
+        fleet.deliver_all()
+    assert fleet.at_engine() == LIMIT
