--- a/packages/decide/sesamespindle/decide/promptplacing.py
+++ b/packages/decide/sesamespindle/decide/promptplacing.py
@@ -105,7 +105,7 @@
 
 
 def _salt(flight, version):
-    """Return what KV cache is kept under: the weights, and any wall.
+    """Return what KV cache is kept under: the weights, and an isolated account.
 
     The engine refuses a request whose expected version isn't its own, so a
     request can't read what other weights made, nor across accounts where one
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -243,7 +243,7 @@
     assert len(targets) == 1
 
 
-def test_cache_of_an_isolated_account_is_walled_off():
+def test_cache_of_an_isolated_account_is_kept_apart():
     """Two accounts send the same prompt, and one of them is isolated.
 
     If both kept it under one name an engine would serve one's cache to the
