Take an answer of the store that can't be read for no answer

Cause: lists and watches were decoded outside the guard of the call, so an answer of 200 with another content, or a 404 for a list, raised an error in the loop that follows the platform, and the daemon left.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -25,6 +25,7 @@
         self.address = address
         self.turned_away = set()
         self.is_away = False
+        self.speaks_nonsense = False
         self._revision = 1
         self._objects = {}
         self._changes = collections.deque(maxlen=1000)
@@ -70,6 +71,8 @@
             if request.transport is not None:
                 request.transport.abort()
             raise aiohttp.web.HTTPServiceUnavailable
+        if self.speaks_nonsense:
+            raise aiohttp.web.HTTPOk(text='{"items": 7, "Events": [{}]}')
 
     async def _serve_kind(self, request):
         self._check(request)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -275,6 +275,27 @@
     play(scenario)
 
 
+def test_a_store_that_answers_nonsense_is_taken_for_away(play):
+    """Something in front of the store answers 200 with another content.
+
+    Taken for an empty list it would leave the host without targets. The host
+    says what it can't read, serves on with what it knows, and recovers.
+    """
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        world.store.speaks_nonsense = True
+        await world.store.put("servers", "desk-9", {})
+        await world.until(lambda: _said(daemon, "an answer that can't be read"))
+        assert (await world.ask(daemon, "/once/1", "r1"))[0] == 200
+        world.store.speaks_nonsense = False
+        await world.store.put("config", "main", standins.make_manifest(2, keys=()))
+        await world.until(lambda: _said(daemon, "configuration 2"))
+
+    play(scenario)
+
+
 def test_a_host_that_the_store_turns_away_learns_from_its_peers(play):
     """The store serves one host and resets the other's connections.
 
