--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -62,14 +62,12 @@
 
     Attributes
     ----------
-    tokens : int
-        All of its tokens.
-    goal_seconds : float
-        The time to first token within which an answer is worth all it can be.
     held_tokens : int
         Tokens of memory that it needs until it ends.
     capacity : int
         Tokens that an engine's memory holds.
+    goal_seconds : float
+        The time to first token within which an answer is worth all it can be.
     effort_at : callable
         Returns the `Effort` at an engine.
     """
