Count only this answer's tokens before its engine is killed in a test

Cause of the three known-red tests: the stand-in engine told the longest of all streams that it keeps, and it keeps finished ones for 5 s. An earlier scenario's 60 tokens let the kill happen before the answer under test had begun (a print at the kill showed 60 where 15 were waited for, and that run failed), so the other engine rightly made all 60. Ruled out: a daemon that forgets what it has delivered; it had delivered nothing.

The engine now tells what it has sent, stream by stream, and the test waits for its own.

--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -52,6 +52,7 @@
         self.digest = answers.digest(request["prompt"])
         self.first = request["continued_tokens"] + 1
         self.tokens = []
+        self.sent = 0
         self.started = None
         self.done = False
         self.cancelled = False
@@ -202,6 +203,7 @@
                 after = max(after, piece["sequence"])
                 if piece["last"]:
                     return
+                stream.sent = max(stream.sent, after)
 
     async def _wait_for_change(self, response, stream, after, told_start):
         def has_news():
@@ -378,10 +380,9 @@
             {
                 **self._counts,
                 "running": len(self._running),
-                "longest_running": max(
-                    (len(stream.tokens) for stream in self._stream_by_id.values()),
-                    default=0,
-                ),
+                "sent_by_stream": {
+                    stream.id: stream.sent for stream in self._stream_by_id.values()
+                },
                 "running_by_account": dict(self._running_by_account),
                 "most_by_account": dict(self._most_by_account),
                 "cached_blocks": len(self._cache),
--- a/tests/promises/test_whole_answers.py
+++ b/tests/promises/test_whole_answers.py
@@ -42,6 +42,7 @@
         self.engine = ""
         self.received_before = {}
         self.made_before = {}
+        self.streams_before = set()
         self.began = False
 
     @property
@@ -64,6 +65,7 @@
                 counts = await self.running.counts(name)
                 self.received_before[name] = counts.get("received", 0)
                 self.made_before[name] = counts.get("made_tokens", 0)
+                self.streams_before |= set(counts["sent_by_stream"])
 
     async def find_engine(self):
         """Return the engine that got a prompt since `note_received`."""
@@ -78,14 +80,22 @@
         await self.running.until(found)
         return self.engine
 
-    async def until_made(self, count):
-        """Wait until the engine that began has made a number of tokens."""
+    async def until_sent(self, count):
+        """Wait until the engine that began has sent a number of this answer's tokens.
 
-        async def made():
+        Streams of earlier answers, which an engine keeps for a while after their
+        end, don't count.
+        """
+
+        async def sent():
             counts = await self.running.counts(self.engine)
-            return counts["longest_running"] >= count
+            return any(
+                tokens >= count
+                for stream, tokens in counts["sent_by_stream"].items()
+                if stream not in self.streams_before
+            )
 
-        await self.running.until(made)
+        await self.running.until(sent)
 
     async def made_since(self, names):
         total = 0
@@ -150,9 +160,9 @@
         engine = await reading.find_engine()
         reading.began = moment != "before the first token"
         if moment == "mid-stream":
-            await reading.until_made(MIDWAY)
+            await reading.until_sent(MIDWAY)
         if moment.startswith("after the last token"):
-            await reading.until_made(TOKENS)
+            await reading.until_sent(TOKENS)
         await running.process_by_name[engine].kill()
         for name in ENGINES:
             if name != engine:
@@ -204,7 +214,7 @@
     async def run():
         sending = asyncio.create_task(reading.stream())
         engine = await reading.find_engine()
-        await reading.until_made(MIDWAY)
+        await reading.until_sent(MIDWAY)
         await running.proxy_fault(engine, mode="freeze")
 
         async def noticed():
