Answer callers that come while a host loads, and load it quicker

The sockets for callers are now opened before anything else is loaded, and are answered once the host can serve, or after 0.4 s at the latest with a refusal. Readiness is told at once and not at the next tick.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -47,6 +47,11 @@
     configuration: routes.Configuration
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BecameReady:
+    """The host can serve for the first time; callers may be answered."""
+
+
 class Gateway:
     """Everything that a daemon on the platform decides.
 
@@ -93,6 +98,7 @@
         """Take events in, in their order, and return the commands they lead to."""
         for event in happened:
             self._take(event, now)
+        self._announce_when_ready(now)
         return self.state.take_commands()
 
     def is_ready(self):
@@ -147,7 +153,9 @@
         self.membership.spread(now)
 
     def _tick(self, now):
-        self._announce_when_ready(now)
+        if self.forwarding.configuration is None:
+            # A host that the platform turns away asks peers at every tick.
+            self.membership.spread(now)
         self.membership.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
@@ -160,16 +168,15 @@
 
         Guards against a host that has just started, knows no configuration
         because the platform turns it away, and refuses all that callers send.
-        Until it knows one it asks peers at every tick.
         """
         me = self.state.entries.get(self.state.me.name)
-        if self.is_ready() and not me.url:
-            me.url = self.state.me.url
-            self.state.note_view_change()
-            self.state.emit(commands.Note("ready", me.name))
-            self.membership.spread(now)
-        elif self.forwarding.configuration is None:
-            self.membership.spread(now)
+        if me.url or not self.is_ready():
+            return
+        me.url = self.state.me.url
+        self.state.note_view_change()
+        self.state.emit(commands.Note("ready", me.name))
+        self.state.emit(BecameReady())
+        self.membership.spread(now)
 
     def _salt_is_kept(self, salt):
         """Return whether a salt may belong to weights that a target runs."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -418,11 +418,16 @@
 
     async def add_daemon(self, seeds=()):
         """Start a daemon and wait until it is ready."""
+        made = await self.start_daemon(seeds)
+        await self.until(lambda: self.is_ready(made))
+        return made
+
+    async def start_daemon(self, seeds=()):
+        """Start a daemon, which still has to load."""
         self._hosts += 1
         ip = f"{self._prefix}.{self._hosts}"
         made = Daemon(f"entry-{self._hosts}", ip, self._ports, self.store, seeds)
         await self._stack.enter_async_context(made)
-        await self.until(lambda: self.is_ready(made))
         return made
 
     def next_ip(self):
--- /dev/null
+++ b/tests/platform/test_earlysockets.py
@@ -0,0 +1,37 @@
+"""Listening sockets that are open before the daemon's modules are loaded."""
+
+import socket
+
+from sesamespindle.platform import earlysockets
+
+
+def _free_port():
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        return listening.getsockname()[1]
+
+
+def test_addresses_of_callers_are_listened_to(tmp_path):
+    front, directory = f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}"
+    path = tmp_path / "settings"
+    path.write_text(
+        f"NodeName=a\nListen.Front={front}\nListen.Control=127.0.0.1:1\n"
+        f"Listen.Directory={directory}\n"
+    )
+    opened = earlysockets.open_sockets(str(path))
+    assert sorted(opened) == sorted((front, directory))
+    for address, listening in opened.items():
+        host, _, port = address.rpartition(":")
+        socket.create_connection((host, int(port))).close()
+        listening.close()
+
+
+def test_what_cannot_be_read_or_bound_is_left_to_the_daemon(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "settings"
+        path.write_text(
+            f"Listen.Front=127.0.0.1:{taken.getsockname()[1]}\n"
+            "Listen.Directory=127.0.0.1:port\n"
+        )
+        assert earlysockets.open_sockets(str(path)) == {}
+    assert earlysockets.open_sockets(str(tmp_path / "missing")) == {}
+    assert earlysockets.open_sockets("") == {}
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -368,6 +368,51 @@
     return all(reader.at_eof() for reader in target.readers)
 
 
+async def _connects(daemon):
+    try:
+        _, writer = await asyncio.open_connection(daemon.ip, daemon.front_port)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
+def test_a_caller_that_comes_while_a_host_loads_is_answered(play):
+    """All hosts lost power and start again, and a caller comes back at once.
+
+    Reset by each host while it loads, or refused because it knows no
+    configuration yet, the caller uses up its tries and gets nothing.
+    """
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        daemon = await world.start_daemon()
+        await world.until(lambda: _connects(daemon))
+        assert not await world.is_ready(daemon)
+        status, _, body = await world.ask(daemon, "/once/1", "r1")
+        assert (status, body) == (200, b"desk-1 ran r1")
+
+    play(scenario)
+
+
+def test_a_host_that_learns_nothing_refuses_instead_of_keeping_callers(play):
+    """A host starts while the platform is away, and there are no peers.
+
+    A caller that was let in early must not be kept: it is told that nothing
+    has run and when to come back.
+    """
+
+    async def scenario(world):
+        world.store.is_away = True
+        daemon = await world.start_daemon()
+        await world.until(lambda: _connects(daemon))
+        status, headers, _ = await world.ask(daemon, "/once/1", "r1")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    play(scenario)
+
+
 def test_a_bad_settings_file_names_every_fault(go, tmp_path):
     async def run():
         path = tmp_path / "settings"
