Soak real daemons with random faults, and judge by callers' and targets' records

A seeded soak of real daemons on loopback: signals that stop, pause, kill and reload, links that freeze, refuse, delay or lose one direction, a store that is away, slow, forgetful or loses answers, targets that crash, lose answers or answer twice and whose addresses are used again, beside changes of the configuration, weights and targets that nobody should notice. KV stores take no part yet.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	platform packages/lab
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo fleet bench capacity guards test test-known-red lint format lock proto clean
+.PHONY: setup demo fleet bench capacity guards soak test test-known-red lint format lock proto clean
 
 setup: $(STAMP)
 
@@ -46,6 +46,12 @@
 guards: setup
 	@$(RUN) -m sesamespindle.lab.main guards
 
+# Plays random faults against real daemons: SEED, then COUNT - 1 more seeds.
+SEED ?= $(shell date +%s)
+COUNT ?= 5
+soak: setup
+	PYTHONPATH=tests/support $(RUN) -m soak --seed $(SEED) --count $(COUNT)
+
 lint: setup
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
--- a/packages/lab/sesamespindle/lab/proxy.py
+++ b/packages/lab/sesamespindle/lab/proxy.py
@@ -47,14 +47,29 @@
         application.router.add_post("/faults", self._switch)
         return application
 
-    async def serve(self, stop_asked):
-        """Serve until told to stop; print where the two ports are."""
+    @property
+    def address(self):
+        """Where the proxy accepts connections, once it listens."""
+        return f"{_HOST}:{self._port}"
+
+    def lead_to(self, host, port):
+        """Pass later connections on to another address."""
+        self._target = (host, port)
+
+    async def __aenter__(self):
         await self._listen()
-        print(json.dumps({"proxy_url": f"http://{_HOST}:{self._port}"}), flush=True)
-        await standin.serve(self.application(), 0, stop_asked)
+        return self
+
+    async def __aexit__(self, *exc_info):
         await self._close()
         self._cut()
 
+    async def serve(self, stop_asked):
+        """Serve until told to stop; print where the two ports are."""
+        async with self:
+            print(json.dumps({"proxy_url": f"http://{self.address}"}), flush=True)
+            await standin.serve(self.application(), 0, stop_asked)
+
     async def _listen(self):
         """Accept connections, after a refusal at the same port as before."""
         self._server = await asyncio.start_server(self._accept, _HOST, self._port)
@@ -67,11 +82,15 @@
             self._server = None
 
     async def _switch(self, request):
-        wanted = await request.json()
-        self._mode = Mode(wanted.get("mode", self._mode))
-        self._delay = wanted.get("delay", self._delay)
-        self._cut_after_bytes = wanted.get("cut_after_bytes", self._cut_after_bytes)
-        if wanted.get("cut"):
+        await self.apply(await request.json())
+        return aiohttp.web.json_response({"mode": self._mode})
+
+    async def apply(self, faults):
+        """Change the faults that are named; the others stay."""
+        self._mode = Mode(faults.get("mode", self._mode))
+        self._delay = faults.get("delay", self._delay)
+        self._cut_after_bytes = faults.get("cut_after_bytes", self._cut_after_bytes)
+        if faults.get("cut"):
             self._cut()
         if self._mode is Mode.REFUSE:
             await self._close()
@@ -79,7 +98,6 @@
             await self._listen()
         async with self._changed:
             self._changed.notify_all()
-        return aiohttp.web.json_response({"mode": self._mode})
 
     def _cut(self):
         for writer in list(self._writers):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,16 +1,9 @@
 """The whole path on the platform, with a real daemon and small stand-ins."""
 
 import asyncio
-import importlib.util
-import pathlib
 
 import pytest
-
-_SPEC = importlib.util.spec_from_file_location(
-    "platform_standins", pathlib.Path(__file__).parent / "standins.py"
-)
-standins = importlib.util.module_from_spec(_SPEC)
-_SPEC.loader.exec_module(standins)
+import standins
 
 
 @pytest.fixture
@@ -461,6 +454,6 @@
             daemon.url("/once/1"), data=big, headers=headers
         ) as response:
             assert response.status == 200
-        assert target.body_bytes == len(big)
+        assert target.body == big
 
     play(scenario)
--- /dev/null
+++ b/tests/support/soak/__main__.py
@@ -0,0 +1,63 @@
+"""``python -m soak``: plays seeds one after the other and says what broke."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import time
+
+from soak import play
+
+_LOGS = pathlib.Path(".run") / "soak"
+
+
+def main():
+    """Play seeds until the time is over; exit with 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    parser.add_argument("--count", type=int, default=1, help="seeds to play")
+    parser.add_argument("--seconds", type=float, default=25.0, help="faults, a seed")
+    parser.add_argument("--daemons", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=12)
+    options = parser.parse_args()
+    broken = [
+        seed
+        for seed in range(options.seed, options.seed + options.count)
+        if not _play(seed, options)
+    ]
+    print(f"{options.count} seeds, {len(broken)} with a broken promise: {broken}")
+    sys.exit(1 if broken else 0)
+
+
+def _play(seed, options):
+    outcome = asyncio.run(
+        play.play(seed, options.seconds, options.daemons, options.callers)
+    )
+    journal = outcome.journal
+    print(
+        f"seed {seed}: {len(journal.asked)} requests, {len(journal.runs)} runs, "
+        f"{len(journal.faults)} faults, {len(journal.changes)} changes, "
+        f"{len(outcome.violations)} violations",
+        flush=True,
+    )
+    for violation in outcome.violations[:10]:
+        print(f"  {violation.promise}: {violation.request} {violation.detail}")
+    if outcome.violations:
+        _keep(seed, outcome)
+    return not outcome.violations
+
+
+def _keep(seed, outcome):
+    """Write the logs of a failed seed where they can be read."""
+    folder = _LOGS / str(seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, lines in outcome.log_by_daemon.items():
+        (folder / f"{name}.log").write_text("\n".join(lines))
+    records = (*outcome.journal.faults, *outcome.journal.changes)
+    text = "\n".join(str(record) for record in records)
+    (folder / "faults.txt").write_text(text)
+    print(f"  logs are in {folder}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/support/soak/faults.py
@@ -0,0 +1,251 @@
+"""What strikes a fleet during a soak, and the order in which it comes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import signal
+
+from sesamespindle.lab import proxy
+from soak import records
+
+_Area = records.Area
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndDaemon:
+    """A daemon gets a signal and is started again after its end."""
+
+    number: signal.Signals
+    pause: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndAll:
+    """All daemons are killed at once, as by a loss of power."""
+
+    pause: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseDaemon:
+    """A daemon's process stands still."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReloadDaemon:
+    """A daemon gets SIGHUP."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HarmLink:
+    """A link misbehaves: a daemon's to the store, or all to a target."""
+
+    area: records.Area
+    mode: proxy.Mode
+    delay: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutLink:
+    """All connections of a link break at once."""
+
+    area: records.Area
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HarmStore:
+    """The store misbehaves to all: one of its attributes is set for a while."""
+
+    attribute: str
+    value: object
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetHistory:
+    """The store forgets its changes, so that watches have to list again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashTarget:
+    """A target dies, and its address belongs to another one later."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoseAnswers:
+    """A target breaks off a share of its answers."""
+
+    share: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerTwice:
+    """A plain target sends a second answer after each."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainTarget:
+    """A target leaves in order."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeConfiguration:
+    """The operator writes a new version of the configuration."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NameWeights:
+    """A new weight version is named."""
+
+
+def draw(source):
+    """Return a fault drawn by a seeded source of randomness."""
+    seconds = source.uniform(0.3, 4.0)
+    modes = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
+    area = source.choice((_Area.STORE, _Area.TARGET))
+    makers = (
+        lambda: EndDaemon(signal.SIGTERM, source.uniform(0, 1)),
+        lambda: EndDaemon(signal.SIGKILL, source.uniform(0, 2)),
+        lambda: EndAll(source.uniform(0, 1.5)),
+        lambda: PauseDaemon(seconds),
+        ReloadDaemon,
+        lambda: HarmLink(area, source.choice(modes), 0.0, seconds),
+        lambda: HarmLink(area, proxy.Mode.PASS, source.uniform(0.01, 0.5), seconds),
+        lambda: CutLink(area),
+        lambda: HarmStore("is_away", True, seconds),
+        lambda: HarmStore("loses_answers", True, seconds),
+        lambda: HarmStore("delay_seconds", source.uniform(0.1, 0.6), seconds),
+        lambda: HarmStore("speaks_nonsense", True, seconds / 2),
+        ForgetHistory,
+        lambda: CrashTarget(source.uniform(0.5, 3)),
+        lambda: LoseAnswers(source.uniform(0.02, 0.3), seconds),
+        lambda: AnswerTwice(seconds),
+        *_plan(source),
+    )
+    return source.choice(makers)()
+
+
+def draw_planned(source):
+    """Return a change that nobody should notice."""
+    return source.choice(_plan(source))()
+
+
+def _plan(source):
+    return (
+        DrainTarget,
+        ChangeConfiguration,
+        ChangeConfiguration,
+        NameWeights,
+        lambda: EndDaemon(signal.SIGTERM, source.uniform(0, 1)),
+    )
+
+
+async def play(fault, world):
+    """Bring a fault about, and end it."""
+    match fault:
+        case EndDaemon():
+            daemon = _any_daemon(world)
+            what = fault.number.name
+            planned = fault.number is signal.SIGTERM
+            with _noted(world, what, _Area.DAEMON, daemon.name, planned):
+                await world.end_daemon(daemon, fault.number, fault.pause)
+        case EndAll():
+            with _noted(world, "end all", _Area.DAEMON):
+                await asyncio.gather(
+                    *(
+                        world.end_daemon(daemon, signal.SIGKILL, fault.pause)
+                        for daemon in world.daemon_by_name.values()
+                    )
+                )
+        case PauseDaemon():
+            await _pause(world, _any_daemon(world), fault.seconds)
+        case ReloadDaemon():
+            daemon = _any_daemon(world)
+            with _noted(world, "reload", _Area.DAEMON, daemon.name, planned=True):
+                daemon.send_signal(signal.SIGHUP)
+        case HarmLink():
+            await _harm_link(fault, world)
+        case CutLink():
+            subject, link = _any_link(world, fault.area)
+            with _noted(world, "cut link", fault.area, subject):
+                await link.apply({"cut": True})
+        case HarmStore():
+            with _noted(world, fault.attribute, _Area.STORE):
+                usual = getattr(world.store, fault.attribute)
+                setattr(world.store, fault.attribute, fault.value)
+                await asyncio.sleep(fault.seconds)
+                setattr(world.store, fault.attribute, usual)
+        case ForgetHistory():
+            with _noted(world, "forget history", _Area.STORE):
+                world.store.forget_history()
+        case _:
+            await _play_at_targets(fault, world)
+
+
+async def _play_at_targets(fault, world):
+    target = world.random.choice(list(world.target_by_name.values()))
+    match fault:
+        case CrashTarget():
+            with _noted(world, "crash", _Area.TARGET, target.name):
+                await world.crash_target(target, fault.seconds)
+        case LoseAnswers():
+            with _noted(world, "lose answers", _Area.TARGET, target.name):
+                target.answers_lost_share = fault.share
+                await asyncio.sleep(fault.seconds)
+                target.answers_lost_share = 0.0
+        case AnswerTwice():
+            with _noted(world, "answer twice", _Area.TARGET, target.name):
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+                target.second_answer = answer
+                await asyncio.sleep(fault.seconds)
+                target.second_answer = b""
+        case DrainTarget():
+            await world.drain_target(target)
+        case ChangeConfiguration():
+            await world.change_configuration()
+        case NameWeights():
+            await world.name_weights(world.weights + 1)
+
+
+async def _pause(world, daemon, seconds):
+    with _noted(world, "pause", _Area.DAEMON, daemon.name):
+        daemon.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        daemon.send_signal(signal.SIGCONT)
+
+
+async def _harm_link(fault, world):
+    subject, link = _any_link(world, fault.area)
+    what = f"link {fault.mode.value}, delay {fault.delay:.2f}"
+    with _noted(world, what, fault.area, subject):
+        await link.apply({"mode": fault.mode, "delay": fault.delay})
+        await asyncio.sleep(fault.seconds)
+        await link.apply({"mode": proxy.Mode.PASS, "delay": 0.0, "cut": True})
+
+
+def _any_daemon(world):
+    return world.random.choice(list(world.daemon_by_name.values()))
+
+
+def _any_link(world, area):
+    links = world.link_by_daemon if area is _Area.STORE else world.link_by_target
+    return world.random.choice(list(links.items()))
+
+
+@contextlib.contextmanager
+def _noted(world, what, area, subject="", planned=False):
+    """Note a fault for as long as it is in force."""
+    fault = records.Fault(what, area, subject, world.now(), planned=planned)
+    world.journal.faults.append(fault)
+    try:
+        yield
+    finally:
+        fault.ended = world.now()
--- /dev/null
+++ b/tests/support/soak/play.py
@@ -0,0 +1,75 @@
+"""One seeded soak, from the start of its processes to the checker's verdict."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+import standins
+
+from soak import callers, checker, faults, records, world
+
+# Faults come in bursts of up to so many that overlap, each of these some tenths
+# of a second after the one before, so that they meet in the middle of things.
+_MOST_AT_ONCE = 4
+_APART_SECONDS = 0.8
+# The quiet after a burst: long enough for the bounds of calm times to count.
+_QUIET_SECONDS = 4.0
+# Nothing fails any more for this long at the end: what must recover has 12 s,
+# new weights have 11 s.
+_END_SECONDS = 14.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a soak found, and how much it saw."""
+
+    violations: list
+    journal: records.Journal
+    log_by_daemon: dict[str, list[str]]
+
+
+async def play(seed, seconds, daemons=3, crowd=12):
+    """Play one soak and return its `Outcome`."""
+    async with contextlib.AsyncExitStack() as stack:
+        made = await stack.enter_async_context(world.World(seed, daemons))
+        await _until_ready(made)
+        stopped = asyncio.Event()
+        async with asyncio.TaskGroup() as group:
+            for number in range(crowd):
+                caller = callers.Caller(made, seed * 1000 + number, number % 3 == 0)
+                await stack.enter_async_context(caller)
+                group.create_task(caller.run(stopped))
+            watching = group.create_task(made.watch_ends())
+            await _strike(made, seed, seconds)
+            made.journal.recovered_at = made.now()
+            await asyncio.sleep(_END_SECONDS)
+            stopped.set()
+            watching.cancel()
+        made.note_final_state()
+        logs = {item.name: item.lines() for item in made.daemon_by_name.values()}
+    return Outcome(checker.check(made.journal), made.journal, logs)
+
+
+async def _until_ready(made):
+    async def ready(daemon):
+        status = await standins.status_of(daemon.ready_url())
+        return status == 200
+
+    for daemon in made.daemon_by_name.values():
+        await standins.until(lambda daemon=daemon: ready(daemon))
+
+
+async def _strike(made, seed, seconds):
+    """Play bursts of faults, with planned changes in the quiet between them."""
+    source = random.Random(seed)
+    while made.now() < seconds:
+        async with asyncio.TaskGroup() as burst:
+            for _ in range(source.randint(1, _MOST_AT_ONCE)):
+                burst.create_task(faults.play(faults.draw(source), made))
+                await asyncio.sleep(source.uniform(0, _APART_SECONDS))
+        await asyncio.sleep(source.uniform(0, _QUIET_SECONDS))
+        if source.random() < 0.5:
+            await asyncio.sleep(_QUIET_SECONDS)
+            await faults.play(faults.draw_planned(source), made)
+            await asyncio.sleep(_QUIET_SECONDS)
--- /dev/null
+++ b/tests/support/soak/targets.py
@@ -0,0 +1,177 @@
+"""Targets that run requests, record each run, and fail in their own ways."""
+
+import asyncio
+import contextlib
+import json
+
+import standins
+
+from soak import records
+
+# How long an engine loads new weights, in seconds, and turns requests away.
+_LOAD_SECONDS = 0.4
+_EVENT_SECONDS = 0.03
+_WORK_SECONDS = 0.02
+_FEWEST_EVENTS, _EVENT_CHOICES = 3, 8
+
+
+def event_count(request):
+    """Return how many events the answer to a request has."""
+    return _FEWEST_EVENTS + sum(request.encode()) % _EVENT_CHOICES
+
+
+def event(request, number):
+    """Return one event of the answer to a request."""
+    return f"id: {number}\ndata: {request}/{number}\n\n".encode()
+
+
+def plain_answer(target, request):
+    """Return the body of a plain service's answer."""
+    return f"{target} ran {request}".encode()
+
+
+class Target(standins.Target):
+    """A plain service or an engine.
+
+    Parameters
+    ----------
+    listed_address : str
+        Where daemons reach it, by way of a proxy.
+    now : callable
+        The soak's clock.
+    source : random.Random
+        Chooses which runs fail.
+    """
+
+    def __init__(self, name, address, service, listed_address, journal, now, source):
+        super().__init__(name, address, service)
+        self.listed_address = listed_address
+        self.weights = 1
+        self.failing_share = 0.05
+        self.answers_lost_share = 0.0
+        self.orders_taken = 0
+        self._loading_until = 0.0
+        self._journal = journal
+        self._now = now
+        self._random = source
+
+    def entry(self, state="ready"):
+        """Return the record under which the target is listed."""
+        models = [{"Name": "m", "Version": self.weights}]
+        return super().entry(state) | {
+            "Address": self.listed_address,
+            "Models": models if self.service == "llm" else [],
+        }
+
+    def crash(self):
+        """Break all connections and take no more, as a dead process does."""
+        self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _answer(self, headers, writer):
+        path = headers[":path"]
+        if headers.get("x-expect-instance", self.name) != self.name:
+            identity = {"X-Instance-Id": self.name}
+            writer.write(standins.make_answer(421, headers, identity))
+        elif path == "/v1/report":
+            writer.write(standins.make_answer(200, headers, {}, self._report()))
+        elif path == "/v1/order":
+            status = self._take_order(json.loads(self.body))
+            writer.write(standins.make_answer(status, headers, {}))
+        elif self.service == "llm":
+            await self._run_prompt(headers, writer)
+        else:
+            await self._run_plain(headers, writer)
+
+    def _report(self):
+        models = [{"Name": "m", "Version": self.weights}]
+        value = {"Models": models, "Busy": self._loads(), "Seq": self.orders_taken}
+        return json.dumps(value).encode()
+
+    def _loads(self):
+        return self._now() < self._loading_until
+
+    def _take_order(self, order):
+        made = records.Order(self.name, self._now(), order["Holder"], order["Fence"])
+        self._journal.orders.append(made)
+        if self._loads() or order.get("Expect", self.orders_taken) != self.orders_taken:
+            return 409
+        if order["Version"] <= self.weights:
+            return 200
+        self.orders_taken += 1
+        self._loading_until = self._now() + _LOAD_SECONDS
+        self.weights = order["Version"]
+        return 202
+
+    def _record(self, headers, status, **more):
+        deadline = headers.get("x-deadline-ms")
+        self._journal.runs.append(
+            records.Run(
+                headers["x-attempt-id"],
+                self.name,
+                self.service,
+                headers[":path"],
+                self._now(),
+                status,
+                headers.get("x-tenant", ""),
+                headers.get("x-api-key"),
+                int(deadline) if deadline else None,
+                **more,
+            )
+        )
+
+    async def _run_plain(self, headers, writer):
+        fails = self._random.random() < self.failing_share
+        status = 500 if fails else 200
+        self._record(headers, status)
+        await asyncio.sleep(_WORK_SECONDS)
+        if self._random.random() < self.answers_lost_share:
+            writer.transport.abort()
+            return
+        request = headers["x-attempt-id"]
+        body = b"failed" if fails else plain_answer(self.name, request)
+        stamp = {"X-Server-Stamp": self.name}
+        answer = standins.make_answer(status, headers, stamp, body)
+        writer.write(answer + self.second_answer)
+
+    async def _run_prompt(self, headers, writer):
+        expected = headers.get("x-expect-version")
+        if self._loads():
+            writer.write(
+                standins.make_answer(503, headers, {"X-Not-Executed": "loading"})
+            )
+            return
+        if expected is not None and int(expected) != self.weights:
+            identity = {"X-Instance-Id": self.name}
+            writer.write(standins.make_answer(421, headers, identity))
+            return
+        first = int(headers.get("last-event-id", 0)) + 1
+        self._record(
+            headers,
+            200,
+            first_event=first,
+            weights=self.weights,
+            salt=headers.get("x-cache-salt", ""),
+        )
+        with contextlib.suppress(ConnectionError):
+            await self._stream_events(headers, writer, first)
+
+    async def _stream_events(self, headers, writer, first):
+        request = headers["x-attempt-id"]
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"X-Server-Stamp: " + self.name.encode() + b"\r\n"
+            b"X-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n"
+            b"X-Attempt-Id: %s\r\n\r\n" % (self.weights, request.encode())
+        )
+        for number in range(first, event_count(request) + 1):
+            await asyncio.sleep(_EVENT_SECONDS)
+            if self._random.random() < self.answers_lost_share:
+                writer.transport.abort()
+                return
+            text = event(request, number)
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
--- a/tests/platform/standins.py
+++ b/tests/support/standins.py
@@ -26,6 +26,9 @@
         self.turned_away = set()
         self.is_away = False
         self.speaks_nonsense = False
+        self.loses_answers = False
+        self.delay_seconds = 0.0
+        self.history_from = 0
         self._revision = 1
         self._objects = {}
         self._changes = collections.deque(maxlen=1000)
@@ -66,7 +69,13 @@
             self._changed.notify_all()
         return item
 
-    def _check(self, request):
+    def forget_history(self):
+        """Drop all changes, so that watches have to list again."""
+        self._changes.clear()
+        self.history_from = self._revision
+
+    async def _check(self, request):
+        await asyncio.sleep(self.delay_seconds)
         if self.is_away or request.remote in self.turned_away:
             if request.transport is not None:
                 request.transport.abort()
@@ -75,21 +84,30 @@
             raise aiohttp.web.HTTPOk(text='{"items": 7, "Events": [{}]}')
 
     async def _serve_kind(self, request):
-        self._check(request)
+        await self._check(request)
         kind = request.match_info["kind"]
         if request.method == "POST":
             body = await request.json()
             name = body["Metadata"]["Name"]
             if (kind, name) in self._objects:
                 return _json(self._objects[kind, name], 409)
-            return _json(await self._change(kind, name, body["Spec"], False), 201)
+            made = await self._change(kind, name, body["Spec"], False)
+            self._lose_answer(request)
+            return _json(made, 201)
         if "Watch" in request.query:
             return await self._watch(request, kind)
         items = [item for (at, _), item in self._objects.items() if at == kind]
         return _json({"items": items, "MorePages": False, "CurrentRev": self._revision})
 
+    def _lose_answer(self, request):
+        """Break the connection of a write that was done, if answers get lost."""
+        if self.loses_answers and request.transport is not None:
+            request.transport.abort()
+
     async def _watch(self, request, kind):
         since = int(request.query["Watch"])
+        if since < self.history_from:
+            return _json({}, 410)
 
         def found():
             return [
@@ -104,11 +122,11 @@
                 self._changed,
             ):
                 await self._changed.wait_for(found)
-        self._check(request)
+        await self._check(request)
         return _json({"Events": found(), "CurrentRev": self._revision})
 
     async def _serve_one(self, request):
-        self._check(request)
+        await self._check(request)
         key = request.match_info["kind"], request.match_info["name"]
         known = self._objects.get(key)
         if known is None:
@@ -119,6 +137,7 @@
             if expected is not None and expected != known["Metadata"]["Revision"]:
                 return _json(known, 409)
             known = await self._change(*key, body["Spec"], False)
+            self._lose_answer(request)
         elif request.method == "DELETE":
             await self._change(*key, known["Spec"], True)
         return _json(known)
@@ -157,7 +176,7 @@
         self.loses_answers = False
         self.unframed_bytes = 0
         self.resets_unframed = False
-        self.body_bytes = 0
+        self.body = b""
         self._server = None
 
     async def __aenter__(self):
@@ -187,15 +206,15 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                headers = _parse(head)
-                self.body_bytes = await _read_body(reader, headers)
+                headers = parse_head(head)
+                self.body = await _read_body(reader, headers)
                 await self._answer(headers, writer)
         writer.close()
 
     async def _answer(self, headers, writer):
         if headers.get("x-expect-instance", self.name) != self.name:
             self.refused += 1
-            writer.write(_answer(421, headers, {"X-Instance-Id": self.name}))
+            writer.write(make_answer(421, headers, {"X-Instance-Id": self.name}))
             return
         self.runs.append(headers)
         self.began.set()
@@ -210,7 +229,9 @@
             return
         body = f"{self.name} ran {headers['x-attempt-id']}".encode()
         stamp = {"X-Server-Stamp": "s"}
-        writer.write(_answer(self.status, headers, stamp, body) + self.second_answer)
+        writer.write(
+            make_answer(self.status, headers, stamp, body) + self.second_answer
+        )
 
     async def _answer_unframed(self, headers, writer):
         """Answer without a length, and end with the connection."""
@@ -246,28 +267,31 @@
 
 
 async def _read_body(reader, headers):
-    """Read a body of either framing; return its length."""
+    """Read a body of either framing."""
     if headers.get("transfer-encoding") != "chunked":
-        return len(await reader.readexactly(int(headers.get("content-length", 0))))
-    total = 0
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+    body = b""
     while True:
         size = int(await reader.readline(), 16)
-        await reader.readexactly(size + 2)
-        total += size
+        chunk = await reader.readexactly(size + 2)
+        body += chunk[:size]
         if size == 0:
-            return total
+            return body
 
 
-def _parse(head):
-    lines = head.decode().split("\r\n")[1:]
+def parse_head(head):
+    """Return the headers, lower-case, and the path under ``:path``."""
+    first, *lines = head.decode().split("\r\n")
     pairs = (line.partition(":") for line in lines if line)
-    return {name.lower(): value.strip() for name, _, value in pairs}
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    return headers | {":path": first.split()[1]}
 
 
-def _answer(status, headers, extra, body=b""):
+def make_answer(status, headers, extra, body=b""):
+    """Return an answer that echoes the request's id."""
     lines = [
         f"HTTP/1.1 {status} X",
-        f"X-Attempt-Id: {headers['x-attempt-id']}",
+        f"X-Attempt-Id: {headers.get('x-attempt-id', '-')}",
         f"Content-Length: {len(body)}",
         *(f"{name}: {value}" for name, value in extra.items()),
     ]
@@ -313,11 +337,11 @@
 class Daemon:
     """A real daemon, as a process of its own."""
 
-    def __init__(self, name, ip, ports, store, seeds=()):
+    def __init__(self, name, ip, ports, store_address, seeds=()):
         self.name = name
         self.ip = ip
         self._ports = ports
-        self._store = store
+        self._store_address = store_address
         self._seeds = seeds
         self._child = None
         self._settings = None
@@ -331,12 +355,17 @@
             f"Listen.Front={self.ip}:{front}\nListen.ReadyAddr={self.ip}:{ready}\n"
             f"Listen.Directory={self.ip}:{directory}\n"
             f"Listen.Control={self.ip}:{control}\nSeeds={seeds}\n"
-            f"Bounds.GraceS=8\nPlatform.Address={self._store.address}\n"
+            f"Bounds.GraceS=8\nPlatform.Address={self._store_address}\n"
         )
         with tempfile.NamedTemporaryFile("w", delete=False) as settings:
             settings.write(text)
         self._settings = settings.name
         self.log = tempfile.TemporaryFile()  # noqa: SIM115
+        await self.start()
+        return self
+
+    async def start(self):
+        """Start the process, also once more after its end."""
         self._child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -345,10 +374,9 @@
             stderr=self.log,
             env=os.environ | {"SESAMESPINDLE_NODE_FILE": self._settings},
         )
-        return self
 
     async def __aexit__(self, *exc_info):
-        if self._child.returncode is None:
+        if self.is_running:
             self._child.kill()
         await self._child.wait()
         os.unlink(self._settings)
@@ -371,9 +399,19 @@
         """Return where callers ask for addresses."""
         return f"http://{self.ip}:{self._ports[2]}/v1/resolve?Name=a.example&Zone=dc-1"
 
+    @property
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self._child.returncode is None
+
+    def send_signal(self, number):
+        """Send a signal, if the process still runs."""
+        if self.is_running:
+            self._child.send_signal(number)
+
     def terminate(self):
         """Send SIGTERM."""
-        self._child.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
 
     async def ended(self):
         """Return the exit code, once there is one."""
@@ -426,7 +464,9 @@
         """Start a daemon, which still has to load."""
         self._hosts += 1
         ip = f"{self._prefix}.{self._hosts}"
-        made = Daemon(f"entry-{self._hosts}", ip, self._ports, self.store, seeds)
+        made = Daemon(
+            f"entry-{self._hosts}", ip, self._ports, self.store.address, seeds
+        )
         await self._stack.enter_async_context(made)
         return made
 
@@ -436,11 +476,7 @@
 
     async def is_ready(self, daemon):
         """Return whether a daemon says that it is ready."""
-        try:
-            async with self.session.get(daemon.ready_url()) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
+        return await status_of(daemon.ready_url()) == 200
 
     async def ask(self, daemon, path, request_id, method="POST", **headers):
         """Send a request; return its status, headers and body."""
@@ -457,9 +493,7 @@
 
     async def until(self, holds):
         """Wait until an asynchronous condition holds."""
-        async with asyncio.timeout(PATIENCE_SECONDS):
-            while not await holds():
-                await asyncio.sleep(0.02)
+        await until(holds)
 
     def _address(self):
         return f"127.0.0.1:{self._free_port()}"
@@ -467,3 +501,19 @@
     def _free_port(self):
         with socket.create_server(("127.0.0.1", 0)) as listening:
             return listening.getsockname()[1]
+
+
+async def until(holds):
+    """Wait until an asynchronous condition holds."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not await holds():
+            await asyncio.sleep(0.02)
+
+
+async def status_of(url):
+    """Return the status of a GET, or None where nobody answers."""
+    try:
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            return response.status
+    except aiohttp.ClientError:
+        return None
