--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -79,6 +79,13 @@
     parts: tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreHeard:
+    """A store answered, though not what it holds."""
+
+    store: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSilent:
     """A store did not answer."""
@@ -186,6 +193,10 @@
         match event:
             case StoreChanged():
                 self._change(event, now)
+            case StoreHeard():
+                row = self.rows.get(event.store)
+                if row is not None and row.heard_at is not None:
+                    row.heard_at = now
             case StoreSilent():
                 row = self.rows.get(event.store)
                 if row is not None and row.heard_at is not None:
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -87,6 +87,8 @@
         Tokens that it holds.
     first_byte : datetime.timedelta
         What each transfer waits besides its time on the link.
+    followers : int
+        Questions for its changes that it holds at once; more are refused.
     """
 
     address: str
@@ -95,6 +97,7 @@
     link_bits_per_second: float
     first_byte: datetime.timedelta
     managed: bool
+    followers: int = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/decide/test_kvstores.py
+++ b/tests/decide/test_kvstores.py
@@ -121,3 +121,15 @@
         at = NOW + seconds(step)
         tell(stores, now=at)
         assert free(stores, {"1"}, at) == []
+
+
+def test_a_store_that_only_refuses_questions_is_not_taken_for_gone(stores):
+    """Many hosts follow a store, and this one finds no place for a while.
+
+    The store serves fetches as before; taken for gone, its parts would be read
+    again by engines.
+    """
+    tell(stores, ("b", 2000))
+    stores.take(kvstores.StoreHeard("s"), NOW + seconds(2))
+    assert plan(stores, NOW + seconds(4)).fetch_from == (None, "s:1", None)
+    assert plan(stores, NOW + seconds(5)).fetch_from == (None, None, None)
