--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -55,7 +55,7 @@
         self._reply_by_exchange = {}
         self._exchange_ids = itertools.count()
         self._tasks = set()
-        self._fetching = False
+        self._fetching = None
         self._server = server
         self._on_commands()
 
@@ -265,14 +265,14 @@
         await self.fetch_from(command.peer_address)
 
     async def fetch_from(self, address):
-        """Get what a peer knows of the platform, unless that is under way."""
-        if self._fetching:
-            return
-        self._fetching = True
-        try:
-            await self._fetch_from(address)
-        finally:
-            self._fetching = False
+        """Get what a peer knows of the platform, or wait while that is under way."""
+        if self._fetching is None:
+            self._fetching = self._spawn(self._fetch_from(address))
+            self._fetching.add_done_callback(self._end_fetch)
+        await asyncio.shield(self._fetching)
+
+    def _end_fetch(self, task):
+        self._fetching = None
 
     async def _fetch_from(self, address):
         known = self._declarations.summary()
@@ -348,6 +348,7 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _refusal_to_wire(error, stamp):
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -13,8 +13,6 @@
     world,
 )
 
-_WATCHERS = 2
-
 
 class Core:
     """Everything that a daemon decides.
@@ -88,18 +86,8 @@
         return ranked[:count]
 
     def is_watcher(self):
-        """Return whether this daemon watches the platform for its data centre.
-
-        A few do, and the others learn from them, so that the watches on the
-        platform grow with the data centres and not with the fleet.
-        """
-        here = [
-            row.name
-            for row in self.state.live_entries()
-            if row.data_centre == self.state.me.data_centre
-        ]
-        watchers = hashing.rank("declarations", here)[:_WATCHERS]
-        return self.state.me.name in watchers
+        """Return whether this daemon watches the platform for its data centre."""
+        return self.membership.is_watcher()
 
     def models_of(self, account):
         """Return the models that an account may use."""
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from sesamespindle.decide import commands, events, world
+from sesamespindle.decide import commands, events, hashing, world
 
 ROUNDS_BEFORE_SUSPICION = 5
 PEERS_INSIDE = 2
@@ -12,6 +12,8 @@
 MAX_LEAVING_TARGETS = 256
 MAX_TARGET_VERSIONS = 256
 MAX_PENDING = 64
+# Daemons of each data centre that watch the platform: one may be lost.
+WATCHERS = 2
 _REVIVE_CHANCE = 0.1
 _DEAD_KEPT_FOR = datetime.timedelta(minutes=10)
 _State = events.HostState
@@ -115,6 +117,25 @@
             return True
         return now - heard_at < 2 * self._state.policy.suspect_after
 
+    def is_watcher(self):
+        """Return whether this daemon watches the platform for its data centre.
+
+        A few do, and the others learn from them, so that the watches on the
+        platform grow with the data centres and not with the fleet. All agree on
+        who they are without talking; a watcher that falls silent is suspected,
+        and the next in rank takes its place.
+        """
+        here = [
+            row.name
+            for row in self._state.live_entries()
+            if row.data_centre == self._state.me.data_centre
+        ]
+        return self._state.me.name in hashing.rank("declarations", here)[:WATCHERS]
+
+    def spread_soon(self):
+        """Have the next tick begin a round of gossip, as something has changed."""
+        self._urgent = True
+
     def _fetch_revision(self, peer_address, revision):
         if revision > self._state.revision:
             self._state.emit(
