--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -7,7 +7,7 @@
 import grpc
 
 from sesamespindle.daemon import arrivals, call_runner, logs, peermessages, replies
-from sesamespindle.decide import commands, events
+from sesamespindle.decide import commands, events, gossip
 from sesamespindle.wire import peers_pb2, peers_pb2_grpc, service
 
 _log = logs.part("peers")
@@ -103,7 +103,7 @@
         await self._check(request, context)
         message = peermessages.gossip_from_wire(request, self._now())
         reply = await self._exchange(
-            lambda exchange_id: events.GossipReceived(exchange_id, message)
+            lambda exchange_id: gossip.GossipReceived(exchange_id, message)
         )
         stamp = self._clock.stamp()
         return peermessages.gossip_to_wire(reply.message, stamp, self._now())
@@ -221,7 +221,7 @@
         answer = await self._call(command.peer_address, "Gossip", message)
         if answer is not None:
             self._driver.feed(
-                events.GossipAnswered(
+                gossip.GossipAnswered(
                     command.peer_address,
                     peermessages.gossip_from_wire(answer, self._now()),
                 )
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events
+from sesamespindle.decide import events, gossip
 from sesamespindle.wire import peers_pb2
 
 
@@ -25,7 +25,7 @@
 
 
 def gossip_to_wire(message, stamp, now):
-    """Return the protobuf form of an `events.GossipMessage`."""
+    """Return the protobuf form of an `gossip.GossipMessage`."""
     return peers_pb2.GossipMessage(
         sender=message.sender,
         data_centre=message.data_centre,
@@ -67,33 +67,33 @@
 
 
 def gossip_from_wire(message, now):
-    """Return the `events.GossipMessage` of a protobuf message."""
-    return events.GossipMessage(
+    """Return the `gossip.GossipMessage` of a protobuf message."""
+    return gossip.GossipMessage(
         message.sender,
         message.data_centre,
         tuple(
-            events.MemberDigest(item.name, item.incarnation, item.heartbeat)
+            gossip.MemberDigest(item.name, item.incarnation, item.heartbeat)
             for item in message.digests
         ),
         tuple(
-            events.DataCentreDigest(item.name, item.digest, item.pulse)
+            gossip.DataCentreDigest(item.name, item.digest, item.pulse)
             for item in message.data_centres
         ),
         tuple(_member_from_wire(item) for item in message.members),
         tuple(message.wanted),
         tuple(
-            events.LeavingTarget(item.name, item.url)
+            gossip.LeavingTarget(item.name, item.url)
             for item in message.leaving_targets
         ),
         message.revision,
-        tuple(events.SeenRevision(*item) for item in message.seen.items()),
+        tuple(gossip.SeenRevision(*item) for item in message.seen.items()),
         tuple(
-            events.TargetVersion(item.target, item.model, item.version)
+            gossip.TargetVersion(item.target, item.model, item.version)
             for item in message.target_versions
         ),
         _release_from_wire(message, now),
         tuple(
-            events.PendingWork(item.target, item.tokens, item.held_tokens)
+            gossip.PendingWork(item.target, item.tokens, item.held_tokens)
             for item in message.pending
         ),
     )
@@ -111,7 +111,7 @@
     if not message.HasField("lease_release"):
         return None
     quiet_for = datetime.timedelta(seconds=message.lease_release.quiet_seconds)
-    return events.LeaseRelease(message.lease_release.epoch, now - quiet_for)
+    return gossip.LeaseRelease(message.lease_release.epoch, now - quiet_for)
 
 
 def asks_to_wire(asks):
@@ -182,7 +182,7 @@
 
 
 def _member_from_wire(item):
-    return events.Member(
+    return gossip.Member(
         item.name,
         item.data_centre,
         item.url,
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -4,7 +4,7 @@
 import datetime
 import enum
 
-from sesamespindle.decide import events
+from sesamespindle.decide import events, gossip
 
 
 class Outcome(enum.StrEnum):
@@ -152,7 +152,7 @@
     """Send our half of a round to a peer."""
 
     peer_address: str
-    message: events.GossipMessage
+    message: gossip.GossipMessage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,7 +160,7 @@
     """Answer a peer's half of a round."""
 
     exchange_id: str
-    message: events.GossipMessage
+    message: gossip.GossipMessage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -5,6 +5,7 @@
     calls,
     catalogue,
     events,
+    gossip,
     hashing,
     membership,
     prompts,
@@ -134,9 +135,9 @@
             case events.DeclarationsAdopted():
                 self._catalogue.adopt(event)
                 self.membership.spread(now)
-            case events.GossipReceived():
+            case gossip.GossipReceived():
                 self.membership.receive(event, now)
-            case events.GossipAnswered():
+            case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
                 self.membership.leave(now)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -10,6 +10,7 @@
     directory,
     events,
     forwarding,
+    gossip,
     kvstores,
     lease,
     membership,
@@ -125,9 +126,9 @@
                 self._adopt(event.configuration, now)
             case events.HostsListed():
                 self._entries.list_entries(event.hosts, now)
-            case events.GossipReceived():
+            case gossip.GossipReceived():
                 self.membership.receive(event, now)
-            case events.GossipAnswered():
+            case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
                 self.membership.leave(now)
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -0,0 +1,144 @@
+"""What daemons tell each other of themselves, the platform and targets."""
+
+import dataclasses
+import datetime
+
+from sesamespindle.decide import events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """What one daemon says of another, or of itself.
+
+    Attributes
+    ----------
+    heartbeat : int
+        Rises with every round of gossip of the member itself.
+    revision : int
+        The revision of the declarations that the member has in force.
+    """
+
+    name: str
+    data_centre: str
+    url: str
+    peer_address: str
+    admin_url: str
+    incarnation: int
+    heartbeat: int
+    state: events.HostState
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberDigest:
+    """The age of a record, by which peers see whose is newer."""
+
+    name: str
+    incarnation: int
+    heartbeat: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreDigest:
+    """All records of a data centre in one number.
+
+    Attributes
+    ----------
+    pulse : int
+        The sum of its members' heartbeats, which stands still when the data
+        centre is lost.
+    """
+
+    name: str
+    digest: int
+    pulse: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingTarget:
+    """A target that must get no new work; a new address makes it new again."""
+
+    name: str
+    url: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRevision:
+    """The revision of the latest change of a kind of object that was seen."""
+
+    kind: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetVersion:
+    """The weight version that a target was seen to run; it only rises."""
+
+    target: str
+    model: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingWork:
+    """What the sender's requests take of a target.
+
+    Attributes
+    ----------
+    tokens : int
+        Prompt tokens that wait to be read.
+    held_tokens : int
+        Tokens of memory that its requests need until they end.
+    """
+
+    target: str
+    tokens: int
+    held_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRelease:
+    """A holder will never act under a lease's epoch again.
+
+    Attributes
+    ----------
+    last_act_at : datetime.datetime
+        When it last acted, by the clock of whoever has this record.
+    """
+
+    epoch: int
+    last_act_at: datetime.datetime
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipMessage:
+    """One half of a round of gossip."""
+
+    sender: str
+    data_centre: str
+    digests: tuple[MemberDigest, ...] = ()
+    data_centres: tuple[DataCentreDigest, ...] = ()
+    members: tuple[Member, ...] = ()
+    wanted: tuple[str, ...] = ()
+    leaving_targets: tuple[LeavingTarget, ...] = ()
+    revision: int = 0
+    seen: tuple[SeenRevision, ...] = ()
+    target_versions: tuple[TargetVersion, ...] = ()
+    lease_release: LeaseRelease | None = None
+    pending: tuple[PendingWork, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """A peer began a round; a `commands.GossipReply` follows."""
+
+    exchange_id: str
+    message: GossipMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipAnswered:
+    """A peer answered our half of a round."""
+
+    peer_address: str
+    message: GossipMessage
--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, events, hashing
+from sesamespindle.decide import commands, gossip, hashing
 
 # The holder acts for this part of the lease's time after it last renewed it,
 # counted from before the renewal was sent, and renews three times as often.
@@ -181,7 +181,7 @@
         self._held_from = None
         self._released_epoch = self.epoch
         acted_at = self._acted_at or now - self._duration
-        self._state.lease_release = events.LeaseRelease(self.epoch, acted_at)
+        self._state.lease_release = gossip.LeaseRelease(self.epoch, acted_at)
         self._state.emit(commands.Note("lease_released", self._me, f"{self.epoch}"))
 
     def _mine(self):
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from sesamespindle.decide import commands, events, hashing, world
+from sesamespindle.decide import commands, events, gossip, hashing, world
 
 ROUNDS_BEFORE_SUSPICION = 5
 PEERS_INSIDE = 2
@@ -225,10 +225,10 @@
         digests = ()
         if inside:
             digests = tuple(
-                events.MemberDigest(row.name, row.incarnation, row.heartbeat)
+                gossip.MemberDigest(row.name, row.incarnation, row.heartbeat)
                 for row in state.entries.where("data_centre", state.me.data_centre)
             )
-        return events.GossipMessage(
+        return gossip.GossipMessage(
             state.me.name,
             state.me.data_centre,
             digests,
@@ -238,7 +238,7 @@
             self._leaving_targets(),
             state.revision,
             tuple(
-                events.SeenRevision(kind, revision)
+                gossip.SeenRevision(kind, revision)
                 for kind, revision in state.seen_by_kind.items()
             ),
             self._target_versions(),
@@ -249,7 +249,7 @@
     def _pending(self):
         """Return what waits at targets from here, the most first."""
         pending = [
-            events.PendingWork(
+            gossip.PendingWork(
                 row.name,
                 sum(work.tokens for work in row.sent_by_request.values()),
                 sum(row.held_by_request.values()),
@@ -262,7 +262,7 @@
 
     def _target_versions(self):
         versions = [
-            events.TargetVersion(row.name, model, version)
+            gossip.TargetVersion(row.name, model, version)
             for row in self._state.targets
             for model, version in row.version_by_model.items()
         ]
@@ -270,7 +270,7 @@
 
     def _leaving_targets(self):
         leaving = [
-            events.LeavingTarget(row.name, row.url)
+            gossip.LeavingTarget(row.name, row.url)
             for row in self._state.targets
             if row.leaving
         ]
@@ -287,7 +287,7 @@
             row.heartbeat for row in self._state.entries.where("data_centre", here)
         )
         return tuple(
-            events.DataCentreDigest(name, digest, pulses.get(name, 0))
+            gossip.DataCentreDigest(name, digest, pulses.get(name, 0))
             for name, digest in self._digests.items()
         )
 
@@ -409,7 +409,7 @@
 
 def _member(row):
     spoken = _State.LIVE if row.state is _State.SUSPECT else row.state
-    return events.Member(
+    return gossip.Member(
         row.name,
         row.data_centre,
         row.url,
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -5,7 +5,7 @@
 import datetime
 import random
 
-from sesamespindle.decide import declared, events, hashing, retries, tables
+from sesamespindle.decide import declared, events, gossip, hashing, retries, tables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,7 +216,7 @@
         self.seen_by_kind: dict[str, int] = {}
         self.covered_by_kind: dict[str, int] = {}
         # The latest lease that its holder has given up, as heard.
-        self.lease_release: events.LeaseRelease | None = None
+        self.lease_release: gossip.LeaseRelease | None = None
         # Rises with every change of the entries or their states.
         self.view = 0
         # Counts the places given in turn, where routing goes in turn.
--- a/packages/lab/sesamespindle/lab/slopes.py
+++ b/packages/lab/sesamespindle/lab/slopes.py
@@ -8,7 +8,7 @@
 import tracemalloc
 
 from sesamespindle.daemon import peermessages
-from sesamespindle.decide import commands, core, declared, events
+from sesamespindle.decide import commands, core, declared, events, gossip
 
 _START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 _MODELS = 11
@@ -62,8 +62,8 @@
             _member(number, size, heartbeat=1) for number in range(1, size.entries)
         )
         self.feed(
-            events.GossipAnswered(
-                "peer", events.GossipMessage("entry-1", "dc-1", members=members)
+            gossip.GossipAnswered(
+                "peer", gossip.GossipMessage("entry-1", "dc-1", members=members)
             )
         )
 
@@ -135,12 +135,12 @@
     def _answer(self, peer, command):
         """Pass one half of a round to a peer, and its answer back."""
         size = peermessages.gossip_to_wire(command.message, 1, self.now).ByteSize()
-        for reply in peer.feed(events.GossipReceived("x", command.message)):
+        for reply in peer.feed(gossip.GossipReceived("x", command.message)):
             if isinstance(reply, commands.GossipReply):
                 size += peermessages.gossip_to_wire(
                     reply.message, 1, self.now
                 ).ByteSize()
-                self.feed(events.GossipAnswered("peer", reply.message))
+                self.feed(gossip.GossipAnswered("peer", reply.message))
         return size
 
     def _grant_everything(self):
@@ -240,7 +240,7 @@
 
 def _member(number, size, heartbeat):
     host = _entry(number, size)
-    return events.Member(
+    return gossip.Member(
         host.name,
         host.data_centre,
         host.url,
--- a/tests/decide/test_slices.py
+++ b/tests/decide/test_slices.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies
 
-from sesamespindle.decide import commands, core, declared, events, hashing
+from sesamespindle.decide import commands, core, declared, events, gossip, hashing
 
 START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 LIMIT = 5
@@ -106,11 +106,11 @@
             return
         exchange = str(next(self.numbers))
         made = self.core_by_name[peer].step(
-            self.now, [events.GossipReceived(exchange, message)]
+            self.now, [gossip.GossipReceived(exchange, message)]
         )
         for command in made:
             if isinstance(command, commands.GossipReply):
-                self.feed(name, events.GossipAnswered(peer, command.message))
+                self.feed(name, gossip.GossipAnswered(peer, command.message))
             else:
                 self.carry_out(peer, command)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -406,6 +406,54 @@
     play(scenario)
 
 
+def test_hosts_that_do_not_watch_learn_of_changes_from_those_that_do(play):
+    """Only two hosts of a data centre watch the store.
+
+    A new version of the configuration must be in force at the others too,
+    although they ask the store for nothing, and a leaving target must get
+    nothing more from them.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        await world.add_target("desk-2")
+        first = await world.add_daemon()
+        seeds = (first.ip,)
+        daemons = [first, *[await world.add_daemon(seeds) for _ in range(3)]]
+
+        async def two_watch():
+            return world.store.waiting_by_kind["config"] == 2
+
+        await world.until(two_watch)
+        for daemon in daemons:
+            assert (await world.ask(daemon, "/once/1", f"a{daemon.name}"))[0] == 200
+        await world.store.put("config", "main", standins.make_manifest(2, keys=()))
+        for daemon in daemons:
+            await world.until(lambda daemon=daemon: _refuses_key(world, daemon))
+        await world.store.put("config", "main", standins.make_manifest(3))
+        await world.store.put("servers", "desk-1", target.entry("draining"))
+        for daemon in daemons:
+            await world.until(lambda daemon=daemon: _logged(daemon, "target_leaving"))
+        target.runs.clear()
+        for daemon in daemons:
+            await world.until(lambda daemon=daemon: _serves(world, daemon))
+        assert target.runs == []
+
+    play(scenario)
+
+
+async def _refuses_key(world, daemon):
+    return (await world.ask(daemon, "/once/1", f"b{daemon.name}"))[0] == 401
+
+
+async def _serves(world, daemon):
+    return (await world.ask(daemon, "/once/1", f"c{daemon.name}"))[0] == 200
+
+
+async def _logged(daemon, what):
+    return any(what in line for line in daemon.lines())
+
+
 def test_a_bad_settings_file_names_every_fault(go, tmp_path):
     async def run():
         path = tmp_path / "settings"
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -29,6 +29,8 @@
         self.loses_answers = False
         self.delay_seconds = 0.0
         self.history_from = 0
+        # Watches that wait now, by kind.
+        self.waiting_by_kind = collections.Counter()
         self._revision = 1
         self._objects = {}
         self._changes = collections.deque(maxlen=1000)
@@ -116,12 +118,17 @@
                 if revision > since and at == kind
             ]
 
-        with contextlib.suppress(TimeoutError):
+        self.waiting_by_kind[kind] += 1
+        try:
             async with (
                 asyncio.timeout(int(request.query["WaitMs"]) / 1000),
                 self._changed,
             ):
                 await self._changed.wait_for(found)
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting_by_kind[kind] -= 1
         await self._check(request)
         return _json({"Events": found(), "CurrentRev": self._revision})
 
