--- a/tests/platform/test_earlysockets.py
+++ b/tests/platform/test_earlysockets.py
@@ -2,6 +2,8 @@
 
 import socket
 
+import pytest
+
 from sesamespindle.platform import earlysockets
 
 
@@ -25,6 +27,28 @@
         listening.close()
 
 
+@pytest.mark.parametrize(
+    ("limits", "opens"),
+    [
+        ("Limits.CpuShare=0.5\nLimits.Cores=2\n", True),
+        ("Limits.CpuShare=0.5\nLimits.Cores=1\n", False),
+        ("Limits.CpuShare=half\n", False),
+    ],
+)
+def test_a_weak_host_leaves_callers_to_stronger_ones(tmp_path, limits, opens):
+    """All hosts lost power; some load within a second, some take several.
+
+    A caller that a weak host lets in early waits there in vain, while a strong
+    one would have served it.
+    """
+    path = tmp_path / "settings"
+    path.write_text(f"Listen.Front=127.0.0.1:{_free_port()}\n{limits}")
+    opened = earlysockets.open_sockets(str(path))
+    assert bool(opened) is opens
+    for listening in opened.values():
+        listening.close()
+
+
 def test_what_cannot_be_read_or_bound_is_left_to_the_daemon(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         path = tmp_path / "settings"
