List what the KV stores hold before callers are let in

Cause: a host that had just started knew of no part in any store for up to 0.75 s (it looked for stores twice a second, then asked for changes since the beginning, which a store no longer has, then paused before it asked for a list). Ruled out: full stores (15 parts found no room).

--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -141,6 +141,13 @@
         return self.used + saving + tokens <= self.store.capacity * _FILLED_SHARE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowStores:
+    """Follow these KV stores and no others; each is a `StoreRow`."""
+
+    rows: tuple[StoreRow, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreeParts:
     """Have a store free parts, if it hasn't started anew."""
@@ -187,6 +194,7 @@
                 self.rows.add(StoreRow(name, store))
             else:
                 row.store = store
+        self._state.emit(FollowStores(tuple(self.rows)))
 
     def take(self, event, now):
         """Take in one of this module's events; return whether it was one."""
--- a/tests/platform/test_storefeed.py
+++ b/tests/platform/test_storefeed.py
@@ -1,10 +1,15 @@
-"""How a daemon shares the KV stores' places for followers with its peers."""
+"""How a daemon follows the KV stores, and shares their places with its peers."""
 
+import asyncio
+import datetime
 import random
 
 import pytest
 
+from sesamespindle.daemon import driver, eventlog
+from sesamespindle.decide import events, kvstores, routes, world
 from sesamespindle.platform import storefeed
+from sesamespindle.wire import clock
 
 
 @pytest.mark.parametrize("hosts", [1, 12])
@@ -36,3 +41,55 @@
     assert pauses == sorted(pauses)
     # A store that isn't heard of for 2.5 s would count as gone.
     assert pauses[-1] < 2.0
+
+
+class _Core:
+    """Takes events in and commands nothing."""
+
+    def __init__(self):
+        self.state = world.World(events.Host("entry-1", "entry", "dc-1", "u"))
+        self.taken = []
+
+    def step(self, now, happened):
+        self.taken += happened
+        return []
+
+
+class _Stores:
+    """Answers lists at once, and notes what it is asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def store_list(self, name, address):
+        self.asked.append(("list", address))
+        part = kvstores.PartEvent("1", "a", 100)
+        return kvstores.StoreChanged(name, 1, (part,), True), 7
+
+    async def store_changes(self, name, address, position, wait_ms):
+        self.asked.append(("changes", position))
+        await asyncio.Event().wait()
+
+
+def test_what_stores_hold_is_listed_before_callers_are_let_in(go):
+    """All hosts have started again, and callers have waited for them.
+
+    Without a list their prompts would all be read anew, although the stores
+    hold most of what they share.
+    """
+
+    async def run():
+        core, stores, now = _Core(), _Stores(), clock.SystemClock()
+        log = eventlog.EventLog("entry-1", eventlog.HybridClock(now), 1)
+        feeding = driver.Driver(core, now, log)
+        feed = storefeed.StoreFeed(feeding, stores, random.Random(1))
+        store = routes.KvStore("s:1", "dc-1", 10, 1e9, datetime.timedelta(0), True)
+        row = kvstores.StoreRow("s", store)
+        async with feed:
+            feed._follow_all(kvstores.FollowStores((row,)))
+            assert not feed.all_asked.is_set()
+            await feed.all_asked.wait()
+            assert stores.asked == [("list", "s:1")]
+            assert core.taken[0].parts == (kvstores.PartEvent("1", "a", 100),)
+
+    go(run())
