Keep an account's slot until the engine has stopped a stream that was left

Cause, shown by a new scenario that failed at once (11 prompts of an account ran where 8 are allowed): a caller leaves, the entry closes its link to the engine and asks it to stop the stream; the engine hasn't noticed the closed link, takes the stream to be read and goes on; the entry frees the slot, and the next prompt runs beside it.

The engine now says that it goes on, and the entry keeps the slot and asks again until it has stopped; the stand-in frees a stopped stream's place at once.

--- a/packages/daemon/sesamespindle/daemon/prompt_runner.py
+++ b/packages/daemon/sesamespindle/daemon/prompt_runner.py
@@ -9,6 +9,12 @@
 from sesamespindle.wire import engine
 
 _log = logs.part("prompt")
+# An engine notices a closed connection with the next token that it writes, some
+# 5 to 40 ms later; one second is more than any leaves unread.
+_CANCEL_PAUSE_SECONDS = 0.02
+_CANCEL_TRIES = 50
+# A caller whose time is over waits for its answer meanwhile, 0.1 s at the most.
+_CANCEL_TRIES_AT_END = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,10 +92,20 @@
         except TimeoutError:
             await self._time_out()
 
-    async def cancel(self):
-        """Stop the stream at the engine, unless somebody else reads it."""
-        if self._url and not self._reassembly.complete:
-            await self._engines.cancel(self._url, self._reassembly.stream)
+    async def cancel(self, tries=_CANCEL_TRIES):
+        """Stop the stream at the engine, unless somebody else reads it.
+
+        Guards against an engine that hasn't noticed yet that this daemon reads
+        no more: it goes on, and the next prompt in the freed slot would run
+        beside it, beyond the account's limit. So the slot is kept, and the
+        engine asked again, until it has noticed.
+        """
+        if not self._url or self._reassembly.complete:
+            return
+        for _ in range(tries):
+            if not await self._engines.cancel(self._url, self._reassembly.stream):
+                return
+            await asyncio.sleep(_CANCEL_PAUSE_SECONDS)
 
     async def _follow_commands(self):
         while not self._reassembly.complete:
@@ -111,7 +127,7 @@
                 )
 
     async def _time_out(self):
-        await self.cancel()
+        await self.cancel(_CANCEL_TRIES_AT_END)
         self._driver.feed(
             events.AttemptEnded(
                 self._request.request_id,
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -164,13 +164,24 @@
 
     async def _cancel(self, request):
         stream = self._stream_by_id.get(request.match_info["stream"])
-        if stream is not None and not stream.readers:
+        if stream is not None and stream.readers:
+            # It goes on: somebody reads it, or hasn't been seen to leave yet.
+            return aiohttp.web.json_response({}, status=409)
+        if stream is not None:
             self._drop(stream)
         return aiohttp.web.json_response({})
 
     def _drop(self, stream):
         stream.cancelled = True
         self._stream_by_id.pop(stream.id, None)
+        self._stop(stream)
+
+    def _stop(self, stream):
+        """Give the slot of a stream back, if it has one."""
+        if stream in self._running:
+            self._running.remove(stream)
+            self._count_running(stream, -1)
+            self._wake.set()
 
     async def _send(self, request, stream, after):
         response = aiohttp.web.StreamResponse(
@@ -252,6 +263,8 @@
             if self._faults["delay"]:
                 await asyncio.sleep(self._faults["delay"])
             stream.started = await self._prefill(stream)
+            if stream.cancelled:
+                continue
             self._running.append(stream)
             self._count_running(stream, 1)
             async with stream.changed:
@@ -317,12 +330,9 @@
             self._counts["made_tokens"] += 1
             stream.tokens.append(answers.token(stream.digest, place))
         stream.done = stream.wanted <= 0
-        if stream.done or stream.cancelled:
-            self._running.remove(stream)
-            self._count_running(stream, -1)
-            self._wake.set()
-            if stream.done:
-                self._spawn(self._finish(stream))
+        if stream.done and not stream.cancelled:
+            self._stop(stream)
+            self._spawn(self._finish(stream))
         async with stream.changed:
             stream.changed.notify_all()
 
--- a/packages/wire/sesamespindle/wire/engine.py
+++ b/packages/wire/sesamespindle/wire/engine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import http
 import json
 
 import aiohttp
@@ -136,15 +137,22 @@
             raise StreamGoneError(str(error)) from error
 
     async def cancel(self, url, stream):
-        """Ask an engine to stop a stream; errors are of no consequence."""
+        """Ask an engine to stop a stream.
+
+        Returns
+        -------
+        goes_on : bool
+            Whether the engine says that it goes on, since somebody reads it. An
+            engine that doesn't answer stops streams that nobody reads by itself.
+        """
         try:
             async with self._session.delete(
                 f"{url}/streams/{stream}",
                 timeout=aiohttp.ClientTimeout(total=_CONNECT_SECONDS),
-            ):
-                return
+            ) as response:
+                return response.status == http.HTTPStatus.CONFLICT
         except (TimeoutError, aiohttp.ClientError):
-            return
+            return False
 
     async def load(self, url):
         """Return the engine's load report as plain values, or None."""
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -7,3 +7,10 @@
     When training sends without end while entries are killed and replaced
     Then the engine never ran more than 8 of its prompts at once
     And the account comes back to the full use of its contract
+
+  Scenario: Callers leave while others wait
+    Callers give up in the middle of their answers, and others of the account
+    have waited for their slots. An engine that had not yet noticed would run
+    the answers of both.
+    When callers of training leave before their answers are whole
+    Then the engine never ran more than 8 of its prompts at once
--- a/tests/promises/test_limits.py
+++ b/tests/promises/test_limits.py
@@ -1,6 +1,7 @@
 """Promise 8: targets never see more of an account than its contract allows."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -14,6 +15,8 @@
 LIMIT = 8
 CALLERS = 24
 ENGINE = "glossary-1"
+# Prompts that are sent and left before the engine's count is read.
+LEFT = 150
 
 
 @pytest.fixture(scope="module")
@@ -69,6 +72,42 @@
     go(run())
 
 
+async def send_and_leave(running, numbers):
+    """Send prompts one after the other, and leave in the middle of each answer."""
+    user = caller.Caller(running.session, fleet.demo_key(ACCOUNT))
+    while True:
+        number = next(numbers)
+        entry = running.entry_names[number % len(running.entry_names)]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.1 + 0.01 * (number % 20)):
+                await user.complete(
+                    running.url(entry), "glossary", f"Left {number}.", 20
+                )
+
+
+@pytest_bdd.when("callers of training leave before their answers are whole")
+def leave_early(running, go, seen):
+    async def run():
+        before = (await running.counts(ENGINE)).get("received", 0)
+        numbers = itertools.count()
+        sending = [
+            asyncio.create_task(send_and_leave(running, numbers))
+            for _ in range(CALLERS)
+        ]
+
+        async def many_were_sent():
+            counts = await running.counts(ENGINE)
+            return counts.get("received", 0) >= before + LEFT
+
+        await running.until(many_were_sent)
+        seen["counts"] = await running.counts(ENGINE)
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+
+    go(run())
+
+
 @pytest_bdd.then("the engine never ran more than 8 of its prompts at once")
 def limit_was_kept(seen):
     assert seen["counts"]["most_by_account"][ACCOUNT] == LIMIT
