--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -124,6 +124,7 @@
         lambda: HarmStore("loses_answers", True, seconds),
         lambda: HarmStore("delay_seconds", source.uniform(0.1, 0.6), seconds),
         lambda: HarmStore("speaks_nonsense", True, seconds / 2),
+        lambda: HarmStore("is_stale", True, 2 * seconds),
         ForgetHistory,
         lambda: CrashTarget(source.uniform(0.5, 3)),
         lambda: LoseAnswers(source.uniform(0.02, 0.3), seconds),
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -13,6 +13,9 @@
 # of a second after the one before, so that they meet in the middle of things.
 _MOST_AT_ONCE = 4
 _APART_SECONDS = 0.8
+# How often changes follow in calm, and how many at most.
+_PLANNED_SHARE = 0.5
+_MOST_PLANNED = 3
 # The quiet after a burst: long enough for the bounds of calm times to count.
 _QUIET_SECONDS = 4.0
 # Nothing fails any more for this long at the end: what must recover has 12 s,
@@ -69,7 +72,15 @@
                 burst.create_task(faults.play(faults.draw(source), made))
                 await asyncio.sleep(source.uniform(0, _APART_SECONDS))
         await asyncio.sleep(source.uniform(0, _QUIET_SECONDS))
-        if source.random() < 0.5:
-            await asyncio.sleep(_QUIET_SECONDS)
-            await faults.play(faults.draw_planned(source), made)
-            await asyncio.sleep(_QUIET_SECONDS)
+        if source.random() < _PLANNED_SHARE:
+            await _change_in_calm(made, source)
+
+
+async def _change_in_calm(made, source):
+    """Play changes that overlap and that nobody should notice, in calm."""
+    await asyncio.sleep(_QUIET_SECONDS)
+    async with asyncio.TaskGroup() as changes:
+        for _ in range(source.randint(1, _MOST_PLANNED)):
+            changes.create_task(faults.play(faults.draw_planned(source), made))
+            await asyncio.sleep(source.uniform(0, _APART_SECONDS))
+    await asyncio.sleep(_QUIET_SECONDS)
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -167,10 +167,15 @@
         )
         for number in range(first, event_count(request) + 1):
             await asyncio.sleep(_EVENT_SECONDS)
+            text = event(request, number)
             if self._random.random() < self.answers_lost_share:
+                # It dies in the middle of an event, which must not be passed on.
+                half = text[: len(text) // 2]
+                writer.write(b"%x\r\n%s\r\n" % (len(half), half))
+                await writer.drain()
+                await asyncio.sleep(_EVENT_SECONDS)
                 writer.transport.abort()
                 return
-            text = event(request, number)
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -15,8 +15,9 @@
 
 _PLAIN, _ENGINE = "desk", "llm"
 _PORTS = 4
-# A removed target serves on for this long, in seconds, like the users' own.
-_SERVES_ON_SECONDS = 2.0
+# A leaving target is listed for this long, in seconds, and serves on for as long
+# after it was removed: longer than anybody may go on sending to it.
+_SERVES_ON_SECONDS = 4.0
 
 
 class World:
@@ -141,14 +142,17 @@
         return made
 
     async def crash_target(self, target, seconds):
-        """Crash a target; its address serves another incarnation later."""
+        """Crash a target; its address serves some other target later."""
         if self.target_by_name.pop(target.name, None) is None:
             return
         target.crash()
         await asyncio.sleep(seconds)
         await self.store.remove("servers", target.name)
         link = self.link_by_target.pop(target.name)
-        await self.add_target(target.service, link, target.weights)
+        service = self.random.choice((_PLAIN, _ENGINE))
+        await self.add_target(service, link, target.weights)
+        if service != target.service:
+            await self.add_target(target.service)
 
     async def drain_target(self, target):
         """Have a target leave in order, after another has come."""
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -28,6 +28,9 @@
         self.speaks_nonsense = False
         self.loses_answers = False
         self.delay_seconds = 0.0
+        # Lists show objects as they were before their last change.
+        self.is_stale = False
+        self._objects_before = {}
         self.history_from = 0
         # Watches that wait now, by kind.
         self.waiting_by_kind = collections.Counter()
@@ -62,6 +65,8 @@
     async def _change(self, kind, name, spec, deleted):
         self._revision += 1
         item = {"Metadata": {"Name": name, "Revision": self._revision}, "Spec": spec}
+        before = self._objects.get((kind, name), item)
+        self._objects_before[kind, name] = before
         if deleted:
             self._objects.pop((kind, name), None)
         else:
@@ -98,7 +103,10 @@
             return _json(made, 201)
         if "Watch" in request.query:
             return await self._watch(request, kind)
-        items = [item for (at, _), item in self._objects.items() if at == kind]
+        shown = self._objects
+        if self.is_stale and kind == "config":
+            shown = self._objects_before
+        items = [item for (at, _), item in shown.items() if at == kind]
         return _json({"items": items, "MorePages": False, "CurrentRev": self._revision})
 
     def _lose_answer(self, request):
