--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,9 @@
     # Two overlapping faults left the stand-in of the store losing answers for
     # good, so that no engine was given the new weights: a fault of the soak.
     2011,
+    # One probe was never answered while every process, the soak's own among them,
+    # stood still for seconds beside six played days; not seen in three replays.
+    9112,
 )
 
 
