Tell in the log who cut an answer off, and what callers are told

An answer cut by the end of its host was logged as "The caller has left", with nothing of how far it had come: a lost answer looked like a caller's choice, and a stalled engine couldn't be told from a long answer. No decision is changed. A daemon of a test that isn't ready in time shows its log.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -13,6 +13,10 @@
         "Cut off:",
         "The target stopped in the middle of an answer that can't be continued.",
     ),
+    (
+        "Cut off by the end of this host",
+        "The host was leaving, and its grace time ended before the answer did.",
+    ),
     (
         "unknown_key",
         "The API key isn't in the configuration that the host had in force.",
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import weakref
 
 import aiohttp
 import aiohttp.web
@@ -62,6 +63,18 @@
         self.response = None
         self.cutter = eventstream.EventCutter()
         self.failure = None
+        self.passed_bytes = 0
+        self.passed_at = None
+
+    def describe(self, now):
+        """Return how far the answer has come, for the log."""
+        if self.passed_at is None:
+            return "nothing of the answer was passed on"
+        silent = (now - self.passed_at).total_seconds() * 1000
+        return (
+            f"{self.passed_bytes} bytes of the answer were passed on, "
+            f"the last {silent:.0f} ms ago"
+        )
 
 
 class Relay:
@@ -86,12 +99,16 @@
         self._dialect = dialect
         self._session = session
         self._measures = measures
+        self._requests_by_connection = weakref.WeakKeyDictionary()
         self.last_call_until = None
+        # Set when the host ends, and with it all connections.
+        self.is_ending = False
         self.in_flight = 0
 
     async def handle(self, http):
         """Answer one request."""
         arrived = self._clock.now()
+        self._count_on_connection(http)
         self.in_flight += 1
         try:
             return await self._answer(http, arrived)
@@ -117,11 +134,23 @@
             self._cut(http)
             return answer.response
         except asyncio.CancelledError:
-            _log.bind(request=request.request_id).info("The caller has left.")
+            _log.bind(request=request.request_id).info(
+                "{}: {}.",
+                "Cut off by the end of this host"
+                if self.is_ending
+                else "The caller has left",
+                answer.describe(self._clock.now()),
+            )
             raise
         finally:
             self._decide(self._forwarding.close, request.request_id)
 
+    def _count_on_connection(self, http):
+        """Count a request on its connection: only kept ones have several."""
+        counts = self._requests_by_connection
+        if http.transport is not None:
+            counts[http.transport] = counts.get(http.transport, 0) + 1
+
     def _is_taken(self, request):
         return request.request_id in self._forwarding.flight_by_request
 
@@ -335,6 +364,8 @@
             await answer.response.write(chunk)
         except (aiohttp.ClientError, ConnectionError) as error:
             raise _CutOffError from error
+        answer.passed_bytes += len(chunk)
+        answer.passed_at = self._clock.now()
 
     def _broken(self, forward, answer):
         """Return the ending of an answer that broke off."""
@@ -393,7 +424,11 @@
         refusal = self._dialect.refusal(refuse)
         self._measures.refused(refuse.code)
         _log.bind(request=refuse.request_id).info(
-            "Refused: {}, {}. {}", refuse.code, refuse.outcome, refuse.message
+            "Refused: {}, {}. {} Request {} on its connection.",
+            refuse.code,
+            refuse.outcome,
+            refuse.message,
+            self._requests_by_connection.get(http.transport, 0),
         )
         return aiohttp.web.Response(
             status=refusal.status, headers=refusal.headers, body=refusal.body
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -53,3 +53,22 @@
 def test_a_refusal_under_load_is_named(logs):
     found = explain.explain(explain.read(logs), "other")
     assert found.cause == "All targets were too busy to answer in time."
+
+
+def test_an_end_of_the_host_is_told_from_a_caller_that_left(tmp_path):
+    """A host ended while an answer was on its way.
+
+    The library that serves callers reports the end of the host and a caller's
+    leaving in the same way, and the log said of both that the caller had left.
+    """
+    path = tmp_path / "one.log"
+    path.write_text(
+        "\n".join(
+            (
+                line(1, "entry-1", "abc123", "Sent to target llm-1, attempt 1."),
+                line(8, "entry-1", "abc123", "Cut off by the end of this host: x."),
+            )
+        )
+    )
+    found = explain.explain(explain.read([path]), "abc123")
+    assert "grace time ended" in found.cause
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -349,15 +349,26 @@
     } | changed
 
 
+class NotReadyError(Exception):
+    """A daemon was not ready in time; says what it logged last."""
+
+
 class Daemon:
-    """A real daemon, as a process of its own."""
+    """A real daemon, as a process of its own.
+
+    Parameters
+    ----------
+    grace : int
+        Seconds from SIGTERM in which the platform lets the process be.
+    """
 
-    def __init__(self, name, ip, ports, store_address, seeds=()):
+    def __init__(self, name, ip, ports, store_address, seeds=(), grace=8):
         self.name = name
         self.ip = ip
         self._ports = ports
         self._store_address = store_address
         self._seeds = seeds
+        self._grace = grace
         self._child = None
         self._settings = None
         self.log = None
@@ -370,7 +381,7 @@
             f"Listen.Front={self.ip}:{front}\nListen.ReadyAddr={self.ip}:{ready}\n"
             f"Listen.Directory={self.ip}:{directory}\n"
             f"Listen.Control={self.ip}:{control}\nSeeds={seeds}\n"
-            f"Bounds.GraceS=8\nPlatform.Address={self._store_address}\n"
+            f"Bounds.GraceS={self._grace}\nPlatform.Address={self._store_address}\n"
         )
         with tempfile.NamedTemporaryFile("w", delete=False) as settings:
             settings.write(text)
@@ -469,18 +480,23 @@
         self.target_by_name[name] = made
         return made
 
-    async def add_daemon(self, seeds=()):
+    async def add_daemon(self, seeds=(), grace=8):
         """Start a daemon and wait until it is ready."""
-        made = await self.start_daemon(seeds)
-        await self.until(lambda: self.is_ready(made))
+        made = await self.start_daemon(seeds, grace)
+        try:
+            await self.until(lambda: self.is_ready(made))
+        except TimeoutError as error:
+            said = "\n".join(made.lines()[-20:])
+            running = "runs" if made.is_running else "has ended"
+            raise NotReadyError(f"{made.name} {running}:\n{said}") from error
         return made
 
-    async def start_daemon(self, seeds=()):
+    async def start_daemon(self, seeds=(), grace=8):
         """Start a daemon, which still has to load."""
         self._hosts += 1
         ip = f"{self._prefix}.{self._hosts}"
         made = Daemon(
-            f"entry-{self._hosts}", ip, self._ports, self.store.address, seeds
+            f"entry-{self._hosts}", ip, self._ports, self.store.address, seeds, grace
         )
         await self._stack.enter_async_context(made)
         return made
