Hold a request's own end against the host's before a leaving host takes it

Cause: a leaving host took every request for a fixed 3.5 s, whatever it might last and whatever the grace time. One taken 3.02 s after SIGTERM with 10.4 s to its deadline was cut off 4.7 s later. Now the decision logic plans the departure from the grace time: for 2.5 s, or a third of a short grace time, all is taken, as callers can't know yet; then only what has its final answer before the host ends. All answers of a leaving host ask for the connection to be closed, and what has no answer at the end is told so instead of being closed without a word.

Ruled out: a stalled engine.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -1,7 +1,7 @@
 """Moving bytes between callers and targets, as the decision logic says."""
 
 import asyncio
-import datetime
+import contextlib
 import weakref
 
 import aiohttp
@@ -100,11 +100,23 @@
         self._session = session
         self._measures = measures
         self._requests_by_connection = weakref.WeakKeyDictionary()
-        self.last_call_until = None
-        # Set when the host ends, and with it all connections.
-        self.is_ending = False
+        # The time limits of all sends under way.
+        self._limits = set()
+        self._is_ending = False
         self.in_flight = 0
 
+    def end(self):
+        """Give all requests under way their final answers now, as the host ends.
+
+        Guards against callers whose connection is closed without an answer: what
+        has not begun to be answered is refused instead.
+        """
+        self._is_ending = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now)
+
     async def handle(self, http):
         """Answer one request."""
         arrived = self._clock.now()
@@ -119,32 +131,33 @@
         request = self._dialect.read_request(http, arrived)
         if not request.request_id or self._is_taken(request):
             return self._refuse(http, _without_own_id(request))
-        if self._is_too_late(request):
-            return self._refuse(http, _leaving(request))
         body = await self._read_body(http)
         command = self._decide(self._forwarding.begin, request)
         answer = _Answer()
         try:
             return await self._carry_out(http, request, body, command, answer)
         except _CutOffError:
-            _log.bind(request=request.request_id).info(
-                "Cut off: the answer had begun, and nothing can continue it."
+            self._log_cut(
+                request,
+                answer,
+                "Cut off: the answer had begun, nothing can continue it",
             )
             self._measures.refused("cut_off")
             self._cut(http)
             return answer.response
         except asyncio.CancelledError:
-            _log.bind(request=request.request_id).info(
-                "{}: {}.",
-                "Cut off by the end of this host"
-                if self.is_ending
-                else "The caller has left",
-                answer.describe(self._clock.now()),
-            )
+            self._log_cut(request, answer, "The caller has left")
             raise
         finally:
             self._decide(self._forwarding.close, request.request_id)
 
+    def _log_cut(self, request, answer, otherwise):
+        """Log why an answer did not come to its end, and how far it had come."""
+        cause = "Cut off by the end of this host" if self._is_ending else otherwise
+        _log.bind(request=request.request_id).info(
+            "{}: {}.", cause, answer.describe(self._clock.now())
+        )
+
     def _count_on_connection(self, http):
         """Count a request on its connection: only kept ones have several."""
         counts = self._requests_by_connection
@@ -154,12 +167,6 @@
     def _is_taken(self, request):
         return request.request_id in self._forwarding.flight_by_request
 
-    def _is_too_late(self, request):
-        """Return whether a leaving daemon would end before the request does."""
-        if self.last_call_until is None:
-            return False
-        return self._clock.now() >= self.last_call_until
-
     async def _carry_out(self, http, request, body, command, answer):
         while True:
             match command:
@@ -170,7 +177,7 @@
                 case forwarding.PassOn():
                     if answer.response is not None:
                         raise _CutOffError
-                    return answer.failure
+                    return self._last_if_leaving(answer.failure)
                 case forwarding.Forward():
                     command = await self._send(http, body, command, answer)
                     if command is None:
@@ -192,20 +199,38 @@
                 self._forwarding.timed_out, forward.request_id, sent=True
             )
         try:
-            async with asyncio.timeout(max(left, 0.001)):
+            async with self._limit(max(left, 0.001)):
                 ending = await self._exchange(http, body, forward, answer)
         except TimeoutError:
-            command = self._decide(
-                self._forwarding.timed_out, forward.request_id, sent=True
-            )
-            self._log_end(forward, "timeout", command)
-            return command
+            return self._after_limit(forward)
         if ending is None:
             return None
         command = self._decide(self._forwarding.ended, forward.request_id, ending)
         self._log_end(forward, ending.value, command)
         return command
 
+    @contextlib.asynccontextmanager
+    async def _limit(self, seconds):
+        """Limit a send's time, which ends sooner if the host does."""
+        async with asyncio.timeout(0 if self._is_ending else seconds) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    def _after_limit(self, forward):
+        """Return what follows a send whose time is over, or whose host ends."""
+        if self._is_ending:
+            command = self._forwarding.host_ends(forward.request_id)
+            self._log_end(forward, "host ends", command)
+            return command
+        command = self._decide(
+            self._forwarding.timed_out, forward.request_id, sent=True
+        )
+        self._log_end(forward, "timeout", command)
+        return command
+
     def _log_end(self, forward, how, command):
         _log.bind(request=forward.request_id).info(
             "The send to target {} ended: {}. Next: {}.",
@@ -300,7 +325,7 @@
         if not _is_framed(response) and _was_reset(protocol):
             return self._broken(forward, answer)
         if answer.response is None:
-            answer.response = self._whole(response, bytes(held))
+            answer.response = self._last_if_leaving(self._whole(response, bytes(held)))
         else:
             await answer.response.write_eof()
         return None
@@ -383,9 +408,17 @@
         length = response.headers.get("Content-Length")
         if length is not None and not self._is_stream(response):
             answer.response.content_length = int(length)
-        if self.last_call_until is not None:
-            answer.response.force_close()
-        await answer.response.prepare(http)
+        await self._last_if_leaving(answer.response).prepare(http)
+
+    def _last_if_leaving(self, response):
+        """Have the caller's connection closed after an answer of a leaving host.
+
+        Guards against callers that stay on a kept connection and go on sending
+        to a host which soon takes nothing that may outlast it.
+        """
+        if self._forwarding.departure is not None:
+            response.force_close()
+        return response
 
     def _is_stream(self, response):
         return response.content_type == "text/event-stream"
@@ -430,9 +463,10 @@
             refuse.message,
             self._requests_by_connection.get(http.transport, 0),
         )
-        return aiohttp.web.Response(
+        response = aiohttp.web.Response(
             status=refusal.status, headers=refusal.headers, body=refusal.body
         )
+        return self._last_if_leaving(response)
 
     def _cut(self, http):
         """Break the caller's connection, so that its answer can't look whole."""
@@ -466,13 +500,3 @@
         commands.Outcome.UNKNOWN,
         "The request has no id of its own.",
     )
-
-
-def _leaving(request):
-    return commands.Refuse(
-        request.request_id,
-        commands.Code.SHUTTING_DOWN,
-        commands.Outcome.NOT_RUN,
-        "This host is leaving; connect to another.",
-        datetime.timedelta(milliseconds=50),
-    )
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -0,0 +1,61 @@
+"""What a host that leaves still takes, and when it ends."""
+
+import dataclasses
+import datetime
+
+# Callers that keep an address may not know sooner than this that its host
+# leaves: peers hear of it within one second and callers ask again after another.
+# Some callers keep an address longer; they are refused and go elsewhere.
+_CALLERS_LEARN_WITHIN = datetime.timedelta(seconds=2.5)
+# A host with little time stops earlier, so that what it takes last still has two
+# thirds of that time to be answered.
+_OPEN_SHARE = 1 / 3
+# What is kept of the grace time for closing connections: stopping takes 0.2 s on
+# a played host. Of a short grace time it is half of the last sixth, as no answer
+# may be given up before that sixth.
+_CLOSING_TIME = datetime.timedelta(milliseconds=500)
+_CLOSING_SHARE = 1 / 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """How a host leaves.
+
+    Guards against an answer that is cut off because it was begun too late: a
+    host that takes whatever comes for a fixed time takes what lasts longer than
+    the host itself. Here each request's own end is held against the host's.
+
+    Attributes
+    ----------
+    open_until : datetime.datetime
+        Until then all requests are taken, as callers can't know yet.
+    ends_at : datetime.datetime
+        When every request gets its final answer and the process ends.
+    """
+
+    open_until: datetime.datetime
+    ends_at: datetime.datetime
+
+    def takes(self, until, now):
+        """Return whether a request that has time until then is still taken.
+
+        What has its final answer before the host ends can't be cut off by it, so
+        it is always taken.
+        """
+        return until <= self.ends_at or now < self.open_until
+
+
+def plan(now, grace):
+    """Return the `Departure` of a host that is asked to leave.
+
+    Parameters
+    ----------
+    now : datetime.datetime
+        The present.
+    grace : datetime.timedelta
+        After this the process is killed.
+    """
+    closing = min(_CLOSING_TIME, grace * _CLOSING_SHARE)
+    lasts = grace - closing
+    open_for = min(_CALLERS_LEARN_WITHIN, lasts * _OPEN_SHARE)
+    return Departure(now + open_for, now + lasts)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -271,7 +271,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveAsked:
-    """An operator or the host wants this daemon to leave."""
+    """An operator or the host wants this daemon to leave.
+
+    Attributes
+    ----------
+    grace : datetime.timedelta or None
+        After this the process is killed; None where nothing kills it.
+    """
+
+    grace: datetime.timedelta | None = None
 
 
 class Resource(enum.IntEnum):
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -36,6 +36,9 @@
 _BUSY_SHUN = datetime.timedelta(milliseconds=100)
 # Sends of one request that targets may turn away unread before it is refused.
 _MAX_SENDS = 4
+# When a caller that a leaving host refuses comes back: others can serve it at
+# once, so this only keeps callers from coming in step.
+_ELSEWHERE_AFTER = datetime.timedelta(milliseconds=50)
 # Ranks of routes that are told apart within one rank of accounts. Targets know
 # ten urgencies, so three ranks of accounts keep their order.
 _ROUTE_RANKS = 3
@@ -118,6 +121,8 @@
         self._placing = promptplacing.PromptPlacing(state, weights, stores)
         self._budgets = budgets
         self.configuration = None
+        # Set once this host leaves.
+        self.departure = None
         self.flight_by_request = {}
 
     def begin(self, request, now):
@@ -144,6 +149,8 @@
         until = now + route.timeout
         if request.deadline is not None:
             until = min(until, request.deadline)
+        if self.departure is not None and not self.departure.takes(until, now):
+            return self._refuse_leaving(request, until, now)
         service = self._service(route)
         flight = flights.Flight(request, route, service, account, now, until)
         self.flight_by_request[request.request_id] = flight
@@ -397,6 +404,27 @@
             flight.request, commands.Code.TIMEOUT, "The time is over.", outcome
         )
 
+    def host_ends(self, request_id):
+        """Return the final answer of a request that is sent while the host ends."""
+        return self._refuse(
+            self.flight_by_request[request_id].request,
+            commands.Code.SHUTTING_DOWN,
+            "The host ends before the target has answered.",
+            commands.Outcome.UNKNOWN,
+        )
+
+    def _refuse_leaving(self, request, until, now):
+        left = (self.departure.ends_at - now).total_seconds()
+        may_last = (until - now).total_seconds()
+        return commands.Refuse(
+            request.request_id,
+            commands.Code.SHUTTING_DOWN,
+            commands.Outcome.NOT_RUN,
+            f"This host ends in {left:.1f} s, and the request may last "
+            f"{may_last:.1f} s; connect to another.",
+            retries.spread(_ELSEWHERE_AFTER, self._state.random),
+        )
+
     def _refuse(self, request, code, message, outcome=commands.Outcome.NOT_RUN):
         retry_after = None
         if outcome is commands.Outcome.NOT_RUN:
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -7,6 +7,7 @@
     budgets,
     catalogue,
     commands,
+    departure,
     directory,
     events,
     forwarding,
@@ -131,8 +132,7 @@
             case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
-                self.membership.leave(now)
-                self.lease.give_back(now)
+                self._leave(event, now)
             case events.HasLeft():
                 self.membership.has_left(now)
             case _:
@@ -153,6 +153,12 @@
         self.state.emit(commands.Note("configuration", str(configuration.version)))
         self.membership.spread(now)
 
+    def _leave(self, event, now):
+        if event.grace is not None and self.forwarding.departure is None:
+            self.forwarding.departure = departure.plan(now, event.grace)
+        self.membership.leave(now)
+        self.lease.give_back(now)
+
     def _tick(self, now):
         if self.forwarding.configuration is None:
             # A host that the platform turns away asks peers at every tick.
--- /dev/null
+++ b/tests/decide/test_departure.py
@@ -0,0 +1,49 @@
+"""What a leaving host still takes, without a network or a clock."""
+
+import datetime
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from sesamespindle.decide import departure
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+GRACE_TIMES = strategies.floats(0.5, 120.0).map(lambda value: value * SECOND)
+
+
+def test_takes_all_while_callers_cannot_know_and_then_what_ends_in_time():
+    """A stream was taken 3.02 s after SIGTERM and cut off by the host's end.
+
+    It had 10.4 s left to its deadline, its host 4.5 s to its end, and the only
+    question asked was how long ago SIGTERM had come.
+    """
+    leaving = departure.plan(NOW, 8 * SECOND)
+    lasts_long = NOW + 13.4 * SECOND
+    assert leaving.takes(lasts_long, NOW + 2.4 * SECOND)
+    assert not leaving.takes(lasts_long, NOW + 3.02 * SECOND)
+    assert leaving.takes(NOW + 7 * SECOND, NOW + 5.5 * SECOND)
+
+
+@pytest.mark.parametrize("grace", [1, 2, 8, 20])
+def test_ends_inside_the_last_sixth_of_the_grace_time(grace):
+    """A host with a short grace time ended before the last sixth of it.
+
+    An answer that is under way must not be given up sooner, and what is left
+    must do to close all connections before the process is killed.
+    """
+    ends_at = departure.plan(NOW, grace * SECOND).ends_at
+    assert NOW + grace * SECOND * 5 / 6 < ends_at < NOW + grace * SECOND
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(GRACE_TIMES, strategies.floats(0, 1), strategies.floats(0, 200))
+def test_what_is_taken_after_callers_know_has_its_answer_in_time(grace, part, lasts):
+    leaving = departure.plan(NOW, grace)
+    now = NOW + grace * part
+    until = now + lasts * SECOND
+    if now >= leaving.open_until and leaving.takes(until, now):
+        assert until <= leaving.ends_at
+    assert leaving.open_until - NOW <= 2.5 * SECOND
+    assert leaving.open_until - NOW <= (leaving.ends_at - NOW) / 3
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -115,6 +115,30 @@
     assert isinstance(begin(core, "/once/1"), forwarding.Forward)
 
 
+def test_a_leaving_host_refuses_only_what_may_outlast_it(core):
+    """Callers with an old address come to a host that has had SIGTERM.
+
+    Short calls are still served; a stream that may go on after the host's end
+    is refused truthfully, and its caller comes back at once, but not in step.
+    """
+    core.step(NOW, [events.LeaveAsked(8 * SECOND)])
+    later = NOW + 4 * SECOND
+    refused = begin(core, "/chat/1", later)
+    assert refused.code is commands.Code.SHUTTING_DOWN
+    assert refused.outcome is commands.Outcome.NOT_RUN
+    assert datetime.timedelta() < refused.retry_after < SECOND / 5
+    assert "r1" not in core.forwarding.flight_by_request
+    soon_over = begin(core, "/once/1", later, deadline=later + 1.5 * SECOND)
+    assert isinstance(soon_over, forwarding.Forward)
+
+
+def test_a_second_order_to_leave_changes_no_end(core):
+    core.step(NOW, [events.LeaveAsked(8 * SECOND)])
+    first = core.forwarding.departure
+    core.step(NOW + SECOND, [events.LeaveAsked(8 * SECOND)])
+    assert core.forwarding.departure is first
+
+
 def test_refuses_what_no_route_or_key_allows(core):
     assert begin(core, "/none/").code is commands.Code.NO_ROUTE
     assert begin(core, "/once/", key="old").code is commands.Code.UNKNOWN_KEY
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -148,5 +148,26 @@
     play(scenario)
 
 
+def test_what_has_no_answer_at_the_end_of_the_host_is_told_so(play):
+    """A target is still at work on a booking when its host's grace time ends.
+
+    The caller's connection was closed without a word. It may have run, so the
+    caller gets a final answer that promises nothing.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.is_mute = True
+        daemon = await world.add_daemon(grace=2)
+        asking = asyncio.create_task(world.ask(daemon, "/once/1", "r1"))
+        await target.began.wait()
+        daemon.terminate()
+        status, headers, _ = await asking
+        assert (status, headers.get("Connection")) == (502, "close")
+        assert await daemon.ended() == 0
+
+    play(scenario)
+
+
 async def _not_ready(world, daemon):
     return not await world.is_ready(daemon)
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -171,6 +171,8 @@
         The headers of every request that it ran, lower-case.
     second_answer : bytes
         Sent after each answer, as bytes of no request.
+    is_mute : bool
+        Whether it runs requests and never answers.
     release : asyncio.Event
         Streams go on to their second event once it is set.
     """
@@ -189,6 +191,7 @@
         self.readers = []
         self.writers = []
         self.loses_answers = False
+        self.is_mute = False
         self.unframed_bytes = 0
         self.resets_unframed = False
         self.body = b""
@@ -233,6 +236,8 @@
             return
         self.runs.append(headers)
         self.began.set()
+        if self.is_mute:
+            return
         if self.loses_answers:
             writer.transport.abort()
             return
