Show by failing tests why callers are sent to hosts that leave

The trace of the incident shows callers coming to two leaving hosts from the moment on at which their data centre had no other host: other data centres' hosts were live in the table, but without an address, and then all known hosts were named. The tests show each of the three causes in the decision logic; they fail on the code as it is.

--- /dev/null
+++ b/tests/decide/test_directory.py
@@ -0,0 +1,60 @@
+"""Which addresses callers are told, without a network."""
+
+import pytest
+
+from sesamespindle.decide import directory, events, world
+
+_State = events.HostState
+
+
+def make_state(*entries):
+    """Return tables with entries given as (name, data centre, state)."""
+    state = world.World(events.Host("me", "entry", "dc-1", "me:80", "me:81"))
+    for name, data_centre, entry_state in entries:
+        state.put_entry(
+            world.EntryRow(
+                name, data_centre, f"{name}:80", f"{name}:81", "", 1, entry_state
+            )
+        )
+    return state
+
+
+def choose(state, unreachable=()):
+    return directory.choose_addresses(
+        state, "dc-1", lambda data_centre: data_centre not in unreachable
+    )
+
+
+def test_names_live_hosts_and_those_of_the_callers_data_centre_first():
+    state = make_state(
+        ("b", "dc-2", _State.LIVE),
+        ("a", "dc-1", _State.LIVE),
+        ("c", "dc-1", _State.LEAVING),
+        ("d", "dc-1", _State.SUSPECT),
+    )
+    assert choose(state) == ["a:80", "b:80"]
+
+
+@pytest.mark.parametrize(
+    ("better", "worse"),
+    [
+        (_State.LIVE, _State.SUSPECT),
+        (_State.SUSPECT, _State.LEAVING),
+        (_State.LEAVING, _State.DEAD),
+        (_State.LEAVING, _State.LEFT),
+    ],
+)
+def test_where_nobody_is_surely_there_names_the_likeliest_only(better, worse):
+    """Callers are sent to hosts that leave while others are there.
+
+    For want of a live host in a reachable data centre all known hosts were
+    named, those that leave or have left among them. Callers came to them seconds
+    after SIGTERM, as if nothing had been said.
+    """
+    state = make_state(("a", "dc-2", better), ("b", "dc-2", worse))
+    assert choose(state, unreachable=("dc-2",)) == ["a:80"]
+
+
+def test_names_somebody_rather_than_nobody():
+    state = make_state(("a", "dc-1", _State.LEFT))
+    assert choose(state) == ["a:80"]
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -1,8 +1,9 @@
-"""Which daemons watch the platform, as membership has it."""
+"""Who is there and who watches the platform, as membership has it."""
 
+import dataclasses
 import datetime
 
-from sesamespindle.decide import events, membership, world
+from sesamespindle.decide import commands, events, gossip, membership, world
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 NAMES = [f"entry-{number}" for number in range(20)]
@@ -60,3 +61,102 @@
         assert state.entries.get(silent).state is not events.HostState.LIVE
     left = [name for name in NAMES if name != silent]
     assert len(watchers(left)) == membership.WATCHERS
+
+
+ROUND = datetime.timedelta(milliseconds=400)
+
+
+def make_daemon(name, data_centre, incarnation=1, url=None):
+    """Return a membership with its own entry, which bears an address or not."""
+    url = f"{name}:80" if url is None else url
+    me = events.Host(name, "entry", data_centre, url, f"{name}:81", "", incarnation)
+    state = world.World(me)
+    live = events.HostState.LIVE
+    state.put_entry(
+        world.EntryRow(name, data_centre, url, f"{name}:81", "", incarnation, live)
+    )
+    return membership.Membership(state), state
+
+
+def introduce(state, other):
+    """Have a daemon know another as that one knows itself."""
+    row = other.entries.get(other.me.name)
+    state.put_entry(dataclasses.replace(row))
+
+
+def run_round(caller, answerer, now):
+    """Have a daemon begin a round of gossip, and another answer it."""
+    made, state = caller
+    other, other_state = answerer
+    state.take_commands()
+    made.spread(now)
+    for command in state.take_commands():
+        if not isinstance(command, commands.GossipTo):
+            continue
+        other_state.take_commands()
+        other.receive(gossip.GossipReceived("1", command.message), now)
+        for reply in other_state.take_commands():
+            if isinstance(reply, commands.GossipReply):
+                address = other_state.me.peer_address
+                made.answered(gossip.GossipAnswered(address, reply.message), now)
+
+
+def test_an_address_that_becomes_known_reaches_other_data_centres():
+    """Callers are sent to hosts that leave although others are live.
+
+    A host tells peers of itself without an address until it can serve. Other
+    data centres had heard of it by then, and its address changed nothing that
+    they compare, so they kept a live host that they could name to nobody. Once
+    all hosts of their own data centre left, they named those.
+    """
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-2", url="")
+    introduce(here[1], there[1])
+    introduce(there[1], here[1])
+    run_round(here, there, NOW)
+    assert here[1].entries.get("b").url == ""
+    there[1].entries.get("b").url = "b:80"
+    there[1].note_view_change()
+    run_round(there, here, NOW + ROUND)
+    run_round(here, there, NOW + 2 * ROUND)
+    assert here[1].entries.get("b").url == "b:80"
+
+
+def test_a_data_centre_stays_reachable_when_its_hosts_start_anew():
+    """Callers are told of one host while five others are there.
+
+    A data centre counts as reachable while its pulse rises. The pulse was the
+    sum of its members' heartbeats, which begin at zero when a host starts, so
+    after planned restarts it lay below what others knew for many seconds.
+    """
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-2")
+    introduce(here[1], there[1])
+    introduce(there[1], here[1])
+    now = NOW
+    for _ in range(50):
+        now += ROUND
+        run_round(there, here, now)
+    again = make_daemon("b", "dc-2", incarnation=1000)
+    introduce(again[1], here[1])
+    for _ in range(30):
+        now += ROUND
+        run_round(again, here, now)
+        assert here[0].is_reachable("dc-2", now)
+
+
+def test_a_data_centre_that_falls_silent_is_not_reachable():
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-2")
+    third = make_daemon("c", "dc-3")
+    for one in (here, there, third):
+        for other in (here, there, third):
+            if one is not other:
+                introduce(one[1], other[1])
+    run_round(there, here, NOW)
+    run_round(there, third, NOW)
+    assert here[0].is_reachable("dc-2", NOW + ROUND)
+    now = NOW
+    for _ in range(30):
+        now += ROUND
+        run_round(here, third, now)
+        run_round(third, here, now)
+    assert not here[0].is_reachable("dc-2", now)
+    assert here[0].is_reachable("dc-3", now)
