Tell other data centres of a host's address once it can serve

Cause: hosts announce themselves without an address until they can serve. Data centres compare one digest of names, incarnations and states; an address changed nothing of it, so a data centre that had heard of the host before kept it without one.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -428,7 +428,13 @@
 
 
 def _digest(rows):
+    """Return one number for all that other data centres must know of hosts.
+
+    Guards against a host that could serve but that nobody was told of: its
+    address becomes known after its record has gone round without one.
+    """
     parts = sorted(
-        f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}" for row in rows
+        f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}/{row.url}"
+        for row in rows
     )
     return xxhash.xxh3_64_intdigest("\n".join(parts).encode())
