Have a data centre's pulse only rise, also when its hosts start anew

Cause: the pulse by which other data centres see that one is there was the sum of its members' heartbeats. Each member now raises the highest value told.

--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -45,8 +45,8 @@
     Attributes
     ----------
     pulse : int
-        The sum of its members' heartbeats, which stands still when the data
-        centre is lost.
+        Rises with every round of any of its members, and stands still when the
+        data centre is lost.
     """
 
     name: str
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -61,6 +61,7 @@
         self._urgent = False
         me = self._state.entries.get(self._state.me.name)
         me.heartbeat += 1
+        self._raise_pulse(me)
         me.heard_at = now
         me.revision = self._state.revision
         for address, inside in self._choose_peers():
@@ -281,11 +282,7 @@
         if self._digests_view != self._state.view:
             self._digests_view = self._state.view
             self._digests = _digest_by_data_centre(self._state.entries)
-        here = self._state.me.data_centre
         pulses = self._pulse_by_data_centre
-        pulses[here] = sum(
-            row.heartbeat for row in self._state.entries.where("data_centre", here)
-        )
         return tuple(
             gossip.DataCentreDigest(name, digest, pulses.get(name, 0))
             for name, digest in self._digests.items()
@@ -351,6 +348,18 @@
         if row is not None:
             row.learn_version(running.model, running.version)
 
+    def _raise_pulse(self, me):
+        """Count a round of this daemon in the pulse of its data centre.
+
+        Guards against hosts that are there and aren't named to callers: a pulse
+        worked out from heartbeats falls when a host starts anew or is replaced,
+        and counts as silence until it has caught up. This one only rises: every
+        member raises the highest value that any has told, and begins above what
+        members before it can have counted.
+        """
+        known = self._pulse_by_data_centre.get(me.data_centre, 0)
+        self._pulse_by_data_centre[me.data_centre] = max(known, me.incarnation) + 1
+
     def _merge_pulse(self, digest, now):
         if digest.pulse > self._pulse_by_data_centre.get(digest.name, -1):
             self._pulse_by_data_centre[digest.name] = digest.pulse
