Name only the surest hosts to callers where none is surely there

Cause: for want of a live host with an address in a reachable data centre all known hosts were named, those that leave or have left among them, so callers came to leaving hosts until their end. Now the likeliest only: live but not heard of, then suspected, then leaving, then gone.

--- a/packages/decide/sesamespindle/decide/directory.py
+++ b/packages/decide/sesamespindle/decide/directory.py
@@ -4,6 +4,15 @@
 
 # Addresses in one answer; callers take at most 64.
 MOST_ADDRESSES = 64
+_State = events.HostState
+# How sure it is that a host serves for a while, the surest first.
+_RANK_BY_STATE = {
+    _State.LIVE: 1,
+    _State.SUSPECT: 2,
+    _State.LEAVING: 3,
+    _State.LEFT: 4,
+    _State.DEAD: 4,
+}
 
 
 def choose_addresses(state, data_centre, reachable):
@@ -24,15 +33,20 @@
         At most `MOST_ADDRESSES`.
 
     Hosts that leave, or are suspected to be gone, are left out. Where that
-    leaves nobody, all that are known are named: a caller with no address
-    can't even be refused.
+    leaves nobody, the likeliest of the others are named: a caller with no
+    address can't even be refused.
+
+    Guards against callers that are sent to hosts which leave while others are
+    there: only the surest hosts are named, never worse ones beside them.
     """
-    live = [
-        row
-        for row in state.entries
-        if row.url and row.state is events.HostState.LIVE and reachable(row.data_centre)
-    ]
-    if not live:
-        live = [row for row in state.entries if row.url]
-    live.sort(key=lambda row: (row.data_centre != data_centre, row.name))
-    return [row.url for row in live[:MOST_ADDRESSES]]
+    known = [row for row in state.entries if row.url]
+    surest = min((_rank(row, reachable) for row in known), default=None)
+    named = [row for row in known if _rank(row, reachable) == surest]
+    named.sort(key=lambda row: (row.data_centre != data_centre, row.name))
+    return [row.url for row in named[:MOST_ADDRESSES]]
+
+
+def _rank(row, reachable):
+    if row.state is _State.LIVE and reachable(row.data_centre):
+        return 0
+    return _RANK_BY_STATE[row.state]
