--- /dev/null
+++ b/tests/deploy/test_build.py
@@ -0,0 +1,279 @@
+"""What daemons that start during a build find of the daemon's code.
+
+A host restarts while the same checkout is built anew. Its daemon begins to load
+in the middle of the build, finds a module missing and ends with an ImportError,
+or loads some modules of the old code and some of the new. The cause: the build
+removed the code that was in place, changed or not, and copied it file by file.
+"""
+
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+PARTS = ["packages/decide", "packages/declare", "packages/wire", "packages/daemon"]
+PARTS = [*PARTS, "platform"]
+# A module in the first package that is copied and one in the last.
+MODULES = ["sesamespindle.decide.first", "sesamespindle.platform.last"]
+# A daemon that is started: it says which version of each module it loads, then
+# whether the modules had been compiled before.
+DAEMON = f"""
+import importlib, pathlib, sys
+sys.dont_write_bytecode = True
+loaded = [importlib.import_module(name) for name in {MODULES}]
+compiled = all(pathlib.Path(module.__cached__).exists() for module in loaded)
+print(*(module.VERSION for module in loaded), "compiled" if compiled else "slow")
+"""
+# A daemon that loads its last module only when it is told to.
+LATE_DAEMON = f"""
+import importlib
+print(importlib.import_module("{MODULES[0]}").VERSION, flush=True)
+input()
+print(importlib.import_module("{MODULES[1]}").VERSION)
+"""
+# Stands before a program of the build and starts a daemon before and after it.
+STAND_BEFORE = """#!/bin/sh
+PATH="{path}"
+start_daemon() {{
+    PYTHONPATH="{deps}" "{python}" -S "{daemon}" >> "{seen}" 2>&1
+}}
+start_daemon
+"$(basename "$0")" "$@"
+code=$?
+start_daemon
+exit $code
+"""
+PROGRAMS = ["cp", "ln", "mkdir", "mv", "python3", "rm", "touch"]
+
+
+class Checkout:
+    """A copy of what a build needs, with libraries that need no download.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where the copy goes.
+    left_out : list of str
+        Patterns of files that are not copied.
+    """
+
+    def __init__(self, folder, left_out=("[!_]*.py", "__pycache__")):
+        self.folder = folder
+        self.deps = folder / "target" / "deps"
+        self.package = self.deps / "sesamespindle"
+        for part in PARTS:
+            shutil.copytree(
+                ROOT / part / "sesamespindle",
+                folder / part / "sesamespindle",
+                ignore=shutil.ignore_patterns(*left_out),
+            )
+        shutil.copytree(ROOT / "deploy", folder / "deploy")
+        self.deps.mkdir(parents=True)
+        lock_time = (folder / "deploy" / "requirements.lock").stat().st_mtime
+        stamp = self.deps / ".installed"
+        stamp.touch()
+        os.utime(stamp, (lock_time + 1, lock_time + 1))
+
+    def write_version(self, version):
+        """Change one module in the first and one in the last package."""
+        for part, name in zip((PARTS[0], PARTS[-1]), MODULES, strict=True):
+            path = self.folder / part / f"{name.replace('.', '/')}.py"
+            path.write_text(f'"""A version."""\n\nVERSION = "{version}"\n')
+
+    def start_build(self, path=None):
+        environment = os.environ | ({"PATH": path} if path else {})
+        return subprocess.Popen(
+            ["bash", "deploy/build.sh"], cwd=self.folder, env=environment
+        )
+
+    def build(self, path=None):
+        assert self.start_build(path).wait() == 0
+
+    def start(self, program):
+        """Start a program as daemons are started, with no other code at hand."""
+        return subprocess.Popen(
+            [sys.executable, "-S", "-c", program],
+            env={"PYTHONPATH": str(self.deps)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+    def loaded(self):
+        """Return what a daemon that starts now says."""
+        return self.start(DAEMON).communicate()[0].strip()
+
+    def stand_before_programs(self):
+        """Return a path of programs that start daemons, and what those will say."""
+        folder = self.folder / "programs"
+        folder.mkdir()
+        seen, daemon = folder / "seen", folder / "daemon.py"
+        daemon.write_text(DAEMON)
+        text = STAND_BEFORE.format(
+            path=os.environ["PATH"],
+            deps=self.deps,
+            python=sys.executable,
+            daemon=daemon,
+            seen=seen,
+        )
+        for program in PROGRAMS:
+            (folder / program).write_text(text)
+            (folder / program).chmod(0o755)
+        return f"{folder}{os.pathsep}{os.environ['PATH']}", seen
+
+    def place_plainly(self):
+        """Put the code in place as one plain folder, as builds once did."""
+        for part in PARTS:
+            shutil.copytree(
+                self.folder / part / "sesamespindle", self.package, dirs_exist_ok=True
+            )
+        subprocess.run(
+            [sys.executable, "-m", "compileall", "-q", self.package], check=True
+        )
+
+    def files(self):
+        """Return each file and folder of the code in place, with inode and times."""
+        found = {}
+        for path in [self.package, *self.package.rglob("*")]:
+            status = path.lstat()
+            found[path] = status.st_ino, status.st_mtime_ns, status.st_ctime_ns
+        return found
+
+
+@pytest.fixture
+def checkout(tmp_path):
+    """Give a checkout that was never built, with few modules."""
+    made = Checkout(tmp_path)
+    made.write_version("old")
+    return made
+
+
+def test_a_clean_checkout_is_built(checkout):
+    checkout.build()
+    assert checkout.loaded() == "old old compiled"
+
+
+def test_all_files_of_the_code_are_there(tmp_path):
+    checkout = Checkout(tmp_path, left_out=[])
+    checkout.build()
+    program = """
+import importlib, pathlib
+for name in ("decide", "declare", "wire", "daemon", "platform"):
+    package = importlib.import_module(f"sesamespindle.{name}")
+    folder = pathlib.Path(package.__file__).parent
+    for path in folder.rglob("*"):
+        if path.is_file() and path.suffix != ".pyc":
+            print(name, path.relative_to(folder))
+"""
+    output, _ = checkout.start(program).communicate()
+    wanted = {
+        f"{part.split('/')[-1]} {path.relative_to(folder)}"
+        for part in PARTS
+        for folder in [checkout.folder / part / "sesamespindle" / part.split("/")[-1]]
+        for path in folder.rglob("*")
+        if path.is_file() and path.suffix != ".pyc"
+    }
+    assert set(output.splitlines()) == wanted
+
+
+def test_unchanged_code_is_left_as_it_is(checkout):
+    checkout.build()
+    before = checkout.files()
+    checkout.build()
+    assert checkout.files() == before
+
+
+@pytest.mark.parametrize("is_plain", [False, True], ids=["built", "plain"])
+def test_daemons_that_start_during_a_build_load_one_version(checkout, is_plain):
+    """Daemons start before and after each step of a build that changes code.
+
+    One of them found no module at all, as the old code was removed and the new
+    one not yet copied; one found the first package new and the last missing.
+    """
+    if is_plain:
+        checkout.place_plainly()
+    else:
+        checkout.build()
+    checkout.write_version("new")
+    path, seen = checkout.stand_before_programs()
+    checkout.build(path)
+    said = seen.read_text().splitlines()
+    assert set(said) == {"old old compiled", "new new compiled"}
+    assert said == sorted(said, reverse=True)
+    assert checkout.loaded() == "new new compiled"
+
+
+@pytest.mark.parametrize("is_plain", [False, True], ids=["built", "plain"])
+def test_a_daemon_that_loads_during_a_build_stays_with_its_version(checkout, is_plain):
+    """A daemon has loaded half of its modules when the code is changed.
+
+    It took the other half from the new code, which did not fit.
+    """
+    if is_plain:
+        checkout.place_plainly()
+    else:
+        checkout.build()
+    daemon = checkout.start(LATE_DAEMON)
+    assert daemon.stdout.readline() == "old\n"
+    checkout.write_version("new")
+    checkout.build()
+    assert daemon.communicate("\n")[0] == "old\n"
+    assert checkout.loaded() == "new new compiled"
+
+
+def test_versions_of_long_ago_are_removed(checkout):
+    checkout.place_plainly()
+    sizes = []
+    for number in range(6):
+        checkout.write_version(f"{number}")
+        checkout.build()
+        assert checkout.loaded() == f"{number} {number} compiled"
+        sizes.append(sum(1 for _ in checkout.package.rglob("last.py")))
+    assert sizes[-1] == sizes[-2] == 3
+
+
+def test_a_version_that_comes_back_is_kept(checkout):
+    """The code goes back to what it was, then on: the version counts as recent."""
+    for version in ("back", "1", "2", "back", "3"):
+        checkout.write_version(version)
+        checkout.build()
+    daemon = checkout.start(LATE_DAEMON)
+    assert daemon.stdout.readline() == "3\n"
+    checkout.write_version("back")
+    checkout.build()
+    assert checkout.loaded() == "back back compiled"
+    assert daemon.communicate("\n")[0] == "3\n"
+
+
+def test_builds_at_once_do_each_other_no_harm(checkout):
+    """Two builds of one checkout run at once, and daemons start all the while.
+
+    A daemon found modules missing that one build had copied and the other removed.
+    """
+    checkout.build()
+    checkout.write_version("new")
+    path, seen = checkout.stand_before_programs()
+    builds = [checkout.start_build(path) for _ in range(2)]
+    assert [build.wait() for build in builds] == [0, 0]
+    said = set(seen.read_text().splitlines())
+    assert said <= {"old old compiled", "new new compiled"}
+    assert checkout.loaded() == "new new compiled"
+
+
+def test_a_build_that_was_killed_is_made_good_by_the_next(checkout):
+    """A build ends in the middle; what it left behind is no version."""
+    checkout.build()
+    checkout.write_version("new")
+    path, _ = checkout.stand_before_programs()
+    kill = checkout.folder / "programs" / "mv"
+    kill.write_text("#!/bin/sh\nkill -KILL $PPID\n")
+    assert checkout.start_build(path).wait() == -signal.SIGKILL
+    assert checkout.loaded() == "old old compiled"
+    checkout.build()
+    assert checkout.loaded() == "new new compiled"
