Swap the daemon's code in whole when it is built

A build removed the code in place, changed or not, and copied it file by file; a daemon that started meanwhile ended with an ImportError or mixed two versions. Now a build compiles a copy apart, names it by its content and renames one symbolic link. The package reads that link once in a process, which so stays with its version; the last three are kept. A plain folder of earlier builds stays readable until the fourth version. Builds of a checkout wait for each other.

The libraries still go into target/deps with pip when their lock file changes: they lie directly in the folder on Python's path, which can't be replaced by a rename where it is a plain folder, and a second folder would need a path of its own.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,16 +1,52 @@
 #!/usr/bin/env bash
-# Puts the libraries and the code that the daemon runs into target/deps.
-set -eu
+# Puts the libraries and the code that the daemon runs into target/deps. Code that
+# changed is swapped in whole, as a folder named by its content; a process that
+# starts or loads meanwhile finds all of the old code or all of the new.
+set -euo pipefail
 cd "$(dirname "$0")/.."
+# The version in force, the one before, which processes that run may still load
+# from, and one more for a build that follows at once.
+KEPT_VERSIONS=3
+package=target/deps/sesamespindle
+draft=target/draft
+
+# Builds of one checkout go one after the other; the lock ends with the script.
+mkdir -p target/deps
+exec 9> target/.building
+python3 -c 'import fcntl; fcntl.flock(9, fcntl.LOCK_EX)'
+
 if [ ! target/deps/.installed -nt deploy/requirements.lock ]; then
     python3 -m pip install --quiet --no-warn-conflicts --root-user-action=ignore --upgrade --target target/deps \
         --require-hashes -r deploy/requirements.lock
     touch target/deps/.installed
 fi
-rm -rf target/deps/sesamespindle
-mkdir -p target/deps/sesamespindle
-for package in decide declare wire daemon; do
-    cp -r "packages/$package/sesamespindle/." target/deps/sesamespindle/
+
+rm -rf "$draft"
+mkdir -p "$draft" "$package/versions"
+for part in packages/decide packages/declare packages/wire packages/daemon platform; do
+    cp -r "$part/sesamespindle/." "$draft/"
 done
-cp -r platform/sesamespindle/. target/deps/sesamespindle/
-python3 -m compileall -q target/deps/sesamespindle
+find "$draft" -name __pycache__ -prune -exec rm -rf {} +
+# Compiled files are good for one version of Python only.
+version=versions/$(cd "$draft" && { python3 -VV; find . -type f -print0 |
+    LC_ALL=C sort -z | xargs -0 sha256sum; } | sha256sum | cut -c 1-16)
+if [ ! -d "$package/$version" ]; then
+    python3 -m compileall -q "$draft"
+    mv -T "$draft" "$package/$version"
+fi
+rm -rf "$draft"
+
+if [ "$(readlink "$package/current")" != "$version" ]; then
+    touch "$package/$version"
+    ln -sfn "$version" "$package/next"
+    mv -T "$package/next" "$package/current"
+    # With the first version that is removed goes code that lies there plainly.
+    for old in $(ls -t "$package/versions" | tail -n "+$((KEPT_VERSIONS + 1))"); do
+        rm -rf "$package/versions/$old" "$package"/{decide,declare,wire,daemon,platform}
+    done
+fi
+if ! cmp -s deploy/package.py "$package/__init__.py"; then
+    cp deploy/package.py "$package/next.py"
+    mv -T "$package/next.py" "$package/__init__.py"
+    python3 -m compileall -q -l --invalidation-mode checked-hash "$package"
+fi
