--- a/packages/lab/sesamespindle/lab/processes.py
+++ b/packages/lab/sesamespindle/lab/processes.py
@@ -106,12 +106,21 @@
         async with asyncio.timeout(_START_SECONDS):
             line = await child.stdout.readline()
     except TimeoutError:
-        line = b""
-    if not line:
         with contextlib.suppress(ProcessLookupError):
             child.kill()
         await child.wait()
-        raise StartError(f"{name} did not start; see {folder / name}.log.")
+        raise StartError(
+            f"{name} said nothing within {_START_SECONDS:.0f} s "
+            f"and was ended; see {folder / name}.log."
+        ) from None
+    if not line:
+        with contextlib.suppress(ProcessLookupError):
+            child.kill()
+        code = await child.wait()
+        raise StartError(
+            f"{name} ended with exit code {code} "
+            f"before it said where it listens; see {folder / name}.log."
+        )
     announced = json.loads(line)
     if "proxy_url" in announced:
         announced |= json.loads(await child.stdout.readline())
