--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -354,10 +354,6 @@
     } | changed
 
 
-class NotReadyError(Exception):
-    """A daemon was not ready in time; says what it logged last."""
-
-
 class Daemon:
     """A real daemon, as a process of its own.
 
@@ -453,6 +449,11 @@
         size = os.fstat(self.log.fileno()).st_size
         return os.pread(self.log.fileno(), size, 0).decode().splitlines()
 
+    def describe(self):
+        """Return whether the process runs, and what it logged last."""
+        state = "runs" if self.is_running else f"ended, {self._child.returncode}"
+        return "\n".join([f"{self.name} at {self.ip}: {state}", *self.lines()[-20:]])
+
 
 class World:
     """A store, targets and daemons on loopback addresses of their own."""
@@ -465,6 +466,7 @@
         self._hosts = 0
         self.store = None
         self.session = None
+        self.daemons = []
         self.target_by_name = {}
 
     async def __aenter__(self):
@@ -474,7 +476,10 @@
         await self.store.put("config", "main", make_manifest())
         return self
 
-    async def __aexit__(self, *exc_info):
+    async def __aexit__(self, kind, error, trace):
+        if error is not None:
+            for daemon in self.daemons:
+                error.add_note(daemon.describe())
         await self._stack.aclose()
 
     async def add_target(self, name, service="desk", address=None):
@@ -488,12 +493,7 @@
     async def add_daemon(self, seeds=(), grace=8):
         """Start a daemon and wait until it is ready."""
         made = await self.start_daemon(seeds, grace)
-        try:
-            await self.until(lambda: self.is_ready(made))
-        except TimeoutError as error:
-            said = "\n".join(made.lines()[-20:])
-            running = "runs" if made.is_running else "has ended"
-            raise NotReadyError(f"{made.name} {running}:\n{said}") from error
+        await self.until(lambda: self.is_ready(made))
         return made
 
     async def start_daemon(self, seeds=(), grace=8):
@@ -504,6 +504,7 @@
             f"entry-{self._hosts}", ip, self._ports, self.store.address, seeds, grace
         )
         await self._stack.enter_async_context(made)
+        self.daemons.append(made)
         return made
 
     def next_ip(self):
