--- a/packages/lab/sesamespindle/lab/guards.py
+++ b/packages/lab/sesamespindle/lab/guards.py
@@ -58,6 +58,10 @@
             sys.executable,
             "-m",
             "pytest",
+            # In one process: spread over several, a first failure that stops the
+            # run is reported as an interruption.
+            "-n",
+            "0",
             "-x",
             "-p",
             "no:cacheprovider",
