--- a/tests/decide/test_directory.py
+++ b/tests/decide/test_directory.py
@@ -58,3 +58,18 @@
 def test_names_somebody_rather_than_nobody():
     state = make_state(("a", "dc-1", _State.LEFT))
     assert choose(state) == ["a:80"]
+
+
+def test_a_leaving_host_of_the_callers_data_centre_goes_before_one_not_heard_of():
+    """Callers of a lost link are sent to hosts that nobody reaches.
+
+    The last host of a data centre leaves while another data centre hasn't been
+    heard of. That one's hosts stay live in the table for good, as only their own
+    peers judge them. Callers were told of those alone, and each of their new
+    connections hung, though the leaving host takes what ends before it does.
+    """
+    state = make_state(
+        ("gone", "dc-2", _State.LIVE),
+        ("here", "dc-1", _State.LEAVING),
+    )
+    assert "here:80" in choose(state, unreachable=("dc-2",))
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -11,10 +11,13 @@
     flights,
     forwarding,
     gateway,
+    hashing,
     kvstores,
+    lease,
     routes,
     targetlist,
     weights,
+    world,
 )
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
@@ -319,3 +322,32 @@
     core.step(NOW, [weights.VersionNamed("m", 2)])
     refused = chat(core, now=NOW + 7 * SECOND)
     assert isinstance(refused, commands.Refuse)
+
+
+def test_hosts_of_a_lost_data_centre_keep_nobody_from_the_lease():
+    """No engine gets new weights after a data centre was lost.
+
+    Only the first two hosts by rank look at the lease. Hosts of a data centre
+    that is lost stay live in the others' tables, as only their own peers judge
+    them; where the first two by rank were lost, nobody else ever looked.
+    """
+    names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
+    me = events.Host(names[2], "entry", "dc-1", "u", "p", "", 1)
+    core = gateway.Gateway(me, gateway.Terms(budgets.BudgetRule(0.2, 50.0)))
+    live = events.HostState.LIVE
+    for name in names[:2]:
+        core.state.put_entry(
+            world.EntryRow(name, "dc-2", f"{name}:80", f"{name}:81", "", 1, live)
+        )
+    now, held = NOW, False
+    for _ in range(300):
+        now += SECOND / 10
+        for command in core.step(now, [events.Tick()]):
+            match command:
+                case lease.ReadLease():
+                    core.step(now, [lease.LeaseFound(None, 0)])
+                case lease.WriteLease():
+                    core.step(now, [lease.LeaseWritten(command.record, 1)])
+        held = held or core.lease.is_held(now)
+    assert not core.membership.is_reachable("dc-2", now)
+    assert held
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -64,6 +64,7 @@
 
 
 ROUND = datetime.timedelta(milliseconds=400)
+NEW_INCARNATION = 1_770_000_000_000
 
 
 def make_daemon(name, data_centre, incarnation=1, url=None):
@@ -160,3 +161,50 @@
         run_round(third, here, now)
     assert not here[0].is_reachable("dc-2", now)
     assert here[0].is_reachable("dc-3", now)
+
+
+def test_a_host_whose_clock_was_set_back_is_known_again_after_its_restart():
+    """A host that is there is named to nobody for ten minutes.
+
+    It started while its clock was ahead, and again after the clock had been set
+    back, so its second life bears a lower number than its first. Peers took what
+    it said for old news of a host that had left, and it didn't contradict them.
+    """
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-1", incarnation=5000)
+    introduce(here[1], there[1])
+    introduce(there[1], here[1])
+    run_round(there, here, NOW)
+    there[0].has_left(NOW)
+    run_round(here, there, NOW + ROUND)
+    assert here[1].entries.get("b").state is events.HostState.LEFT
+    again = make_daemon("b", "dc-1", incarnation=4000)
+    introduce(again[1], here[1])
+    now = NOW + ROUND
+    for _ in range(10):
+        now += ROUND
+        run_round(again, here, now)
+        # What the peer asked for follows as a message of its own.
+        for command in again[1].take_commands():
+            if isinstance(command, commands.GossipTo):
+                here[0].receive(gossip.GossipReceived("2", command.message), now)
+    assert here[1].entries.get("b").state is events.HostState.LIVE
+
+
+def test_a_data_centre_stays_reachable_when_its_one_host_of_newer_code_goes():
+    """Callers are told of none of a data centre's hosts during a rollout.
+
+    Older code tells the sum of its members' heartbeats as the pulse. One host of
+    newer code told the time of its start in milliseconds, which older hosts never
+    come up to: when it went, the whole data centre counted as silent for good.
+    """
+    here, newer = make_daemon("a", "dc-1"), make_daemon("b", "dc-2", NEW_INCARNATION)
+    introduce(here[1], newer[1])
+    introduce(newer[1], here[1])
+    run_round(newer, here, NOW)
+    now = NOW
+    for heartbeats in range(100, 160):
+        now += ROUND
+        told = gossip.DataCentreDigest("dc-2", 1, heartbeats)
+        older = gossip.GossipMessage("c", "dc-2", data_centres=(told,))
+        here[0].receive(gossip.GossipReceived("1", older), now)
+    assert here[0].is_reachable("dc-2", now)
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -1,6 +1,7 @@
 """What callers get from a host that leaves, with a real daemon and stand-ins."""
 
 import asyncio
+import signal
 import time
 
 import aiohttp
@@ -171,3 +172,27 @@
 
 async def _not_ready(world, daemon):
     return not await world.is_ready(daemon)
+
+
+def test_a_host_with_the_shortest_grace_time_answers_before_it_is_killed(play):
+    """A host may be for one second, and callers get no answer at its end.
+
+    Its planned end lay 83 ms before the kill and was looked for every 100 ms, so
+    the process was killed with the answers still to be given.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.is_mute = True
+        daemon = await world.add_daemon(grace=1)
+        asking = asyncio.create_task(world.ask(daemon, "/once/1", "r1"))
+        await target.began.wait()
+        daemon.terminate()
+        kill = asyncio.get_running_loop().call_later(
+            1.0, daemon.send_signal, signal.SIGKILL
+        )
+        status, _, _ = await asking
+        kill.cancel()
+        assert status == 502
+
+    play(scenario)
--- /dev/null
+++ b/tests/platform/test_relay_end.py
@@ -0,0 +1,131 @@
+"""What a host answers in the moment of its end, with its relay and a stand-in."""
+
+import datetime
+
+import aiohttp
+import aiohttp.web
+import pytest
+import standins
+
+from sesamespindle.daemon import connections, driver, eventlog, measures, relay
+from sesamespindle.decide import budgets, events, gateway, routes, targetlist
+from sesamespindle.platform import dialect
+from sesamespindle.wire import clock
+
+SECOND = datetime.timedelta(seconds=1)
+ASKED = {"Host": "a.example", "X-Deadline-Ms": "900"}
+
+
+def make_core(target, now):
+    """Return a gateway that knows one target and a route to it."""
+    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
+    core = gateway.Gateway(me, gateway.Terms(budgets.BudgetRule(0.2, 50.0)))
+    route = routes.Route(
+        "read",
+        "a.example",
+        "/read/",
+        routes.Repeats.IDEMPOTENT,
+        False,
+        timeout=10 * SECOND,
+        latency_goal=SECOND,
+        max_attempts=2,
+        rank=1,
+        shares=(routes.Share("desk", 1.0),),
+    )
+    configuration = routes.Configuration(
+        1,
+        routes=(route,),
+        service_by_name={"desk": routes.Service("desk", 100)},
+        account_by_key={},
+        needs_keys=False,
+    )
+    listed = targetlist.ListedTarget(
+        target.name, "desk", target.address, "dc-1", 8, False, {}, 1
+    )
+    core.step(
+        now,
+        [
+            gateway.ConfigurationRead(configuration),
+            targetlist.TargetsListed((listed,)),
+            events.LeaveAsked(8 * SECOND),
+        ],
+    )
+    return core
+
+
+@pytest.fixture
+def play(go):
+    """Give a function that plays a scenario with a leaving host's relay."""
+
+    async def with_relay(scenario):
+        now = clock.SystemClock()
+        async with standins.World() as world:
+            target = await world.add_target("desk-1")
+            core = make_core(target, now.now())
+            log = eventlog.EventLog("entry-1", eventlog.HybridClock(now), 1)
+            driving = driver.Driver(core, now, log)
+            async with connections.make_session() as session:
+                made = relay.Relay(
+                    driving, dialect.Dialect(), session, measures.Measures()
+                )
+                server = aiohttp.web.Server(made.handle, handler_cancellation=True)
+                runner = aiohttp.web.ServerRunner(server, shutdown_timeout=0.1)
+                await runner.setup()
+                site = aiohttp.web.TCPSite(runner, "127.0.0.1", 0)
+                await site.start()
+                host, port = runner.addresses[0]
+                try:
+                    await scenario(made, target, f"http://{host}:{port}/read/1")
+                finally:
+                    await runner.cleanup()
+
+    return lambda scenario: go(with_relay(scenario))
+
+
+async def ask(url, request_id):
+    headers = ASKED | {"X-Attempt-Id": request_id}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers, data=b"b") as response,
+    ):
+        return response.status
+
+
+def test_what_comes_while_the_host_ends_is_refused_and_not_sent(play):
+    """A caller books, gets 502, and the booking has run.
+
+    A leaving host that had nothing in flight ended early, 4 s after SIGTERM and
+    3.5 s before its latest end. A short request came before its ports were closed.
+    Its own end was before the latest end, so it was taken, sent with no time at
+    all and given up in the same instant, with nothing known of its run.
+    """
+
+    async def scenario(made, target, url):
+        made.end()
+        assert await ask(url, "r1") == 503
+        assert target.runs == []
+
+    play(scenario)
+
+
+def test_what_a_target_fails_while_the_host_ends_is_not_sent_on(play):
+    """A target's failure comes in the instant of the host's end.
+
+    The request was sent once more, to be given up at once: a run for nobody, and
+    the target's own failure, which could be passed on, was lost.
+    """
+
+    async def scenario(made, target, url):
+        target.status = 500
+        ended = made._forwarding.ended
+
+        def end_then_decide(*args, **named):
+            made.end()
+            return ended(*args, **named)
+
+        made._forwarding.ended = end_then_decide
+        status = await ask(url, "r1")
+        assert len(target.runs) <= 1
+        assert status in (500, 502)
+
+    play(scenario)
