--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -109,9 +109,11 @@
         """Give all requests under way their final answers now, as the host ends.
 
         Guards against callers whose connection is closed without an answer: what
-        has not begun to be answered is refused instead.
+        has not begun to be answered is refused instead. Nothing is sent any more,
+        also where the host ends before its time because it had nothing to do.
         """
         self._is_ending = True
+        self._forwarding.end()
         now = asyncio.get_running_loop().time()
         for limit in self._limits:
             if not limit.expired():
@@ -212,7 +214,7 @@
     @contextlib.asynccontextmanager
     async def _limit(self, seconds):
         """Limit a send's time, which ends sooner if the host does."""
-        async with asyncio.timeout(0 if self._is_ending else seconds) as limit:
+        async with asyncio.timeout(seconds) as limit:
             self._limits.add(limit)
             try:
                 yield
--- a/packages/decide/sesamespindle/decide/departure.py
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -31,10 +31,14 @@
         Until then all requests are taken, as callers can't know yet.
     ends_at : datetime.datetime
         When every request gets its final answer and the process ends.
+    is_over : bool
+        Whether the host ends now, perhaps sooner than planned, as it had nothing
+        to do: nothing is taken or sent any more.
     """
 
     open_until: datetime.datetime
     ends_at: datetime.datetime
+    is_over: bool = False
 
     def takes(self, until, now):
         """Return whether a request that has time until then is still taken.
@@ -42,6 +46,8 @@
         What has its final answer before the host ends can't be cut off by it, so
         it is always taken.
         """
+        if self.is_over:
+            return False
         return until <= self.ends_at or now < self.open_until
 
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -329,6 +329,8 @@
         """
         if maybe_ran and flight.route.repeats is routes.Repeats.ONCE:
             return False
+        if self.departure is not None and self.departure.is_over:
+            return False
         if maybe_ran and flight.runs >= flight.route.max_attempts:
             return False
         if flight.sends >= _MAX_SENDS or flight.until - now < _SHORTEST_RUN:
@@ -404,6 +406,10 @@
             flight.request, commands.Code.TIMEOUT, "The time is over.", outcome
         )
 
+    def end(self):
+        """Take and send nothing more, as the host ends."""
+        self.departure = dataclasses.replace(self.departure, is_over=True)
+
     def host_ends(self, request_id):
         """Return the final answer of a request that is sent while the host ends."""
         return self._refuse(
