Wait at the end for every request in hand, not only for what runs here

A leaving entry waited for the requests that its own decision logic runs, so a call that it had passed on to the entry that minted its ticket was cut off some 3 s after SIGTERM. Requests are now counted at the front, from their head to their answer, whoever runs them; calls that peers passed on stay counted as unsettled calls. Ruled out: a longer quiet time, which would only move the cut.

--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -38,7 +38,13 @@
 
 @dataclasses.dataclass
 class Parts:
-    """The parts of one daemon that its fronts use."""
+    """The parts of one daemon that its fronts use.
+
+    Attributes
+    ----------
+    in_hand : int
+        Callers' requests that the front has not answered yet, whoever runs them.
+    """
 
     settings: object
     driver: driver.Driver
@@ -51,6 +57,7 @@
     tickets: tickets.Tickets
     stop_asked: asyncio.Event
     leaving: bool = False
+    in_hand: int = 0
 
 
 class Daemon(aiomisc.Service):
@@ -206,7 +213,7 @@
         parts = self._parts
         parts.leaving = True
         parts.driver.feed(events.LeaveAsked())
-        _log.info("Leaves, with {} requests in flight.", parts.driver.in_flight)
+        _log.info("Leaves, with {} requests in hand.", parts.in_hand)
         grace = self._settings.shutdown_grace.total_seconds()
         quiet = 0.0
         waited = 0.0
@@ -214,7 +221,7 @@
             await asyncio.sleep(_POLL_SECONDS)
             waited += _POLL_SECONDS
             quiet += _POLL_SECONDS
-            if parts.driver.in_flight or parts.calls.unsettled:
+            if parts.in_hand or parts.calls.unsettled:
                 quiet = 0.0
 
 
--- a/packages/daemon/sesamespindle/daemon/front.py
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -44,7 +44,8 @@
         """Return the aiohttp application."""
         limits = self._settings.limits
         application = aiohttp.web.Application(
-            client_max_size=limits.body_bytes, middlewares=[self._answer_errors]
+            client_max_size=limits.body_bytes,
+            middlewares=[self._count, self._answer_errors],
         )
         route = application.router
         route.add_get("/healthz", self._healthz)
@@ -59,6 +60,20 @@
         route.add_post("/v1/services/{pool}/{path:.*}", self._service_call)
         return application
 
+    @aiohttp.web.middleware
+    async def _count(self, request, handler):
+        """Count a request for as long as it is in hand here.
+
+        Guards against a leaving daemon that waits only for what it runs itself:
+        a call that is passed on to another entry, or a body that still comes
+        in, would be cut off.
+        """
+        self._parts.in_hand += 1
+        try:
+            return await handler(request)
+        finally:
+            self._parts.in_hand -= 1
+
     @aiohttp.web.middleware
     async def _answer_errors(self, request, handler):
         """Turn every error into an answer in the API's form."""
