Test that a leaving entry takes no call that may outlast it

Red: an entry with 6 s of grace that stays for an answer under way takes new calls (30 s each) after SIGTERM and cuts them off at its end: no answer to the direct one, nor to one that it passes on; entry_gone and unknown to one that a peer passes on to it. Cause: what is taken while leaving isn't compared with the time that is left, and the ports stay open for the farewell after the last answer. Ruled out: calls taken before SIGTERM; the one under way is answered. The tests of the decision logic are red because the event has no end to tell it of.

--- a/tests/daemon/test_assembly.py
+++ b/tests/daemon/test_assembly.py
@@ -74,3 +74,60 @@
     reply, code, runs = go(run())
     assert (reply.status, reply.value.get("reference")) == (200, "passed-on")
     assert (code, runs) == (0, 1)
+
+
+def test_a_leaving_entry_takes_no_call_that_may_outlast_it(running, go):
+    """Calls that come to an entry that is told to leave while it still works.
+
+    A customer reads a long answer, so the entry stays until its time is up.
+    Meanwhile others book there, some by tickets that are passed on to it, or by
+    it. The services are slow: when the entry's time is up the bookings are cut
+    off, and nobody knows which of them were made.
+    """
+
+    async def run():
+        await running.start_entry("entry-4", "kgl-1", shutdown_grace="6 s")
+        await running.fault(SERVICE, delay=CALL_SECONDS)
+        under_way, direct, passed_here, passed_on = (
+            Booking(running, reference)
+            for reference in ("first", "direct", "to-it", "by-it")
+        )
+        leaving = running.process_by_name["entry-4"]
+
+        async def is_known():
+            status = await running.status("entry-2")
+            return "entry-4" in [
+                item["name"] for item in status["entries"] if item["state"] == "live"
+            ]
+
+        async def is_leaving():
+            reply = await direct.caller.get(f"{running.url('entry-4')}/readyz")
+            return reply.value["leaving"]
+
+        await running.wait_ready(["entry-4"])
+        await running.until(is_known)
+        await passed_here.mint("entry-4")
+        await passed_on.mint("entry-2")
+        sending = asyncio.create_task(under_way.send("entry-4"))
+        await under_way.until_run()
+        leaving.send_signal(signal.SIGTERM)
+        await running.until(is_leaving)
+        await running.fault(SERVICE, hold=True)
+        replies = await asyncio.gather(
+            direct.send("entry-4"),
+            passed_here.send("entry-2"),
+            passed_on.send("entry-4"),
+        )
+        first = await sending
+        code = await leaving.wait()
+        await running.fault(SERVICE, hold=False)
+        late = (direct, passed_here, passed_on)
+        return first, replies, [await booking.runs() for booking in late], code
+
+    first, replies, runs, code = go(run())
+    assert (first.status, code) == (200, 0)
+    assert [(reply.code, reply.outcome) for reply in replies] == [
+        ("shutting_down", "not_run")
+    ] * 3
+    assert replies[0].headers.get("Connection") == "close"
+    assert runs == [0, 0, 0]
--- a/tests/decide/test_prompts.py
+++ b/tests/decide/test_prompts.py
@@ -95,3 +95,23 @@
     assert len({block for chain in chains for block in chain}) == 12
     longer = hashing.chain(salts[0], text + "y" * 512)
     assert longer[:4] == chains[0]
+
+
+def test_an_entry_that_has_left_starts_no_prompt():
+    """A caller comes when the last answer is out and the ports are still open.
+
+    The prompt was sent to an engine, and cut off when the ports closed.
+    """
+    made = make_core(["engine-0"])
+    made.step(START, [events.LeaveAsked(START + datetime.timedelta(seconds=60))])
+    before, *_ = made.step(START, [arrival("before", START)])
+    assert isinstance(before, commands.SendPrompt)
+    made.step(START, [events.HasLeft()])
+    (after,) = [
+        command
+        for command in made.step(START, [arrival("after", START)])
+        if isinstance(command, commands.SendPrompt | commands.Refuse)
+    ]
+    assert isinstance(after, commands.Refuse)
+    assert after.code is commands.Code.SHUTTING_DOWN
+    assert after.outcome is commands.Outcome.NOT_RUN
