Refuse a call that may outlast a leaving entry, and all once it has left

A leaving entry took every call until its ports closed, though its own end was set: those that lasted longer were cut off, with an unknown outcome and a claim that nobody settles. The decision logic now knows the end. A call whose deadline lies beyond it is refused as not run; so is one to be passed on to a peer. From the last answer on, prompts are refused too. The time of grace is counted by the clock, not by sleeps, which a busy loop stretches. Prompts are still taken before that, whatever they may last: with five minutes for a prompt and one for the grace none would be served while leaving, and one that is cut off can be read on or sent again elsewhere. Ruled out: cutting deadlines down to the end, which makes a slow call unknown.

--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -212,14 +212,12 @@
         """
         parts = self._parts
         parts.leaving = True
-        parts.driver.feed(events.LeaveAsked())
+        ends_at = parts.driver.clock.now() + self._settings.shutdown_grace
+        parts.driver.feed(events.LeaveAsked(ends_at))
         _log.info("Leaves, with {} requests in hand.", parts.in_hand)
-        grace = self._settings.shutdown_grace.total_seconds()
         quiet = 0.0
-        waited = 0.0
-        while quiet < _QUIET_SECONDS and waited < grace:
+        while quiet < _QUIET_SECONDS and parts.driver.clock.now() < ends_at:
             await asyncio.sleep(_POLL_SECONDS)
-            waited += _POLL_SECONDS
             quiet += _POLL_SECONDS
             if parts.in_hand or parts.calls.unsettled:
                 quiet = 0.0
--- a/packages/daemon/sesamespindle/daemon/tickets.py
+++ b/packages/daemon/sesamespindle/daemon/tickets.py
@@ -60,6 +60,9 @@
         Guards against a second run by two entries: nobody else runs it, and
         where that incarnation is gone nobody can know whether it did.
         """
+        deadline = self._driver.clock.now() + self._call_timeout
+        if self._driver.core.calls.may_outlast_host(deadline):
+            raise self._leaving()
         entry = self._driver.core.state.entries.get(ticket.entry)
         gone = entry is None or entry.state is events.HostState.DEAD
         if gone or entry.incarnation not in (0, ticket.incarnation):
@@ -71,6 +74,14 @@
             raise _entry_gone()
         return reply
 
+    def _leaving(self):
+        return replies.CallerError(
+            503,
+            commands.Code.SHUTTING_DOWN,
+            "The entry is leaving; connect to another.",
+            self._driver.core.state.policy.retry_after,
+        )
+
 
 def _ticket_expired():
     return replies.CallerError(
--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -91,6 +91,9 @@
             return
         if event.key and self._answer_repeat(event):
             return
+        if self.may_outlast_host(event.deadline):
+            refusals.refuse_leaving(self._state, event.request_id)
+            return
         wait = self._admission.expected_wait(account, now)
         if wait > self._state.policy.queue_patience:
             refusals.refuse_unrun(
@@ -108,6 +111,16 @@
         self._admission.push(row.account, row.request_id, now)
         self.drain(now)
 
+    def may_outlast_host(self, deadline):
+        """Return whether this host leaves and may end before a call does.
+
+        Guards against a booking that is cut off at the host's end, of which
+        nobody knows whether it was made: there is time until its deadline, and
+        nothing less is known of how long it takes.
+        """
+        ends_at = self._state.ends_at
+        return ends_at is not None and deadline > ends_at
+
     def remember(self, event, answer, now):
         """Keep the answer to a key, as if its call had just been made here."""
         self._add_key(_row(event, now), now)
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -140,6 +140,7 @@
             case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
+                self.state.ends_at = event.ends_at
                 self.membership.leave(now)
             case events.SlicesAsked():
                 self.slice_owner.asked(event, now)
@@ -148,6 +149,7 @@
                 self.prompts.drain(now)
                 self.calls.drain(now)
             case events.HasLeft():
+                self.state.ends_at = now
                 self.membership.has_left(now)
             case events.HoldingsAsked():
                 self.slices.tell(event, now)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -271,7 +271,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveAsked:
-    """An operator or the host wants this daemon to leave."""
+    """An operator or the host wants this daemon to leave.
+
+    Attributes
+    ----------
+    ends_at : datetime.datetime or None
+        When it ends at the latest; None where the decision needs no end.
+    """
+
+    ends_at: datetime.datetime | None = None
 
 
 class Resource(enum.IntEnum):
--- a/packages/decide/sesamespindle/decide/prompts.py
+++ b/packages/decide/sesamespindle/decide/prompts.py
@@ -93,6 +93,11 @@
                 f"The model takes {model.context_tokens} tokens in all.",
             )
             return
+        if state.ends_at is not None and now >= state.ends_at:
+            # Before that prompts are taken whatever they may last: one that is cut
+            # off can be read on, or sent again, at another entry without harm.
+            refusals.refuse_leaving(state, event.request_id)
+            return
         wait = self._admission.expected_wait(account, now)
         if wait > state.policy.queue_patience:
             refusals.refuse_unrun(
--- a/packages/decide/sesamespindle/decide/refusals.py
+++ b/packages/decide/sesamespindle/decide/refusals.py
@@ -15,6 +15,17 @@
     _refuse(state, request_id, code, commands.Outcome.NOT_RUN, message, wait)
 
 
+def refuse_leaving(state, request_id):
+    """Refuse a request that this host could cut off, as it leaves."""
+    refuse_unrun(
+        state,
+        request_id,
+        commands.Code.SHUTTING_DOWN,
+        "The entry is leaving; connect to another.",
+        state.policy.retry_after,
+    )
+
+
 def refuse_unknown(state, request_id, code, message, wait=None):
     """Refuse a request that may have run; see `refuse_unrun`."""
     _refuse(state, request_id, code, commands.Outcome.UNKNOWN, message, wait)
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -200,6 +200,8 @@
         self.revision = 0
         self.declarations = declared.Declarations()
         self.leaving = False
+        # When this host ends at the latest, once it leaves.
+        self.ends_at = None
         # Whether the platform's list or a peer has told of the other entries.
         self.knows_entries = False
         # When an entry was last seen to be replaced by a new incarnation.
