--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -38,7 +38,13 @@
 
 @dataclasses.dataclass
 class Parts:
-    """The parts of one daemon that its fronts use."""
+    """The parts of one daemon that its fronts use.
+
+    Attributes
+    ----------
+    in_hand : int
+        Callers' requests that the front has not answered yet, whoever runs them.
+    """
 
     settings: object
     driver: driver.Driver
@@ -51,6 +57,7 @@
     tickets: tickets.Tickets
     stop_asked: asyncio.Event
     leaving: bool = False
+    in_hand: int = 0
 
 
 class Daemon(aiomisc.Service):
@@ -205,16 +212,14 @@
         """
         parts = self._parts
         parts.leaving = True
-        parts.driver.feed(events.LeaveAsked())
-        _log.info("Leaves, with {} requests in flight.", parts.driver.in_flight)
-        grace = self._settings.shutdown_grace.total_seconds()
+        ends_at = parts.driver.clock.now() + self._settings.shutdown_grace
+        parts.driver.feed(events.LeaveAsked(ends_at))
+        _log.info("Leaves, with {} requests in hand.", parts.in_hand)
         quiet = 0.0
-        waited = 0.0
-        while quiet < _QUIET_SECONDS and waited < grace:
+        while quiet < _QUIET_SECONDS and parts.driver.clock.now() < ends_at:
             await asyncio.sleep(_POLL_SECONDS)
-            waited += _POLL_SECONDS
             quiet += _POLL_SECONDS
-            if parts.driver.in_flight or parts.calls.unsettled:
+            if parts.in_hand or parts.calls.unsettled:
                 quiet = 0.0
 
 
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -9,7 +9,7 @@
 import yarl
 
 from sesamespindle.daemon import eventstream, logs
-from sesamespindle.decide import commands, forwarding, routes
+from sesamespindle.decide import commands, events, forwarding, routes
 
 _log = logs.part("relay")
 # Bodies and answers up to this size are held whole, so that they can be sent
@@ -113,7 +113,7 @@
         also where the host ends before its time because it had nothing to do.
         """
         self._is_ending = True
-        self._forwarding.end()
+        self._driver.feed(events.Ends())
         now = asyncio.get_running_loop().time()
         for limit in self._limits:
             if not limit.expired():
@@ -418,7 +418,7 @@
         Guards against callers that stay on a kept connection and go on sending
         to a host which soon takes nothing that may outlast it.
         """
-        if self._forwarding.departure is not None:
+        if self._driver.core.state.leaving:
             response.force_close()
         return response
 
--- a/packages/decide/sesamespindle/decide/departure.py
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -40,19 +40,39 @@
     ends_at: datetime.datetime
     is_over: bool = False
 
+    def may_cut_off(self, until):
+        """Return whether a request that has time until then may outlast the host.
+
+        What has its final answer before the host ends can't be cut off by it.
+        """
+        return self.is_over or until > self.ends_at
+
     def takes(self, until, now):
-        """Return whether a request that has time until then is still taken.
+        """Return whether a request is taken that may be asked for again if cut off.
 
-        What has its final answer before the host ends can't be cut off by it, so
-        it is always taken.
+        A call that may run once is taken only if the host can't cut it off, as
+        nobody could know whether it ran.
         """
-        if self.is_over:
-            return False
-        return until <= self.ends_at or now < self.open_until
+        is_open = not self.is_over and now < self.open_until
+        return is_open or not self.may_cut_off(until)
+
+
+def begin(now, ends_at):
+    """Return the `Departure` of a host that leaves now.
+
+    Parameters
+    ----------
+    now : datetime.datetime
+        The present.
+    ends_at : datetime.datetime
+        When it ends at the latest.
+    """
+    open_for = min(_CALLERS_LEARN_WITHIN, (ends_at - now) * _OPEN_SHARE)
+    return Departure(now + open_for, ends_at)
 
 
-def plan(now, grace):
-    """Return the `Departure` of a host that is asked to leave.
+def latest_end(now, grace):
+    """Return when a host must end that is killed after a grace time.
 
     Parameters
     ----------
@@ -61,7 +81,4 @@
     grace : datetime.timedelta
         After this the process is killed.
     """
-    closing = min(_CLOSING_TIME, grace * _CLOSING_SHARE)
-    lasts = grace - closing
-    open_for = min(_CALLERS_LEARN_WITHIN, lasts * _OPEN_SHARE)
-    return Departure(now + open_for, now + lasts)
+    return now + grace - min(_CLOSING_TIME, grace * _CLOSING_SHARE)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -264,6 +264,11 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ends:
+    """All in flight gets its final answer now, and nothing more is taken."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HasLeft:
     """All in flight is finished, and the daemon ends."""
@@ -275,11 +280,11 @@
 
     Attributes
     ----------
-    grace : datetime.timedelta or None
-        After this the process is killed; None where nothing kills it.
+    ends_at : datetime.datetime
+        When it ends at the latest.
     """
 
-    grace: datetime.timedelta | None = None
+    ends_at: datetime.datetime
 
 
 class Resource(enum.IntEnum):
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -121,8 +121,6 @@
         self._placing = promptplacing.PromptPlacing(state, weights, stores)
         self._budgets = budgets
         self.configuration = None
-        # Set once this host leaves.
-        self.departure = None
         self.flight_by_request = {}
 
     def begin(self, request, now):
@@ -149,7 +147,7 @@
         until = now + route.timeout
         if request.deadline is not None:
             until = min(until, request.deadline)
-        if self.departure is not None and not self.departure.takes(until, now):
+        if self._is_left_to_others(route, until, now):
             return self._refuse_leaving(request, until, now)
         service = self._service(route)
         flight = flights.Flight(request, route, service, account, now, until)
@@ -329,7 +327,8 @@
         """
         if maybe_ran and flight.route.repeats is routes.Repeats.ONCE:
             return False
-        if self.departure is not None and self.departure.is_over:
+        departure = self._state.departure
+        if departure is not None and departure.is_over:
             return False
         if maybe_ran and flight.runs >= flight.route.max_attempts:
             return False
@@ -406,10 +405,6 @@
             flight.request, commands.Code.TIMEOUT, "The time is over.", outcome
         )
 
-    def end(self):
-        """Take and send nothing more, as the host ends."""
-        self.departure = dataclasses.replace(self.departure, is_over=True)
-
     def host_ends(self, request_id):
         """Return the final answer of a request that is sent while the host ends."""
         return self._refuse(
@@ -419,8 +414,17 @@
             commands.Outcome.UNKNOWN,
         )
 
+    def _is_left_to_others(self, route, until, now):
+        """Return whether this host leaves and may end before the request does."""
+        departure = self._state.departure
+        if departure is None:
+            return False
+        if route.repeats is routes.Repeats.ONCE and not route.streaming:
+            return departure.may_cut_off(until)
+        return not departure.takes(until, now)
+
     def _refuse_leaving(self, request, until, now):
-        left = (self.departure.ends_at - now).total_seconds()
+        left = (self._state.departure.ends_at - now).total_seconds()
         may_last = (until - now).total_seconds()
         return commands.Refuse(
             request.request_id,
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -7,7 +7,6 @@
     budgets,
     catalogue,
     commands,
-    departure,
     directory,
     events,
     forwarding,
@@ -132,7 +131,10 @@
             case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
-                self._leave(event, now)
+                self.membership.leave(event.ends_at, now)
+                self.lease.give_back(now)
+            case events.Ends():
+                self.membership.end()
             case events.HasLeft():
                 self.membership.has_left(now)
             case _:
@@ -153,12 +155,6 @@
         self.state.emit(commands.Note("configuration", str(configuration.version)))
         self.membership.spread(now)
 
-    def _leave(self, event, now):
-        if event.grace is not None and self.forwarding.departure is None:
-            self.forwarding.departure = departure.plan(now, event.grace)
-        self.membership.leave(now)
-        self.lease.give_back(now)
-
     def _tick(self, now):
         if self.forwarding.configuration is None:
             # A host that the platform turns away asks peers at every tick.
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -1,10 +1,18 @@
 """Who is there: gossip in full inside a data centre, in digests between them."""
 
+import dataclasses
 import datetime
 
 import xxhash
 
-from sesamespindle.decide import commands, events, gossip, hashing, world
+from sesamespindle.decide import (
+    commands,
+    departure,
+    events,
+    gossip,
+    hashing,
+    world,
+)
 
 ROUNDS_BEFORE_SUSPICION = 5
 PEERS_INSIDE = 2
@@ -67,17 +75,27 @@
         for address, inside in self._choose_peers():
             self._state.emit(commands.GossipTo(address, self._message(inside)))
 
-    def leave(self, now):
-        """Tell peers at once that this daemon leaves."""
-        self._state.leaving = True
+    def leave(self, ends_at, now):
+        """Begin to leave, and tell peers at once; a second order changes nothing."""
+        if self._state.leaving:
+            return
+        self._state.departure = departure.begin(now, ends_at)
         me = self._state.entries.get(self._state.me.name)
         me.state = _State.LEAVING
         self._state.note_view_change()
         self._state.emit(commands.Note("leaving", me.name))
         self.spread(now)
 
+    def end(self):
+        """Take and send nothing more, as this daemon ends."""
+        if self._state.leaving:
+            self._state.departure = dataclasses.replace(
+                self._state.departure, is_over=True
+            )
+
     def has_left(self, now):
         """Tell peers that nothing of this daemon runs any more."""
+        self.end()
         me = self._state.entries.get(self._state.me.name)
         me.state = _State.LEFT
         self._state.note_view_change()
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -5,7 +5,15 @@
 import datetime
 import random
 
-from sesamespindle.decide import declared, events, gossip, hashing, retries, tables
+from sesamespindle.decide import (
+    declared,
+    departure,
+    events,
+    gossip,
+    hashing,
+    retries,
+    tables,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,7 +207,8 @@
         self.random = random.Random(seed)
         self.revision = 0
         self.declarations = declared.Declarations()
-        self.leaving = False
+        # How this host leaves, once it does.
+        self.departure: departure.Departure | None = None
         # Whether the platform's list or a peer has told of the other entries.
         self.knows_entries = False
         # When an entry was last seen to be replaced by a new incarnation.
@@ -225,6 +234,11 @@
         self._live_entries = None
         self._owner_by_account = {}
 
+    @property
+    def leaving(self):
+        """Whether this host leaves."""
+        return self.departure is not None
+
     def emit(self, command):
         """Add a command to those that the step returns."""
         self._out.append(command)
