--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -208,3 +208,27 @@
         older = gossip.GossipMessage("c", "dc-2", data_centres=(told,))
         here[0].receive(gossip.GossipReceived("1", older), now)
     assert here[0].is_reachable("dc-2", now)
+
+
+def test_hosts_that_come_back_after_all_of_their_data_centre_left_are_found():
+    """A data centre is restarted and callers elsewhere are never told of it again.
+
+    All of its hosts had said that they left, and other data centres speak to no
+    host that has left. Those that came back spoke to them, but a round tells its
+    answerer nothing of the caller's own data centre, so they stayed unknown.
+    """
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-2")
+    introduce(here[1], there[1])
+    introduce(there[1], here[1])
+    run_round(there, here, NOW)
+    there[0].has_left(NOW)
+    run_round(here, there, NOW + ROUND)
+    assert here[1].entries.get("b").state is events.HostState.LEFT
+    again = make_daemon("b", "dc-2", incarnation=2)
+    introduce(again[1], here[1])
+    now = NOW + ROUND
+    for _ in range(10):
+        now += ROUND
+        run_round(again, here, now)
+        run_round(here, again, now)
+    assert here[1].entries.get("b").state is events.HostState.LIVE
