Look for the return of a data centre whose hosts have all left

Cause: a round with another data centre chose among hosts that had not left. Once all of one had said so nobody spoke to it, and what its returned hosts said of themselves reaches only who speaks to them: 48 s without recovery when driven without a network.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -222,19 +222,24 @@
         return peers
 
     def _choose_outside(self):
-        """Return a peer of another data centre, each as likely as any other."""
+        """Return a peer of another data centre, each as likely as any other.
+
+        Guards against a data centre that was restarted and is never found again:
+        where all of its hosts have left, they are tried for their return.
+        """
         here = self._state.me.data_centre
         others = [name for name in self._state.entries.keys_of("data_centre")]
         others.remove(here)
         if not others:
             return []
         name = self._state.random.choice(sorted(others))
-        rows = [
+        known = [
             row
             for row in self._state.entries.where("data_centre", name)
-            if row.peer_address and row.state not in _GONE
+            if row.peer_address
         ]
-        return self._sample(rows, PEERS_OUTSIDE)
+        present = [row for row in known if row.state not in _GONE]
+        return self._sample(present or known, PEERS_OUTSIDE)
 
     def _sample(self, rows, count):
         return self._state.random.sample(rows, min(count, len(rows)))
