Begin a data centre's pulse at what is known, not at a time

During a rollout or after a rollback a data centre would have counted as silent for good. What other data centres remember is enough for hosts that start anew.

Test: test_membership (decision logic), off the list of red ones.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -377,11 +377,11 @@
         Guards against hosts that are there and aren't named to callers: a pulse
         worked out from heartbeats falls when a host starts anew or is replaced,
         and counts as silence until it has caught up. This one only rises: every
-        member raises the highest value that any has told, and begins above what
-        members before it can have counted.
+        member raises the highest value that any daemon has told, other data
+        centres' among them, which remember it when all of its own start anew.
         """
         known = self._pulse_by_data_centre.get(me.data_centre, 0)
-        self._pulse_by_data_centre[me.data_centre] = max(known, me.incarnation) + 1
+        self._pulse_by_data_centre[me.data_centre] = known + 1
 
     def _merge_pulse(self, digest, now):
         if digest.pulse > self._pulse_by_data_centre.get(digest.name, -1):
