Name leaving hosts beside those of a data centre that isn't heard of

They are now named together, gone hosts never beside them; the test's cases hold each of them against gone ones, and a new test holds that nothing worse stands beside a host that is surely there.

Test: test_directory (decision logic), off the list of red ones.

--- a/packages/decide/sesamespindle/decide/directory.py
+++ b/packages/decide/sesamespindle/decide/directory.py
@@ -4,15 +4,6 @@
 
 # Addresses in one answer; callers take at most 64.
 MOST_ADDRESSES = 64
-_State = events.HostState
-# How sure it is that a host serves for a while, the surest first.
-_RANK_BY_STATE = {
-    _State.LIVE: 1,
-    _State.SUSPECT: 2,
-    _State.LEAVING: 3,
-    _State.LEFT: 4,
-    _State.DEAD: 4,
-}
 
 
 def choose_addresses(state, data_centre, reachable):
@@ -32,12 +23,13 @@
     addresses : list of str
         At most `MOST_ADDRESSES`.
 
-    Hosts that leave, or are suspected to be gone, are left out. Where that
-    leaves nobody, the likeliest of the others are named: a caller with no
-    address can't even be refused.
+    Hosts that leave, that are suspected to be gone or whose data centre is not
+    heard of are left out. Where that leaves nobody, they are named together, as
+    any of them may be the one that serves. Hosts that are gone are named only
+    where nobody else is known: a caller with no address can't even be refused.
 
-    Guards against callers that are sent to hosts which leave while others are
-    there: only the surest hosts are named, never worse ones beside them.
+    Guards against callers that are sent to hosts which leave or are gone while
+    others are there: worse ones are never named beside better ones.
     """
     known = [row for row in state.entries if row.url]
     surest = min((_rank(row, reachable) for row in known), default=None)
@@ -47,6 +39,11 @@
 
 
 def _rank(row, reachable):
-    if row.state is _State.LIVE and reachable(row.data_centre):
-        return 0
-    return _RANK_BY_STATE[row.state]
+    """Return how unsure it is that a host serves for a while, 0 for the surest."""
+    match row.state:
+        case events.HostState.LIVE if reachable(row.data_centre):
+            return 0
+        case events.HostState.LEFT | events.HostState.DEAD:
+            return 2
+        case _:
+            return 1
