--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -82,9 +82,11 @@
             self.stores,
             budgets.SharedBudgets(terms.budget),
         )
-        self.lease = lease.Lease(self.state, terms.lease_time)
-        self.rollout = rollout.Rollout(self.state, self.weights, self.lease)
         self.membership = membership.Membership(self.state, seeds)
+        self.lease = lease.Lease(
+            self.state, terms.lease_time, self.membership.is_reachable
+        )
+        self.rollout = rollout.Rollout(self.state, self.weights, self.lease)
         self._targets = targetlist.TargetList(self.state)
         self._entries = catalogue.Catalogue(self.state)
         self._systems = (
--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -13,7 +13,8 @@
 # that the holder may act, a whole lease time in which the holder can't have
 # acted, and this much for clocks that run apart.
 _MARGIN = datetime.timedelta(milliseconds=300)
-# A candidate looks this often; only the first two of the fleet are candidates.
+# A candidate looks this often; only the first two of the fleet that are there are
+# candidates.
 _LOOK_SHARE = 1 / 3
 _CANDIDATES = 2
 _RETRY_AFTER = datetime.timedelta(milliseconds=500)
@@ -83,11 +84,14 @@
         The shared tables.
     duration : datetime.timedelta
         How far apart the acts of two holders must lie.
+    reachable : callable
+        Whether a data centre has been heard of lately, at a time.
     """
 
-    def __init__(self, state, duration):
+    def __init__(self, state, duration, reachable):
         self._state = state
         self._duration = duration
+        self._reachable = reachable
         self._me = f"{state.me.name}/{state.me.incarnation}"
         self._record = None
         self._revision = 0
@@ -129,7 +133,7 @@
             return
         if self._next_look is not None and now < self._next_look:
             return
-        if not self._is_candidate():
+        if not self._is_candidate(now):
             self._next_look = now + self._duration * _LOOK_SHARE
             return
         if self._may_take_over(now):
@@ -215,8 +219,17 @@
         quiet_for += self._duration * _ACTING_SHARE
         return now - self._seen_at >= quiet_for
 
-    def _is_candidate(self):
-        names = [row.name for row in self._state.live_entries()]
+    def _is_candidate(self, now):
+        """Return whether this host looks at the lease, to take it if it is free.
+
+        Guards against engines that get no new weights after a data centre was
+        lost: its hosts stay in the table, and nobody else would look for them.
+        """
+        names = [
+            row.name
+            for row in self._state.live_entries()
+            if self._reachable(row.data_centre, now)
+        ]
         return self._state.me.name in hashing.rank("lease", names)[:_CANDIDATES]
 
     def _look(self, now):
--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -23,7 +23,7 @@
         self.state.put_entry(
             world.EntryRow(name, "dc-1", "u", "p", "", 1, events.HostState.LIVE)
         )
-        self.lease = lease.Lease(self.state, DURATION)
+        self.lease = lease.Lease(self.state, DURATION, lambda data_centre, now: True)
         self.store = store
         self.cut_off = False
 
