--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -403,9 +403,7 @@
         """
         state = self._state
         if member.name == state.me.name:
-            older = 0 < member.incarnation < state.me.incarnation
-            if older and member.state is not _State.LEFT:
-                state.replaced_at = now
+            self._merge_own(member, now)
             return
         state.note_incarnation(member.name, member.incarnation, now)
         row = state.entries.get(member.name)
@@ -434,6 +432,26 @@
             self._urgent = True
             state.emit(commands.Note(f"entry_{member.state.value}", member.name))
 
+    def _merge_own(self, member, now):
+        """Take in what others know of an earlier life of this daemon.
+
+        Guards against a host that serves and that nobody is told of: its clock
+        was set back since its last start, so its number is below that of the
+        life before, and what it says is taken for old news. It takes a higher one.
+        A record of another address is of another host and stays as it is.
+        """
+        me = self._state.entries.get(member.name)
+        if member.incarnation > me.incarnation:
+            if member.peer_address == me.peer_address:
+                me.incarnation = member.incarnation + 1
+                self._state.note_view_change()
+                self._urgent = True
+                self._state.emit(commands.Note("incarnation_raised", member.name))
+            return
+        older = 0 < member.incarnation < self._state.me.incarnation
+        if older and member.state is not _State.LEFT:
+            self._state.replaced_at = now
+
 
 def _precedence(record):
     return (record.incarnation, record.heartbeat, _RANK_BY_STATE[record.state])
