Give each daemon of a test four ports of its own

Cause of two failures seen once each (a daemon that was not ready in time, and one that refused connections seconds after it had been ready): ports were asked for one after the other, each closed before the next, and two were the same one in 19 of 20,000 sets of four. Brought about by hand: a daemon with two equal ports ends at its start, or, where callers' and the directory's are equal, becomes ready, leaves and ends after its quiet time.

--- a/tests/platform/test_earlysockets.py
+++ b/tests/platform/test_earlysockets.py
@@ -3,17 +3,14 @@
 import socket
 
 import pytest
+import standins
 
 from sesamespindle.platform import earlysockets
 
 
-def _free_port():
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        return listening.getsockname()[1]
-
-
 def test_addresses_of_callers_are_listened_to(tmp_path):
-    front, directory = f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}"
+    ports = standins.free_ports(2)
+    front, directory = (f"127.0.0.1:{port}" for port in ports)
     path = tmp_path / "settings"
     path.write_text(
         f"NodeName=a\nListen.Front={front}\nListen.Control=127.0.0.1:1\n"
@@ -41,8 +38,9 @@
     A caller that a weak host lets in early waits there in vain, while a strong
     one would have served it.
     """
+    (port,) = standins.free_ports(1)
     path = tmp_path / "settings"
-    path.write_text(f"Listen.Front=127.0.0.1:{_free_port()}\n{limits}")
+    path.write_text(f"Listen.Front=127.0.0.1:{port}\n{limits}")
     opened = earlysockets.open_sockets(str(path))
     assert bool(opened) is opens
     for listening in opened.values():
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -15,6 +15,8 @@
 
 # Waits are for events; this only ends a test whose event never comes.
 PATIENCE_SECONDS = 15.0
+# For callers, readiness, the directory and peers.
+_DAEMON_PORTS = 4
 KEY = "key-of-acme"
 
 
@@ -470,7 +472,7 @@
         self.target_by_name = {}
 
     async def __aenter__(self):
-        self._ports = [self._free_port() for _ in range(4)]
+        self._ports = free_ports(_DAEMON_PORTS)
         self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
         self.store = await self._stack.enter_async_context(Store(self._address()))
         await self.store.put("config", "main", make_manifest())
@@ -533,11 +535,21 @@
         await until(holds)
 
     def _address(self):
-        return f"127.0.0.1:{self._free_port()}"
+        return f"127.0.0.1:{free_ports(1)[0]}"
 
-    def _free_port(self):
-        with socket.create_server(("127.0.0.1", 0)) as listening:
-            return listening.getsockname()[1]
+
+def free_ports(count):
+    """Return ports of the loopback device that are free, each another one.
+
+    Guards against a daemon that is told one port twice, and ends: ports asked for
+    one after the other were the same one in one of 1,000 sets of four.
+    """
+    with contextlib.ExitStack() as stack:
+        opened = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(count)
+        ]
+        return [listening.getsockname()[1] for listening in opened]
 
 
 async def until(holds):
