Count a leaving host's time from when the order may have come

Cause: a busy host handles SIGTERM late and counted its grace time from then, so it took what it should have left to others and could be killed before its last answers. It counts from when it was last seen to run, a second ago at most.

Test first: test_departure (decision logic).

--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -140,7 +140,7 @@
             case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
-                self.membership.leave(event.ends_at, now)
+                self.membership.leave(event, now)
             case events.SlicesAsked():
                 self.slice_owner.asked(event, now)
             case events.SlicesGranted():
--- a/packages/decide/sesamespindle/decide/departure.py
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -15,6 +15,9 @@
 # may be given up before that sixth.
 _CLOSING_TIME = datetime.timedelta(milliseconds=500)
 _CLOSING_SHARE = 1 / 12
+# How long before it was handled an order to leave may have come, at the most. A
+# host that was frozen for longer doesn't know whether it came before or after.
+_HANDLED_WITHIN = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,28 +60,44 @@
         return is_open or not self.may_cut_off(until)
 
 
-def begin(now, ends_at):
-    """Return the `Departure` of a host that leaves now.
+def asked_at(ran_at, now):
+    """Return the earliest time at which an order to leave may have come.
+
+    Guards against a busy host that counts its time from when it handles the
+    order: it would be killed before its last answers are out.
 
     Parameters
     ----------
+    ran_at : datetime.datetime
+        When the host was last seen to run, without an order.
     now : datetime.datetime
         The present.
+    """
+    return max(ran_at, now - _HANDLED_WITHIN)
+
+
+def begin(asked, ends_at):
+    """Return the `Departure` of a host that leaves.
+
+    Parameters
+    ----------
+    asked : datetime.datetime
+        When it was asked to, at the earliest.
     ends_at : datetime.datetime
         When it ends at the latest.
     """
-    open_for = min(_CALLERS_LEARN_WITHIN, (ends_at - now) * _OPEN_SHARE)
-    return Departure(now + open_for, ends_at)
+    open_for = min(_CALLERS_LEARN_WITHIN, (ends_at - asked) * _OPEN_SHARE)
+    return Departure(asked + open_for, ends_at)
 
 
-def latest_end(now, grace):
+def latest_end(asked, grace):
     """Return when a host must end that is killed after a grace time.
 
     Parameters
     ----------
-    now : datetime.datetime
-        The present.
+    asked : datetime.datetime
+        When the grace time began, at the earliest.
     grace : datetime.timedelta
         After this the process is killed.
     """
-    return now + grace - min(_CLOSING_TIME, grace * _CLOSING_SHARE)
+    return asked + grace - min(_CLOSING_TIME, grace * _CLOSING_SHARE)
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -282,9 +282,12 @@
     ----------
     ends_at : datetime.datetime
         When it ends at the latest.
+    asked_at : datetime.datetime or None
+        When the order came, at the earliest; None for now.
     """
 
     ends_at: datetime.datetime
+    asked_at: datetime.datetime | None = None
 
 
 class Resource(enum.IntEnum):
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -133,7 +133,7 @@
             case gossip.GossipAnswered():
                 self.membership.answered(event, now)
             case events.LeaveAsked():
-                self.membership.leave(event.ends_at, now)
+                self.membership.leave(event, now)
                 self.lease.give_back(now)
             case events.Ends():
                 self.membership.end()
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -75,11 +75,11 @@
         for address, inside in self._choose_peers():
             self._state.emit(commands.GossipTo(address, self._message(inside)))
 
-    def leave(self, ends_at, now):
+    def leave(self, order, now):
         """Begin to leave, and tell peers at once; a second order changes nothing."""
         if self._state.leaving:
             return
-        self._state.departure = departure.begin(now, ends_at)
+        self._state.departure = departure.begin(order.asked_at or now, order.ends_at)
         me = self._state.entries.get(self._state.me.name)
         me.state = _State.LEAVING
         self._state.note_view_change()
--- a/tests/decide/test_departure.py
+++ b/tests/decide/test_departure.py
@@ -37,6 +37,18 @@
     assert NOW + grace * SECOND * 5 / 6 < ends_at < NOW + grace * SECOND
 
 
+def test_a_host_that_was_held_up_counts_from_when_the_order_may_have_come():
+    """A busy host handles SIGTERM most of a second after it was sent.
+
+    It counted from then, so it took what it should have left to others, and was
+    killed before its last answers were out. It can't know when the order came,
+    only that it had not come when the host was last seen to run.
+    """
+    assert departure.asked_at(NOW - SECOND / 2, NOW) == NOW - SECOND / 2
+    frozen_since = NOW - 30 * SECOND
+    assert departure.asked_at(frozen_since, NOW) == NOW - SECOND
+
+
 @hypothesis.settings(derandomize=True)
 @hypothesis.given(GRACE_TIMES, strategies.floats(0, 1), strategies.floats(0, 200))
 def test_what_is_taken_after_callers_know_has_its_answer_in_time(grace, part, lasts):
