End inside the last sixth of the grace time also after a freeze

Cause: a host that counted from a second before it handled SIGTERM could end 6.5 s into a grace time of 8, before the last sixth in which an answer may be given up. The part that it counts back is now the other half of that sixth.

Test: test_departure (decision logic).

--- a/packages/decide/sesamespindle/decide/departure.py
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -15,9 +15,10 @@
 # may be given up before that sixth.
 _CLOSING_TIME = datetime.timedelta(milliseconds=500)
 _CLOSING_SHARE = 1 / 12
-# How long before it was handled an order to leave may have come, at the most. A
-# host that was frozen for longer doesn't know whether it came before or after.
-_HANDLED_WITHIN = datetime.timedelta(seconds=1)
+# How long before it was handled an order to leave may have come, as a part of the
+# grace time: the other half of its last sixth, so that a host that counts from too
+# early still ends inside it. A host that was frozen for longer can't know.
+_HANDLED_SHARE = 1 / 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +61,7 @@
         return is_open or not self.may_cut_off(until)
 
 
-def asked_at(ran_at, now):
+def asked_at(ran_at, now, grace):
     """Return the earliest time at which an order to leave may have come.
 
     Guards against a busy host that counts its time from when it handles the
@@ -72,8 +73,10 @@
         When the host was last seen to run, without an order.
     now : datetime.datetime
         The present.
+    grace : datetime.timedelta
+        After this the process is killed.
     """
-    return max(ran_at, now - _HANDLED_WITHIN)
+    return max(ran_at, now - grace * _HANDLED_SHARE)
 
 
 def begin(asked, ends_at):
