--- a/packages/decide/sesamespindle/decide/departure.py
+++ b/packages/decide/sesamespindle/decide/departure.py
@@ -16,9 +16,9 @@
 _CLOSING_TIME = datetime.timedelta(milliseconds=500)
 _CLOSING_SHARE = 1 / 12
 # How long before it was handled an order to leave may have come, as a part of the
-# grace time: the other half of its last sixth, so that a host that counts from too
-# early still ends inside it. A host that was frozen for longer can't know.
-_HANDLED_SHARE = 1 / 12
+# grace time: less than the other half of its last sixth, so that a host that counts
+# from too early still ends inside it. One that was frozen for longer can't know.
+_HANDLED_SHARE = 1 / 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
