Show by a failing test that streams keep callers at a leaving entry

Fails: a streamed answer that begins after SIGTERM has no Connection: close. The module's fleet gets an engine for it; its other tests are unchanged.

--- a/tests/daemon/test_assembly.py
+++ b/tests/daemon/test_assembly.py
@@ -15,7 +15,7 @@
 
 @pytest.fixture(scope="module")
 def running(start_fleet):
-    return start_fleet(engines=0, store_hosts=0)
+    return start_fleet(engines=1, store_hosts=0)
 
 
 class Booking:
@@ -131,3 +131,50 @@
     ] * 3
     assert replies[0].headers.get("Connection") == "close"
     assert runs == [0, 0, 0]
+
+
+def test_callers_of_streams_leave_the_connections_of_a_leaving_entry(running, go):
+    """Callers with kept connections stay at a leaving entry until it is gone.
+
+    Whole answers and refusals ask them to close the connection, streamed ones
+    didn't: nine streams went over one connection, the last eight of them begun
+    after SIGTERM, and the next request met the end of the process.
+    """
+
+    async def run():
+        await running.start_entry("entry-5", "kgl-1")
+        await running.wait_ready(["entry-5"])
+        under_way = Booking(running, "holds-it")
+        leaving = running.process_by_name["entry-5"]
+
+        async def is_leaving():
+            reply = await under_way.caller.get(f"{running.url('entry-5')}/readyz")
+            return reply.value["leaving"]
+
+        before = await stream_headers(running, "entry-5")
+        await running.fault(SERVICE, hold=True)
+        sending = asyncio.create_task(under_way.send("entry-5"))
+        await under_way.until_run()
+        leaving.send_signal(signal.SIGTERM)
+        await running.until(is_leaving)
+        after = await stream_headers(running, "entry-5")
+        await running.fault(SERVICE, hold=False)
+        await sending
+        return before, after, await leaving.wait()
+
+    before, after, code = go(run())
+    assert before.get("Connection") != "close"
+    assert after.get("Connection") == "close"
+    assert code == 0
+
+
+async def stream_headers(running, entry):
+    """Return the headers of a streamed answer that is read to its end."""
+    async with running.session.post(
+        f"{running.url(entry)}/v1/completions",
+        json={"model": "glossary", "prompt": "x", "max_tokens": 2, "stream": True},
+        headers={"Authorization": f"Bearer {fleet.demo_key('interpreters')}"},
+    ) as response:
+        assert response.status == 200
+        assert (await response.text()).endswith("data: [DONE]\n\n")
+        return response.headers
