--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -138,3 +138,35 @@
     record, revision = hosts[0].store
     hosts[0].lease.take(lease.LeaseWritten(record, revision + 1), late)
     assert not hosts[0].lease.is_held(late)
+
+
+def test_a_lease_that_comes_to_a_leaving_host_is_released_at_once():
+    """A host is told to leave while its write that takes the lease is under way.
+
+    The write took effect, and the host that was to end held the lease for half
+    of its time: engines got no orders from the next one until long after.
+    """
+    store = [None, 0]
+    leaving, following = Host("entry-1", store), Host("entry-2", store)
+    taking = None
+    at = 0.0
+    while taking is None:
+        now = NOW + seconds(at)
+        leaving.lease.tick(now)
+        for command in leaving.state.take_commands():
+            match command:
+                case lease.ReadLease():
+                    leaving.lease.take(lease.LeaseFound(*store), now)
+                case lease.WriteLease():
+                    taking = command.record
+        at += 0.1
+        assert at < 3
+    now = NOW + seconds(at)
+    leaving.lease.give_back(now)
+    store[:] = [taking, 1]
+    leaving.lease.take(lease.LeaseWritten(taking, 1), now)
+    assert not leaving.lease.is_held(now)
+    following.state.lease_release = leaving.state.lease_release
+    held = run([leaving, following], at + 3, start=at)
+    assert set(held) == {"entry-2"}
+    assert held["entry-2"][0] - at < 1.5
