Show by a failing test that a call is said to run at an entry that left

Fails for an entry that has left only (still_running, not outcome_unknown); passes for live, leaving and dead ones, which must stay as they are.

--- a/tests/decide/test_calls.py
+++ b/tests/decide/test_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamespindle.decide import commands, core, declared, events
+from sesamespindle.decide import commands, core, declared, events, gossip
 
 START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 ME = events.Host("entry-1", "entry", "dc", "http://e", "e:1", "http://a", 1)
@@ -30,13 +30,13 @@
     return made
 
 
-def arrival(request_id, now, seconds, key=""):
+def arrival(request_id, now, seconds, key="", key_kind=events.KeyKind.TICKET):
     return events.CallArrived(
         request_id,
         "desk",
         "hall",
         now + datetime.timedelta(seconds=seconds),
-        events.KeyKind.TICKET if key else events.KeyKind.NONE,
+        key_kind if key else events.KeyKind.NONE,
         key,
         "fingerprint",
         False,
@@ -79,3 +79,38 @@
     assert about("again", made.step(START, [again])) == [
         commands.ReplyStored("again", answer, replayed=True)
     ]
+
+
+@pytest.mark.parametrize(
+    "state, code",
+    [
+        (events.HostState.LIVE, commands.Code.STILL_RUNNING),
+        (events.HostState.LEAVING, commands.Code.STILL_RUNNING),
+        (events.HostState.LEFT, commands.Code.OUTCOME_UNKNOWN),
+        (events.HostState.DEAD, commands.Code.OUTCOME_UNKNOWN),
+    ],
+)
+def test_a_call_is_said_to_run_only_while_its_entry_may_run_it(state, code):
+    """A customer repeats a booking whose entry left and could not record its end.
+
+    The entry had said that nothing of it runs any more, yet for ten minutes
+    each repeat was told that the booking still runs, and to ask again.
+    """
+    made = make_core()
+
+    def hear(spoken, heartbeat):
+        member = gossip.Member(
+            "entry-2", "dc", "http://f", "f:1", "", 7, heartbeat, spoken, 0
+        )
+        message = gossip.GossipMessage("entry-2", "dc", members=(member,))
+        return gossip.GossipReceived("round", message)
+
+    made.step(START, [hear(events.HostState.LIVE, 1), hear(state, 2)])
+    repeat = arrival("repeat", START, 30, "key", events.KeyKind.CALLER)
+    made.step(START, [repeat])
+    claim = events.Claim(
+        "entry-2", 7, "nonce", "fingerprint", events.ClaimState.RUNNING, START
+    )
+    found = made.step(START, [events.ClaimFound("repeat", 3, claim)])
+    (refused,) = about("repeat", found)
+    assert (refused.code, refused.outcome) == (code, commands.Outcome.UNKNOWN)
