--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -197,3 +197,22 @@
         assert status == 502
 
     play(scenario)
+
+
+def test_a_host_that_is_told_to_leave_as_it_opens_its_first_port_leaves(play):
+    """A host that has just started is taken back in that moment.
+
+    Its ports were open to probes and peers some milliseconds before SIGTERM was
+    listened to. In between SIGTERM ended the process outright, and peers that
+    it had told of itself were left to find out by its silence.
+    """
+
+    async def scenario(world):
+        daemon = await world.start_daemon()
+        while not await daemon.lets_probes_in():
+            assert daemon.is_running
+        daemon.terminate()
+        assert await daemon.ended() == 0
+        assert any("Has left." in line for line in daemon.lines())
+
+    play(scenario)
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -422,6 +422,15 @@
         """Return where the daemon says whether it is ready."""
         return f"http://{self.ip}:{self._ports[1]}/v1/ready"
 
+    async def lets_probes_in(self):
+        """Return whether the port of `ready_url` is open."""
+        try:
+            _, writer = await asyncio.open_connection(self.ip, self._ports[1])
+        except ConnectionRefusedError:
+            return False
+        writer.close()
+        return True
+
     def directory_url(self):
         """Return where callers ask for addresses."""
         return f"http://{self.ip}:{self._ports[2]}/v1/resolve?Name=a.example&Zone=dc-1"
