Ask callers of streams to leave the connections of a leaving entry

Cause: the answer to leave is put into whole answers by a middleware, which sees a streamed answer only when its head has long been sent. The head of a stream now says so itself, also where a caller reads on.

Ruled out: closing the connection after an answer that had begun before SIGTERM. Its head is gone, and a caller that isn't told may send its next call just then and couldn't know whether it ran. The HTTP library's signal for responses comes after that header is decided.

--- a/packages/daemon/sesamespindle/daemon/front.py
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -353,6 +353,11 @@
         if started is not None:
             self._parts.metrics.first_token(prompt.account, waited * 1000, started)
 
+    @property
+    def leaving(self):
+        """Return whether this entry leaves."""
+        return self._parts.leaving
+
     @property
     def signer(self):
         """Return the signer of positions."""
--- a/packages/daemon/sesamespindle/daemon/sinks.py
+++ b/packages/daemon/sesamespindle/daemon/sinks.py
@@ -89,6 +89,15 @@
         await self._prepare()
 
     async def _prepare(self):
+        """Send the head of the response.
+
+        Guards against callers that keep the connections of a leaving entry and
+        come back over them until its process ends. An answer that has begun
+        before is left alone: its caller wasn't told and may send the next
+        request just when the connection is closed.
+        """
+        if self._front.leaving:
+            self._response.force_close()
         self._response.headers["Content-Type"] = "text/event-stream"
         self._response.headers["Cache-Control"] = "no-cache"
         await self._response.prepare(self._request)
