Release a lease at once that comes to a leaving host

Cause: giving back released only a lease that was held. A take-over under way then arrived, and the leaving host held it for half of its time (1.5 of 3 s).

Ruled out: a lesser distance between two holders' acts. The host never acts in the new epoch, and takes over only when older acts lie far enough back. Left: a write that takes effect but whose answer is lost is not released, and the next host waits as after a death.

Tested: tests/decide/test_lease.py, red before (held by the leaving host), passes now.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -159,6 +159,9 @@
                 self._seen_at = now
                 released = event.record.epoch <= self._released_epoch
                 self._held_from = None if released else self._sent_at
+                if self._leaving and self._mine():
+                    # The write was under way when the lease was given back.
+                    self._release(now)
             case LeaseUnknown():
                 # Whether a write took effect shows when the lease is read.
                 self._busy = False
