Say that a call's end is unknown once its entry has left

Cause: only a dead entry's claims were taken for abandoned. One that left without recording a call's end (the platform was away, or its grace time was over) counted as running it for as long as it stays in the table, ten minutes.

Ruled out: a second run. The claim isn't taken over, only the words of the refusal change, and both say that it may have run. A call that is answered in the last moments after an entry said that it left is recorded, and later repeats get it.

Tested: tests/decide/test_calls.py, red before for the entry that left alone, passes now; live and leaving entries still get still_running.

--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -277,11 +277,17 @@
         )
 
     def _holder_lives(self, claim):
+        """Return whether the entry that holds a claim may still run its call.
+
+        Guards against callers that ask again and again for the end of a call
+        whose entry has left or died: nobody will record it any more. The claim
+        stays the entry's own all the same, and is never run by another.
+        """
         holder = self._state.entries.get(claim.entry)
         return (
             holder is not None
             and holder.incarnation == claim.incarnation
-            and holder.state is not events.HostState.DEAD
+            and holder.state not in (events.HostState.LEFT, events.HostState.DEAD)
         )
 
     def claim_failed(self, event, now):
