Listen to SIGTERM before the first port opens

Cause: the handlers were set when the entrypoint had started the service, so ports were open, and announced, before. SIGTERM in between ended the process.

Ruled out: the loop's own handlers, set earlier. The loop runs once to start and once more to serve, and it forgets a signal that comes while it doesn't run: the process then went on as if nothing had been said (trial, and the test of signals fails with them). Loading the modules is left as it is: nothing has been read by then.

--- a/packages/daemon/sesamespindle/daemon/main.py
+++ b/packages/daemon/sesamespindle/daemon/main.py
@@ -11,7 +11,7 @@
 import aiomisc
 import cyclopts
 
-from sesamespindle.daemon import assembly, logs
+from sesamespindle.daemon import assembly, logs, signals
 from sesamespindle.declare import findings, settings
 
 _EXIT_BAD_SETTINGS = 2
@@ -40,15 +40,17 @@
     stop_asked = asyncio.Event()
     daemon = assembly.Daemon(loaded, _announce, stop_asked)
     grace = loaded.shutdown_grace.total_seconds()
-    with aiomisc.entrypoint(
+    entrypoint = aiomisc.entrypoint(
         daemon,
         log_config=False,
         pool_size=1,
         shutdown_timeout=grace * 2,
         catch_signals=(signal.SIGUSR2,),
-    ) as loop:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop_asked.set)
+    )
+    # Before the entrypoint is entered, which opens the ports.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signals.on_signal(entrypoint.loop, number, stop_asked.set)
+    with entrypoint as loop:
         loop.run_until_complete(stop_asked.wait())
 
 
--- /dev/null
+++ b/tests/daemon/test_signals.py
@@ -0,0 +1,29 @@
+"""Signals that come while the loop doesn't run."""
+
+import asyncio
+import os
+import signal
+
+import uvloop
+
+from sesamespindle.daemon import signals
+
+
+def test_a_signal_that_comes_between_two_runs_of_the_loop_is_taken(request):
+    """A host is told to leave in the moment between its start and its long run.
+
+    The loop's own handlers forget such a signal: the host would serve on as if
+    nothing had been said, until the platform kills it.
+    """
+    before = signal.getsignal(signal.SIGUSR1)
+    request.addfinalizer(lambda: signal.signal(signal.SIGUSR1, before))
+    told = asyncio.Event()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        signals.on_signal(runner.get_loop(), signal.SIGUSR1, told.set)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        runner.run(asyncio.wait_for(told.wait(), 15))
+        told.clear()
+        os.kill(os.getpid(), signal.SIGUSR1)
+        runner.run(asyncio.wait_for(told.wait(), 15))
+    os.kill(os.getpid(), signal.SIGUSR1)
+    assert told.is_set()
