Contradict an earlier life only where the incarnation stands in gossip alone

Read, not run: on the product's own face the owner of an account's slices would have taken its own, kept under the incarnation of its start, for those of a daemon that was replaced.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -44,11 +44,16 @@
         The shared tables.
     seeds : tuple of str
         Peer addresses to begin with where the platform is away.
+    contradicts : bool
+        Whether this daemon takes a higher incarnation than an earlier life of its
+        own is remembered under. Not where the incarnation stands in more than
+        gossip: slices, claims and tickets are kept under the one of the start.
     """
 
-    def __init__(self, state, seeds=()):
+    def __init__(self, state, seeds=(), contradicts=True):
         self._state = state
         self._seeds = seeds
+        self._contradicts = contradicts
         self._next_round = None
         self._digests = None
         self._digests_view = None
@@ -442,7 +447,7 @@
         """
         me = self._state.entries.get(member.name)
         if member.incarnation > me.incarnation:
-            if member.peer_address == me.peer_address:
+            if self._contradicts and member.peer_address == me.peer_address:
                 me.incarnation = member.incarnation + 1
                 self._state.note_view_change()
                 self._urgent = True
