--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import socket
 import time
 
 import standins
@@ -15,6 +14,7 @@
 
 _PLAIN, _ENGINE = "desk", "llm"
 _PORTS = 4
+DATA_CENTRES = ("dc-1", "dc-2")
 # A leaving target is listed for this long, in seconds, and serves on for as long
 # after it was removed: longer than anybody may go on sending to it.
 _SERVES_ON_SECONDS = 4.0
@@ -57,17 +57,23 @@
 
     async def __aenter__(self):
         enter = self._stack.enter_async_context
-        self.store = await enter(standins.Store(f"127.0.0.1:{_free_port()}"))
+        self.store = await enter(
+            standins.Store(f"127.0.0.1:{standins.free_ports(1)[0]}")
+        )
         await self._put_configuration()
         await self.store.put("versions", "m", {"Model": "m", "Version": 1})
         for service in (_PLAIN, _PLAIN, _ENGINE, _ENGINE, _ENGINE):
             await self.add_target(service)
-        ports = [_free_port() for _ in range(_PORTS)]
+        ports = standins.free_ports(_PORTS)
         ips = [f"{self._prefix}.{number + 1}" for number in range(self._daemons)]
         for number, ip in enumerate(ips, start=1):
             link = await enter(_link_to(self.store.address))
             name = f"entry-{number}"
-            daemon = standins.Daemon(name, ip, ports, link.address, ips[:3])
+            # Daemons take turns, so that each data centre has half of them.
+            own_first = DATA_CENTRES if number % 2 else DATA_CENTRES[::-1]
+            daemon = standins.Daemon(
+                name, ip, ports, link.address, ips[:3], data_centres=own_first
+            )
             self.link_by_daemon[name] = link
             self.daemon_by_name[name] = await enter(daemon)
             self.life_by_daemon[name] = 1
@@ -124,7 +130,7 @@
         """Start and list a target, at a used address if a link is given."""
         self._names += 1
         name = f"{service}-{self._names}"
-        address = f"127.0.0.1:{_free_port()}"
+        address = f"127.0.0.1:{standins.free_ports(1)[0]}"
         if link is None:
             link = await self._stack.enter_async_context(_link_to(address))
         else:
@@ -216,8 +222,3 @@
 def _link_to(address):
     host, port = address.split(":")
     return proxy.Proxy(host, int(port))
-
-
-def _free_port():
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        return listening.getsockname()[1]
