--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -39,6 +39,17 @@
         super().connection_lost(exc)
 
 
+def key_of(target, born):
+    """Return the name under which connections to one life of a target are kept.
+
+    Guards against a booking that is lost although no target has run it: sent over
+    a connection that was kept to the life before, or to the address's target
+    before, its end looks as if the request might have run. The library keeps
+    connections apart by the name that TLS would check, which is not used here.
+    """
+    return f"{target}.{born}"
+
+
 def make_session():
     """Return a client session that sends and returns bytes as they are."""
     connector = aiohttp.TCPConnector(
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events, gossip
+from sesamespindle.decide import events, gossip, lives
 from sesamespindle.wire import peers_pb2
 
 
@@ -44,7 +44,9 @@
         members=[_member_to_wire(item) for item in message.members],
         wanted=message.wanted,
         leaving_targets=[
-            peers_pb2.LeavingTarget(name=item.name, url=item.url)
+            peers_pb2.LeavingTarget(
+                name=item.life.name, url=item.url, born=item.life.born
+            )
             for item in message.leaving_targets
         ],
         revision=message.revision,
@@ -52,14 +54,21 @@
         seen={item.kind: item.revision for item in message.seen},
         target_versions=[
             peers_pb2.TargetVersion(
-                target=item.target, model=item.model, version=item.version
+                target=item.life.name,
+                model=item.model,
+                version=item.version,
+                born=item.life.born,
+                revision=item.revision,
             )
             for item in message.target_versions
         ],
         lease_release=_release_to_wire(message.lease_release, now),
         pending=[
             peers_pb2.PendingWork(
-                target=item.target, tokens=item.tokens, held_tokens=item.held_tokens
+                target=item.life.name,
+                tokens=item.tokens,
+                held_tokens=item.held_tokens,
+                born=item.life.born,
             )
             for item in message.pending
         ],
@@ -82,18 +91,25 @@
         tuple(_member_from_wire(item) for item in message.members),
         tuple(message.wanted),
         tuple(
-            gossip.LeavingTarget(item.name, item.url)
+            gossip.LeavingTarget(lives.Life(item.name, item.born), item.url)
             for item in message.leaving_targets
         ),
         message.revision,
         tuple(gossip.SeenRevision(*item) for item in message.seen.items()),
         tuple(
-            gossip.TargetVersion(item.target, item.model, item.version)
+            gossip.TargetVersion(
+                lives.Life(item.target, item.born),
+                item.model,
+                item.version,
+                item.revision,
+            )
             for item in message.target_versions
         ),
         _release_from_wire(message, now),
         tuple(
-            gossip.PendingWork(item.target, item.tokens, item.held_tokens)
+            gossip.PendingWork(
+                lives.Life(item.target, item.born), item.tokens, item.held_tokens
+            )
             for item in message.pending
         ),
     )
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -8,7 +8,7 @@
 import aiohttp.web
 import yarl
 
-from sesamespindle.daemon import eventstream, logs
+from sesamespindle.daemon import connections, eventstream, logs
 from sesamespindle.decide import commands, events, forwarding, routes
 
 _log = logs.part("relay")
@@ -263,6 +263,7 @@
                     headers=headers,
                     data=body.content(),
                     allow_redirects=False,
+                    server_hostname=connections.key_of(forward.target, forward.born),
                 )
                 async with response:
                     patience.reschedule(None)
@@ -286,7 +287,7 @@
         """Judge a target's answer and pass it on."""
         load = self._dialect.load(response.headers)
         if load is not None:
-            self._forwarding.report_load(forward.target, load.running, load.waiting)
+            self._forwarding.report_load(forward.request_id, load.running, load.waiting)
         version = self._dialect.weight_version(response.headers)
         if version is not None:
             self._forwarding.report_version(forward.request_id, version)
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import kvstores, routes
+from sesamespindle.decide import kvstores, lives, routes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +54,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Flight:
-    """A request that has no final answer yet."""
+    """A request that has no final answer yet.
+
+    Attributes
+    ----------
+    life : lives.Life or None
+        The life of the target that it was sent to last.
+    """
 
     request: Request
     route: routes.Route
@@ -62,7 +68,7 @@
     account: routes.Account | None
     arrived_at: datetime.datetime
     until: datetime.datetime
-    target: str = ""
+    life: lives.Life | None = None
     sends: int = 0
     runs: int = 0
     sent_at: datetime.datetime | None = None
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -75,6 +75,8 @@
         Silence after which `Ending.SILENT` is reported; None to wait on.
     version : int or None
         The weight version that must run it.
+    born : int
+        When the target's life began, as in `lives.Life`.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     transfers: kvstores.Transfers = kvstores.NO_TRANSFERS
     patience: datetime.timedelta | None = None
     reason: str = ""
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,7 +166,7 @@
         command : Forward, PassOn or commands.Refuse
         """
         flight = self.flight_by_request[request_id]
-        row = self._state.targets.get(flight.target)
+        row = self._state.target_in(flight.life)
         self._release(flight)
         self._note_ending(flight, row, ending, now)
         maybe_ran = ending in (Ending.FAILED, Ending.LOST, Ending.SILENT)
@@ -178,7 +181,7 @@
         flight = self.flight_by_request.get(request_id)
         if flight is None:
             return
-        row = self._state.targets.get(flight.target)
+        row = self._state.target_in(flight.life)
         if row is None:
             return
         row.sent_by_request.pop(request_id, None)
@@ -192,20 +195,25 @@
         if flight is not None:
             self._release(flight)
 
-    def report_load(self, target, running, waiting):
+    def report_load(self, request_id, running, waiting):
         """Take in the load that a target told with an answer."""
-        row = self._state.targets.get(target)
+        row = self._row_of(request_id)
         if row is not None:
             row.reported_load = running + waiting
 
     def report_version(self, request_id, version):
         """Take in the weight version that a target told with an answer."""
-        flight = self.flight_by_request.get(request_id)
-        if flight is None or not flight.request.model:
+        row = self._row_of(request_id)
+        if row is None:
             return
-        row = self._state.targets.get(flight.target)
-        if row is not None:
-            row.learn_version(flight.request.model, version)
+        model = self.flight_by_request[request_id].request.model
+        if model:
+            row.learn_version(model, version)
+
+    def _row_of(self, request_id):
+        """Return the row of the target that a request was sent to last, or None."""
+        flight = self.flight_by_request.get(request_id)
+        return self._state.target_in(flight.life) if flight is not None else None
 
     def _entries(self):
         return max(len(self._state.live_entries()), 1)
@@ -237,11 +245,11 @@
     def _start(self, flight, row, place, now):
         """Count a send at its target, and return it."""
         request = flight.request
-        flight.target = row.name
+        flight.life = row.life
         flight.version = place.version if place else None
         flight.sends += 1
         flight.sent_at = now
-        flight.tried.add(row.name)
+        flight.tried.add(row.life)
         row.running_here += 1
         if place:
             sent = world.SentWork(now, place.read_tokens)
@@ -263,6 +271,7 @@
             place.transfers if place else kvstores.NO_TRANSFERS,
             self._patience(flight, row),
             self._explain(flight, row, place, now),
+            row.born,
         )
 
     def _explain(self, flight, row, place, now):
@@ -296,7 +305,7 @@
         rows = placement.usable(rows, now) or [
             row for row in rows if row.listed and not row.leaving
         ]
-        fresh = [row for row in rows if row.name not in flight.tried]
+        fresh = [row for row in rows if row.life not in flight.tried]
         rows = fresh or rows
         if service is None or not service.max_connections:
             return rows
@@ -354,13 +363,13 @@
                 self._state.emit(commands.Note("target_replaced", row.name, row.url))
             case Ending.WRONG_VERSION:
                 self._weights.note_refused(row, flight.request.model, flight.version)
-                flight.tried.discard(row.name)
+                flight.tried.discard(row.life)
             case Ending.FAILED | Ending.LOST | Ending.SILENT:
                 _note_result(row, True)
 
     def _release(self, flight):
         """Give back what a send holds of its target."""
-        row = self._state.targets.get(flight.target)
+        row = self._state.target_in(flight.life)
         if row is not None and flight.sent_at is not None:
             row.running_here = max(0, row.running_here - 1)
             row.sent_by_request.pop(flight.request.request_id, None)
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events
+from sesamespindle.decide import events, lives
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,9 +56,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeavingTarget:
-    """A target that must get no new work; a new address makes it new again."""
+    """A life of a target that must get no new work.
 
-    name: str
+    Where lives aren't told a new address makes a target new again.
+    """
+
+    life: lives.Life
     url: str
 
 
@@ -72,11 +75,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetVersion:
-    """The weight version that a target was seen to run; it only rises."""
+    """The weight version that a target was seen to run.
 
-    target: str
+    Attributes
+    ----------
+    revision : int
+        The platform's revision at the last change of the target's record that the
+        sender knew.
+    """
+
+    life: lives.Life
     model: str
     version: int
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +102,7 @@
         Tokens of memory that its requests need until they end.
     """
 
-    target: str
+    life: lives.Life
     tokens: int
     held_tokens: int = 0
 
--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -103,6 +103,7 @@
         self._leaving = False
         self._acted_at = None
         self._released_epoch = 0
+        self._highest_epoch = 0
 
     @property
     def epoch(self):
@@ -137,7 +138,7 @@
             self._next_look = now + self._duration * _LOOK_SHARE
             return
         if self._may_take_over(now):
-            self._write(LeaseRecord(self._me, self.epoch + 1), now)
+            self._write(LeaseRecord(self._me, self._highest_epoch + 1), now)
         else:
             self._look(now)
 
@@ -156,6 +157,7 @@
                         )
                     )
                 self._record, self._revision = event.record, event.revision
+                self._highest_epoch = max(self._highest_epoch, self.epoch)
                 self._seen_at = now
                 released = event.record.epoch <= self._released_epoch
                 self._held_from = None if released else self._sent_at
@@ -205,6 +207,9 @@
             self._state.emit(commands.Note("lease_lost", self._me))
             self._held_from = None
         self._record, self._revision, self._seen_at = record, revision, now
+        # The object may have been removed, or overwritten by another writer; an
+        # epoch that was used before would then be given to a second holder.
+        self._highest_epoch = max(self._highest_epoch, self.epoch)
         if self._held_from is not None:
             # A renewal of ours took effect though its answer was lost.
             self._held_from = self._sent_at
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -279,7 +279,7 @@
         """Return what waits at targets from here, the most first."""
         pending = [
             gossip.PendingWork(
-                row.name,
+                row.life,
                 sum(work.tokens for work in row.sent_by_request.values()),
                 sum(row.held_by_request.values()),
             )
@@ -291,7 +291,7 @@
 
     def _target_versions(self):
         versions = [
-            gossip.TargetVersion(row.name, model, version)
+            gossip.TargetVersion(row.life, model, version, row.revision)
             for row in self._state.targets
             for model, version in row.version_by_model.items()
         ]
@@ -299,7 +299,7 @@
 
     def _leaving_targets(self):
         leaving = [
-            gossip.LeavingTarget(row.name, row.url)
+            gossip.LeavingTarget(row.life, row.url)
             for row in self._state.targets
             if row.leaving
         ]
@@ -358,7 +358,7 @@
         for row in self._state.targets:
             row.peer_work_by_entry.pop(message.sender, None)
         for item in message.pending:
-            row = self._state.targets.get(item.target)
+            row = self._state.target_in(item.life)
             if row is not None:
                 work = world.SentWork(now, item.tokens, item.held_tokens)
                 row.peer_work_by_entry[message.sender] = work
@@ -372,8 +372,9 @@
         self._urgent = True
 
     def _merge_version(self, running):
-        row = self._state.targets.get(running.target)
-        if row is not None:
+        """Take in a version, unless a later record has overtaken it."""
+        row = self._state.target_in(running.life)
+        if row is not None and running.revision >= row.fell_at_revision:
             row.learn_version(running.model, running.version)
 
     def _raise_pulse(self, me):
@@ -394,11 +395,11 @@
             self._pulse_heard_at[digest.name] = now
 
     def _merge_leaving(self, leaving):
-        row = self._state.targets.get(leaving.name)
+        row = self._state.target_in(leaving.life)
         if row is not None and not row.leaving and row.url == leaving.url:
             row.leaving = True
             self._urgent = True
-            self._state.emit(commands.Note("target_leaving", leaving.name, "heard"))
+            self._state.emit(commands.Note("target_leaving", row.name, "heard"))
 
     def _merge_member(self, member, now):
         """Take a record that is newer than ours, by incarnation and heartbeat.
--- a/packages/decide/sesamespindle/decide/rollout.py
+++ b/packages/decide/sesamespindle/decide/rollout.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands
+from sesamespindle.decide import commands, lives
 
 # Engines of a service that load weights at once. The users' loads slow down
 # beyond two fifths of the engines.
@@ -54,12 +54,15 @@
         Orders that it has accepted since it started.
     busy : bool
         Whether one is in progress.
+    born : int
+        When its life began, as in `lives.Life`.
     """
 
     target: str
     orders: int
     busy: bool
     version_by_model: dict[str, int]
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
 class _Loading:
     """An engine under way to a version."""
 
+    life: lives.Life
     model: str
     version: int
     since: datetime.datetime
@@ -106,7 +110,7 @@
             self._loading_by_target.clear()
             return
         for name, loading in list(self._loading_by_target.items()):
-            row = self._state.targets.get(name)
+            row = self._state.target_in(loading.life)
             if (
                 row is None
                 or self._is_done(row, loading)
@@ -143,11 +147,12 @@
                 if self._weights.is_behind(row, model)
                 and not row.leaving
                 and row.name not in self._loading_by_target
+                and row.listed
                 and row.missing_since is None
             ]
             behind.sort(key=lambda row: (row.running_here, row.name))
             for row in behind[: max(0, most - loading)]:
-                made = _Loading(model, self._weights.named(model), now, now)
+                made = _Loading(row.life, model, self._weights.named(model), now, now)
                 self._loading_by_target[row.name] = made
                 self._ask(row, made, now)
 
@@ -156,13 +161,14 @@
         self._state.emit(ReadReport(row.name, row.url))
 
     def _reported(self, event, now):
-        row = self._state.targets.get(event.target)
+        row = self._state.target_in(lives.Life(event.target, event.born))
         if row is None:
+            # The report is of a life that is over, or not yet listed.
             return
         for model, version in event.version_by_model.items():
             row.learn_version(model, version)
         loading = self._loading_by_target.get(event.target)
-        if loading is None or not self._lease.is_held(now):
+        if loading is None or loading.life != row.life or not self._lease.is_held(now):
             return
         if self._is_done(row, loading):
             del self._loading_by_target[event.target]
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -1,9 +1,10 @@
 """Keeping the table of targets in step with a platform that lists incarnations."""
 
+import collections
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, declared, world
+from sesamespindle.decide import commands, declared, lives, world
 
 # A target that has vanished from the list is used for this long if nothing else
 # is left. Half of the shortest time that users allow between a removal and the
@@ -22,6 +23,8 @@
     ----------
     revision : int
         The platform's revision at the last change of this record.
+    born : int or None
+        Milliseconds since the epoch at its start; None where it doesn't tell.
     """
 
     name: str
@@ -32,6 +35,12 @@
     leaving: bool
     version_by_model: dict[str, int]
     revision: int
+    born: int | None = None
+
+    @property
+    def life(self):
+        """The `lives.Life` that the record is about."""
+        return lives.Life(self.name, self.born or 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +59,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRemoved:
-    """A target is no longer listed."""
+    """A life of a target is no longer listed.
+
+    Attributes
+    ----------
+    born : int or None
+        The start of the life that is over; None where it isn't known, for any.
+    """
+
+    name: str
+    born: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetUnreadable:
+    """Another writer has changed a target's record, which names no target now."""
 
     name: str
 
@@ -79,9 +102,12 @@
             case TargetsListed():
                 self._adopt_all(event.targets, now)
             case TargetChanged():
-                self._adopt(event.target)
+                known = self._state.targets.where("pool", event.target.service)
+                self._adopt(event.target, _tell_births(known))
             case TargetRemoved():
-                self._vanish(event.name, now)
+                self._remove(event, now)
+            case TargetUnreadable():
+                self._set_aside(event.name)
             case PlatformBack():
                 self._platform_back_at = now
             case _:
@@ -114,8 +140,12 @@
 
     def _adopt_all(self, listed_targets, now):
         listed_names = {target.name for target in listed_targets}
+        targets_by_service = collections.defaultdict(list)
         for target in listed_targets:
-            self._adopt(target)
+            targets_by_service[target.service].append(target)
+        for targets in targets_by_service.values():
+            for target in targets:
+                self._adopt(target, _tell_births(targets))
         for row in list(self._state.targets):
             if row.name not in listed_names:
                 self._vanish(row.name, now)
@@ -129,9 +159,41 @@
         if row.leaving:
             self._state.targets.remove(name)
 
-    def _adopt(self, target):
-        """Take a record in, unless a later one overtook it."""
+    def _remove(self, removed, now):
+        """Take a target's record as gone, unless it is of a life before the known."""
+        row = self._state.targets.get(removed.name)
+        if row is not None and (removed.born is None or removed.born >= row.born):
+            self._vanish(removed.name, now)
+
+    def _set_aside(self, name):
+        """Give a target no request until its own record is back."""
+        row = self._state.targets.get(name)
+        if row is not None and row.listed:
+            row.listed = False
+            self._state.emit(commands.Note("target_set_aside", name, "its record"))
+
+    def _adopt(self, target, births_are_told):
+        """Take a record in, unless a later one overtook it.
+
+        Guards against late news of a life that is over: an old copy of the list
+        would have its row back in place of the one of the life that runs.
+
+        Parameters
+        ----------
+        births_are_told : bool
+            Whether targets of the service tell when they started. A record that
+            doesn't is then by another writer, and names no target to use.
+        """
         row = self._state.targets.get(target.name)
+        if target.born is None and (births_are_told or (row and row.born)):
+            self._set_aside(target.name)
+            return
+        if row is not None and target.life.born < row.born:
+            return
+        if row is not None and target.life.born > row.born:
+            detail = f"born {target.born}, before {row.born}"
+            self._state.emit(commands.Note("target_restarted", row.name, detail))
+            row = None
         if row is None:
             row = world.TargetRow(
                 target.name,
@@ -140,6 +202,7 @@
                 target.data_centre,
                 checks_fencing=False,
                 url=target.address,
+                born=target.life.born,
             )
             self._state.targets.add(row)
             self._state.emit(commands.Note("target_listed", row.name, row.url))
@@ -149,8 +212,13 @@
         row.revision = target.revision
         row.listed = True
         row.slots = target.slots
-        for model, version in target.version_by_model.items():
-            row.learn_version(model, version)
+        row.adopt_versions(target.version_by_model, target.revision)
         if target.leaving and not row.leaving:
             row.leaving = True
             self._state.emit(commands.Note("target_leaving", row.name, "listed"))
+
+
+def _tell_births(targets):
+    """Return whether half of the targets, listed ones or rows, tell their starts."""
+    told = sum(bool(target.born) for target in targets)
+    return told > 0 and 2 * told >= len(targets)
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -11,6 +11,7 @@
     events,
     gossip,
     hashing,
+    lives,
     retries,
     tables,
 )
@@ -94,7 +95,12 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetRow:
-    """A target: what is declared, listed, reported and seen of it."""
+    """One life of a target: what is declared, listed, reported and seen of it.
+
+    Guards against a target that started again under its name and is still taken
+    for what it was: placed by what it held, shunned for its failures, left alone
+    as leaving. All of that stands in its row, and each life has a row of its own.
+    """
 
     name: str
     pool: str
@@ -113,10 +119,14 @@
     prefill_rate: float = 20_000.0
     sent_by_request: dict[str, SentWork] = dataclasses.field(default_factory=dict)
     # What follows is kept of targets that the platform lists by incarnation.
+    born: int = 0
     slots: int = 1
     revision: int = 0
+    # The record's revision that last listed older weights than the one before it.
+    fell_at_revision: int = 0
     missing_since: datetime.datetime | None = None
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
+    listed_version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
     # What it is thought to run after it refused what it was known to run.
     guessed_version: int | None = None
     switching_until: datetime.datetime | None = None
@@ -131,12 +141,33 @@
     # What peers have sent and told of, by the peer's name.
     peer_work_by_entry: dict[str, SentWork] = dataclasses.field(default_factory=dict)
 
+    @property
+    def life(self):
+        """The `lives.Life` that this row is about."""
+        return lives.Life(self.name, self.born)
+
     def learn_version(self, model, version):
         """Take in a version that the target was seen to run; it only rises."""
         if version > self.version_by_model.get(model, 0):
             self.version_by_model[model] = version
             self.guessed_version = None
 
+    def adopt_versions(self, version_by_model, revision):
+        """Take in the versions of the target's own record.
+
+        Guards against an engine that is taken for up to date for good: an order of
+        before its restart is carried out late, its count of orders fits again, and
+        the engine goes back to older weights. Only its own later record shows that.
+        """
+        before = self.listed_version_by_model
+        self.listed_version_by_model = version_by_model
+        for model, version in version_by_model.items():
+            if version < before.get(model, 0):
+                self.fell_at_revision = revision
+                self.version_by_model[model] = version
+                self.guessed_version = None
+            self.learn_version(model, version)
+
     def note_read(self, salt, parts, capacity):
         """Remember that the target holds parts now, and forget the oldest."""
         for part in parts:
@@ -234,6 +265,11 @@
         self._live_entries = None
         self._owner_by_account = {}
 
+    def target_in(self, life):
+        """Return the row of a target in a life of it, or None once that is over."""
+        row = self.targets.get(life.name) if life is not None else None
+        return row if row is not None and row.born == life.born else None
+
     @property
     def leaving(self):
         """Whether this host leaves."""
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -2,13 +2,13 @@
 
 import datetime
 
+import gateways
 import pytest
 
 from sesamespindle.decide import (
     budgets,
     commands,
     events,
-    flights,
     forwarding,
     gateway,
     hashing,
@@ -20,92 +20,23 @@
     world,
 )
 
-NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
-SECOND = datetime.timedelta(seconds=1)
-
-
-def make_route(name, prefix, repeats, streaming=False, **changed):
-    fields = {
-        "timeout": 10 * SECOND,
-        "latency_goal": SECOND,
-        "max_attempts": 2,
-        "rank": 1,
-        "shares": (routes.Share("desk", 1.0),),
-    }
-    fields |= changed
-    return routes.Route(name, "a.example", prefix, repeats, streaming, **fields)
-
-
-def make_configuration(version=1, **changed):
-    engines = routes.Engines(("m",), 8, 100_000, 1000, 1e9)
-    store = routes.KvStore("10.0.0.9:1", "dc-1", 10_000, 1e9, 0 * SECOND, True)
-    fields = {
-        "routes": (
-            make_route("once", "/once/", routes.Repeats.ONCE),
-            make_route("read", "/read/", routes.Repeats.IDEMPOTENT),
-            make_route(
-                "chat",
-                "/chat/",
-                routes.Repeats.RESUMABLE,
-                True,
-                shares=(routes.Share("llm", 1.0),),
-            ),
-        ),
-        "service_by_name": {
-            "desk": routes.Service("desk", 100),
-            "llm": routes.Service("llm", 100, engines),
-            "store": routes.Service("store", 0, None, store),
-        },
-        "account_by_key": {"key-1": routes.Account("acme")},
-        "needs_keys": True,
-    }
-    return routes.Configuration(version, **(fields | changed))
-
-
-def make_target(name, service="desk", leaving=False, revision=1, versions=None):
-    return targetlist.ListedTarget(
-        name,
-        service,
-        f"10.1.0.{name[-1]}:80",
-        "dc-1",
-        8,
-        leaving,
-        versions or {},
-        revision,
-    )
-
-
-def make_gateway(slack=50.0):
-    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
-    terms = gateway.Terms(budgets.BudgetRule(0.2, slack))
-    made = gateway.Gateway(me, terms, seed=7)
-    made.step(NOW, [gateway.ConfigurationRead(make_configuration())])
-    return made
+NOW, SECOND = gateways.NOW, gateways.SECOND
 
 
 @pytest.fixture
 def core():
     """Give a gateway with a configuration, two plain targets and two engines."""
-    made = make_gateway()
+    made = gateways.make_gateway()
     targets = (
-        make_target("desk-1"),
-        make_target("desk-2"),
-        make_target("llm-3", "llm", versions={"m": 1}),
-        make_target("llm-4", "llm", versions={"m": 1}),
+        gateways.make_target("desk-1"),
+        gateways.make_target("desk-2"),
+        gateways.make_target("llm-3", "llm", versions={"m": 1}),
+        gateways.make_target("llm-4", "llm", versions={"m": 1}),
     )
     made.step(NOW, [targetlist.TargetsListed(targets)])
     return made
 
 
-def make_request(path, request_id="r1", key="key-1", **changed):
-    fields = {"deadline": NOW + 20 * SECOND}
-    return flights.Request(request_id, "a.example", path, key, **(fields | changed))
-
-
-def begin(core, path, now=NOW, **changed):
-    return core.forwarding.begin(make_request(path, **changed), now=now)
-
-
 def test_targets_stay_when_the_entries_are_listed_after_them(core):
     """All hosts lose power and start together.
 
@@ -115,7 +46,7 @@
     """
     host = events.Host("entry-2", "entry", "dc-1", "10.0.0.2:80", "10.0.0.2:81")
     core.step(NOW, [events.HostsListed((host,))])
-    assert isinstance(begin(core, "/once/1"), forwarding.Forward)
+    assert isinstance(gateways.begin(core, "/once/1"), forwarding.Forward)
 
 
 def test_a_leaving_host_refuses_only_what_may_outlast_it(core):
@@ -126,12 +57,12 @@
     """
     core.step(NOW, [events.LeaveAsked(NOW + 7.7 * SECOND)])
     later = NOW + 4 * SECOND
-    refused = begin(core, "/chat/1", later)
+    refused = gateways.begin(core, "/chat/1", later)
     assert refused.code is commands.Code.SHUTTING_DOWN
     assert refused.outcome is commands.Outcome.NOT_RUN
     assert datetime.timedelta() < refused.retry_after < SECOND / 5
     assert "r1" not in core.forwarding.flight_by_request
-    soon_over = begin(core, "/once/1", later, deadline=later + 1.5 * SECOND)
+    soon_over = gateways.begin(core, "/once/1", later, deadline=later + 1.5 * SECOND)
     assert isinstance(soon_over, forwarding.Forward)
 
 
@@ -143,22 +74,27 @@
     """
     core.step(NOW, [events.LeaveAsked(NOW + 7.7 * SECOND)])
     soon = NOW + SECOND
-    assert begin(core, "/once/1", soon).code is commands.Code.SHUTTING_DOWN
-    read = begin(core, "/read/1", soon, request_id="r2")
+    assert gateways.begin(core, "/once/1", soon).code is commands.Code.SHUTTING_DOWN
+    read = gateways.begin(core, "/read/1", soon, request_id="r2")
     assert isinstance(read, forwarding.Forward)
-    assert isinstance(begin(core, "/chat/1", soon, request_id="r3"), forwarding.Forward)
+    assert isinstance(
+        gateways.begin(core, "/chat/1", soon, request_id="r3"), forwarding.Forward
+    )
 
 
 def test_a_second_order_to_leave_changes_no_end(core):
     core.step(NOW, [events.LeaveAsked(NOW + 7.7 * SECOND)])
     first = core.state.departure
-    core.step(NOW + SECOND, [events.LeaveAsked(NOW + 8.5 * SECOND)])
+    core.step(
+        NOW + SECOND,
+        [events.LeaveAsked(NOW + 8.5 * SECOND)],
+    )
     assert core.state.departure is first
 
 
 def test_refuses_what_no_route_or_key_allows(core):
-    assert begin(core, "/none/").code is commands.Code.NO_ROUTE
-    assert begin(core, "/once/", key="old").code is commands.Code.UNKNOWN_KEY
+    assert gateways.begin(core, "/none/").code is commands.Code.NO_ROUTE
+    assert gateways.begin(core, "/once/", key="old").code is commands.Code.UNKNOWN_KEY
 
 
 def test_says_not_ready_rather_than_unknown_before_a_configuration():
@@ -169,7 +105,7 @@
     """
     me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80")
     core = gateway.Gateway(me, gateway.Terms(budgets.BudgetRule()))
-    refused = begin(core, "/once/1")
+    refused = gateways.begin(core, "/once/1")
     assert refused.code is commands.Code.NOT_READY
     assert refused.outcome is commands.Outcome.NOT_RUN
 
@@ -180,20 +116,20 @@
     It isn't known whether it ran, so it goes nowhere else and the caller isn't
     told that it hasn't run.
     """
-    begin(core, "/once/1")
+    gateways.begin(core, "/once/1")
     refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
     assert isinstance(refused, commands.Refuse)
     assert refused.outcome is commands.Outcome.UNKNOWN
 
 
 def test_sends_on_what_the_target_did_not_run(core):
-    first = begin(core, "/once/1")
+    first = gateways.begin(core, "/once/1")
     second = core.forwarding.ended("r1", forwarding.Ending.TURNED_AWAY, now=NOW)
     assert second.target != first.target
 
 
 def test_repeats_a_lookup_at_another_target_up_to_its_attempts(core):
-    first = begin(core, "/read/1")
+    first = gateways.begin(core, "/read/1")
     second = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
     assert second.target != first.target
     last = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
@@ -207,12 +143,12 @@
     they can't carry it. One host's repeats stay below its share of the slack
     and the ratio of its own requests.
     """
-    core = make_gateway(slack=10.0)
-    core.step(NOW, [targetlist.TargetsListed((make_target("desk-1"),))])
+    core = gateways.make_gateway(slack=10.0)
+    core.step(NOW, [targetlist.TargetsListed((gateways.make_target("desk-1"),))])
     repeats = 0
     for number in range(200):
         request_id = f"r{number}"
-        begin(core, "/read/1", request_id=request_id)
+        gateways.begin(core, "/read/1", request_id=request_id)
         ended = core.forwarding.ended(request_id, forwarding.Ending.FAILED, now=NOW)
         repeats += isinstance(ended, forwarding.Forward)
         core.forwarding.close(request_id, now=NOW)
@@ -220,24 +156,31 @@
 
 
 def test_a_configuration_never_goes_back(core):
-    newer = make_configuration(3, routes=())
+    newer = gateways.make_configuration(3, routes=())
     core.step(NOW, [gateway.ConfigurationRead(newer)])
-    core.step(NOW, [gateway.ConfigurationRead(make_configuration(2))])
+    core.step(NOW, [gateway.ConfigurationRead(gateways.make_configuration(2))])
     assert core.forwarding.configuration.version == 3
 
 
 def test_a_leaving_target_gets_nothing_new(core):
-    leaving = make_target("desk-1", leaving=True, revision=2)
+    leaving = gateways.make_target("desk-1", leaving=True, revision=2)
     core.step(NOW, [targetlist.TargetChanged(leaving)])
     targets = {
-        begin(core, "/read/1", request_id=f"r{number}").target for number in range(9)
+        gateways.begin(core, "/read/1", request_id=f"r{number}").target
+        for number in range(9)
     }
     assert targets == {"desk-2"}
 
 
 def test_an_old_record_does_not_bring_a_leaving_target_back(core):
-    core.step(NOW, [targetlist.TargetChanged(make_target("desk-1", "desk", True, 5))])
-    core.step(NOW, [targetlist.TargetChanged(make_target("desk-1", revision=4))])
+    core.step(
+        NOW,
+        [targetlist.TargetChanged(gateways.make_target("desk-1", "desk", True, 5))],
+    )
+    core.step(
+        NOW,
+        [targetlist.TargetChanged(gateways.make_target("desk-1", revision=4))],
+    )
     assert core.state.targets.get("desk-1").leaving
 
 
@@ -250,10 +193,10 @@
     core.step(NOW, [targetlist.PlatformBack(), targetlist.TargetsListed(())])
     later = NOW + 2 * SECOND
     core.step(later, [events.Tick()])
-    assert isinstance(begin(core, "/read/1", now=later), forwarding.Forward)
+    assert isinstance(gateways.begin(core, "/read/1", now=later), forwarding.Forward)
     much_later = NOW + 3 * SECOND
     core.step(much_later, [events.Tick()])
-    refused = begin(core, "/read/1", now=much_later, request_id="r2")
+    refused = gateways.begin(core, "/read/1", now=much_later, request_id="r2")
     assert refused.code is commands.Code.NO_TARGET
 
 
@@ -263,7 +206,7 @@
 
 def chat(core, request_id="c1", now=NOW, account="key-1", parts=None):
     parts = parts or prompt(("a", 100), ("b", 4000), (request_id, 50))
-    return begin(
+    return gateways.begin(
         core,
         "/chat/1",
         now=now,
@@ -294,13 +237,22 @@
         "key-1": routes.Account("acme"),
         "key-2": routes.Account("bank", isolated=True),
     }
-    core = make_gateway()
+    core = gateways.make_gateway()
     core.step(
-        NOW, [gateway.ConfigurationRead(make_configuration(2, account_by_key=accounts))]
+        NOW,
+        [
+            gateway.ConfigurationRead(
+                gateways.make_configuration(2, account_by_key=accounts)
+            )
+        ],
     )
     core.step(
         NOW,
-        [targetlist.TargetsListed((make_target("llm-3", "llm", versions={"m": 1}),))],
+        [
+            targetlist.TargetsListed(
+                (gateways.make_target("llm-3", "llm", versions={"m": 1}),)
+            )
+        ],
     )
     assert chat(core, "c1").salt != chat(core, "c2", account="key-2").salt
 
--- /dev/null
+++ b/tests/decide/test_lives.py
@@ -0,0 +1,190 @@
+"""Targets that start again under the name that they had."""
+
+import gateways
+import pytest
+
+from sesamespindle.decide import (
+    commands,
+    forwarding,
+    gossip,
+    kvstores,
+    lives,
+    rollout,
+    targetlist,
+)
+
+NOW = gateways.NOW
+SECOND = gateways.SECOND
+BORN, BORN_AGAIN = 1_700_000_000_000, 1_700_000_005_000
+
+
+def listed(name="llm-3", born=BORN, version=1, **changed):
+    service = name.partition("-")[0]
+    versions = {"m": version} if service == "llm" else {}
+    return gateways.make_target(name, service, versions=versions, born=born, **changed)
+
+
+@pytest.fixture
+def core():
+    """Give a gateway that knows one engine and one plain target."""
+    made = gateways.make_gateway()
+    made.step(NOW, [targetlist.TargetsListed((listed(), listed("desk-1")))])
+    return made
+
+
+def change(core, *args, now=NOW, **changed):
+    return core.step(now, [targetlist.TargetChanged(listed(*args, **changed))])
+
+
+def row_of(core, name="llm-3"):
+    return core.state.targets.get(name)
+
+
+def gossip_of(core, **told):
+    message = gossip.GossipMessage("entry-2", "dc-1", **told)
+    return core.step(NOW, [gossip.GossipReceived("x", message)])
+
+
+def test_an_engine_that_started_again_holds_nothing(core):
+    """An engine crashes and starts again under its name; its record tells so.
+
+    What it had read was still believed to be there, so long prompts went to it
+    and read all of it once more, and their callers waited.
+    """
+    row = row_of(core)
+    part = kvstores.Part("p", 100)
+    row.note_read("1", (part,), 1000)
+    row.failure_rate, row.failures, row.reported_load = 0.9, 3, 40
+    row.shunned_until = NOW + 9 * SECOND
+    told = change(core, born=BORN_AGAIN, revision=2)
+    assert commands.Note("target_restarted", "llm-3", _births()) in told
+    fresh = row_of(core)
+    assert (fresh.born, fresh.read_parts, fresh.failure_rate) == (BORN_AGAIN, {}, 0.0)
+    assert fresh.usable(NOW)
+    assert fresh.reported_load == 0
+
+
+def _births():
+    return f"born {BORN_AGAIN}, before {BORN}"
+
+
+def test_a_target_that_left_and_started_again_is_used(core):
+    """A target drains, ends and starts again under its name.
+
+    Leaving was never taken back, so the target got no request any more.
+    """
+    change(core, "desk-1", leaving=True, revision=2)
+    assert row_of(core, "desk-1").leaving
+    change(core, "desk-1", born=BORN_AGAIN, revision=3)
+    assert isinstance(gateways.begin(core, "/once/1"), forwarding.Forward)
+
+
+@pytest.mark.parametrize("revision", [1, 9])
+def test_an_old_record_of_an_earlier_life_changes_nothing(core, revision):
+    """A host learns of a new life; an old copy of the list comes after it."""
+    change(core, born=BORN_AGAIN, revision=5)
+    row = row_of(core)
+    change(core, born=BORN, revision=revision, leaving=True)
+    core.step(NOW, [targetlist.TargetRemoved("llm-3", BORN)])
+    assert row_of(core) is row
+    assert not row.leaving
+    assert row.missing_since is None
+
+
+def test_news_by_peers_of_an_earlier_life_changes_nothing(core):
+    """A peer that is behind tells of the life before.
+
+    It says that the target leaves, runs other weights and has much to do; all
+    of that ended with the life.
+    """
+    change(core, born=BORN_AGAIN, revision=2)
+    row, old = row_of(core), lives.Life("llm-3", BORN)
+    gossip_of(
+        core,
+        leaving_targets=(gossip.LeavingTarget(old, row.url),),
+        target_versions=(gossip.TargetVersion(old, "m", 7, 1),),
+        pending=(gossip.PendingWork(old, 5000, 5000),),
+    )
+    assert not row.leaving
+    assert row.version_by_model == {"m": 1}
+    assert row.peer_work_by_entry == {}
+
+
+def test_the_end_of_a_send_to_an_earlier_life_tells_nothing_of_the_new(core):
+    """A booking is under way when its target dies and starts again.
+
+    The target's new life gets no failure for it and has no request less under
+    way, and the caller is not told that the booking hasn't run.
+    """
+    gateways.begin(core, "/once/1")
+    change(core, "desk-1", born=BORN_AGAIN, revision=2)
+    other = gateways.begin(core, "/once/1", request_id="r2")
+    assert other.born == BORN_AGAIN
+    core.forwarding.report_load("r1", 30, 30)
+    refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    assert refused.outcome is commands.Outcome.UNKNOWN
+    row = row_of(core, "desk-1")
+    assert (row.running_here, row.failure_rate, row.reported_load) == (1, 0.0, 0)
+
+
+def test_a_lookup_may_go_to_the_next_life_of_its_target(core):
+    gateways.begin(core, "/read/1")
+    change(core, "desk-1", born=BORN_AGAIN, revision=2)
+    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    assert (again.target, again.born) == ("desk-1", BORN_AGAIN)
+
+
+def test_weights_fall_where_the_targets_own_record_says_so(core):
+    """An order from before a restart is carried out late.
+
+    The engine counts orders anew, so an old order fits again and takes it back
+    to older weights. Known versions only rose, so it was never ordered again.
+    """
+    change(core, born=BORN_AGAIN, revision=2, version=3)
+    change(core, born=BORN_AGAIN, revision=3, version=2)
+    assert row_of(core).version_by_model == {"m": 2}
+    late = gossip.TargetVersion(lives.Life("llm-3", BORN_AGAIN), "m", 3, 2)
+    gossip_of(core, target_versions=(late,))
+    assert row_of(core).version_by_model == {"m": 2}
+    current = gossip.TargetVersion(lives.Life("llm-3", BORN_AGAIN), "m", 4, 3)
+    gossip_of(core, target_versions=(current,))
+    assert row_of(core).version_by_model == {"m": 4}
+
+
+def test_a_report_of_another_life_changes_nothing(core):
+    """The report of an engine comes after its next life was listed."""
+    change(core, born=BORN_AGAIN, revision=2)
+    core.step(NOW, [rollout.Reported("llm-3", 5, False, {"m": 7}, BORN)])
+    assert row_of(core).version_by_model == {"m": 1}
+
+
+def test_a_record_without_a_birth_among_others_names_no_target(core):
+    """Another writer puts a record that looks whole, without the start.
+
+    Every target tells its start here, so this names none; the others hold.
+    """
+    ghost = targetlist.TargetChanged(listed("desk-2", born=None))
+    core.step(NOW, [ghost, targetlist.TargetChanged(listed("desk-1", revision=2))])
+    assert row_of(core, "desk-2") is None
+    core.step(
+        NOW, [targetlist.TargetsListed((listed("desk-1"), listed("desk-2", None)))]
+    )
+    assert row_of(core, "desk-2") is None
+    assert row_of(core, "desk-1").usable(NOW)
+
+
+def test_a_record_that_no_longer_tells_its_birth_ends_its_target(core):
+    """Another writer overwrites the record of a target, without the start."""
+    change(core, "desk-1", born=None, revision=2)
+    assert not row_of(core, "desk-1").usable(NOW)
+    change(core, "desk-1", revision=3)
+    assert row_of(core, "desk-1").usable(NOW)
+
+
+def test_targets_that_never_tell_their_births_are_told_apart_by_name(core):
+    made = gateways.make_gateway()
+    made.step(
+        NOW, [targetlist.TargetsListed((listed(born=None), listed("desk-1", None)))]
+    )
+    change(made, "desk-1", born=None, revision=2)
+    assert row_of(made, "desk-1").usable(NOW)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -228,6 +228,82 @@
     play(scenario)
 
 
+def test_a_booking_goes_over_no_connection_of_an_earlier_life(play):
+    """A target loses power and starts again under its name, at its address.
+
+    The connection kept to the life before still looked open. A booking that was
+    sent over it was lost: not run, but nobody could know that.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        assert (await world.ask(daemon, "/once/1", "r1"))[0] == 200
+        target.begin_life(is_seen=False)
+        await world.store.put("servers", "desk-1", target.entry())
+        await world.until(lambda: _said(daemon, "target_restarted desk-1"))
+        status, _, body = await world.ask(daemon, "/once/1", "r2")
+        assert (status, body) == (200, b"desk-1 ran r2")
+
+    play(scenario)
+
+
+def test_a_target_that_drained_and_started_again_is_used(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        await world.store.put("servers", "desk-1", target.entry("draining"))
+        await world.until(lambda: _said(daemon, "target_leaving desk-1"))
+        target.begin_life()
+        await world.store.put("servers", "desk-1", target.entry())
+        await world.until(lambda: _said(daemon, "target_restarted desk-1"))
+        assert (await world.ask(daemon, "/once/1", "r1"))[0] == 200
+
+    play(scenario)
+
+
+_ODD_CHANGES = (
+    {"Service": ["desk"]},
+    {"Service": 7},
+    {"Address": None},
+    {"Address": "nowhere"},
+    {"State": "resting"},
+    {"Slots": float("inf")},
+    {"Slots": -1},
+    {"Zone": ["dc-1"]},
+    {"born": "today"},
+)
+
+
+def test_records_by_another_writer_name_no_target_and_the_others_hold(play):
+    """Records come that no target wrote, beside and in place of good ones.
+
+    They were taken for targets, and one of them ended the host's list, so that
+    it served from what it had known before for as long as that record stood.
+    """
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        ghost = standins.Target("desk-9", "127.0.0.1:9")
+        for number, odd in enumerate(_ODD_CHANGES):
+            await world.store.put("servers", f"a-{number}", ghost.entry() | odd)
+        daemon = await world.add_daemon()
+        replaced = await world.add_target("desk-2")
+        await world.until(lambda: _said(daemon, "target_listed desk-2"))
+        await world.store.put("servers", "desk-2", replaced.entry() | {"Service": 7})
+        await world.until(lambda: _said(daemon, "target_set_aside desk-2"))
+        for number in range(8):
+            assert (await world.ask(daemon, "/once/1", f"r{number}"))[0] == 200
+        assert len(target.runs) == 8
+        await world.store.put("servers", "desk-2", replaced.entry())
+        await world.store.put("servers", "desk-1", target.entry("draining"))
+        await world.until(lambda: _said(daemon, "target_leaving desk-1"))
+        assert (await world.ask(daemon, "/once/1", "r9"))[0] == 200
+        assert len(replaced.runs) == 1
+
+    play(scenario)
+
+
 async def _said(daemon, words):
     return any(words in line for line in daemon.lines())
 
--- /dev/null
+++ b/tests/support/gateways.py
@@ -0,0 +1,86 @@
+"""A gateway's decision logic with a small configuration, and requests to it."""
+
+import datetime
+
+from sesamespindle.decide import (
+    budgets,
+    events,
+    flights,
+    gateway,
+    routes,
+    targetlist,
+)
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+
+
+def make_route(name, prefix, repeats, streaming=False, **changed):
+    fields = {
+        "timeout": 10 * SECOND,
+        "latency_goal": SECOND,
+        "max_attempts": 2,
+        "rank": 1,
+        "shares": (routes.Share("desk", 1.0),),
+    }
+    fields |= changed
+    return routes.Route(name, "a.example", prefix, repeats, streaming, **fields)
+
+
+def make_configuration(version=1, **changed):
+    engines = routes.Engines(("m",), 8, 100_000, 1000, 1e9)
+    store = routes.KvStore("10.0.0.9:1", "dc-1", 10_000, 1e9, 0 * SECOND, True)
+    fields = {
+        "routes": (
+            make_route("once", "/once/", routes.Repeats.ONCE),
+            make_route("read", "/read/", routes.Repeats.IDEMPOTENT),
+            make_route(
+                "chat",
+                "/chat/",
+                routes.Repeats.RESUMABLE,
+                True,
+                shares=(routes.Share("llm", 1.0),),
+            ),
+        ),
+        "service_by_name": {
+            "desk": routes.Service("desk", 100),
+            "llm": routes.Service("llm", 100, engines),
+            "store": routes.Service("store", 0, None, store),
+        },
+        "account_by_key": {"key-1": routes.Account("acme")},
+        "needs_keys": True,
+    }
+    return routes.Configuration(version, **(fields | changed))
+
+
+def make_target(
+    name, service="desk", leaving=False, revision=1, versions=None, born=None
+):
+    return targetlist.ListedTarget(
+        name,
+        service,
+        f"10.1.0.{name[-1]}:80",
+        "dc-1",
+        8,
+        leaving,
+        versions or {},
+        revision,
+        born,
+    )
+
+
+def make_gateway(slack=50.0):
+    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
+    terms = gateway.Terms(budgets.BudgetRule(0.2, slack))
+    made = gateway.Gateway(me, terms, seed=7)
+    made.step(NOW, [gateway.ConfigurationRead(make_configuration())])
+    return made
+
+
+def make_request(path, request_id="r1", key="key-1", **changed):
+    fields = {"deadline": NOW + 20 * SECOND}
+    return flights.Request(request_id, "a.example", path, key, **(fields | changed))
+
+
+def begin(core, path, now=NOW, **changed):
+    return core.forwarding.begin(make_request(path, **changed), now=now)
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -96,6 +96,13 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartTarget:
+    """A target dies, and starts again under its name, holding nothing."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoseAnswers:
     """A target breaks off a share of its answers."""
@@ -147,6 +154,7 @@
         lambda: HarmStore("is_stale", True, 2 * seconds),
         ForgetHistory,
         lambda: CrashTarget(source.uniform(0.5, 3)),
+        lambda: RestartTarget(source.uniform(0.2, 2)),
         lambda: LoseAnswers(source.uniform(0.02, 0.3), seconds),
         lambda: AnswerTwice(seconds),
         *_plan(source),
@@ -239,6 +247,9 @@
         case CrashTarget():
             with _noted(world, "crash", _Area.TARGET, target.name):
                 await world.crash_target(target, fault.seconds)
+        case RestartTarget():
+            with _noted(world, "restart", _Area.TARGET, target.name):
+                await world.restart_target(target, fault.seconds)
         case LoseAnswers():
             with _noted(world, "lose answers", _Area.TARGET, target.name):
                 target.answers_lost_share = fault.share
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -103,9 +103,20 @@
 
     def _report(self):
         models = [{"Name": "m", "Version": self.weights}]
-        value = {"Models": models, "Busy": self._loads(), "Seq": self.orders_taken}
+        value = {
+            "Models": models,
+            "Busy": self._loads(),
+            "Seq": self.orders_taken,
+            "born": self.born,
+        }
         return json.dumps(value).encode()
 
+    def begin_life(self):
+        """Start anew under the same name, with the weights that it had."""
+        super().begin_life()
+        self.orders_taken = 0
+        self._loading_until = 0.0
+
     def _loads(self):
         return self._now() < self._loading_until
 
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -160,6 +160,18 @@
         if service != target.service:
             await self.add_target(target.service)
 
+    async def restart_target(self, target, seconds):
+        """Crash a target, which then starts again under the name that it had."""
+        if self.target_by_name.pop(target.name, None) is None:
+            return
+        link = self.link_by_target[target.name]
+        await link.apply({"mode": proxy.Mode.REFUSE, "cut": True})
+        target.begin_life()
+        await asyncio.sleep(seconds)
+        await link.apply({"mode": proxy.Mode.PASS, "cut": True})
+        self.target_by_name[target.name] = target
+        await self.store.put("servers", target.name, target.entry())
+
     async def drain_target(self, target):
         """Have a target leave in order, after another has come."""
         await self.add_target(target.service)
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -175,6 +175,8 @@
         Sent after each answer, as bytes of no request.
     is_mute : bool
         Whether it runs requests and never answers.
+    born : int or None
+        The millisecond of its start, as its record tells it; None to not tell.
     release : asyncio.Event
         Streams go on to their second event once it is set.
     """
@@ -194,6 +196,7 @@
         self.writers = []
         self.loses_answers = False
         self.is_mute = False
+        self.born = 1_700_000_000_000
         self.unframed_bytes = 0
         self.resets_unframed = False
         self.body = b""
@@ -216,16 +219,35 @@
             "Version": "v1",
             "Slots": 8,
             "State": state,
+            "ColdRemainingMs": 0,
             "Models": [{"Name": "m", "Version": 1}] if self.service == "llm" else [],
             "Seq": 1,
-        }
+        } | ({"born": self.born} if self.born is not None else {})
+
+    def begin_life(self, is_seen=True):
+        """Start anew under the same name.
+
+        Parameters
+        ----------
+        is_seen : bool
+            Whether connections break at once. After a loss of power they do only
+            when the next request comes, which is not run.
+        """
+        for writer in self.writers if is_seen else ():
+            writer.transport.abort()
+        self.readers, self.writers, self.runs = [], [], []
+        self.born += 1000
 
     async def _serve(self, reader, writer):
         self.readers.append(reader)
         self.writers.append(writer)
+        born = self.born
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                if self.born != born:
+                    writer.transport.abort()
+                    return
                 headers = parse_head(head)
                 self.body = await _read_body(reader, headers)
                 await self._answer(headers, writer)
