Set a target aside once another is listed at its address

Cause: the record of an engine that crashed stays for up to three heartbeats, and its successor comes up at its address within a second. A record by another writer at a good target's address takes nobody out: who is there refutes it, and a refuted record is passed over for 10 s. Ruled out: removing the older one for good, which another writer could abuse.

--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -359,8 +359,7 @@
                 if self._weights.is_behind(row, flight.request.model):
                     row.switching_until = now + _SWITCHING
             case Ending.WRONG_TARGET:
-                self._state.targets.remove(row.name)
-                self._state.emit(commands.Note("target_replaced", row.name, row.url))
+                self._state.refute_target(row, now)
             case Ending.WRONG_VERSION:
                 self._weights.note_refused(row, flight.request.model, flight.version)
                 flight.tried.discard(row.life)
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -103,7 +103,7 @@
                 self._adopt_all(event.targets, now)
             case TargetChanged():
                 known = self._state.targets.where("pool", event.target.service)
-                self._adopt(event.target, _tell_births(known))
+                self._adopt(event.target, _tell_births(known), now)
             case TargetRemoved():
                 self._remove(event, now)
             case TargetUnreadable():
@@ -118,7 +118,7 @@
         """Forget targets that have been missing for long enough."""
         for row in list(self._state.targets):
             if row.missing_since is not None and now >= self._kept_until(row):
-                self._state.targets.remove(row.name)
+                self._state.drop_target(row.name)
                 self._state.emit(commands.Note("target_forgotten", row.name))
 
     def _kept_until(self, row):
@@ -145,7 +145,7 @@
             targets_by_service[target.service].append(target)
         for targets in targets_by_service.values():
             for target in targets:
-                self._adopt(target, _tell_births(targets))
+                self._adopt(target, _tell_births(targets), now)
         for row in list(self._state.targets):
             if row.name not in listed_names:
                 self._vanish(row.name, now)
@@ -157,7 +157,7 @@
         row.missing_since = now
         self._state.emit(commands.Note("target_missing", name))
         if row.leaving:
-            self._state.targets.remove(name)
+            self._state.drop_target(name)
 
     def _remove(self, removed, now):
         """Take a target's record as gone, unless it is of a life before the known."""
@@ -165,6 +165,22 @@
         if row is not None and (removed.born is None or removed.born >= row.born):
             self._vanish(removed.name, now)
 
+    def _supersede(self, fresh, revision):
+        """Set the target aside that had a new one's address before.
+
+        Guards against prompts that go to a dead engine as their home, and calls
+        that are turned away unread by its successor: the record of a target that
+        crashed stays for some heartbeats, beside that of the next at its address.
+        If the new record names nobody, the target there says so, and is used again.
+        """
+        for row in self._state.targets:
+            if row.url == fresh.url and row.listed and row.revision < revision:
+                row.listed = False
+                row.superseded_by = fresh.name
+                self._state.emit(
+                    commands.Note("target_superseded", row.name, fresh.name)
+                )
+
     def _set_aside(self, name):
         """Give a target no request until its own record is back."""
         row = self._state.targets.get(name)
@@ -172,7 +188,7 @@
             row.listed = False
             self._state.emit(commands.Note("target_set_aside", name, "its record"))
 
-    def _adopt(self, target, births_are_told):
+    def _adopt(self, target, births_are_told, now):
         """Take a record in, unless a later one overtook it.
 
         Guards against late news of a life that is over: an old copy of the list
@@ -195,6 +211,8 @@
             self._state.emit(commands.Note("target_restarted", row.name, detail))
             row = None
         if row is None:
+            if self._state.is_refuted(target.life, target.revision, now):
+                return
             row = world.TargetRow(
                 target.name,
                 target.service,
@@ -204,13 +222,15 @@
                 url=target.address,
                 born=target.life.born,
             )
+            self._supersede(row, target.revision)
             self._state.targets.add(row)
             self._state.emit(commands.Note("target_listed", row.name, row.url))
         row.missing_since = None
         if target.revision < row.revision:
             return
+        if target.revision > row.revision or not row.superseded_by:
+            row.listed, row.superseded_by = True, ""
         row.revision = target.revision
-        row.listed = True
         row.slots = target.slots
         row.adopt_versions(target.version_by_model, target.revision)
         if target.leaving and not row.leaving:
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -6,6 +6,7 @@
 import random
 
 from sesamespindle.decide import (
+    commands,
     declared,
     departure,
     events,
@@ -16,6 +17,11 @@
     tables,
 )
 
+# A record that was refuted is passed over for this long. Those of crashed targets
+# lapse after three heartbeats of 1.2 s; after that it would be another writer's
+# word against the target's own, and the target is asked again.
+_REFUTED_FOR = datetime.timedelta(seconds=10)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
@@ -125,6 +131,8 @@
     # The record's revision that last listed older weights than the one before it.
     fell_at_revision: int = 0
     missing_since: datetime.datetime | None = None
+    # The name of a target whose later record has the same address, or empty.
+    superseded_by: str = ""
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
     listed_version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
     # What it is thought to run after it refused what it was known to run.
@@ -250,6 +258,8 @@
         self.targets: tables.Table[TargetRow] = tables.Table("name", "pool", "kind")
         self.entries: tables.Table[EntryRow] = tables.Table("name", "data_centre")
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
+        # The record's revision and when it was refuted, by the target's life.
+        self._refuted_by_life = {}
         self.region_by_data_centre: dict[str, str] = {}
         # The latest change seen, and the revision up to which all are known,
         # by kind of object.
@@ -270,6 +280,30 @@
         row = self.targets.get(life.name) if life is not None else None
         return row if row is not None and row.born == life.born else None
 
+    def drop_target(self, name):
+        """Take a target out; one that it superseded is used again."""
+        self.targets.remove(name)
+        for other in self.targets:
+            if other.superseded_by == name:
+                other.listed, other.superseded_by = True, ""
+
+    def refute_target(self, row, now):
+        """Take out a target that isn't at its address, as who is there has said.
+
+        Its record may stand in the list for some heartbeats yet.
+        """
+        self.drop_target(row.name)
+        self._refuted_by_life[row.life] = row.revision, now
+        self.emit(commands.Note("target_replaced", row.name, row.url))
+
+    def is_refuted(self, life, revision, now):
+        """Return whether a record is one that was shown to be wrong lately."""
+        refuted, at = self._refuted_by_life.get(life, (0, now))
+        if now - at > _REFUTED_FOR:
+            del self._refuted_by_life[life]
+            return False
+        return revision <= refuted
+
     @property
     def leaving(self):
         """Whether this host leaves."""
--- a/tests/decide/test_lives.py
+++ b/tests/decide/test_lives.py
@@ -1,10 +1,13 @@
 """Targets that start again under the name that they had."""
 
+import dataclasses
+
 import gateways
 import pytest
 
 from sesamespindle.decide import (
     commands,
+    events,
     forwarding,
     gossip,
     kvstores,
@@ -188,3 +191,53 @@
     )
     change(made, "desk-1", born=None, revision=2)
     assert row_of(made, "desk-1").usable(NOW)
+
+
+def successor(core, **changed):
+    """List a target at the address of llm-3."""
+    fresh = dataclasses.replace(listed(**changed), name="llm-7")
+    return core.step(NOW, [targetlist.TargetChanged(fresh)])
+
+
+def test_a_target_whose_address_is_anothers_now_is_given_up(core):
+    """An engine crashes, and the next one is listed at its address.
+
+    The dead one's record stayed for some heartbeats. Prompts went to it as their
+    home and were turned away unread by the other, call after call.
+    """
+    told = successor(core, revision=4)
+    assert commands.Note("target_superseded", "llm-3", "llm-7") in told
+    assert not row_of(core).usable(NOW)
+
+
+def test_the_record_of_a_superseded_target_does_not_bring_it_back(core):
+    """The list is read whole once more while both records stand in it."""
+    successor(core, revision=4)
+    change(core, revision=1)
+    assert not row_of(core).usable(NOW)
+    assert row_of(core, "llm-7").usable(NOW)
+    change(core, revision=5)
+    assert row_of(core).usable(NOW)
+
+
+def test_a_record_at_anothers_address_that_names_nobody_takes_nobody_out(core):
+    """Another writer lists a target at the address of a good one.
+
+    Who is there turns the first request away, as it is another. The good target
+    is used again, and the record is passed over although the list still has it.
+    """
+    ghost = dataclasses.replace(listed("desk-1", revision=8), name="desk-5")
+    core.step(NOW, [targetlist.TargetChanged(ghost)])
+    sent = gateways.begin(core, "/once/1")
+    assert sent.target == "desk-5"
+    again = core.forwarding.ended("r1", forwarding.Ending.WRONG_TARGET, now=NOW)
+    assert again.target == "desk-1"
+    core.step(NOW, [targetlist.TargetChanged(ghost)])
+    assert gateways.begin(core, "/once/1", request_id="r2").target == "desk-1"
+
+
+def test_a_target_is_used_again_once_the_record_at_its_address_is_gone(core):
+    successor(core, revision=4)
+    core.step(NOW, [targetlist.TargetRemoved("llm-7", BORN)])
+    core.step(NOW + 5 * gateways.SECOND, [events.Tick()])
+    assert row_of(core).usable(NOW)
