Tell peers of the data centre of long prompts at the next tick

Cause: hosts know at once only of what they have sent themselves, and hear of others' sends each 0.4 s. Hypothesis: pending work told within a tick moves long prompts apart, so that first tokens come sooner and fewer contexts are read again elsewhere. Only hosts of the same data centre are told, two at a tick at most, of pending work alone, so that nothing grows with the fleet.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -72,6 +72,7 @@
             )
             for item in message.pending
         ],
+        brief=message.brief,
     )
 
 
@@ -112,6 +113,7 @@
             )
             for item in message.pending
         ),
+        message.brief,
     )
 
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -39,6 +39,9 @@
 # When a caller that a leaving host refuses comes back: others can serve it at
 # once, so this only keeps callers from coming in step.
 _ELSEWHERE_AFTER = datetime.timedelta(milliseconds=50)
+# Peers hear at the next tick of a prompt of so many tokens to read: it occupies an
+# engine for 40 ms and more, in which they would send it the next one.
+_TOLD_AT_ONCE_TOKENS = 2000
 # Ranks of routes that are told apart within one rank of accounts. Targets know
 # ten urgencies, so three ranks of accounts keep their order.
 _ROUTE_RANKS = 3
@@ -255,6 +258,8 @@
             sent = world.SentWork(now, place.read_tokens)
             row.sent_by_request[request.request_id] = sent
             row.held_by_request[request.request_id] = request.held_tokens
+            if place.read_tokens >= _TOLD_AT_ONCE_TOKENS:
+                self._state.tells_pending = True
         account = flight.account
         return Forward(
             request.request_id,
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -123,7 +123,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipMessage:
-    """One half of a round of gossip."""
+    """One half of a round of gossip.
+
+    Attributes
+    ----------
+    brief : bool
+        Whether it tells of pending work only, between two rounds.
+    """
 
     sender: str
     data_centre: str
@@ -137,6 +143,7 @@
     target_versions: tuple[TargetVersion, ...] = ()
     lease_release: LeaseRelease | None = None
     pending: tuple[PendingWork, ...] = ()
+    brief: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -68,10 +68,12 @@
             interval = self._state.policy.suspect_after / ROUNDS_BEFORE_SUSPICION
             self._next_round = now + interval
             self.spread(now)
+        elif self._state.tells_pending:
+            self._tell_pending()
 
     def spread(self, now):
         """Begin a round of gossip with a few peers."""
-        self._urgent = False
+        self._urgent = self._state.tells_pending = False
         me = self._state.entries.get(self._state.me.name)
         me.heartbeat += 1
         self._raise_pulse(me)
@@ -80,6 +82,23 @@
         for address, inside in self._choose_peers():
             self._state.emit(commands.GossipTo(address, self._message(inside)))
 
+    def _tell_pending(self):
+        """Tell peers of this data centre what was sent since the last round.
+
+        Guards against long prompts of several hosts that meet at one engine while
+        others idle: each knows at once only of its own.
+        """
+        self._state.tells_pending = False
+        message = self._brief_message()
+        for row in self._sample(self._peers_inside(), PEERS_INSIDE):
+            self._state.emit(commands.GossipTo(row.peer_address, message))
+
+    def _brief_message(self):
+        me = self._state.me
+        return gossip.GossipMessage(
+            me.name, me.data_centre, pending=self._pending(), brief=True
+        )
+
     def leave(self, order, now):
         """Begin to leave, and tell peers at once; a second order changes nothing."""
         if self._state.leaving:
@@ -109,6 +128,11 @@
     def receive(self, event, now):
         """Answer a peer's half of a round with what it lacks."""
         message = event.message
+        if message.brief:
+            self._merge_pending(message, now)
+            reply = self._brief_message()
+            self._state.emit(commands.GossipReply(event.exchange_id, reply))
+            return
         self._merge(message, now)
         sender = self._state.entries.get(message.sender)
         if sender is not None:
@@ -121,6 +145,9 @@
 
     def answered(self, event, now):
         """Take a peer's answer in, and send it what it asked for."""
+        if event.message.brief:
+            self._merge_pending(event.message, now)
+            return
         self._state.knows_entries = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
@@ -211,13 +238,8 @@
         """Return (address, whether inside) of the peers of one round."""
         state = self._state
         here = state.me.data_centre
-        others = [
-            row
-            for row in state.entries.where("data_centre", here)
-            if row.name != state.me.name and row.peer_address
-        ]
-        inside = [row for row in others if row.state not in _GONE]
-        dead = [row for row in others if row.state is _State.DEAD]
+        inside = self._peers_inside()
+        dead = [row for row in self._others_inside() if row.state is _State.DEAD]
         chosen = self._sample(inside, PEERS_INSIDE) + self._choose_outside()
         if dead and state.random.random() < _REVIVE_CHANCE:
             chosen += self._sample(dead, 1)
@@ -226,6 +248,17 @@
             peers = [(address, True) for address in self._seeds]
         return peers
 
+    def _others_inside(self):
+        me = self._state.me
+        return [
+            row
+            for row in self._state.entries.where("data_centre", me.data_centre)
+            if row.name != me.name and row.peer_address
+        ]
+
+    def _peers_inside(self):
+        return [row for row in self._others_inside() if row.state not in _GONE]
+
     def _choose_outside(self):
         """Return a peer of another data centre, each as likely as any other.
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -267,6 +267,8 @@
         self.covered_by_kind: dict[str, int] = {}
         # The latest lease that its holder has given up, as heard.
         self.lease_release: gossip.LeaseRelease | None = None
+        # Whether work was sent that peers are to hear of before the next round.
+        self.tells_pending = False
         # Rises with every change of the entries or their states.
         self.view = 0
         # Counts the places given in turn, where routing goes in turn.
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -232,3 +232,50 @@
         run_round(again, here, now)
         run_round(here, again, now)
     assert here[1].entries.get("b").state is events.HostState.LIVE
+
+
+def with_long_prompt(name="entry-0", elsewhere=()):
+    """Return the membership of a daemon that has just sent a long prompt."""
+    made, state = make_membership(name, NAMES[:3], elsewhere)
+    made.tick(NOW)
+    state.take_commands()
+    row = world.TargetRow("llm-1", "llm", None, "dc-1", False, "llm-1:80")
+    row.sent_by_request["r"] = world.SentWork(NOW, 15_000)
+    state.targets.add(row)
+    state.tells_pending = True
+    return made, state
+
+
+def told_by(made, state, now):
+    made.tick(now)
+    return [
+        item for item in state.take_commands() if isinstance(item, commands.GossipTo)
+    ]
+
+
+def test_a_long_prompt_is_told_inside_the_data_centre_before_the_next_round():
+    """Two hosts get a long prompt within a tenth of a second of each other.
+
+    The second one did not know of the first until the next round, sent its own to
+    the same engine, and the caller waited while other engines idled.
+    """
+    made, state = with_long_prompt(elsewhere=["entry-9"])
+    told = told_by(made, state, NOW + ROUND / 4)
+    assert {item.peer_address for item in told} == {"entry-1:81", "entry-2:81"}
+    message = told[0].message
+    assert message.brief
+    (pending,) = message.pending
+    assert (pending.life.name, pending.tokens) == ("llm-1", 15_000)
+    assert told_by(made, state, NOW + ROUND / 2) == []
+
+
+def test_a_brief_message_is_answered_with_what_waits_alone():
+    made, state = make_membership("entry-1", NAMES[:3])
+    row = world.TargetRow("llm-1", "llm", None, "dc-1", False, "llm-1:80")
+    state.targets.add(row)
+    sender, _ = with_long_prompt()
+    message = sender._brief_message()
+    made.receive(gossip.GossipReceived("x", message), NOW)
+    (reply,) = state.take_commands()
+    assert reply.message == gossip.GossipMessage("entry-1", "dc-1", brief=True)
+    assert row.peer_work_by_entry["entry-0"].tokens == 15_000
