--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -73,9 +73,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetUnreadable:
-    """Another writer has changed a target's record, which names no target now."""
+    """Another writer has changed a target's record, which names no target now.
+
+    Attributes
+    ----------
+    revision : int
+        The platform's revision at that change; 0 where it can't be read either.
+    """
 
     name: str
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +114,7 @@
             case TargetRemoved():
                 self._remove(event, now)
             case TargetUnreadable():
-                self._set_aside(event.name)
+                self._set_aside(event.name, event.revision)
             case PlatformBack():
                 self._platform_back_at = now
             case _:
@@ -174,19 +181,22 @@
         If the new record names nobody, the target there says so, and is used again.
         """
         for row in self._state.targets:
-            if row.url == fresh.url and row.listed and row.revision < revision:
+            if row.name == fresh.name or row.url != fresh.url:
+                continue
+            if row.listed and row.revision < revision:
                 row.listed = False
                 row.superseded_by = fresh.name
                 self._state.emit(
                     commands.Note("target_superseded", row.name, fresh.name)
                 )
 
-    def _set_aside(self, name):
-        """Give a target no request until its own record is back."""
+    def _set_aside(self, name, revision):
+        """Give a target no request until its own record is back, unless it is."""
         row = self._state.targets.get(name)
-        if row is not None and row.listed:
-            row.listed = False
-            self._state.emit(commands.Note("target_set_aside", name, "its record"))
+        if row is None or not row.listed or 0 < revision < row.revision:
+            return
+        row.listed = False
+        self._state.emit(commands.Note("target_set_aside", name, "its record"))
 
     def _adopt(self, target, births_are_told, now):
         """Take a record in, unless a later one overtook it.
@@ -202,7 +212,7 @@
         """
         row = self._state.targets.get(target.name)
         if target.born is None and (births_are_told or (row and row.born)):
-            self._set_aside(target.name)
+            self._set_aside(target.name, target.revision)
             return
         if row is not None and target.life.born < row.born:
             return
--- a/tests/decide/test_lives.py
+++ b/tests/decide/test_lives.py
@@ -241,3 +241,22 @@
     core.step(NOW, [targetlist.TargetRemoved("llm-7", BORN)])
     core.step(NOW + 5 * gateways.SECOND, [events.Tick()])
     assert row_of(core).usable(NOW)
+
+
+def test_an_old_change_by_another_writer_sets_no_target_aside(core):
+    """A record is overwritten and written anew by its target.
+
+    A host hears of the good one by a peer, and of the change before it by its own
+    watch after that.
+    """
+    change(core, "desk-1", revision=6)
+    core.step(NOW, [targetlist.TargetUnreadable("desk-1", 5)])
+    assert row_of(core, "desk-1").usable(NOW)
+    core.step(NOW, [targetlist.TargetUnreadable("desk-1", 7)])
+    assert not row_of(core, "desk-1").usable(NOW)
+
+
+def test_a_restart_is_not_told_as_another_target_at_the_address(core):
+    told = change(core, born=BORN_AGAIN, revision=2)
+    kinds = [item.kind for item in told if isinstance(item, commands.Note)]
+    assert kinds == ["target_restarted", "target_listed"]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -147,3 +147,12 @@
     item = {"Metadata": {"Name": "desk-1", "Revision": revision}, "Spec": GOOD}
     (read,) = objects._decode_page({"items": [item], "CurrentRev": 9}).objects
     assert reads(read.spec) is None or read.revision == revision
+
+
+@MANY
+@given(ANYTHING)
+def test_any_pack_of_a_peer_is_read_or_refused(content):
+    try:
+        assert records.read_pack(content).seen is not None
+    except findings.FindingsError as error:
+        assert str(error)
