Let no record of an unknown service set a target aside or be ordered

Cause: another writer may copy a target's record under another name and a service that no configuration names. It set the good target at its address aside, and as no request goes to such a service nobody ever refuted it; a rollout would have asked its target for reports for ever. A record sets a target aside only if its service is known, and rollouts pass over the others. Refuted records are dropped once they no longer count. Test first: test_a_record_of_an_unknown_service_takes_nobody_out failed.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -153,6 +153,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self.forwarding.configuration = configuration
+        self.state.service_names = frozenset(configuration.service_by_name)
         self.stores.adopt(configuration)
         self.state.emit(commands.Note("configuration", str(configuration.version)))
         self.membership.spread(now)
--- a/packages/decide/sesamespindle/decide/rollout.py
+++ b/packages/decide/sesamespindle/decide/rollout.py
@@ -135,7 +135,11 @@
 
     def _begin(self, model, now):
         by_pool = {}
+        known = self._state.service_names
         for row in self._state.targets:
+            if known and row.pool not in known:
+                # A record by another writer; its target would be asked for ever.
+                continue
             if model in row.version_by_model:
                 by_pool.setdefault(row.pool, []).append(row)
         for rows in by_pool.values():
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -178,8 +178,11 @@
         Guards against prompts that go to a dead engine as their home, and calls
         that are turned away unread by its successor: the record of a target that
         crashed stays for some heartbeats, beside that of the next at its address.
-        If the new record names nobody, the target there says so, and is used again.
+        If the new record names nobody, the target there says so, and is used again;
+        one of a service that isn't known is never asked and sets nobody aside.
         """
+        if fresh.pool not in self._state.service_names:
+            return
         for row in self._state.targets:
             if row.name == fresh.name or row.url != fresh.url:
                 continue
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -258,6 +258,8 @@
         self.targets: tables.Table[TargetRow] = tables.Table("name", "pool", "kind")
         self.entries: tables.Table[EntryRow] = tables.Table("name", "data_centre")
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
+        # The services that the configuration names; empty until there is one.
+        self.service_names: frozenset[str] = frozenset()
         # The record's revision and when it was refuted, by the target's life.
         self._refuted_by_life = {}
         self.region_by_data_centre: dict[str, str] = {}
@@ -295,16 +297,18 @@
         Its record may stand in the list for some heartbeats yet.
         """
         self.drop_target(row.name)
+        self._refuted_by_life = {
+            life: refuted
+            for life, refuted in self._refuted_by_life.items()
+            if now - refuted[1] <= _REFUTED_FOR
+        }
         self._refuted_by_life[row.life] = row.revision, now
         self.emit(commands.Note("target_replaced", row.name, row.url))
 
     def is_refuted(self, life, revision, now):
         """Return whether a record is one that was shown to be wrong lately."""
         refuted, at = self._refuted_by_life.get(life, (0, now))
-        if now - at > _REFUTED_FOR:
-            del self._refuted_by_life[life]
-            return False
-        return revision <= refuted
+        return now - at <= _REFUTED_FOR and revision <= refuted
 
     @property
     def leaving(self):
--- a/tests/decide/test_lives.py
+++ b/tests/decide/test_lives.py
@@ -260,3 +260,16 @@
     told = change(core, born=BORN_AGAIN, revision=2)
     kinds = [item.kind for item in told if isinstance(item, commands.Note)]
     assert kinds == ["target_restarted", "target_listed"]
+
+
+def test_a_record_of_an_unknown_service_takes_nobody_out(core):
+    """Another writer copies a target's record under another name and service.
+
+    No request ever goes to that service, so nobody would find out that there is
+    no such target, and the good one at the address would get nothing more.
+    """
+    copied = gateways.make_target("copy-1", "nowhere", revision=9, born=BORN)
+    copied = dataclasses.replace(copied, address=row_of(core, "desk-1").url)
+    core.step(NOW, [targetlist.TargetChanged(copied)])
+    assert row_of(core, "desk-1").usable(NOW)
+    assert gateways.begin(core, "/once/1").target == "desk-1"
