--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -279,3 +279,25 @@
     (reply,) = state.take_commands()
     assert reply.message == gossip.GossipMessage("entry-1", "dc-1", brief=True)
     assert row.peer_work_by_entry["entry-0"].tokens == 15_000
+
+
+def test_a_lost_host_is_dead_soon_also_to_a_mate_that_started_after_its_loss():
+    """A host is lost; the only other one of its data centre is killed just then.
+
+    It starts again and hears of the lost one from another data centre. Nobody
+    else may judge it, and it counts the silence from when it heard of it: callers
+    were told of the lost host for more than 6 s after its last word.
+    """
+    last_word = NOW
+    started = last_word + datetime.timedelta(seconds=1.7)
+    made, state = make_membership("entry-0", ["entry-0"], ["entry-9"])
+    lost = gossip.Member(
+        "entry-1", "dc-1", "u", "p", "", 1, 9, events.HostState.LIVE, 0
+    )
+    message = gossip.GossipMessage("entry-9", "dc-2", members=(lost,))
+    made.answered(gossip.GossipAnswered("entry-9:81", message), started)
+    now = started
+    while now < last_word + datetime.timedelta(seconds=5):
+        now += ROUND / 4
+        made.tick(now)
+    assert state.entries.get("entry-1").state is events.HostState.DEAD
