Count once a list whether its targets tell their births

It was counted anew for each target of a service, which grows with the square of their number. Found by reading; what is decided stays as it is.

--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -151,8 +151,9 @@
         for target in listed_targets:
             targets_by_service[target.service].append(target)
         for targets in targets_by_service.values():
+            births_are_told = _tell_births(targets)
             for target in targets:
-                self._adopt(target, _tell_births(targets), now)
+                self._adopt(target, births_are_told, now)
         for row in list(self._state.targets):
             if row.name not in listed_names:
                 self._vanish(row.name, now)
