--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -163,22 +163,35 @@
     assert here[0].is_reachable("dc-3", now)
 
 
-def test_a_host_whose_clock_was_set_back_is_known_again_after_its_restart():
-    """A host that is there is named to nobody for ten minutes.
+def leave_and_start_again(data_centre, before, after):
+    """Return a daemon, and one that it knows to have left and that starts again.
 
-    It started while its clock was ahead, and again after the clock had been set
-    back, so its second life bears a lower number than its first. Peers took what
-    it said for old news of a host that had left, and it didn't contradict them.
+    Parameters
+    ----------
+    before, after : int
+        The incarnations of the one that left and of its next life.
     """
-    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-1", incarnation=5000)
+    here = make_daemon("a", "dc-1")
+    there = make_daemon("b", data_centre, incarnation=before)
     introduce(here[1], there[1])
     introduce(there[1], here[1])
     run_round(there, here, NOW)
     there[0].has_left(NOW)
     run_round(here, there, NOW + ROUND)
     assert here[1].entries.get("b").state is events.HostState.LEFT
-    again = make_daemon("b", "dc-1", incarnation=4000)
+    again = make_daemon("b", data_centre, incarnation=after)
     introduce(again[1], here[1])
+    return here, again
+
+
+def test_a_host_whose_clock_was_set_back_is_known_again_after_its_restart():
+    """A host that is there is named to nobody for ten minutes.
+
+    It started while its clock was ahead, and again after the clock had been set
+    back, so its second life bears a lower number than its first. Peers took what
+    it said for old news of a host that had left, and it didn't contradict them.
+    """
+    here, again = leave_and_start_again("dc-1", before=5000, after=4000)
     now = NOW + ROUND
     for _ in range(10):
         now += ROUND
@@ -217,15 +230,7 @@
     host that has left. Those that came back spoke to them, but a round tells its
     answerer nothing of the caller's own data centre, so they stayed unknown.
     """
-    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-2")
-    introduce(here[1], there[1])
-    introduce(there[1], here[1])
-    run_round(there, here, NOW)
-    there[0].has_left(NOW)
-    run_round(here, there, NOW + ROUND)
-    assert here[1].entries.get("b").state is events.HostState.LEFT
-    again = make_daemon("b", "dc-2", incarnation=2)
-    introduce(again[1], here[1])
+    here, again = leave_and_start_again("dc-2", before=1, after=2)
     now = NOW + ROUND
     for _ in range(10):
         now += ROUND
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -6,27 +6,12 @@
 
 import aiohttp
 import pytest
-import standins
 
 CHAT = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
 # Callers keep an answer of the directory for its second, some for three.
 KEPT_SECONDS = 3.0
 
 
-@pytest.fixture
-def play(go):
-    """Give a function that plays a scenario in a world of its own."""
-
-    def run(scenario):
-        async def in_world():
-            async with standins.World() as world:
-                await scenario(world)
-
-        go(in_world())
-
-    return run
-
-
 async def add_endless_engine(world):
     """Add an engine whose streams stay at their first event."""
     engine = await world.add_target("llm-1", "llm")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,24 +2,9 @@
 
 import asyncio
 
-import pytest
 import standins
 
 
-@pytest.fixture
-def play(go):
-    """Give a function that plays a scenario in a world of its own."""
-
-    def run(scenario):
-        async def in_world():
-            async with standins.World() as world:
-                await scenario(world)
-
-        go(in_world())
-
-    return run
-
-
 def test_a_request_goes_through_unchanged_but_for_the_systems_headers(play):
     async def scenario(world):
         target = await world.add_target("desk-1")
