Count a weight version's age from its naming, not from hearing of it

Cause: a host kept when it read of a version, and allowed older weights for 6.4 s from then. One that started, or woke up from a pause, read of versions that had long been named, and they were young again: runs began 11 s after the naming, where 8 s are allowed. The class: an age that starts anew when a process does.

Now a version's age counts from when a host heard it named, which peers tell each other as a duration; where nobody heard it, from a time at which it is known not to have been named. Where no such time is known, because all hosts have started again, older weights are used for a share of the contact time only.

Ruled out: asking the platform for the time of the naming (it keeps none), a time of day in an object (it jumps on hosts), never using older weights after a start (all callers would be refused until the first engine has the new ones).

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events, gossip, lives
+from sesamespindle.decide import events, gossip, lives, namings
 from sesamespindle.wire import peers_pb2
 
 
@@ -73,6 +73,7 @@
             for item in message.pending
         ],
         brief=message.brief,
+        named=[_naming_to_wire(item, now) for item in message.named],
     )
 
 
@@ -114,6 +115,7 @@
             for item in message.pending
         ),
         message.brief,
+        tuple(_naming_from_wire(item, now) for item in message.named),
     )
 
 
@@ -132,6 +134,21 @@
     return gossip.LeaseRelease(message.lease_release.epoch, now - quiet_for)
 
 
+def _naming_to_wire(naming, now):
+    """Return how long ago a version was named; hosts' clocks aren't compared."""
+    return peers_pb2.Naming(
+        model=naming.model,
+        version=naming.version,
+        replaces=naming.replaces,
+        seconds_ago=(now - naming.at).total_seconds(),
+    )
+
+
+def _naming_from_wire(message, now):
+    at = now - datetime.timedelta(seconds=message.seconds_ago)
+    return namings.Naming(message.model, message.version, message.replaces, at, True)
+
+
 def asks_to_wire(asks):
     """Return the protobuf forms of `events.SliceAsk` records."""
     return [
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -34,11 +34,14 @@
         How far apart the orders of two holders must lie.
     weights_within : datetime.timedelta
         Time from naming weights until no run begins on older ones.
+    contact_time : datetime.timedelta
+        How long a host that has started isn't held to such times.
     """
 
     budget: budgets.BudgetRule
     lease_time: datetime.timedelta = datetime.timedelta(seconds=3)
     weights_within: datetime.timedelta = datetime.timedelta(seconds=8)
+    contact_time: datetime.timedelta = datetime.timedelta(seconds=3)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +77,9 @@
         self.state = world.World(me, policy, seed)
         # Peers and callers are told of this host once it can serve.
         self.state.put_entry(catalogue.me_as_entry(dataclasses.replace(me, url="")))
-        self.weights = weights.Weights(self.state, terms.weights_within)
+        self.weights = weights.Weights(
+            self.state, terms.weights_within, terms.contact_time
+        )
         self.stores = kvstores.KvStores(self.state)
         self.forwarding = forwarding.Forwarding(
             self.state,
@@ -99,6 +104,7 @@
 
     def step(self, now, happened):
         """Take events in, in their order, and return the commands they lead to."""
+        self.state.pauses.note_step(now)
         for event in happened:
             self._take(event, now)
         self._announce_when_ready(now)
@@ -129,8 +135,10 @@
             case events.HostsListed():
                 self._entries.list_entries(event.hosts, now)
             case gossip.GossipReceived():
+                self.weights.hear(event.message.named, now)
                 self.membership.receive(event, now)
             case gossip.GossipAnswered():
+                self.weights.hear(event.message.named, now)
                 self.membership.answered(event, now)
             case events.LeaveAsked():
                 self.membership.leave(event, now)
@@ -162,6 +170,7 @@
         if self.forwarding.configuration is None:
             # A host that the platform turns away asks peers at every tick.
             self.membership.spread(now)
+        self.weights.tick(now)
         self.membership.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events, lives
+from sesamespindle.decide import events, lives, namings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +144,7 @@
     lease_release: LeaseRelease | None = None
     pending: tuple[PendingWork, ...] = ()
     brief: bool = False
+    named: tuple[namings.Naming, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -308,6 +308,7 @@
             self._target_versions(),
             state.lease_release,
             self._pending(),
+            named=state.namings.told,
         )
 
     def _pending(self):
--- a/packages/decide/sesamespindle/decide/weights.py
+++ b/packages/decide/sesamespindle/decide/weights.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands
+from sesamespindle.decide import commands, namings
 
 # Share of the time allowed for a new version after which nothing is begun on
 # an older one. What is left covers the way to the target, and that this host
@@ -19,55 +19,83 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionNamed:
-    """A weight version of a model is to run everywhere."""
+    """A weight version of a model has just been named, and is to run everywhere."""
 
     model: str
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Named:
+class VersionFound:
+    """A version was found that is named already.
+
+    Attributes
+    ----------
+    not_named_at : datetime.datetime or None
+        The latest time at which it is known not to have been named; None if it may
+        have been named at any time.
+    """
+
+    model: str
     version: int
-    at: datetime.datetime
+    not_named_at: datetime.datetime | None
 
 
 class Weights:
     """Keeps the named versions; they only rise.
 
+    Guards against replaced weights that are young again for a host which missed the
+    naming: after a start or a pause it took versions for named when it read of them,
+    and sent prompts to weights that had been replaced 11 s before, where 8 s are
+    allowed. So a version's age counts from when a host heard it named, which peers
+    tell each other, and otherwise from a time before.
+
     Parameters
     ----------
     state : world.World
         The shared tables.
     in_force_within : datetime.timedelta
         Time after which no run may begin on an older version.
+    contact_time : datetime.timedelta
+        How long a host that has started isn't held to such times.
     """
 
-    def __init__(self, state, in_force_within):
+    def __init__(self, state, in_force_within, contact_time):
         self._state = state
         self._in_force_within = in_force_within
-        # Oldest first: each version has its own time from its own naming.
-        self._named_by_model = {}
+        self._contact_time = contact_time
 
     def take(self, event, now):
-        """Take in a `VersionNamed`; return whether it was one."""
-        if not isinstance(event, VersionNamed):
-            return False
-        if event.version > self.named(event.model):
-            named = self._named_by_model.setdefault(event.model, [])
-            named.append(_Named(event.version, now))
-            self._state.emit(
-                commands.Note("version_named", event.model, str(event.version))
-            )
+        """Take in one of this module's events; return whether it was one."""
+        match event:
+            case VersionNamed(model, version):
+                replaces = self.named(model)
+                self._learn(namings.Naming(model, version, replaces, now, True), now)
+            case VersionFound(model, version, not_named_at):
+                replaces = 0 if not_named_at is None else self.named(model)
+                self._learn(
+                    namings.Naming(model, version, replaces, not_named_at, False), now
+                )
+            case _:
+                return False
         return True
 
+    def hear(self, told, now):
+        """Take in the `namings.Naming` records of a peer."""
+        for naming in told:
+            self._learn(naming, now)
+
+    def tick(self, now):
+        """Tell peers no longer of versions whose time is over."""
+        self._state.namings.stop_telling(before=now - self._in_force_within)
+
     def models(self):
         """Return the models of which a version is named."""
-        return list(self._named_by_model)
+        return self._state.namings.models()
 
     def named(self, model):
         """Return the version that is to run; 1 until one is named."""
-        named = self._named_by_model.get(model)
-        return named[-1].version if named else 1
+        return self._state.namings.newest(model)
 
     def running(self, row, model):
         """Return the version that a target is thought to run."""
@@ -80,15 +108,26 @@
     def loss(self, row, model, now):
         """Return the share of a run's worth that a target's old weights cost."""
         age = self._old_for(row, model, now)
+        if age is None:
+            return 1.0
         if age < _FREE_FOR:
             return 0.0
         part = (age - _FREE_FOR) / (self._in_force_within - _FREE_FOR)
         return min(1.0, _FIRST_LOSS + (1.0 - _FIRST_LOSS) * part)
 
     def may_begin(self, row, model, now):
-        """Return whether a run may begin on what the target runs."""
-        allowed = self._in_force_within * _OLD_ALLOWED_SHARE
-        return self._old_for(row, model, now) < allowed
+        """Return whether a run may begin on what the target runs.
+
+        Where nobody can tell how long a version has been replaced, because all
+        hosts have started again, it may for a share of the time for which a host
+        that has started isn't held to bounds: targets are brought to the new
+        weights meanwhile, and callers would otherwise all be refused.
+        """
+        age = self._old_for(row, model, now)
+        if age is None:
+            since_start = now - self._state.pauses.started_at
+            return since_start < self._contact_time * _OLD_ALLOWED_SHARE
+        return age < self._in_force_within * _OLD_ALLOWED_SHARE
 
     def note_refused(self, row, model, refused):
         """Take in that a target runs another version than was expected.
@@ -102,10 +141,31 @@
         else:
             row.guessed_version = None
 
+    def _learn(self, naming, now):
+        known = self._state.namings.get(naming.model, naming.version)
+        learned = self._state.namings.learn(naming)
+        if known is None or known.is_sure != learned.is_sure:
+            detail = f"{learned.version}, {_describe_age(learned, now)}"
+            self._state.emit(commands.Note("version_named", learned.model, detail))
+
     def _old_for(self, row, model, now):
-        """Return how long a target's version has been replaced."""
+        """Return how long a target's version has been replaced; None if unknown.
+
+        It is unknown also where a version was named in between that this host knows
+        nothing of.
+        """
         running = self.running(row, model)
-        for named in self._named_by_model.get(model, ()):
-            if named.version > running:
-                return now - named.at
-        return datetime.timedelta(0)
+        naming = self._state.namings.first_above(model, running)
+        if naming is None:
+            return datetime.timedelta(0)
+        if naming.at is None or not 0 < naming.replaces <= running:
+            return None
+        return now - naming.at
+
+
+def _describe_age(naming, now):
+    """Return how long ago a version was named, for the log."""
+    if naming.at is None:
+        return "named at a time that isn't known"
+    seconds = (now - naming.at).total_seconds()
+    return f"named {'' if naming.is_sure else 'at most '}{seconds:.1f} s ago"
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -13,6 +13,8 @@
     gossip,
     hashing,
     lives,
+    namings,
+    pauses,
     retries,
     tables,
 )
@@ -267,6 +269,8 @@
         # by kind of object.
         self.seen_by_kind: dict[str, int] = {}
         self.covered_by_kind: dict[str, int] = {}
+        self.namings = namings.Namings()
+        self.pauses = pauses.Pauses()
         # The latest lease that its holder has given up, as heard.
         self.lease_release: gossip.LeaseRelease | None = None
         # Whether work was sent that peers are to hear of before the next round.
--- /dev/null
+++ b/tests/decide/test_readings.py
@@ -0,0 +1,72 @@
+"""How old the news in an answer of the platform may be."""
+
+import datetime
+
+import pytest
+
+from sesamespindle.decide import pauses, readings, weights
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+KIND = "versions"
+
+
+@pytest.fixture
+def running():
+    """Give the pauses of a process that runs since now."""
+    made = pauses.Pauses()
+    made.note_step(NOW)
+    return made
+
+
+@pytest.fixture
+def read(running):
+    """Give readings with a list that was asked for now."""
+    made = readings.Readings(running)
+    made.listed(KIND, 10, NOW, NOW)
+    return made
+
+
+def run(running, since, until):
+    """Have the process take a step every tenth of a second."""
+    while since < until:
+        since += SECOND / 10
+        running.note_step(since)
+
+
+def test_what_the_first_list_holds_may_be_of_any_age(running):
+    first = readings.Readings(running).listed(KIND, 10, NOW, NOW + SECOND / 10)
+    assert first.event_of("m", 2) == weights.VersionFound("m", 2, None)
+
+
+def test_what_a_waiting_watch_tells_has_just_happened(running, read):
+    run(running, NOW, NOW + 5 * SECOND)
+    told = read.watched(KIND, 11, NOW, NOW + 5 * SECOND)
+    assert told.above == 10
+    assert told.event_of("m", 2) == weights.VersionNamed("m", 2)
+
+
+def test_what_a_watch_tells_at_once_was_there_since_the_reading_before(running, read):
+    """A watch fell silent and was given up after 6 s; the next one tells at once."""
+    run(running, NOW, NOW + 6 * SECOND)
+    began = NOW + 6 * SECOND
+    told = read.watched(KIND, 11, began, began + SECOND / 50)
+    assert told.event_of("m", 2) == weights.VersionFound("m", 2, NOW)
+
+
+def test_what_lay_here_during_a_pause_is_as_old_as_the_reading_before(running, read):
+    run(running, NOW, NOW + SECOND)
+    woke = NOW + 7 * SECOND
+    running.note_step(woke)
+    told = read.watched(KIND, 11, NOW, woke)
+    assert told.event_of("m", 2) == weights.VersionFound("m", 2, NOW)
+
+
+def test_what_a_list_shows_soon_after_a_reading_has_just_happened(read):
+    told = read.listed(KIND, 11, NOW + SECOND / 2, NOW + SECOND / 2)
+    assert told.event_of("m", 2) == weights.VersionNamed("m", 2)
+
+
+def test_a_peers_word_gives_no_age():
+    found = readings.FROM_PEER.event_of("m", 2)
+    assert found == weights.VersionFound("m", 2, None)
--- /dev/null
+++ b/tests/decide/test_weights.py
@@ -0,0 +1,158 @@
+"""How long a weight version has been replaced, by what a host can know."""
+
+import datetime
+
+import gateways
+import pytest
+
+from sesamespindle.daemon import peermessages
+from sesamespindle.decide import events, gossip, namings, targetlist, weights
+
+NOW, SECOND = gateways.NOW, gateways.SECOND
+
+
+def make_core(version=1):
+    """Return a gateway that starts now and knows one engine."""
+    core = gateways.make_gateway()
+    target = gateways.make_target("llm-3", "llm", versions={"m": version})
+    core.step(NOW, [targetlist.TargetsListed((target,))])
+    return core
+
+
+def may_begin(core, at):
+    return core.weights.may_begin(core.state.targets.get("llm-3"), "m", at)
+
+
+def loss(core, at):
+    return core.weights.loss(core.state.targets.get("llm-3"), "m", at)
+
+
+def tell(teller, hearer, at):
+    """Have a host tell another what it heard named, over the wire."""
+    teller.step(at, [events.Tick()])
+    message = gossip.GossipMessage("entry-2", "dc-1", named=teller.state.namings.told)
+    raw = peermessages.gossip_to_wire(message, 0, at).SerializeToString()
+    read = type(peermessages.gossip_to_wire(message, 0, at)).FromString(raw)
+    heard = peermessages.gossip_from_wire(read, at)
+    hearer.step(at, [gossip.GossipAnswered("10.0.0.2:81", heard)])
+
+
+def test_a_host_that_starts_learns_a_versions_age_from_peers():
+    """A host starts again 5 s after a version was named.
+
+    Its own reading can't tell when that was, but a peer that heard it can: runs
+    on the older weights may begin for 1.4 s more, and for no longer.
+    """
+    peer, started = make_core(), make_core()
+    peer.step(NOW, [weights.VersionNamed("m", 2)])
+    later = NOW + 5 * SECOND
+    started.step(later, [weights.VersionFound("m", 2, None)])
+    assert not may_begin(started, later)
+    tell(peer, started, later)
+    assert may_begin(started, NOW + 6.3 * SECOND)
+    assert not may_begin(started, NOW + 6.5 * SECOND)
+
+
+def test_of_two_hosts_the_one_that_heard_first_counts():
+    first, last = make_core(), make_core()
+    first.step(NOW, [weights.VersionNamed("m", 2)])
+    last.step(NOW + 3 * SECOND, [weights.VersionNamed("m", 2)])
+    tell(first, last, NOW + 4 * SECOND)
+    assert not may_begin(last, NOW + 6.5 * SECOND)
+    tell(last, first, NOW + 4 * SECOND)
+    assert not may_begin(first, NOW + 6.5 * SECOND)
+
+
+def test_only_versions_whose_time_is_not_over_are_told():
+    core = make_core()
+    core.step(NOW, [weights.VersionNamed("m", 2)])
+    core.step(NOW + 7 * SECOND, [events.Tick()])
+    assert [naming.version for naming in core.state.namings.told] == [2]
+    core.step(NOW + 9 * SECOND, [events.Tick()])
+    assert core.state.namings.told == ()
+
+
+def test_what_a_host_only_found_is_not_told():
+    core = make_core()
+    core.step(NOW, [weights.VersionFound("m", 2, NOW - SECOND), events.Tick()])
+    assert core.state.namings.told == ()
+
+
+def test_a_version_in_between_that_nobody_told_of_makes_older_weights_too_old():
+    """An engine runs version 1, version 3 is named, and version 2 was long before.
+
+    A host that started in between hears of version 3 alone. Counted from that,
+    runs on version 1 went on, although version 2 had replaced it 20 s before.
+    """
+    core = make_core()
+    core.step(NOW, [weights.VersionFound("m", 2, None)])
+    later = NOW + 20 * SECOND
+    core.step(later, [weights.VersionNamed("m", 3)])
+    assert not may_begin(core, later)
+    core.state.targets.get("llm-3").learn_version("m", 2)
+    assert may_begin(core, later)
+
+
+def test_a_version_told_without_the_one_before_it_makes_older_weights_too_old():
+    core = make_core()
+    later = NOW + 20 * SECOND
+    told = (namings.Naming("m", 3, 2, later, True),)
+    message = gossip.GossipMessage("entry-2", "dc-1", named=told)
+    core.step(later, [gossip.GossipAnswered("10.0.0.2:81", message)])
+    assert not may_begin(core, later)
+
+
+def test_callers_are_not_all_refused_right_after_all_hosts_started():
+    """All hosts start again, and all engines run weights that were replaced.
+
+    Nobody knows for how long, so all prompts would be refused until the first
+    engine has the new weights, some tenths of a second after the lease is taken.
+    A host that has just started isn't held to the time for new weights; it uses
+    older ones for that while, after all that have the new ones.
+    """
+    core = make_core()
+    core.step(NOW, [weights.VersionFound("m", 2, None)])
+    assert may_begin(core, NOW + 2 * SECOND)
+    assert loss(core, NOW + 2 * SECOND) == 1.0
+    assert not may_begin(core, NOW + 2.5 * SECOND)
+
+
+def test_after_a_pause_a_version_counts_from_the_last_reading_before_it():
+    core = make_core()
+    late = NOW + 6 * SECOND
+    core.step(late, [weights.VersionFound("m", 2, NOW)])
+    assert may_begin(core, NOW + 6.3 * SECOND)
+    assert not may_begin(core, NOW + 6.5 * SECOND)
+
+
+@pytest.mark.parametrize("quiet", [0.1, 0.9])
+def test_late_steps_are_no_pause(quiet):
+    core = make_core()
+    core.step(NOW + quiet * SECOND, [events.Tick()])
+    assert not core.state.pauses.paused_since(NOW)
+
+
+def test_a_long_time_without_a_step_is_a_pause():
+    core = make_core()
+    core.step(NOW + 1.1 * SECOND, [events.Tick()])
+    assert core.state.pauses.paused_since(NOW)
+    assert not core.state.pauses.paused_since(NOW + 1.1 * SECOND)
+
+
+def test_what_is_sure_goes_before_what_is_not_in_whatever_order():
+    sure = namings.Naming("m", 2, 1, NOW, True)
+    found = namings.Naming("m", 2, 0, NOW - 5 * SECOND, False)
+    at_any_time = namings.Naming("m", 2, 0, None, False)
+    for order in ([sure, found, at_any_time], [at_any_time, found, sure]):
+        known = namings.Namings()
+        for naming in order:
+            known.learn(naming)
+        assert known.get("m", 2) == sure
+
+
+def test_the_later_of_two_times_before_a_naming_counts():
+    known = namings.Namings()
+    known.learn(namings.Naming("m", 2, 0, None, False))
+    known.learn(namings.Naming("m", 2, 1, NOW, False))
+    known.learn(namings.Naming("m", 2, 1, NOW - datetime.timedelta(seconds=1), False))
+    assert known.get("m", 2) == namings.Naming("m", 2, 1, NOW, False)
