Show that prompts begin on weights whose time ended while they waited

Cause: nothing looks at a send again once it is made. A prompt that waits at an engine for memory begins there whenever there is room, also after the time of the weights that the engine has. Hypothesis: what has not begun shortly before the end of the time has to be taken back by closing its connection, upon which engines drop it. Ruled out: the expected version that is sent along, as the engine still has it; and a refusal as not run, since a first token may be on its way.

The tests of a host's end share the relay in this process and its set-up.

--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -5,8 +5,11 @@
 
 from sesamespindle.decide import (
     commands,
+    events,
     forwarding,
+    gateway,
     kvstores,
+    routes,
     targetlist,
     weights,
     world,
@@ -38,6 +41,30 @@
     )
 
 
+def withdrawn(core, now):
+    """Let time pass until now; return the sends that are withdrawn at a tick."""
+    happened = core.step(now, [events.Tick()])
+    return [
+        (command.request_id, command.attempt)
+        for command in happened
+        if isinstance(command, forwarding.Withdraw)
+    ]
+
+
+def add_routes(core):
+    """Add routes to the engines whose runs may be repeated, and may not."""
+    known = core.forwarding.configuration
+    shares = (routes.Share("llm", 1.0),)
+    added = (
+        gateways.make_route(
+            "ask", "/ask/", routes.Repeats.ONCE, streaming=True, shares=shares
+        ),
+        gateways.make_route("sum", "/sum/", routes.Repeats.IDEMPOTENT, shares=shares),
+    )
+    changed = gateways.make_configuration(2, routes=known.routes + added)
+    core.step(NOW, [gateway.ConfigurationRead(changed)])
+
+
 def note_peer_work(core, now, tokens, held_tokens=0):
     """Have a peer tell of what it has sent to each engine."""
     for row in core.state.targets.where("pool", "llm"):
@@ -89,3 +116,134 @@
     again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=late)
     assert isinstance(again, forwarding.Forward)
     assert again.target == "llm-3"
+
+
+def give_other_new_weights(core, sent):
+    """Have the engine that a send didn't go to load version 2."""
+    for row in core.state.targets.where("pool", "llm"):
+        if row.name != sent.target:
+            row.learn_version("m", 2)
+
+
+@pytest.mark.parametrize("path", ["/chat/1", "/sum/1"])
+def test_what_has_not_begun_on_replaced_weights_goes_to_another_engine(core, path):
+    """A prompt begins on weights that were replaced over 8 s before.
+
+    It was sent in time, and waits at an engine whose memory is full. Just before
+    the end of the time it is taken back, and goes to an engine with the new
+    weights; the one that held it has done nothing wrong.
+    """
+    add_routes(core)
+    sent = chat(core, NOW + 5 * SECOND, path)
+    give_other_new_weights(core, sent)
+    assert withdrawn(core, NOW + 7 * SECOND) == []
+    late = NOW + 7.5 * SECOND
+    assert withdrawn(core, late) == [("r1", 1)]
+    again = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
+    assert isinstance(again, forwarding.Forward)
+    assert again.target != sent.target
+    assert (again.attempt, again.version) == (2, 2)
+    row = core.state.targets.get(sent.target)
+    assert (row.failure_rate, row.failures, row.running_here) == (0.0, 0, 0)
+    assert row.usable(late)
+
+
+def test_what_may_run_once_is_not_said_not_to_have_run(core):
+    """A prompt that may run once runs twice, or after its caller was told it hadn't.
+
+    It waits at an engine with replaced weights until the end of their time. When
+    it is taken back its first token may be on the way, so it goes nowhere else,
+    and the answer promises nothing.
+    """
+    add_routes(core)
+    sent = chat(core, NOW + 5 * SECOND, "/ask/1")
+    give_other_new_weights(core, sent)
+    late = NOW + 7.5 * SECOND
+    assert withdrawn(core, late) == [("r1", 1)]
+    refused = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
+    assert isinstance(refused, commands.Refuse)
+    assert refused.code is commands.Code.TARGET_FAILED
+    assert refused.outcome is commands.Outcome.UNKNOWN
+
+
+def test_what_no_engine_can_take_over_is_not_said_not_to_have_run(core):
+    """All engines have replaced weights when a stream is taken back from one."""
+    chat(core, NOW + 5 * SECOND)
+    late = NOW + 7.5 * SECOND
+    assert withdrawn(core, late) == [("r1", 1)]
+    refused = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
+    assert isinstance(refused, commands.Refuse)
+    assert refused.outcome is commands.Outcome.UNKNOWN
+
+
+def test_what_has_begun_on_replaced_weights_goes_on(core):
+    """A stream breaks off in its middle though its engine works on it.
+
+    It began in time, so it may come to its end on the weights that it has.
+    """
+    chat(core, NOW + 5 * SECOND)
+    core.forwarding.first_byte("r1", now=NOW + 7 * SECOND)
+    assert withdrawn(core, NOW + 7.5 * SECOND) == []
+    assert withdrawn(core, NOW + 9 * SECOND) == []
+
+
+def test_a_stream_that_goes_on_elsewhere_has_to_begin_there_too(core):
+    """A stream breaks off, and waits to be continued at another engine.
+
+    Its first engine had begun, so the wait at the second was not looked at, and
+    it went on there on weights that were replaced over 8 s before.
+    """
+    chat(core, NOW + SECOND)
+    core.forwarding.first_byte("r1", now=NOW + 2 * SECOND)
+    soon = NOW + 5 * SECOND
+    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=soon)
+    assert again.attempt == 2
+    assert withdrawn(core, NOW + 7.5 * SECOND) == [("r1", 2)]
+
+
+def test_each_version_has_its_own_time(core):
+    """Version 3 is named 5 s after version 2, while prompts wait.
+
+    What waits on version 2 has the whole time of its own; what waits on version 1
+    has still the time from when version 2 was named, though 3 was named since.
+    """
+    core.state.targets.get("llm-3").learn_version("m", 2)
+    new = chat(core, NOW + SECOND, request_id="new")
+    core.state.targets.get("llm-3").leaving = True
+    old = chat(core, NOW + SECOND, request_id="old")
+    assert (new.version, old.version) == (2, 1)
+    core.step(NOW + 5 * SECOND, [weights.VersionNamed("m", 3)])
+    assert withdrawn(core, NOW + 7.5 * SECOND) == [("old", 1)]
+    core.forwarding.close("old", now=NOW + 7.5 * SECOND)
+    assert withdrawn(core, NOW + 12 * SECOND) == []
+    assert withdrawn(core, NOW + 12.5 * SECOND) == [("new", 1)]
+
+
+def test_what_was_sent_before_a_version_was_named_has_its_time_too():
+    """A prompt waits at an engine since before new weights were named."""
+    core = gateways.make_gateway()
+    target = gateways.make_target("llm-3", "llm", versions={"m": 1})
+    core.step(NOW, [targetlist.TargetsListed((target,))])
+    chat(core, NOW)
+    assert withdrawn(core, NOW + 5 * SECOND) == []
+    core.step(NOW + 5 * SECOND, [weights.VersionNamed("m", 2)])
+    assert withdrawn(core, NOW + 12 * SECOND) == []
+    assert withdrawn(core, NOW + 12.5 * SECOND) == [("r1", 1)]
+
+
+def test_nothing_is_withdrawn_of_a_request_that_is_over(core):
+    chat(core, NOW + 5 * SECOND)
+    core.forwarding.close("r1", now=NOW + 6 * SECOND)
+    assert withdrawn(core, NOW + 7.5 * SECOND) == []
+
+
+def test_the_log_of_a_send_tells_how_long_its_weights_are_replaced(core):
+    """A user complains of answers on old weights, and only logs are left.
+
+    They have to tell a prompt that was sent late from one that began late.
+    """
+    sent = chat(core, NOW + 5 * SECOND)
+    assert "version 1, replaced by 2 5000 ms ago" in sent.reason
+    core.state.targets.get("llm-3").learn_version("m", 2)
+    core.state.targets.get("llm-4").learn_version("m", 2)
+    assert "replaced" not in chat(core, NOW + 5 * SECOND, request_id="r2").reason
--- a/tests/platform/test_relay_end.py
+++ b/tests/platform/test_relay_end.py
@@ -3,13 +3,11 @@
 import datetime
 
 import aiohttp
-import aiohttp.web
 import pytest
+import relays
 import standins
 
-from sesamespindle.daemon import connections, driver, eventlog, measures, relay
 from sesamespindle.decide import budgets, events, gateway, routes, targetlist
-from sesamespindle.platform import dialect
 from sesamespindle.wire import clock
 
 SECOND = datetime.timedelta(seconds=1)
@@ -62,22 +60,8 @@
         async with standins.World() as world:
             target = await world.add_target("desk-1")
             core = make_core(target, now.now())
-            log = eventlog.EventLog("entry-1", eventlog.HybridClock(now), 1)
-            driving = driver.Driver(core, now, log)
-            async with connections.make_session() as session:
-                made = relay.Relay(
-                    driving, dialect.Dialect(), session, measures.Measures()
-                )
-                server = aiohttp.web.Server(made.handle, handler_cancellation=True)
-                runner = aiohttp.web.ServerRunner(server, shutdown_timeout=0.1)
-                await runner.setup()
-                site = aiohttp.web.TCPSite(runner, "127.0.0.1", 0)
-                await site.start()
-                host, port = runner.addresses[0]
-                try:
-                    await scenario(made, target, f"http://{host}:{port}/read/1")
-                finally:
-                    await runner.cleanup()
+            async with relays.serve(core, now) as served:
+                await scenario(served.relay, target, served.url("/read/1"))
 
     return lambda scenario: go(with_relay(scenario))
 
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -179,6 +179,16 @@
         The millisecond of its start, as its record tells it; None to not tell.
     release : asyncio.Event
         Streams go on to their second event once it is set.
+    admits : asyncio.Event
+        Requests wait in its queue until it is set. One whose connection closes
+        before is dropped, and doesn't run.
+    queued : asyncio.Event
+        Set once a request waits.
+    dropped : asyncio.Event
+        Set once a request was dropped.
+    turns_away : bool
+        Whether it says of all requests that it is full, with a body that comes
+        once `release` is set.
     """
 
     def __init__(self, name, address, service="desk"):
@@ -192,6 +202,11 @@
         self.release = asyncio.Event()
         self.release.set()
         self.began = asyncio.Event()
+        self.admits = asyncio.Event()
+        self.admits.set()
+        self.queued = asyncio.Event()
+        self.dropped = asyncio.Event()
+        self.turns_away = False
         self.readers = []
         self.writers = []
         self.loses_answers = False
@@ -250,14 +265,32 @@
                     return
                 headers = parse_head(head)
                 self.body = await _read_body(reader, headers)
+                if not await self._admit(reader):
+                    self.dropped.set()
+                    break
                 await self._answer(headers, writer)
         writer.close()
 
+    async def _admit(self, reader):
+        """Wait for a place; return False if the connection closes before."""
+        if self.admits.is_set():
+            return True
+        self.queued.set()
+        closed = asyncio.create_task(reader.read(1))
+        admitted = asyncio.create_task(self.admits.wait())
+        await asyncio.wait({closed, admitted}, return_when=asyncio.FIRST_COMPLETED)
+        closed.cancel()
+        admitted.cancel()
+        return not closed.done()
+
     async def _answer(self, headers, writer):
         if headers.get("x-expect-instance", self.name) != self.name:
             self.refused += 1
             writer.write(make_answer(421, headers, {"X-Instance-Id": self.name}))
             return
+        if self.turns_away:
+            await self._turn_away(headers, writer)
+            return
         self.runs.append(headers)
         self.began.set()
         if self.is_mute:
@@ -277,6 +310,13 @@
             make_answer(self.status, headers, stamp, body) + self.second_answer
         )
 
+    async def _turn_away(self, headers, writer):
+        body = b"full"
+        answer = make_answer(503, headers, {"X-Not-Executed": "1"}, body)
+        writer.write(answer.removesuffix(body))
+        await self.release.wait()
+        writer.write(body)
+
     async def _answer_unframed(self, headers, writer):
         """Answer without a length, and end with the connection."""
         attempt = headers["x-attempt-id"].encode()
