Take back what has not begun by the end of its weights' time

Cause: nothing looked at a send again once it was made, so a prompt that waited at its engine began there also after the time of the weights that the engine has. Mend: at each tick a send without a first byte, at 0.9 of the time allowed since the first newer version was named, is withdrawn: the relay closes its connection, upon which engines drop it. The 0.8 s left of 8 s cover the tick, the way of the close and a naming that was learned a little late. It may have begun, so what may run once ends with its outcome unknown; what resumes or may be repeated goes to an engine with the named weights, within attempts and budget, and the engine that held it isn't blamed. What has begun goes on. An answer that begins, or a refusal as not run that comes, in the instant of the withdrawal stands. Ruled out: a time sent along with the request, as versions named later aren't known by then; and ending the request's own deadline sooner, which would cut off what runs. Conclusion: where engines drop what their caller closes, nothing that this host knows to be replaced begins after its time. An engine that doesn't drop it is not covered. The log of a send tells how long its weights are replaced, so that a late begin can be told from a late send.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -30,6 +30,10 @@
         "ended: silent",
         "The target did not begin to answer in the time it usually needs.",
     ),
+    (
+        "ended: withdrawn",
+        "The request waited at its target until the target's weights were too old.",
+    ),
     ("ended: lost", "The connection to the target broke before a whole answer came."),
     ("ended: failed", "The target ran the request and answered with a failure."),
     ("ended: timeout", "The request's time was over before its answer was whole."),
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -77,6 +77,42 @@
         )
 
 
+class _Send:
+    """A send whose answer has not begun, which may be withdrawn.
+
+    Parameters
+    ----------
+    attempt : int
+        Which send of its request it is.
+    limit : asyncio.Timeout
+        Ends it.
+    """
+
+    def __init__(self, attempt, limit):
+        self.attempt = attempt
+        self._limit = limit
+        self._ends_at = limit.when()
+        # Why it is withdrawn, for the log; empty while it isn't.
+        self.withdrawn = ""
+
+    def withdraw(self, reason):
+        """End it now, unless it ends already."""
+        if self._limit.expired():
+            return
+        self.withdrawn = reason
+        self._limit.reschedule(asyncio.get_running_loop().time())
+
+    def keep(self):
+        """Let it come to its end after all.
+
+        Guards against an answer that begins in the instant of its withdrawal: its
+        caller would get a beginning without an end.
+        """
+        if self.withdrawn and not self._limit.expired():
+            self._limit.reschedule(self._ends_at)
+            self.withdrawn = ""
+
+
 class Relay:
     """Answers callers' requests.
 
@@ -102,8 +138,11 @@
         self._requests_by_connection = weakref.WeakKeyDictionary()
         # The time limits of all sends under way.
         self._limits = set()
+        # The sends under way whose answer has not begun.
+        self._send_by_request = {}
         self._is_ending = False
         self.in_flight = 0
+        driver.on(forwarding.Withdraw, self._withdraw)
 
     def end(self):
         """Give all requests under way their final answers now, as the host ends.
@@ -201,10 +240,14 @@
                 self._forwarding.timed_out, forward.request_id, sent=True
             )
         try:
-            async with self._limit(max(left, 0.001)):
+            async with self._limit(max(left, 0.001)) as limit:
+                send = _Send(forward.attempt, limit)
+                self._send_by_request[forward.request_id] = send
                 ending = await self._exchange(http, body, forward, answer)
         except TimeoutError:
-            return self._after_limit(forward)
+            return self._after_limit(forward, send)
+        finally:
+            self._send_by_request.pop(forward.request_id, None)
         if ending is None:
             return None
         command = self._decide(self._forwarding.ended, forward.request_id, ending)
@@ -217,16 +260,40 @@
         async with asyncio.timeout(seconds) as limit:
             self._limits.add(limit)
             try:
-                yield
+                yield limit
             finally:
                 self._limits.discard(limit)
 
-    def _after_limit(self, forward):
-        """Return what follows a send whose time is over, or whose host ends."""
+    def _withdraw(self, command):
+        """Carry out a `forwarding.Withdraw`."""
+        send = self._send_by_request.get(command.request_id)
+        if send is not None and send.attempt == command.attempt:
+            send.withdraw(command.reason)
+
+    def _keep(self, forward):
+        """Have a send withdrawn no more, as its answer is there.
+
+        Where the host ends, its limit stays as that has set it.
+        """
+        send = self._send_by_request.pop(forward.request_id, None)
+        if send is not None and not self._is_ending:
+            send.keep()
+
+    def _after_limit(self, forward, send):
+        """Return what follows a send that was ended before its answer was whole.
+
+        Its time is over, its host ends, or it was withdrawn.
+        """
         if self._is_ending:
             command = self._forwarding.host_ends(forward.request_id)
             self._log_end(forward, "host ends", command)
             return command
+        if send.withdrawn:
+            command = self._decide(
+                self._forwarding.ended, forward.request_id, forwarding.Ending.WITHDRAWN
+            )
+            self._log_end(forward, f"withdrawn, {send.withdrawn}", command)
+            return command
         command = self._decide(
             self._forwarding.timed_out, forward.request_id, sent=True
         )
@@ -294,6 +361,9 @@
         idle = self._dialect.idle_time(response.headers)
         keeps = idle is None or idle >= _SHORTEST_IDLE_SECONDS
         ending = self._dialect.judge(forward, response.status, response.headers)
+        if ending is not None:
+            # It is known what has become of it: "not run" must not get lost.
+            self._keep(forward)
         try:
             if ending is forwarding.Ending.FAILED:
                 answer.failure = await self._read_failure(response)
@@ -427,6 +497,7 @@
         return response.content_type == "text/event-stream"
 
     def _first_byte(self, forward):
+        self._keep(forward)
         now = self._clock.now()
         self._forwarding.first_byte(forward.request_id, now)
         flight = self._forwarding.flight_by_request.get(forward.request_id)
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -60,6 +60,10 @@
     ----------
     life : lives.Life or None
         The life of the target that it was sent to last.
+    version : int or None
+        The weight version that was to run its last send.
+    has_begun : bool
+        Whether an answer to its last send has begun.
     """
 
     request: Request
@@ -74,3 +78,4 @@
     sent_at: datetime.datetime | None = None
     tried: set = dataclasses.field(default_factory=set)
     version: int | None = None
+    has_begun: bool = False
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -64,6 +64,12 @@
     LOST = "lost"
     # No answer began within the patience of the send.
     SILENT = "silent"
+    # It was taken back, by a `Withdraw`, before its answer had begun.
+    WITHDRAWN = "withdrawn"
+
+
+# The endings after which a target may have begun to run the request.
+_MAYBE_RAN = frozenset((Ending.FAILED, Ending.LOST, Ending.SILENT, Ending.WITHDRAWN))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +112,23 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Close the connection of a send, unless its answer has begun meanwhile.
+
+    It then ends as `Ending.WITHDRAWN`.
+
+    Attributes
+    ----------
+    reason : str
+        What decided it, for the log.
+    """
+
+    request_id: str
+    attempt: int
+    reason: str
+
+
 class Forwarding:
     """Decides on every request and every end of a send.
 
@@ -172,7 +195,7 @@
         row = self._state.target_in(flight.life)
         self._release(flight)
         self._note_ending(flight, row, ending, now)
-        maybe_ran = ending in (Ending.FAILED, Ending.LOST, Ending.SILENT)
+        maybe_ran = ending in _MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
         if self._may_repeat(flight, ending, maybe_ran, now):
@@ -184,6 +207,7 @@
         flight = self.flight_by_request.get(request_id)
         if flight is None:
             return
+        flight.has_begun = True
         row = self._state.target_in(flight.life)
         if row is None:
             return
@@ -192,6 +216,34 @@
         if not flight.route.streaming and flight.sent_at is not None:
             _note_service_time(row, now - flight.sent_at)
 
+    def tick(self, now):
+        """Take back what has not begun by the end of its weights' time.
+
+        Guards against runs that begin on weights that have long been replaced: a
+        prompt is sent in time and waits at its engine, longer than was expected,
+        for memory or for more urgent ones. Engines drop a request when its
+        connection closes, so it doesn't begin after that.
+        """
+        for flight in self.flight_by_request.values():
+            replaced = self._replacement(flight)
+            if replaced is None or flight.has_begun or now < replaced.begun_by:
+                continue
+            age = replaced.describe_age(now)
+            self._state.emit(
+                Withdraw(
+                    flight.request.request_id,
+                    flight.sends,
+                    f"not begun on version {flight.version}, {age} after "
+                    f"version {replaced.version} was named",
+                )
+            )
+
+    def _replacement(self, flight):
+        """Return the `weights.Replacement` of what a send under way is to run on."""
+        if flight.sent_at is None or flight.version is None:
+            return None
+        return self._weights.replacement(flight.version, flight.request.model)
+
     def close(self, request_id, now):
         """Forget a request that has its final answer or lost its caller."""
         flight = self.flight_by_request.pop(request_id, None)
@@ -252,6 +304,7 @@
         flight.version = place.version if place else None
         flight.sends += 1
         flight.sent_at = now
+        flight.has_begun = False
         flight.tried.add(row.life)
         row.running_here += 1
         if place:
@@ -300,10 +353,19 @@
         return (
             f"{text}, context {request.affinity or 'none'}, "
             f"{'at home' if place.at_home else 'away from home'}, "
-            f"version {place.version}, {request.prompt_tokens} tokens, "
+            f"{self._describe_version(flight, now)}, {request.prompt_tokens} tokens, "
             f"{fetched} to fetch, {saved} parts to save, {queued:.0f} ms queued."
         )
 
+    def _describe_version(self, flight, now):
+        """Return what weights a send is to run on, and since when they're replaced."""
+        text = f"version {flight.version}"
+        replaced = self._replacement(flight)
+        if replaced is None:
+            return text
+        age = replaced.describe_age(now)
+        return f"{text}, replaced by {replaced.version} {age} ago"
+
     def _candidates(self, flight, service, now):
         """Return targets with room for one more connection of this daemon.
 
@@ -400,9 +462,10 @@
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
-        return self._refuse(
-            request, code, "The target gave no whole answer.", commands.Outcome.UNKNOWN
-        )
+        message = "The target gave no whole answer."
+        if ending is Ending.WITHDRAWN:
+            message = "The target's weights were replaced before it answered."
+        return self._refuse(request, code, message, commands.Outcome.UNKNOWN)
 
     def _describe(self, flight, now):
         """Return what is known of the service's targets, for the caller's log."""
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -175,6 +175,7 @@
         self._targets.tick(now)
         self.lease.tick(now)
         self.rollout.tick(now)
+        self.forwarding.tick(now)
         if self.lease.is_held(now):
             self.stores.free_replaced(self._salt_is_kept, now)
 
--- a/packages/decide/sesamespindle/decide/weights.py
+++ b/packages/decide/sesamespindle/decide/weights.py
@@ -66,12 +66,11 @@
     send_until: datetime.datetime
     begun_by: datetime.datetime
 
-    def describe(self, now):
-        """Return which version it is and how old, for the log."""
+    def describe_age(self, now):
+        """Return how long ago it was named, for the log."""
         if self.at is None:
-            return f"version {self.version}, named at a time that isn't known"
-        age = (now - self.at) / datetime.timedelta(milliseconds=1)
-        return f"version {self.version}, named {age:.0f} ms ago"
+            return "an unknown time"
+        return f"{(now - self.at) / datetime.timedelta(milliseconds=1):.0f} ms"
 
 
 class Weights:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -72,3 +72,14 @@
     )
     found = explain.explain(explain.read([path]), "abc123")
     assert "grace time ended" in found.cause
+
+
+def test_a_request_that_was_taken_back_from_its_target_is_named(tmp_path):
+    path = tmp_path / "one.log"
+    ended = (
+        "The send to target llm-1 ended: withdrawn, not begun on version 1, "
+        "7200 ms after version 2 was named. Next: target_failed, unknown."
+    )
+    path.write_text(line(1, "entry-1", "abc123", ended))
+    found = explain.explain(explain.read([path]), "abc123")
+    assert "too old" in found.cause
