Test that a lost host of the platform's list is dead soon to one that starts

The record of a host that was lost stays in the platform's list. A host that starts reads it as live and counts its silence from then, whatever it was before: the same cause as with a lost host that another data centre tells of, by another way in.

--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -3,7 +3,14 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, events, gossip, membership, world
+from sesamespindle.decide import (
+    catalogue,
+    commands,
+    events,
+    gossip,
+    membership,
+    world,
+)
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 NAMES = [f"entry-{number}" for number in range(20)]
@@ -306,3 +313,20 @@
         now += ROUND / 4
         made.tick(now)
     assert state.entries.get("entry-1").state is events.HostState.DEAD
+
+
+def test_a_listed_host_that_is_lost_is_dead_soon_to_a_mate_that_started_after():
+    """A host is lost, and its record stays in the platform's list.
+
+    The only other one of its data centre starts and reads the list. It counts the
+    silence from when it read of it: callers were told of a host that may have been
+    lost long before.
+    """
+    made, state = make_membership("entry-0", ["entry-0"])
+    lost = events.Host("entry-1", "entry", "dc-1", "u", "p", "", 1)
+    catalogue.Catalogue(state).list_entries([lost], NOW)
+    now = NOW
+    while now < NOW + state.policy.suspect_after:
+        now += ROUND / 4
+        made.tick(now)
+    assert state.entries.get("entry-1").state is events.HostState.DEAD
