Ask a mate that wasn't heard since the start, and give it up after three rounds

Cause: a host that starts counted a mate's silence from when it was told of it, by another data centre or by the platform's list. Where the mate had been lost before, callers were told of it for a whole patience more, at each start again.

Hypothesis: what decides is whether the mate answers, not how long it has been known. A host now asks each of its data centre that it hasn't heard since its start, in each round, and takes one for dead that left three rounds unanswered. Rounds are counted and not time, so that its own pause doesn't kill its mates. A mate's own word, or a newer record from another host of the data centre, ends it; from then on the usual patience holds. A record from elsewhere with a higher heartbeat doesn't, as it may be of before the loss too.

Ruled out: telling the age of a record. Heartbeats don't travel between data centres, so the age that another one knows is that of its last exchange, minutes for a live host; it tells live from lost only where it is small. Inside a data centre silence counted from the source would suspect live hosts, as heartbeats take some rounds to come round. Ruled out for the product's own face: a new owner of an account's limit doesn't wait for the slices of a dead host, and a slice lasts for longer than three rounds; there all stays as it was.

--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -47,7 +47,9 @@
         self.calls = calls.Calls(
             self.state, self._admission_by_resource[events.Resource.CALLS]
         )
-        self.membership = membership.Membership(self.state, seeds, contradicts=False)
+        self.membership = membership.Membership(
+            self.state, seeds, contradicts=False, gives_up_early=False
+        )
 
     def step(self, now, happened):
         """Take events in, in their order, and return the commands they lead to.
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -11,6 +11,7 @@
     events,
     gossip,
     hashing,
+    startupprobes,
     world,
 )
 
@@ -48,12 +49,20 @@
         Whether this daemon takes a higher incarnation than an earlier life of its
         own is remembered under. Not where the incarnation stands in more than
         gossip: slices, claims and tickets are kept under the one of the start.
+    gives_up_early : bool
+        Whether a peer that was never heard here is asked in each round, and is dead
+        once it has left a few unanswered. Not where a death frees what its host may
+        still use: a new owner of an account's limit doesn't wait for the slices of
+        a dead host, and a slice may be used for longer than these rounds take.
     """
 
-    def __init__(self, state, seeds=(), contradicts=True):
+    def __init__(self, state, seeds=(), contradicts=True, gives_up_early=True):
         self._state = state
         self._seeds = seeds
         self._contradicts = contradicts
+        self._gives_up_early = gives_up_early
+        self._interval = state.policy.suspect_after / ROUNDS_BEFORE_SUSPICION
+        self._probes = startupprobes.StartupProbes(self._interval)
         self._next_round = None
         self._digests = None
         self._digests_view = None
@@ -63,10 +72,10 @@
 
     def tick(self, now):
         """Judge silence, and begin rounds of gossip when it is time."""
+        self._probes.tick(now)
         self._judge_silence(now)
         if self._next_round is None or now >= self._next_round or self._urgent:
-            interval = self._state.policy.suspect_after / ROUNDS_BEFORE_SUSPICION
-            self._next_round = now + interval
+            self._next_round = now + self._interval
             self.spread(now)
         elif self._state.tells_pending:
             self._tell_pending()
@@ -79,7 +88,7 @@
         self._raise_pulse(me)
         me.heard_at = now
         me.revision = self._state.revision
-        for address, inside in self._choose_peers():
+        for address, inside in self._choose_peers(now):
             self._state.emit(commands.GossipTo(address, self._message(inside)))
 
     def _tell_pending(self):
@@ -130,6 +139,7 @@
     def receive(self, event, now):
         """Answer a peer's half of a round with what it lacks."""
         message = event.message
+        self._note_heard(message)
         if message.brief:
             self._merge_pending(message, now)
             reply = self._brief_message()
@@ -147,6 +157,7 @@
 
     def answered(self, event, now):
         """Take a peer's answer in, and send it what it asked for."""
+        self._note_heard(event.message)
         if event.message.brief:
             self._merge_pending(event.message, now)
             return
@@ -189,6 +200,10 @@
         """Have the next tick begin a round of gossip, as something has changed."""
         self._urgent = True
 
+    def _note_heard(self, message):
+        if message.data_centre == self._state.me.data_centre:
+            self._probes.note_heard(message.sender)
+
     def _fetch_revision(self, peer_address, revision):
         if revision > self._state.revision:
             self._state.emit(
@@ -225,8 +240,9 @@
             if row.state in _GONE:
                 if silence > _DEAD_KEPT_FOR:
                     state.entries.remove(row.name)
+                    self._probes.forget(row.name)
                     state.note_view_change()
-            elif silence > 2 * limit:
+            elif silence > 2 * limit or self._probes.has_failed(row, now):
                 self._judge(row, _State.DEAD)
             elif silence > limit and row.state is _State.LIVE:
                 self._judge(row, _State.SUSPECT)
@@ -236,7 +252,7 @@
         self._state.note_view_change()
         self._state.emit(commands.Note(f"entry_{entry_state.value}", row.name))
 
-    def _choose_peers(self):
+    def _choose_peers(self, now):
         """Return (address, whether inside) of the peers of one round."""
         state = self._state
         here = state.me.data_centre
@@ -245,6 +261,9 @@
         chosen = self._sample(inside, PEERS_INSIDE) + self._choose_outside()
         if dead and state.random.random() < _REVIVE_CHANCE:
             chosen += self._sample(dead, 1)
+        if self._gives_up_early:
+            probed = self._probes.begin_round(inside + dead, now)
+            chosen += [row for row in probed if row not in chosen]
         peers = [(row.peer_address, row.data_centre == here) for row in chosen]
         if not peers:
             peers = [(address, True) for address in self._seeds]
@@ -378,8 +397,9 @@
         return list(newer.values()), wanted
 
     def _merge(self, message, now):
+        inside = message.data_centre == self._state.me.data_centre
         for member in message.members:
-            self._merge_member(member, now)
+            self._merge_member(member, inside, now)
         for digest in message.data_centres:
             self._merge_pulse(digest, now)
         for leaving in message.leaving_targets:
@@ -437,11 +457,16 @@
             self._urgent = True
             self._state.emit(commands.Note("target_leaving", row.name, "heard"))
 
-    def _merge_member(self, member, now):
+    def _merge_member(self, member, inside, now):
         """Take a record that is newer than ours, by incarnation and heartbeat.
 
         At the same heartbeat the worse state goes before the better, so that
         all daemons come to the same table in whatever order records arrive.
+
+        Parameters
+        ----------
+        inside : bool
+            Whether a peer of this data centre tells it.
         """
         state = self._state
         if member.name == state.me.name:
@@ -453,6 +478,11 @@
             return
         if row is not None and _precedence(member) <= _precedence(row):
             return
+        if row is not None and inside and member.state not in _GONE:
+            # Peers of this data centre hear heartbeats, so it speaks to others.
+            self._probes.note_heard(member.name)
+        elif row is not None and self._stays_given_up(row, member, now):
+            member = dataclasses.replace(member, state=_State.DEAD)
         before = row.state if row is not None else None
         state.put_entry(
             world.EntryRow(
@@ -474,6 +504,17 @@
             self._urgent = True
             state.emit(commands.Note(f"entry_{member.state.value}", member.name))
 
+    def _stays_given_up(self, row, member, now):
+        """Return whether a record from elsewhere leaves a peer that is given up so.
+
+        Guards against a lost host that callers are told of again: data centres
+        know different heartbeats of it, all of before its loss, and one that
+        knows a higher one than this daemon would have it back for a while.
+        """
+        if row.state is not _State.DEAD or row.incarnation != member.incarnation:
+            return False
+        return member.state not in _GONE and self._probes.has_failed(row, now)
+
     def _merge_own(self, member, now):
         """Take in what others know of an earlier life of this daemon.
 
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -6,9 +6,11 @@
 from sesamespindle.decide import (
     catalogue,
     commands,
+    core,
     events,
     gossip,
     membership,
+    startupprobes,
     world,
 )
 
@@ -330,3 +332,251 @@
         now += ROUND / 4
         made.tick(now)
     assert state.entries.get("entry-1").state is events.HostState.DEAD
+
+
+TICK = ROUND / 4
+# Of `make_daemon`, whose world has the default policy.
+INTERVAL = world.Policy().suspect_after / membership.ROUNDS_BEFORE_SUSPICION
+ENOUGH_ROUNDS = startupprobes.UNANSWERED_ROUNDS * INTERVAL + 2 * TICK
+
+
+def tell_of(daemon, name, now, heartbeat=9, incarnation=1, data_centre="dc-2"):
+    """Have a daemon hear of one of its data centre from a peer of another."""
+    told = gossip.Member(
+        name,
+        "dc-1",
+        f"{name}:80",
+        f"{name}:81",
+        "",
+        incarnation,
+        heartbeat,
+        events.HostState.LIVE,
+        0,
+    )
+    message = gossip.GossipMessage("elsewhere", data_centre, members=(told,))
+    daemon[0].answered(gossip.GossipAnswered("elsewhere:81", message), now)
+
+
+def answer(other, message, now):
+    """Return a daemon's reply; what it had commanded itself waits on."""
+    made, state = other
+    kept = state.take_commands()
+    made.receive(gossip.GossipReceived("1", message), now)
+    (reply,) = [
+        item for item in state.take_commands() if isinstance(item, commands.GossipReply)
+    ]
+    for item in kept:
+        state.emit(item)
+    return reply.message
+
+
+def exchange(daemons, cut, now):
+    """Carry out what all daemons commanded, but for what goes over a cut link."""
+    daemon_by_address = {row[1].me.peer_address: row for row in daemons}
+    for made, state in daemons:
+        for command in state.take_commands():
+            if not isinstance(command, commands.GossipTo):
+                continue
+            address = command.peer_address
+            other = daemon_by_address.get(address)
+            if other is None or {state.me.name, other[1].me.name} in cut:
+                continue
+            message = answer(other, command.message, now)
+            made.answered(gossip.GossipAnswered(address, message), now)
+
+
+def play(daemons, now, duration, cut=()):
+    """Let daemons tick and gossip; return the time and who was ever called dead.
+
+    Parameters
+    ----------
+    cut : collection of set
+        Pairs of names whose link is cut.
+    """
+    until = now + duration
+    dead_names = set()
+    while now < until:
+        now += TICK
+        for made, _ in daemons:
+            made.tick(now)
+        exchange(daemons, cut, now)
+        for _, state in daemons:
+            dead_names |= {
+                row.name for row in state.entries if row.state is events.HostState.DEAD
+            }
+    return now, dead_names
+
+
+def state_of(daemon, name):
+    return daemon[1].entries.get(name).state
+
+
+def test_live_hosts_that_start_together_do_not_call_each_other_dead():
+    """All hosts of a data centre lose power and start again together.
+
+    Other data centres and the platform's list still have their lives before, so
+    each hears of its mates by old records. All of them are there.
+    """
+    names = ["a", "b", "c", "d", "e", "f"]
+    daemons = [make_daemon(name, "dc-1", incarnation=2) for name in names]
+    for daemon in daemons:
+        for name in names:
+            if name != daemon[1].me.name:
+                tell_of(daemon, name, NOW, heartbeat=500)
+    _, dead_names = play(daemons, NOW, 10 * INTERVAL)
+    assert dead_names == set()
+    for daemon in daemons:
+        assert {row.incarnation for row in daemon[1].entries} == {2}
+
+
+def test_a_mate_that_is_slow_for_two_rounds_is_not_called_dead():
+    here, slow = make_daemon("a", "dc-1"), make_daemon("b", "dc-1")
+    slow[1].entries.get("b").heartbeat = 9
+    tell_of(here, "b", NOW)
+    now, dead_names = play([here], NOW, 2 * INTERVAL)
+    assert dead_names == set()
+    _, dead_names = play([here, slow], now, 10 * INTERVAL)
+    assert dead_names == set()
+
+
+def test_a_mate_that_was_frozen_is_back_as_soon_as_it_is_heard_of():
+    """A host starts while its live mate is frozen, and calls it dead.
+
+    The mate wakes up and serves. It is named again from its first word, as its
+    heartbeat has risen above that of the record with its death.
+    """
+    here, frozen = make_daemon("a", "dc-1"), make_daemon("b", "dc-1")
+    frozen[1].entries.get("b").heartbeat = 9
+    introduce(frozen[1], here[1])
+    tell_of(here, "b", NOW)
+    now, _ = play([here], NOW, ENOUGH_ROUNDS)
+    assert state_of(here, "b") is events.HostState.DEAD
+    play([here, frozen], now, INTERVAL + TICK)
+    assert state_of(here, "b") is events.HostState.LIVE
+
+
+def test_a_host_that_wakes_from_a_pause_hears_its_mates_before_it_judges_them():
+    """A host starts, asks its mate, and stands still when the answers come.
+
+    Its rounds were all begun and are long over when it wakes up. It judges at
+    its first tick, before it has read anything, and callers were told of one
+    host fewer.
+    """
+    here = make_daemon("a", "dc-1")
+    tell_of(here, "b", NOW)
+    now, _ = play([here], NOW, (startupprobes.UNANSWERED_ROUNDS - 1) * INTERVAL + TICK)
+    now += 2 * INTERVAL
+    here[0].tick(now)
+    assert state_of(here, "b") is events.HostState.LIVE
+    _, dead_names = play([here], now, INTERVAL + TICK)
+    assert dead_names == {"b"}
+
+
+def test_rounds_that_follow_at_once_count_as_one():
+    """A host that starts spreads news at every tick, and each is a round.
+
+    Its mate had three of them to answer within a third of a second.
+    """
+    here = make_daemon("a", "dc-1")
+    tell_of(here, "b", NOW)
+    now = NOW
+    for _ in range(2 * startupprobes.UNANSWERED_ROUNDS):
+        now += TICK
+        here[0].spread_soon()
+        here[0].tick(now)
+    assert state_of(here, "b") is events.HostState.LIVE
+
+
+def test_a_mate_that_is_not_heard_is_asked_itself_in_each_round():
+    """Twenty hosts are there, and a round goes to two of them by chance.
+
+    A host that starts must ask all that it hasn't heard, or live ones would be
+    given up unasked. Those that have spoken are asked by chance again.
+    """
+    here = make_daemon("a", "dc-1")
+    for name in NAMES:
+        tell_of(here, name, NOW)
+    told = told_by(*here, NOW + TICK)
+    assert {item.peer_address for item in told} >= {f"{name}:81" for name in NAMES}
+    for name in NAMES:
+        message = gossip.GossipMessage(name, "dc-1")
+        here[0].answered(gossip.GossipAnswered(f"{name}:81", message), NOW + TICK)
+    told = told_by(*here, NOW + TICK + INTERVAL)
+    assert len(told) == membership.PEERS_INSIDE
+
+
+def test_a_mate_that_has_spoken_keeps_the_usual_patience():
+    here, there = make_daemon("a", "dc-1"), make_daemon("b", "dc-1")
+    tell_of(here, "b", NOW)
+    now, _ = play([here, there], NOW, 2 * INTERVAL)
+    now, dead_names = play([here], now, here[1].policy.suspect_after)
+    assert dead_names == set()
+    _, dead_names = play([here], now, here[1].policy.suspect_after + ROUND)
+    assert dead_names == {"b"}
+
+
+def test_a_mate_whom_only_others_of_its_data_centre_reach_is_not_called_dead():
+    """The link between a host that has just started and its mate is cut.
+
+    A third host of the data centre reaches both and tells the mate's heartbeats.
+    """
+    here, mate, third = (make_daemon(name, "dc-1") for name in "abc")
+    mate[1].entries.get("b").heartbeat = 9
+    introduce(third[1], mate[1])
+    introduce(mate[1], third[1])
+    introduce(here[1], third[1])
+    tell_of(here, "b", NOW)
+    _, dead_names = play([here, mate, third], NOW, 10 * INTERVAL, cut=[{"a", "b"}])
+    assert dead_names == set()
+
+
+def test_a_lost_host_is_not_brought_back_by_an_old_record_from_elsewhere():
+    """A lost host is given up, and callers are told of it again.
+
+    Data centres know different heartbeats of it. One that hadn't been asked yet
+    knew a higher one, and its record went before that with the death.
+    """
+    here = make_daemon("a", "dc-1")
+    tell_of(here, "b", NOW)
+    now, _ = play([here], NOW, ENOUGH_ROUNDS)
+    assert state_of(here, "b") is events.HostState.DEAD
+    tell_of(here, "b", now, heartbeat=12, data_centre="dc-3")
+    row = here[1].entries.get("b")
+    assert (row.state, row.heartbeat) == (events.HostState.DEAD, 12)
+    tell_of(here, "b", now, heartbeat=1, incarnation=2)
+    assert state_of(here, "b") is events.HostState.LIVE
+    _, dead_names = play([here], now, INTERVAL)
+    assert dead_names == set()
+
+
+def test_a_mistaken_death_does_not_go_before_a_higher_heartbeat():
+    """A host that starts behind a cut link calls a live mate dead.
+
+    A third one that hears the mate keeps it, and corrects the one that is wrong.
+    """
+    here, third = make_daemon("a", "dc-1"), make_daemon("c", "dc-1")
+    mate = make_daemon("b", "dc-1")
+    mate[1].entries.get("b").heartbeat = 20
+    introduce(third[1], mate[1])
+    tell_of(here, "b", NOW)
+    now, _ = play([here], NOW, ENOUGH_ROUNDS)
+    assert state_of(here, "b") is events.HostState.DEAD
+    introduce(here[1], third[1])
+    third[1].entries.get("b").heard_at = now
+    run_round(here, third, now)
+    assert state_of(third, "b") is events.HostState.LIVE
+    assert state_of(here, "b") is events.HostState.LIVE
+
+
+def test_where_a_death_frees_slices_a_mate_is_not_given_up_early():
+    """Two owners' slices of an account add up to more than its limit.
+
+    A new owner counts the slices of all but dead entries. One that is cut off for
+    some seconds still uses its own, for as long as a grant lasts.
+    """
+    me = events.Host("a", "entry", "dc-1", "a:80", "a:81", "", 1)
+    made = core.Core(me)
+    here = (made.membership, made.state)
+    tell_of(here, "b", NOW)
+    _, dead_names = play([here], NOW, made.state.policy.grant_lifetime)
+    assert dead_names == set()
