Show a holder that counts its lease from a question, not its renewal

Cause: after a lost answer the lease is read, and the time of that question is taken as the time of the renewal that it finds. Others may have seen the renewal since it was sent. Shown: the holder may act until 2.2 s after the renewal instead of 1.5 s, so 2.6 s before the next holder, where a lease time of 3 s must lie between.

--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -36,6 +36,12 @@
                 self.lease.take(answer, now)
                 self.state.take_commands()
 
+    def sent(self, now):
+        """Tick, and return the writes that go out; nobody answers them."""
+        self.lease.tick(now)
+        out = self.state.take_commands()
+        return [command for command in out if isinstance(command, lease.WriteLease)]
+
     def _answer(self, command):
         if not isinstance(command, lease.ReadLease | lease.WriteLease):
             return None
@@ -140,6 +146,27 @@
     assert not hosts[0].lease.is_held(late)
 
 
+def test_a_renewal_with_a_lost_answer_counts_from_when_it_was_sent(hosts):
+    """A renewal takes effect at once, but its answer is lost.
+
+    The holder asks 0.7 s later and finds its renewal. Others may have seen it
+    0.7 s ago and count from then; a holder that counts from its question acts
+    until 2.6 s before the next one does, where a lease time must lie between.
+    """
+    run(hosts, 1)
+    holder = hosts[0]
+    sent_at = 1.0
+    while not (writes := holder.sent(NOW + seconds(sent_at))):
+        sent_at += 0.1
+    _, revision = holder.store
+    holder.store[:] = [writes[0].record, revision + 1]
+    late = NOW + seconds(sent_at + 0.7)
+    holder.lease.take(lease.LeaseUnknown(), late)
+    holder.lease.take(lease.LeaseFound(*holder.store), late)
+    assert holder.lease.is_held(NOW + seconds(sent_at + 1.4))
+    assert not holder.lease.is_held(NOW + seconds(sent_at + 1.6))
+
+
 def test_a_lease_that_comes_to_a_leaving_host_is_released_at_once():
     """A host is told to leave while its write that takes the lease is under way.
 
