Count the lease from the renewal that was sent, also if its answer was lost

Cause: the time of the last call, a question, stood for the time of the renewal that the question found. Hypothesis: counting from the write that the record names closes it. Each write of a holder is now unlike all others (its count rises with each write, also those that got no answer), so the record tells which write took effect. An answer to a write that was given up lets nobody act. Ruled out: a late write, as writes replace a revision.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -30,6 +30,8 @@
         Name and incarnation of the holder.
     epoch : int
         Rises with every change of the holder; targets compare it.
+    renewals : int
+        Writes that the holder has sent, so that no two of its writes are equal.
     """
 
     holder: str
@@ -98,6 +100,10 @@
         self._seen_at = None
         self._held_from = None
         self._sent_at = None
+        # The last write that was sent, and when.
+        self._written = None
+        self._written_at = None
+        self._writes = 0
         self._busy = False
         self._next_look = None
         self._leaving = False
@@ -130,7 +136,7 @@
             return
         if self._mine():
             if now - self._held_from >= self._duration * _RENEW_SHARE:
-                self._write(self._renewed(), now)
+                self._write(self.epoch, now)
             return
         if self._next_look is not None and now < self._next_look:
             return
@@ -138,7 +144,7 @@
             self._next_look = now + self._duration * _LOOK_SHARE
             return
         if self._may_take_over(now):
-            self._write(LeaseRecord(self._me, self._highest_epoch + 1), now)
+            self._write(self._highest_epoch + 1, now)
         else:
             self._look(now)
 
@@ -149,21 +155,7 @@
                 self._busy = False
                 self._see(event.record, event.revision, now)
             case LeaseWritten():
-                self._busy = False
-                if self._held_from is None:
-                    self._state.emit(
-                        commands.Note(
-                            "lease_taken", self._me, f"epoch {event.record.epoch}"
-                        )
-                    )
-                self._record, self._revision = event.record, event.revision
-                self._highest_epoch = max(self._highest_epoch, self.epoch)
-                self._seen_at = now
-                released = event.record.epoch <= self._released_epoch
-                self._held_from = None if released else self._sent_at
-                if self._leaving and self._mine():
-                    # The write was under way when the lease was given back.
-                    self._release(now)
+                self._confirm(event, now)
             case LeaseUnknown():
                 # Whether a write took effect shows when the lease is read.
                 self._busy = False
@@ -180,6 +172,28 @@
         if self._mine():
             self._release(now)
 
+    def _confirm(self, event, now):
+        """Take in that a write of ours took effect.
+
+        Guards against an answer to a write that was given up: nobody knows here
+        when that write was sent, so it lets nobody act. The lease is read again.
+        """
+        if event.record != self._written:
+            return
+        self._busy = False
+        if self._held_from is None:
+            self._state.emit(
+                commands.Note("lease_taken", self._me, f"epoch {event.record.epoch}")
+            )
+        self._record, self._revision = event.record, event.revision
+        self._highest_epoch = max(self._highest_epoch, self.epoch)
+        self._seen_at = now
+        released = event.record.epoch <= self._released_epoch
+        self._held_from = None if released else self._written_at
+        if self._leaving and self._mine():
+            # The write was under way when the lease was given back.
+            self._release(now)
+
     def _release(self, now):
         """Give up the epoch for good, and let peers know.
 
@@ -196,9 +210,6 @@
     def _mine(self):
         return self._held_from is not None
 
-    def _renewed(self):
-        return dataclasses.replace(self._record, renewals=self._record.renewals + 1)
-
     def _see(self, record, revision, now):
         if revision == self._revision and self._seen_at is not None:
             return
@@ -210,9 +221,10 @@
         # The object may have been removed, or overwritten by another writer; an
         # epoch that was used before would then be given to a second holder.
         self._highest_epoch = max(self._highest_epoch, self.epoch)
-        if self._held_from is not None:
-            # A renewal of ours took effect though its answer was lost.
-            self._held_from = self._sent_at
+        if self._held_from is not None and record == self._written:
+            # A renewal of ours took effect though its answer was lost. Others may
+            # have seen it since it was sent, which was before this question.
+            self._held_from = self._written_at
 
     def _may_take_over(self, now):
         """Return whether nobody can act under the lease any more."""
@@ -245,7 +257,10 @@
         self._next_look = now + self._duration * _LOOK_SHARE
         self._state.emit(ReadLease())
 
-    def _write(self, record, now):
+    def _write(self, epoch, now):
+        self._writes += 1
+        record = LeaseRecord(self._me, epoch, self._writes)
+        self._written, self._written_at = record, now
         self._busy, self._sent_at = True, now
         self._next_look = now + _RETRY_AFTER
         self._state.emit(WriteLease(record, self._revision))
