Show a host that waits for a lease that its own earlier process held

Cause: the holder's text has name and incarnation, so a host that starts again takes itself for another host and waits 4.8 s; hosts of low rank don't look at all. Shown: no holder for 4.8 s after a start, where the process that might act is gone. Tests beside them hold what must stay: a host of the same name at another address waits in full, and a record without an address too.

--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamespindle.decide import events, lease, world
+from sesamespindle.decide import commands, events, hashing, lease, world
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 DURATION = datetime.timedelta(seconds=3)
@@ -17,12 +17,15 @@
 class Host:
     """One host's lease, and the object store that it writes to."""
 
-    def __init__(self, name, store):
-        me = events.Host(name, "entry", "dc-1", "u", "p")
+    def __init__(self, name, store, address="", incarnation=1, others=()):
+        address = address or f"{name}:81"
+        me = events.Host(name, "entry", "dc-1", "u", address, "", incarnation)
         self.state = world.World(me)
-        self.state.put_entry(
-            world.EntryRow(name, "dc-1", "u", "p", "", 1, events.HostState.LIVE)
-        )
+        live = events.HostState.LIVE
+        for known in (name, *others):
+            row = world.EntryRow(known, "dc-1", "u", f"{known}:81", "", 1, live)
+            self.state.put_entry(row)
+        self.notes = []
         self.lease = lease.Lease(self.state, DURATION, lambda data_centre, now: True)
         self.store = store
         self.cut_off = False
@@ -30,11 +33,20 @@
     def tick(self, now):
         """Tick, and let the store answer at once unless the host is cut off."""
         self.lease.tick(now)
-        for command in self.state.take_commands():
+        for command in self._taken():
             answer = self._answer(command)
             if answer is not None:
                 self.lease.take(answer, now)
-                self.state.take_commands()
+                self._taken()
+
+    def _taken(self):
+        out = self.state.take_commands()
+        self.notes += [item for item in out if isinstance(item, commands.Note)]
+        return out
+
+    def noted(self, kind):
+        """Return the notes of a kind."""
+        return [note for note in self.notes if note.kind == kind]
 
     def sent(self, now):
         """Tick, and return the writes that go out; nobody answers them."""
@@ -197,3 +209,123 @@
     held = run([leaving, following], at + 3, start=at)
     assert set(held) == {"entry-2"}
     assert held["entry-2"][0] - at < 1.5
+
+
+def test_a_host_that_starts_again_takes_its_own_lease_at_once(hosts):
+    """All hosts lose power and come back 2.5 s later.
+
+    The record names the host that held the lease before. It waited with all the
+    others until its own earlier process could no longer act, which is gone, and
+    engines got no order for five seconds.
+    """
+    run(hosts, 2)
+    store = hosts[0].store
+    again = [Host(name, store, incarnation=2) for name in ("entry-2", "entry-1")]
+    held = run(again, 6, start=4.5)
+    assert set(held) == {"entry-1"}
+    assert held["entry-1"][0] - 4.5 < 0.3
+    assert again[1].lease.epoch == 2
+
+
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_a_host_of_the_same_name_elsewhere_waits_like_any_other(hosts, incarnation):
+    """A host comes under the name of one that still runs, at another address.
+
+    The one before may act until its lease is over. Taking the lease for one's
+    own by the name alone would let both order engines.
+    """
+    run(hosts, 2)
+    twin = Host("entry-1", hosts[0].store, "elsewhere:81", incarnation)
+    last_renewal = 2.0
+    held = run([twin], 12, start=last_renewal)
+    assert held["entry-1"][0] - last_renewal >= 1.5 * DURATION.total_seconds()
+
+
+def test_a_record_without_an_address_is_waited_for():
+    """The record was written by a release that stored no address.
+
+    It may be of another host under this one's name.
+    """
+    store = [lease.LeaseRecord("entry-1/1", 7, 3), 9]
+    host = Host("entry-1", store, incarnation=2)
+    held = run([host], 12, start=0)
+    assert held["entry-1"][0] >= 1.5 * DURATION.total_seconds()
+    assert host.lease.epoch == 8
+
+
+def test_a_host_that_held_the_lease_takes_it_whatever_its_rank():
+    """The holder isn't among the first two by rank, and starts again.
+
+    Only those two looked at the lease. They wait in full for a host that is
+    back, while it did not ask whose the lease is.
+    """
+    names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
+    store = [None, 0]
+    run([Host(names[-1], store)], 3, start=0)
+    assert store[0] is not None
+    again = Host(names[-1], store, incarnation=2, others=names[:-1])
+    assert run([again], 4, start=3.5)
+
+
+def test_a_host_that_never_held_the_lease_asks_once_if_others_rank_before():
+    names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
+    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), 9]
+    host = Host(names[-1], store, others=names[:-1])
+    asked = 0
+    for step in range(100):
+        now = NOW + seconds(0.1 * step)
+        host.lease.tick(now)
+        for command in host.state.take_commands():
+            assert not isinstance(command, lease.WriteLease)
+            if isinstance(command, lease.ReadLease):
+                asked += 1
+                host.lease.take(lease.LeaseFound(*store), now)
+    assert asked == 1
+
+
+def test_a_host_whose_store_turns_it_away_stops_asking_whose_the_lease_is():
+    """A host of low rank starts while the store turns it away.
+
+    It asks whether the lease is its own for as long as that would save a wait;
+    each refused call is charged for.
+    """
+    names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
+    host = Host(names[-1], [None, 0], others=names[:-1])
+    asked_at = []
+    for step in range(200):
+        now = NOW + seconds(0.1 * step)
+        host.lease.tick(now)
+        for command in host.state.take_commands():
+            if isinstance(command, lease.ReadLease):
+                asked_at.append(0.1 * step)
+                host.lease.take(lease.LeaseUnknown(), now)
+    assert 1 <= len(asked_at) <= 11
+    assert asked_at[-1] < 5
+
+
+def test_acts_of_an_earlier_life_count_when_the_lease_is_given_up():
+    """A holder acts, starts again, takes its lease and loses the store.
+
+    It tells its peers when it acted last. Its earlier life may have acted just
+    before it ended, which the new one can't know.
+    """
+    store = [None, 0]
+    run([Host("entry-1", store)], 3, start=0)
+    again = Host("entry-1", store, incarnation=2)
+    taken_at = run([again], 4, start=3.2)["entry-1"][0]
+    again.cut_off = True
+    run([again], 7, start=4)
+    assert again.state.lease_release.last_act_at >= NOW + seconds(taken_at)
+
+
+def test_a_wait_for_the_lease_is_noted_once():
+    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), 9]
+    host = Host("entry-1", store)
+    run([host], 4.5, start=0)
+    (note,) = host.noted("lease_waits")
+    assert "4.8 s" in note.detail
+
+
+def test_a_lease_that_is_renewed_is_not_noted_as_waited_for(hosts):
+    run(hosts, 20)
+    assert len(hosts[1].noted("lease_waits")) <= 1
