Let a host that starts again take the lease that it held at once

Cause: the record named the holder by its process, so the host that came back waited for its own earlier one like for another host. Hypothesis: the record can name the host as well, by name and peer address; the earlier process is gone, as the address is bound by one process only. The take-over is a write under a higher epoch that replaces the revision that was read, so of two takers one wins. Acts of the earlier life count as acts of now. A host asks whose the lease is when it starts, also if it isn't among the first two by rank, for as long as others would wait, and stays a candidate until another has taken it. Ruled out: the name alone, another host may come under it at another address; and records of earlier releases, which have no address, are waited for in full. lease_waits tells once per wait why the lease is left alone and how long.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -27,7 +27,8 @@
     Attributes
     ----------
     holder : str
-        Name and incarnation of the holder.
+        Name, incarnation and peer address of the holder, with slashes between;
+        without the address in records of earlier releases.
     epoch : int
         Rises with every change of the holder; targets compare it.
     renewals : int
@@ -73,6 +74,14 @@
     """A read or write got no answer; a write may yet take effect."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """Until when a lease must be left alone, and what for."""
+
+    until: datetime.datetime
+    reason: str
+
+
 class Lease:
     """Decides when to take, renew and give back the lease.
 
@@ -94,7 +103,8 @@
         self._state = state
         self._duration = duration
         self._reachable = reachable
-        self._me = f"{state.me.name}/{state.me.incarnation}"
+        me = state.me
+        self._me = f"{me.name}/{me.incarnation}/{me.peer_address}"
         self._record = None
         self._revision = 0
         self._seen_at = None
@@ -105,7 +115,10 @@
         self._written_at = None
         self._writes = 0
         self._busy = False
+        self._started_at = None
         self._next_look = None
+        self._next_take = None
+        self._noted_revision = None
         self._leaving = False
         self._acted_at = None
         self._released_epoch = 0
@@ -128,25 +141,16 @@
 
     def tick(self, now):
         """Renew, look or take over when it is time."""
+        self._started_at = self._started_at or now
         if self._mine() and not self.is_held(now):
             self._release(now)
-        if self._busy and now - self._sent_at < self._duration:
-            return
-        if self._leaving:
+        if self._leaving or (self._busy and now - self._sent_at < self._duration):
             return
         if self._mine():
             if now - self._held_from >= self._duration * _RENEW_SHARE:
                 self._write(self.epoch, now)
-            return
-        if self._next_look is not None and now < self._next_look:
-            return
-        if not self._is_candidate(now):
-            self._next_look = now + self._duration * _LOOK_SHARE
-            return
-        if self._may_take_over(now):
-            self._write(self._highest_epoch + 1, now)
         else:
-            self._look(now)
+            self._pursue(now)
 
     def take(self, event, now):
         """Take in one of this module's events; return whether it was one."""
@@ -159,7 +163,7 @@
             case LeaseUnknown():
                 # Whether a write took effect shows when the lease is read.
                 self._busy = False
-                self._next_look = now + _RETRY_AFTER
+                self._next_look = self._next_take = now + _RETRY_AFTER
                 if self._mine():
                     self._look(now)
             case _:
@@ -172,6 +176,26 @@
         if self._mine():
             self._release(now)
 
+    def _pursue(self, now):
+        """Take the lease if it is free, or look at it when it is time."""
+        free = self._is_free(now)
+        if not free and not _is_due(self._next_look, now):
+            return
+        if not self._is_candidate(now):
+            self._next_look = now + self._duration * _LOOK_SHARE
+            self._next_take = self._next_look
+        elif free:
+            self._take_over(now)
+        else:
+            self._look(now)
+
+    def _take_over(self, now):
+        if self._record is not None and self._is_own(self._record):
+            # An earlier life of this host may have acted until it ended.
+            self._acted_at = now
+        self._next_take = now + _RETRY_AFTER
+        self._write(self._highest_epoch + 1, now)
+
     def _confirm(self, event, now):
         """Take in that a write of ours took effect.
 
@@ -212,7 +236,9 @@
 
     def _see(self, record, revision, now):
         if revision == self._revision and self._seen_at is not None:
+            self._note_wait(now)
             return
+        is_first = self._seen_at is None
         changed_hands = record is None or record.holder != self._me
         if self._held_from is not None and changed_hands:
             self._state.emit(commands.Note("lease_lost", self._me))
@@ -225,26 +251,75 @@
             # A renewal of ours took effect though its answer was lost. Others may
             # have seen it since it was sent, which was before this question.
             self._held_from = self._written_at
+        if is_first:
+            self._note_wait(now)
 
-    def _may_take_over(self, now):
-        """Return whether nobody can act under the lease any more."""
-        if self._seen_at is None:
+    def _is_free(self, now):
+        """Return whether the lease may be taken now."""
+        if self._seen_at is None or not _is_due(self._next_take, now):
             return False
+        return now >= self._wait().until
+
+    def _wait(self):
+        """Return for how long the lease as it was seen must be left alone.
+
+        Each way shows by itself that nobody can act under it any more.
+        """
         if self._record is None:
-            return True
+            return _Wait(self._seen_at, "nobody holds it")
+        if self._is_own(self._record):
+            return _Wait(self._seen_at, "this host held it")
+        waits = [_Wait(self._seen_at + self._quiet_for(), "not renewed")]
         release = self._state.lease_release
         if release is not None and release.epoch >= self._record.epoch:
-            return now - release.last_act_at >= self._duration + _MARGIN
-        quiet_for = self._duration + _MARGIN
-        quiet_for += self._duration * _ACTING_SHARE
-        return now - self._seen_at >= quiet_for
+            until = release.last_act_at + self._duration + _MARGIN
+            waits.append(_Wait(until, "given up by its holder"))
+        return min(waits, key=lambda wait: wait.until)
+
+    def _quiet_for(self):
+        """Return how long a lease must go unrenewed until another host takes it."""
+        return self._duration * _ACTING_SHARE + self._duration + _MARGIN
+
+    def _is_own(self, record):
+        """Return whether this host is the holder, in this life or an earlier one.
+
+        Guards against engines that get no orders after all hosts lost power: the
+        holder came back and waited until its own earlier process could no longer
+        act. That process is gone, since the address that a host listens at is
+        bound by one process only. The name alone doesn't show it: another host
+        may come under it, at another address, while the one before still runs.
+        """
+        me = self._state.me
+        life, _, address = record.holder.rpartition("/")
+        name, _, _ = life.rpartition("/")
+        return bool(address) and (name, address) == (me.name, me.peer_address)
+
+    def _note_wait(self, now):
+        """Tell once why a lease that isn't renewed is left alone, and how long."""
+        if self._mine() or self._noted_revision == self._revision:
+            return
+        wait = self._wait()
+        if wait.until <= now or not self._is_candidate(now):
+            return
+        self._noted_revision = self._revision
+        left = (wait.until - now).total_seconds()
+        detail = f"epoch {self.epoch}, {wait.reason}, {left:.1f} s more"
+        self._state.emit(commands.Note("lease_waits", self._record.holder, detail))
 
     def _is_candidate(self, now):
         """Return whether this host looks at the lease, to take it if it is free.
 
         Guards against engines that get no new weights after a data centre was
         lost: its hosts stay in the table, and nobody else would look for them.
+
+        A host that held the lease may take it at once, so it is a candidate until
+        another has taken it. Whether it held it a host asks when it starts, for as
+        long as the others would have to wait.
         """
+        if self._seen_at is None and now - self._started_at < self._quiet_for():
+            return True
+        if self._record is not None and self._is_own(self._record):
+            return True
         names = [
             row.name
             for row in self._state.live_entries()
@@ -264,3 +339,7 @@
         self._busy, self._sent_at = True, now
         self._next_look = now + _RETRY_AFTER
         self._state.emit(WriteLease(record, self._revision))
+
+
+def _is_due(at, now):
+    return at is None or now >= at
