Show that a lease with nothing to order is waited for like any other

Cause: the record doesn't say whether its holder may have ordered lately, so everyone waits 4.8 s after a holder is lost. The tests say what an idle lease must keep: no order under it, none from when the write that says so was sent, two hosts' orders a lease time apart, epochs that only rise, also where writes are lost or late, hosts stand still or start again and word between peers is late. Tests of before that let a holder act now ask whether it may (may_act, with ask_to_act before), since holding the lease is not enough any more; their bounds stay.

--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -1,6 +1,8 @@
 """The lease under which one host orders engines."""
 
 import datetime
+import itertools
+import random
 
 import pytest
 
@@ -29,10 +31,14 @@
         self.lease = lease.Lease(self.state, DURATION, lambda data_centre, now: True)
         self.store = store
         self.cut_off = False
+        # Whether engines are behind here, so that orders are to be given.
+        self.orders = False
 
     def tick(self, now):
         """Tick, and let the store answer at once unless the host is cut off."""
         self.lease.tick(now)
+        if self.orders:
+            self.lease.ask_to_act(now)
         for command in self._taken():
             answer = self._answer(command)
             if answer is not None:
@@ -80,14 +86,20 @@
     return made
 
 
-def run(hosts, until, start=0.3, step=0.1):
-    """Tick both hosts; return when each was seen to hold the lease, by name."""
+def run(hosts, until, start=0.3, step=0.1, ordering=False):
+    """Tick both hosts; return when each was seen to hold the lease, by name.
+
+    With `ordering` each has engines to order, and it is returned when each might
+    act.
+    """
     held_at_by_name = {}
     at = start
     while at < until:
         for host in hosts:
+            host.orders = ordering
             host.tick(NOW + seconds(at))
-            if host.lease.is_held(NOW + seconds(at)):
+            lets = host.lease.may_act if ordering else host.lease.is_held
+            if lets(NOW + seconds(at)):
                 held_at_by_name.setdefault(host.state.me.name, []).append(at)
         at += step
     return held_at_by_name
@@ -117,9 +129,9 @@
     The next one waits until the last order under the old epoch is a whole
     lease time old, with or without word from the old holder.
     """
-    run(hosts, 2)
+    run(hosts, 2, ordering=True)
     hosts[0].cut_off = True
-    held = run(hosts, 12, start=2)
+    held = run(hosts, 12, start=2, ordering=True)
     assert held["entry-2"][0] - held["entry-1"][-1] >= DURATION.total_seconds()
     assert hosts[1].lease.epoch == 2
 
@@ -130,7 +142,8 @@
     It says that it gives up its epoch, and when it acted last. The wait counts
     from that act, not from the last renewal that the peer saw.
     """
-    run(hosts, 2)
+    run(hosts, 2, ordering=True)
+    assert hosts[0].lease.may_act(NOW + seconds(2))
     hosts[0].lease.note_act(NOW + seconds(2))
     hosts[0].cut_off = True
     at = 2.0
@@ -234,7 +247,7 @@
     The one before may act until its lease is over. Taking the lease for one's
     own by the name alone would let both order engines.
     """
-    run(hosts, 2)
+    run(hosts, 2, ordering=True)
     twin = Host("entry-1", hosts[0].store, "elsewhere:81", incarnation)
     last_renewal = 2.0
     held = run([twin], 12, start=last_renewal)
@@ -310,7 +323,7 @@
     before it ended, which the new one can't know.
     """
     store = [None, 0]
-    run([Host("entry-1", store)], 3, start=0)
+    run([Host("entry-1", store)], 3, start=0, ordering=True)
     again = Host("entry-1", store, incarnation=2)
     taken_at = run([again], 4, start=3.2)["entry-1"][0]
     again.cut_off = True
@@ -318,6 +331,327 @@
     assert again.state.lease_release.last_act_at >= NOW + seconds(taken_at)
 
 
+def record(idle=True, epoch=7):
+    """Return a record of a host that is none of the tests' own."""
+    return lease.LeaseRecord("entry-9/1/entry-9:81", epoch, 3, idle)
+
+
+def written(host, now):
+    """Tick, and return the one write that goes out; nobody answers it."""
+    (write,) = host.sent(now)
+    return write
+
+
+def idle_holder():
+    """Return a host whose lease is idle, and the time."""
+    host = Host("entry-1", [None, 0])
+    run([host], 5, start=0)
+    assert host.store[0].idle
+    return host, 5.0
+
+
+def test_an_idle_lease_is_taken_soon_after_its_holder_is_lost():
+    """All hosts are killed at once, and the holder is lost for good.
+
+    Nothing was being ordered, so nobody can have acted lately. The others waited
+    for 4.8 s all the same, and new weights that were named meanwhile waited too.
+    """
+    store = [record(), 9]
+    held = run([Host("entry-1", store), Host("entry-2", store)], 6, start=0)
+    (times,) = held.values()
+    assert 1.0 <= times[0] <= 1.5
+    assert store[0].epoch == 8
+
+
+def test_a_lease_that_is_not_idle_is_waited_for_in_full():
+    store = [record(idle=False), 9]
+    held = run([Host("entry-1", store)], 6, start=0)
+    assert held["entry-1"][0] >= 1.5 * DURATION.total_seconds()
+
+
+def test_an_idle_lease_that_is_renewed_stays_with_its_holder(hosts):
+    run(hosts, 40)
+    assert hosts[0].store[0].idle
+    assert hosts[0].store[0].epoch == 1
+
+
+def test_an_idle_lease_is_renewed_no_more_often_than_one_that_is_used(hosts):
+    def writes(ordering):
+        before = hosts[0].store[1]
+        run(hosts, 20, start=0.3, ordering=ordering)
+        return hosts[0].store[1] - before
+
+    idle = writes(False)
+    other = Host("entry-1", [None, 0])
+    run([other], 20, start=0.3, ordering=True)
+    assert idle <= other.store[1]
+
+
+def test_a_lease_becomes_idle_a_lease_time_after_the_last_act(hosts):
+    run(hosts, 2, ordering=True)
+    hosts[0].lease.note_act(NOW + seconds(2))
+    run(hosts, 5.2, start=2)
+    assert not hosts[0].store[0].idle
+    run(hosts, 6.5, start=5.2)
+    assert hosts[0].store[0].idle
+    assert [note.kind for note in hosts[0].notes][-1] == "lease_idle"
+
+
+def test_nothing_is_ordered_under_an_idle_lease_until_it_says_otherwise():
+    """Weights are named while the lease is idle.
+
+    Others may take an idle lease at any moment. An order before the record says
+    that orders can follow would come within a lease time of theirs.
+    """
+    host, at = idle_holder()
+    now = NOW + seconds(at)
+    host.lease.ask_to_act(now)
+    (write,) = (c for c in host.state.take_commands() if hasattr(c, "replaces"))
+    assert not write.record.idle
+    assert host.lease.is_held(now)
+    assert not host.lease.may_act(now)
+    host.lease.take(lease.LeaseWritten(write.record, write.replaces + 1), now)
+    assert host.lease.may_act(now)
+
+
+def test_no_order_follows_once_a_write_that_says_so_was_sent():
+    """The write that makes the lease idle gets no answer, and takes effect late.
+
+    Weights are named meanwhile. The record still says that orders may follow, and
+    will say the opposite at any moment.
+    """
+    host = Host("entry-1", [None, 0])
+    run([host], 0.3, start=0)
+    at = 0.3
+    while not (writes := host.sent(NOW + seconds(at))):
+        at += 0.1
+    (idle,) = writes
+    assert idle.record.idle
+    now = NOW + seconds(at)
+    assert not host.lease.may_act(now)
+    host.lease.take(lease.LeaseUnknown(), now)
+    host.lease.take(lease.LeaseFound(*host.store), now)
+    host.state.take_commands()
+    assert not host.lease.may_act(now)
+    host.lease.ask_to_act(now)
+    (active,) = (c for c in host.state.take_commands() if hasattr(c, "replaces"))
+    host.store[:] = [idle.record, idle.replaces + 1]
+    host.lease.take(lease.LeaseFound(*host.store), now)
+    assert not host.lease.may_act(now)
+    again = written(host, now + seconds(0.1))
+    assert again.replaces == idle.replaces + 1
+    assert not again.record.idle
+    host.lease.take(lease.LeaseWritten(again.record, again.replaces + 1), now)
+    assert host.lease.may_act(now)
+    assert active.replaces == idle.replaces
+
+
+def test_a_holder_whose_idle_lease_was_taken_orders_nothing():
+    """Two hosts want to act: the holder of an idle lease, and one that takes it.
+
+    The store carries out one of both writes, as both replace the same revision.
+    """
+    host, at = idle_holder()
+    taken = record(idle=False, epoch=host.store[0].epoch + 1)
+    host.store[:] = [taken, host.store[1] + 1]
+    host.orders = True
+    host.tick(NOW + seconds(at))
+    assert not host.lease.may_act(NOW + seconds(at))
+    assert not host.lease.is_held(NOW + seconds(at))
+
+
+def test_a_lease_is_not_idle_at_once_that_an_earlier_life_acted_under(hosts):
+    """A holder orders engines, starts again at once and is lost a second later.
+
+    Its new life never acted. If it called the lease idle, another host could order
+    engines within a lease time of what the earlier life ordered.
+    """
+    run(hosts, 2, ordering=True)
+    store = hosts[0].store
+    run([Host("entry-1", store, incarnation=2)], 3, start=2.1)
+    assert store[0].epoch == 2
+    assert not store[0].idle
+
+
+def test_an_answer_to_a_write_that_was_given_up_lets_nobody_act():
+    """A write that takes the lease gets its answer after another one was sent.
+
+    The host stood still meanwhile. Others have seen the first write since it took
+    effect and count from then, so it mustn't count from the second.
+    """
+    host = Host("entry-1", [None, 0])
+    run([host], 0.05, start=0)
+    first = written(host, NOW + seconds(0.1))
+    second = written(host, NOW + seconds(3.2))
+    late = NOW + seconds(3.3)
+    host.lease.take(lease.LeaseWritten(first.record, 1), late)
+    assert second.record != first.record
+    assert not host.lease.is_held(late)
+
+
+def test_a_changed_use_of_the_lease_is_noted(hosts):
+    run(hosts, 5)
+    run(hosts, 6, start=5, ordering=True)
+    run(hosts, 9, start=6)
+    kinds = [note.kind for note in hosts[0].notes]
+    assert kinds == ["lease_taken", "lease_idle", "lease_active", "lease_idle"]
+
+
+class Play:
+    """Hosts that order engines at a store whose answers are late or lost.
+
+    Parameters
+    ----------
+    seed : int
+        Draws the faults: writes that are lost, that take effect late or whose
+        answer is lost, hosts that stand still, start again or lose the store, and
+        word between peers that is late or doesn't come.
+    """
+
+    STEP = 0.05
+    ANSWER_GIVEN_UP = 0.7
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.store = [None, 0]
+        self.hosts = [Host(f"entry-{number}", self.store) for number in range(3)]
+        self.asleep_until = [0.0] * 3
+        self.lives = [1] * 3
+        self.due = []
+        self.order = itertools.count()
+        self.acts = []
+        self.at = 0.0
+
+    def run(self, until):
+        """Play, and return the acts: when, by which host, under which epoch."""
+        while self.at < until:
+            self.at += self.STEP
+            self._deliver()
+            for number in range(3):
+                if self.random.random() < 0.05:
+                    self.hosts[number].orders = not self.hosts[number].orders
+                if self.at >= self.asleep_until[number]:
+                    self._step(number, self.hosts[number].orders)
+                self._trouble(number)
+        return self.acts
+
+    def _later(self, delay, number, carry_out):
+        item = (self.at + delay, next(self.order), number, self.lives[number])
+        self.due.append((*item, carry_out))
+
+    def _deliver(self):
+        for item in sorted(item for item in self.due if item[0] <= self.at):
+            _, _, number, life, carry_out = item
+            if number is not None and self._keeps_waiting(number):
+                continue
+            self.due.remove(item)
+            if number is None or life == self.lives[number]:
+                carry_out()
+
+    def _keeps_waiting(self, number):
+        """Return whether an answer waits: its host sleeps, or ticks first."""
+        return self.at < self.asleep_until[number] or self.random.random() < 0.2
+
+    def _step(self, number, ordering):
+        host = self.hosts[number]
+        now = NOW + seconds(self.at)
+        host.lease.tick(now)
+        if ordering:
+            host.lease.ask_to_act(now)
+        if ordering and host.lease.may_act(now) and self.random.random() < 0.3:
+            host.lease.note_act(now)
+            self.acts.append((self.at, host.state.me.name, host.lease.epoch))
+        for command in host.state.take_commands():
+            self._carry_out(number, command)
+        self._tell_peers(number)
+
+    def _tell_peers(self, number):
+        release = self.hosts[number].state.lease_release
+        other = self.hosts[self.random.randrange(3)].state
+        known = other.lease_release
+        if release is None or self.random.random() < 0.9:
+            return
+        if known is None or known.epoch < release.epoch:
+            other.lease_release = release
+
+    def _carry_out(self, number, command):
+        host = self.hosts[number]
+        match command:
+            case lease.ReadLease():
+                self._answer(number, lambda: lease.LeaseFound(*self.store), False)
+            case lease.WriteLease():
+                lost = host.cut_off or self.random.random() < 0.15
+                if not lost:
+                    self._answer(number, lambda: self._write(command), False)
+                    return
+                if self.random.random() < 0.6:
+                    # It takes effect late, if its condition still holds.
+                    delay = self.random.choice([0.0, 0.3, 2.0, 5.0])
+                    write = (self.at + delay, next(self.order), None, None)
+                    self.due.append((*write, lambda: self._write(command)))
+                self._answer(number, None, True)
+
+    def _answer(self, number, make, lost):
+        host = self.hosts[number]
+        if lost or host.cut_off:
+            unknown = lease.LeaseUnknown()
+            delay = self.ANSWER_GIVEN_UP
+            self._later(delay, number, lambda: self._take(number, unknown))
+            return
+        answer = make()
+        delay = self.random.choice([0.0, 0.0, 0.1, 0.6])
+        self._later(delay, number, lambda: self._take(number, answer))
+
+    def _take(self, number, answer):
+        host = self.hosts[number]
+        host.lease.take(answer, NOW + seconds(self.at))
+        for command in host.state.take_commands():
+            self._carry_out(number, command)
+
+    def _write(self, command):
+        record, revision = self.store
+        if revision != command.replaces:
+            return lease.LeaseFound(record, revision)
+        self.store[:] = [command.record, revision + 1]
+        return lease.LeaseWritten(command.record, revision + 1)
+
+    def _trouble(self, number):
+        drawn = self.random.random()
+        if drawn < 0.015:
+            self.asleep_until[number] = self.at + self.random.uniform(0.3, 9)
+        elif drawn < 0.021:
+            self.asleep_until[number] = self.at + self.random.uniform(0.1, 3)
+            self.lives[number] += 1
+            name = self.hosts[number].state.me.name
+            incarnation = self.lives[number]
+            self.hosts[number] = Host(name, self.store, incarnation=incarnation)
+        elif drawn < 0.024:
+            self.hosts[number].cut_off = not self.hosts[number].cut_off
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_fault_brings_two_hosts_acts_within_a_lease_time(seed):
+    """Hosts stand still, start again and lose the store while lease changes hands.
+
+    Writes take effect late or get no answer. Engines must never get orders of two
+    hosts within a lease time, and the epoch that they compare must never fall or
+    be that of two hosts.
+    """
+    acts = Play(seed).run(120)
+    assert acts
+    for earlier, later in itertools.pairwise(acts):
+        assert later[2] >= earlier[2]
+        if later[1] != earlier[1]:
+            assert later[0] - earlier[0] >= DURATION.total_seconds()
+            assert later[2] > earlier[2]
+
+
+def test_the_play_of_faults_has_many_holders():
+    acts = [act for seed in range(5) for act in Play(seed).run(120)]
+    changes = [pair for pair in itertools.pairwise(acts) if pair[0][1] != pair[1][1]]
+    assert len(changes) >= 10
+
+
 def test_a_wait_for_the_lease_is_noted_once():
     store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), 9]
     host = Host("entry-1", store)
--- a/tests/decide/test_rollout.py
+++ b/tests/decide/test_rollout.py
@@ -22,9 +22,8 @@
     return datetime.timedelta(seconds=count)
 
 
-@pytest.fixture
-def core():
-    """Give a gateway that holds the lease and knows five engines."""
+def made_core():
+    """Return a gateway that holds the lease and knows five engines."""
     me = events.Host("entry-1", "entry", "dc-1", "u", "p")
     made = gateway.Gateway(me, gateway.Terms(budgets.BudgetRule()))
     targets = tuple(
@@ -39,6 +38,13 @@
     commands = made.step(NOW, [events.Tick()])
     write = next(item for item in commands if isinstance(item, lease.WriteLease))
     made.step(NOW, [lease.LeaseWritten(write.record, 1)])
+    return made
+
+
+@pytest.fixture
+def core():
+    """Give a gateway that holds the lease; its five engines are behind."""
+    made = made_core()
     made.step(NOW, [weights.VersionNamed("m", 2)])
     return made
 
@@ -95,3 +101,38 @@
     name = asked(core.step(NOW, [events.Tick()]))[0]
     late = NOW + seconds(2)
     assert orders(core.step(late, [events.Tick(), report(name)])) == []
+
+
+def writes(commands):
+    return [item for item in commands if isinstance(item, lease.WriteLease)]
+
+
+def test_an_idle_lease_is_made_active_while_reports_are_read():
+    """Weights are named while the holder has had nothing to do.
+
+    Others may take an idle lease at any moment, so no order may go out before the
+    record says otherwise. The report that came meanwhile is not asked for again.
+    """
+    core = made_core()
+    now = NOW + seconds(0.6)
+    (idle,) = writes(core.step(now, [events.Tick()]))
+    assert idle.record.idle
+    core.step(now, [lease.LeaseWritten(idle.record, 2)])
+    now += seconds(0.1)
+    commands = core.step(now, [weights.VersionNamed("m", 2), events.Tick()])
+    name = asked(commands)[0]
+    (active,) = writes(commands)
+    assert not active.record.idle
+    assert orders(core.step(now, [report(name, count=3)])) == []
+    core.step(now, [lease.LeaseWritten(active.record, 3)])
+    (order,) = orders(core.step(now + seconds(0.1), [events.Tick()]))
+    assert (order.target, order.expected_orders) == (name, 3)
+
+
+def test_a_lease_stays_active_while_engines_are_behind(core):
+    for step in range(40):
+        now = NOW + seconds(0.1 * step)
+        for write in writes(core.step(now, [events.Tick()])):
+            assert not write.record.idle
+            core.step(now, [lease.LeaseWritten(write.record, 2 + step)])
+    assert core.lease.may_act(now)
--- /dev/null
+++ b/tests/platform/test_lease_record.py
@@ -0,0 +1,60 @@
+"""The lease as it is written to the platform's store and read back."""
+
+import asyncio
+
+import pytest
+
+from sesamespindle.decide import lease
+from sesamespindle.platform import objects, orders, records
+
+
+class Store:
+    """Keeps the content of the one object that is written."""
+
+    def __init__(self):
+        self.spec = None
+
+    async def write(self, kind, name, spec, replaces):
+        """Keep a content; return its revision."""
+        self.spec = spec
+        return replaces + 1
+
+
+class Driver:
+    """Starts commands, and keeps what comes of them."""
+
+    def __init__(self):
+        self.carry_out_by_kind = {}
+        self.fed = asyncio.Queue()
+
+    def on(self, kind, carry_out):
+        """Have commands of a kind carried out."""
+        self.carry_out_by_kind[kind] = carry_out
+
+    def feed(self, event):
+        """Keep an event."""
+        self.fed.put_nowait(event)
+
+
+def read(spec):
+    return records.read_lease(objects.StoredObject("rollout", 7, spec))
+
+
+@pytest.mark.parametrize("idle", [True, False])
+def test_a_lease_is_read_as_it_was_written(idle):
+    async def play():
+        driver, store = Driver(), Store()
+        orders.Orders(driver, store, None)
+        record = lease.LeaseRecord("entry-1/5/10.0.0.1:70", 4, 9, idle)
+        command = lease.WriteLease(record, 6)
+        driver.carry_out_by_kind[lease.WriteLease](command)
+        assert await driver.fed.get() == lease.LeaseWritten(record, 7)
+        assert read(store.spec) == record
+
+    asyncio.run(play())
+
+
+def test_a_lease_of_an_earlier_release_is_not_idle():
+    """A record without the field is by a holder that may order at any moment."""
+    spec = {"holder": "entry-1/5", "epoch": 4, "renewals": 9}
+    assert read(spec) == lease.LeaseRecord("entry-1/5", 4, 9, False)
