Take an idle lease over soon, and let nobody order under one

Cause: others wait until a lost holder can no longer have acted, 4.8 s, also where it had nothing to order for minutes. Hypothesis: the holder can say so. It writes that the lease is idle once its last act is a lease time and a margin old, and doesn't act from when that write is sent until a later one that says the opposite is known to have taken effect. Both that write and one that takes the lease replace a known revision, so one of them takes effect. Others take an idle lease that misses two renewals, in 1.25 s. A lease is taken as active, so it costs no round where there is work, and acts of this host's earlier life count as acts of now. The rollout has the lease made active while reports are read. No more renewals than before. Ruled out: taking an idle lease at first sight, it would change hands at each lost call; saying idle at once after a take-over from an earlier life of the same host.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -17,6 +17,9 @@
 # candidates.
 _LOOK_SHARE = 1 / 3
 _CANDIDATES = 2
+# An idle lease is taken over once it wasn't renewed for this many renewals. That
+# is no matter of safety: it keeps a lease from changing hands for one lost call.
+_IDLE_MISSED_RENEWALS = 2.5
 _RETRY_AFTER = datetime.timedelta(milliseconds=500)
 
 
@@ -33,11 +36,15 @@
         Rises with every change of the holder; targets compare it.
     renewals : int
         Writes that the holder has sent, so that no two of its writes are equal.
+    idle : bool
+        Whether no act can follow under it before it is written anew, and the last
+        one was a lease time ago when this was written.
     """
 
     holder: str
     epoch: int
     renewals: int = 0
+    idle: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +96,11 @@
     a renewal; others count from when they first saw that renewal, which is
     later. A holder that was paused finds its time over when it wakes up.
 
+    A holder that has nothing to do says in the record that it is idle, once its
+    last act is a lease time old, and writes that it is not before it acts again.
+    Writes replace a known revision, so of that write and one that takes the idle
+    lease over only one takes effect, and others needn't wait for acts under it.
+
     Parameters
     ----------
     state : world.World
@@ -121,6 +133,10 @@
         self._noted_revision = None
         self._leaving = False
         self._acted_at = None
+        self._wanted_at = None
+        # Whether the record may say that the lease is idle, by then or later.
+        self._maybe_idle = True
+        self._was_idle = False
         self._released_epoch = 0
         self._highest_epoch = 0
 
@@ -130,11 +146,29 @@
         return self._record.epoch if self._record is not None else 0
 
     def is_held(self, now):
-        """Return whether this host may act as the holder now."""
+        """Return whether this host is the holder now."""
         if self._held_from is None:
             return False
         return now - self._held_from < self._duration * _ACTING_SHARE
 
+    def may_act(self, now):
+        """Return whether this host may act as the holder now.
+
+        Guards against orders of two hosts within a lease time: a host that finds
+        the lease idle takes it without waiting for acts of its holder. From when
+        a write that says idle is sent, until a later one that says the opposite
+        is known to have taken effect, the holder doesn't act.
+        """
+        return self.is_held(now) and not self._maybe_idle
+
+    def ask_to_act(self, now):
+        """Have the lease let this host act as soon as it holds it."""
+        self._wanted_at = now
+        if self._leaving or self._busy or not self.is_held(now):
+            return
+        if self._maybe_idle:
+            self._renew(now)
+
     def note_act(self, now):
         """Remember that the holder has acted."""
         self._acted_at = now
@@ -146,11 +180,10 @@
             self._release(now)
         if self._leaving or (self._busy and now - self._sent_at < self._duration):
             return
-        if self._mine():
-            if now - self._held_from >= self._duration * _RENEW_SHARE:
-                self._write(self.epoch, now)
-        else:
+        if not self._mine():
             self._pursue(now)
+        elif now - self._held_from >= self._duration * _RENEW_SHARE:
+            self._renew(now)
 
     def take(self, event, now):
         """Take in one of this module's events; return whether it was one."""
@@ -176,6 +209,17 @@
         if self._mine():
             self._release(now)
 
+    def _renew(self, now):
+        self._write(self.epoch, now, not self._is_needed(now))
+
+    def _is_needed(self, now):
+        """Return whether acts are wanted, or one is less than a lease time old."""
+        wanted_for = self._duration * _RENEW_SHARE
+        if self._wanted_at is not None and now - self._wanted_at < wanted_for:
+            return True
+        acted_at = self._acted_at
+        return acted_at is not None and now - acted_at < self._duration + _MARGIN
+
     def _pursue(self, now):
         """Take the lease if it is free, or look at it when it is time."""
         free = self._is_free(now)
@@ -190,12 +234,21 @@
             self._look(now)
 
     def _take_over(self, now):
-        if self._record is not None and self._is_own(self._record):
-            # An earlier life of this host may have acted until it ended.
+        if self._may_have_acted():
             self._acted_at = now
         self._next_take = now + _RETRY_AFTER
         self._write(self._highest_epoch + 1, now)
 
+    def _may_have_acted(self):
+        """Return whether acts before a take-over may be younger than a lease time.
+
+        An earlier life of this host may have acted until it ended, and the holder
+        of a record that was removed is not known.
+        """
+        if self._record is None:
+            return self._highest_epoch > 0
+        return self._is_own(self._record) and not self._record.idle
+
     def _confirm(self, event, now):
         """Take in that a write of ours took effect.
 
@@ -206,18 +259,30 @@
             return
         self._busy = False
         if self._held_from is None:
+            self._was_idle = event.record.idle
             self._state.emit(
                 commands.Note("lease_taken", self._me, f"epoch {event.record.epoch}")
             )
         self._record, self._revision = event.record, event.revision
         self._highest_epoch = max(self._highest_epoch, self.epoch)
         self._seen_at = now
-        released = event.record.epoch <= self._released_epoch
-        self._held_from = None if released else self._written_at
+        if event.record.epoch <= self._released_epoch:
+            self._held_from = None
+        else:
+            self._hold_from_write()
         if self._leaving and self._mine():
             # The write was under way when the lease was given back.
             self._release(now)
 
+    def _hold_from_write(self):
+        """Count the hold from the last write, which is known to be in effect."""
+        self._held_from = self._written_at
+        self._maybe_idle = self._written.idle
+        if self._was_idle != self._maybe_idle:
+            self._was_idle = self._maybe_idle
+            kind = "lease_idle" if self._was_idle else "lease_active"
+            self._state.emit(commands.Note(kind, self._me, f"epoch {self.epoch}"))
+
     def _release(self, now):
         """Give up the epoch for good, and let peers know.
 
@@ -250,7 +315,7 @@
         if self._held_from is not None and record == self._written:
             # A renewal of ours took effect though its answer was lost. Others may
             # have seen it since it was sent, which was before this question.
-            self._held_from = self._written_at
+            self._hold_from_write()
         if is_first:
             self._note_wait(now)
 
@@ -270,6 +335,9 @@
         if self._is_own(self._record):
             return _Wait(self._seen_at, "this host held it")
         waits = [_Wait(self._seen_at + self._quiet_for(), "not renewed")]
+        if self._record.idle:
+            missed = self._duration * _RENEW_SHARE * _IDLE_MISSED_RENEWALS
+            waits.append(_Wait(self._seen_at + missed, "idle and not renewed"))
         release = self._state.lease_release
         if release is not None and release.epoch >= self._record.epoch:
             until = release.last_act_at + self._duration + _MARGIN
@@ -332,9 +400,10 @@
         self._next_look = now + self._duration * _LOOK_SHARE
         self._state.emit(ReadLease())
 
-    def _write(self, epoch, now):
+    def _write(self, epoch, now, idle=False):
         self._writes += 1
-        record = LeaseRecord(self._me, epoch, self._writes)
+        self._maybe_idle = self._maybe_idle or idle
+        record = LeaseRecord(self._me, epoch, self._writes, idle)
         self._written, self._written_at = record, now
         self._busy, self._sent_at = True, now
         self._next_look = now + _RETRY_AFTER
--- a/packages/decide/sesamespindle/decide/rollout.py
+++ b/packages/decide/sesamespindle/decide/rollout.py
@@ -83,6 +83,8 @@
     asked_at: datetime.datetime
     ordered_at: datetime.datetime | None = None
     ordered_after: int = -1
+    # The engine's count of orders, if it may be ordered once the lease lets us.
+    ready_after: int | None = None
 
 
 class Rollout:
@@ -117,10 +119,16 @@
                 or now - loading.since > _STUCK_AFTER
             ):
                 del self._loading_by_target[name]
-            elif now - loading.asked_at >= _REPORT_INTERVAL:
+                continue
+            if loading.ready_after is not None:
+                self._order(row, loading, loading.ready_after, now)
+            if now - loading.asked_at >= _REPORT_INTERVAL:
                 self._ask(row, loading, now)
         for model in self._weights.models():
             self._begin(model, now)
+        if self._loading_by_target:
+            # While the lease is made to let us order, the reports are read.
+            self._lease.ask_to_act(now)
 
     def take(self, event, now):
         """Take in one of this module's events; return whether it was one."""
@@ -181,6 +189,7 @@
                 commands.Note("version_loaded", row.name, str(loading.version))
             )
             return
+        loading.ready_after = None
         if event.busy:
             row.switching_until = now + 2 * _REPORT_INTERVAL
             return
@@ -199,6 +208,10 @@
         return now - loading.ordered_at >= _ORDER_LOST_AFTER
 
     def _order(self, row, loading, orders, now):
+        if not self._lease.may_act(now):
+            loading.ready_after = orders
+            return
+        loading.ready_after = None
         self._lease.note_act(now)
         loading.ordered_at = now
         loading.ordered_after = orders
