Show an old answer that brings an earlier epoch back

Cause: a question is given up after a lease time, and its answer is taken in although a write took effect since.

--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -489,6 +489,23 @@
     assert not host.lease.is_held(late)
 
 
+def test_an_old_answer_does_not_bring_an_epoch_back():
+    """A host asks for the lease and stands still before it has the answer.
+
+    It wakes up, takes the lease under a higher epoch, and gets the old answer then.
+    Its orders bore the epoch of that answer, which is lower than that of orders
+    that engines have had.
+    """
+    old = lease.LeaseRecord("entry-1/1/entry-1:81", 6, 3)
+    store = [old, 9]
+    host = Host("entry-1", store, incarnation=2)
+    run([host], 0.3, start=0)
+    assert host.lease.epoch == 7
+    host.lease.take(lease.LeaseFound(old, 9), NOW + seconds(0.3))
+    assert host.lease.epoch == 7
+    assert host.lease.may_act(NOW + seconds(0.3))
+
+
 def test_a_changed_use_of_the_lease_is_noted(hosts):
     run(hosts, 5)
     run(hosts, 6, start=5, ordering=True)
@@ -629,7 +646,11 @@
             self.hosts[number].cut_off = not self.hosts[number].cut_off
 
 
-@pytest.mark.parametrize("seed", range(30))
+# In 1208 an old answer brought back the epoch before.
+SEEDS = (*range(30), 1208)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_fault_brings_two_hosts_acts_within_a_lease_time(seed):
     """Hosts stand still, start again and lose the store while lease changes hands.
 
