Take in no answer that is older than what is known of the lease

Hypothesis: the store's revisions only rise, also where an object is made anew, so an answer with a lower one is of before. Ruled out: dropping all answers that come late, they may be the only word.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -300,6 +300,10 @@
         return self._held_from is not None
 
     def _see(self, record, revision, now):
+        if 0 < revision < self._revision:
+            # An answer from before what is known, which came late. Revisions rise
+            # also where the object is removed and made anew.
+            return
         if revision == self._revision and self._seen_at is not None:
             self._note_wait(now)
             return
