Give the place of an engine in doubt to one that has had no order

Cause: a place was held for 4 s whatever came of it, and went back to the same engines, which come first in order. Hypothesis: a place is owed only to a load that is known to run or to an order that may still show. An engine that answers no report or shows nothing of its order for 1.2 s gives its place to one that waits, those that were not tried first, then in turn. It is looked at less often until its turn comes, and is ordered with the same count, so it takes one of its orders. A load that is accepted or busy holds its place; one that begins late takes one. An order in doubt may make one more engine load at once. Whether an engine is behind goes by its last sure version, not by a guess. A newer version is ordered without waiting for an order in doubt. Ruled out: ordering engines in doubt without a place, it would load all at once where orders are slow. Notes: order_in_doubt, place_given_up, late_load.

--- a/packages/decide/sesamespindle/decide/rollout.py
+++ b/packages/decide/sesamespindle/decide/rollout.py
@@ -10,10 +10,15 @@
 _AT_ONCE_SHARE = 0.4
 # How often the state of an engine that has an order is read.
 _REPORT_INTERVAL = datetime.timedelta(milliseconds=200)
-# An order of which the engine shows nothing for this long is given once more;
-# the users' engines show it in their reports within 0.2 s.
+# The same of an engine that gave its place up: it may be away for long, and each
+# read is charged for.
+_ASIDE_INTERVAL = datetime.timedelta(milliseconds=600)
+# An order of which the engine shows nothing for this long is in doubt; the users'
+# engines show it in their reports within 0.2 s. An engine that answers no report
+# for as long makes room for others too.
 _ORDER_LOST_AFTER = datetime.timedelta(milliseconds=1200)
-# An engine that answers no report for this long makes room for others.
+# A load that was known to run keeps its place until nothing was seen of it for this
+# long, twenty reports: the engine may be cut off, and load on.
 _STUCK_AFTER = datetime.timedelta(seconds=4)
 
 
@@ -44,6 +49,20 @@
     expected_orders: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderAccepted:
+    """An engine has said that it carries out an order.
+
+    Attributes
+    ----------
+    expected_orders : int
+        The order's, by which it is known again.
+    """
+
+    target: str
+    expected_orders: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reported:
     """What an engine says of itself.
@@ -74,17 +93,34 @@
 
 @dataclasses.dataclass(slots=True)
 class _Loading:
-    """An engine under way to a version."""
+    """An engine under way to a version.
+
+    Attributes
+    ----------
+    placed_at : datetime.datetime or None
+        When it got the place that it has among those that load at once.
+    set_aside_at : datetime.datetime or None
+        When it last gave its place up.
+    tried_at : datetime.datetime or None
+        When the order that is out was first given in this place.
+    ready_after : int or None
+        Its count of orders, if it is to be ordered once the lease lets us.
+    running_at : datetime.datetime or None
+        When it was last known to load, if it wasn't known not to since.
+    """
 
     life: lives.Life
     model: str
     version: int
-    since: datetime.datetime
-    asked_at: datetime.datetime
+    placed_at: datetime.datetime | None
+    asked_at: datetime.datetime | None = None
+    set_aside_at: datetime.datetime | None = None
+    tried_at: datetime.datetime | None = None
     ordered_at: datetime.datetime | None = None
     ordered_after: int = -1
-    # The engine's count of orders, if it may be ordered once the lease lets us.
     ready_after: int | None = None
+    running_at: datetime.datetime | None = None
+    doubt_noted: bool = False
 
 
 class Rollout:
@@ -113,17 +149,10 @@
             return
         for name, loading in list(self._loading_by_target.items()):
             row = self._state.target_in(loading.life)
-            if (
-                row is None
-                or self._is_done(row, loading)
-                or now - loading.since > _STUCK_AFTER
-            ):
+            if row is None or self._is_over(row, loading, now):
                 del self._loading_by_target[name]
-                continue
-            if loading.ready_after is not None:
-                self._order(row, loading, loading.ready_after, now)
-            if now - loading.asked_at >= _REPORT_INTERVAL:
-                self._ask(row, loading, now)
+            else:
+                self._follow(row, loading, now)
         for model in self._weights.models():
             self._begin(model, now)
         if self._loading_by_target:
@@ -135,6 +164,10 @@
         match event:
             case Reported():
                 self._reported(event, now)
+            case OrderAccepted():
+                loading = self._loading_by_target.get(event.target)
+                if loading and loading.ordered_after == event.expected_orders:
+                    self._note_running(loading, now)
             case ReportMissing():
                 pass
             case _:
@@ -151,22 +184,90 @@
             if model in row.version_by_model:
                 by_pool.setdefault(row.pool, []).append(row)
         for rows in by_pool.values():
-            most = max(1, int(len(rows) * _AT_ONCE_SHARE))
-            loading = sum(row.name in self._loading_by_target for row in rows)
-            behind = [
-                row
-                for row in rows
-                if self._weights.is_behind(row, model)
-                and not row.leaving
-                and row.name not in self._loading_by_target
-                and row.listed
-                and row.missing_since is None
-            ]
-            behind.sort(key=lambda row: (row.running_here, row.name))
-            for row in behind[: max(0, most - loading)]:
-                made = _Loading(row.life, model, self._weights.named(model), now, now)
-                self._loading_by_target[row.name] = made
-                self._ask(row, made, now)
+            self._give_places(rows, model, now)
+
+    def _give_places(self, rows, model, now):
+        """Have engines of one service begin, as many at once as may load.
+
+        Guards against engines that get no order while others, which answer no
+        report or show nothing of their orders, hold all places: they were dropped
+        after seconds, and began again at once as the first in order. Such a place
+        goes to an engine that waits, first to one that wasn't tried. An order in
+        doubt may still be carried out, so one more engine may load at once then;
+        that slows the loads down, where the others would not have begun at all.
+        """
+        most = max(1, int(len(rows) * _AT_ONCE_SHARE))
+        known = [self._loading_by_target.get(row.name) for row in rows]
+        placed = [loading for loading in known if loading and loading.placed_at]
+        placed.sort(key=lambda loading: loading.placed_at)
+        waiting = self._waiting(rows, model)
+        free = max(0, most - len(placed))
+        fruitless = [loading for loading in placed if _is_fruitless(loading, now)]
+        yielding = fruitless[: max(0, len(waiting) - free)]
+        for loading in yielding:
+            self._set_aside(loading, now)
+        free = max(0, most - len(placed) + len(yielding))
+        for row in waiting[:free]:
+            self._place(row, model, now)
+
+    def _waiting(self, rows, model):
+        """Return engines that are to load and have no place, in their turn."""
+        untried, aside = [], []
+        for row in rows:
+            if not _may_load(row) or not self._is_behind(row, model):
+                continue
+            loading = self._loading_by_target.get(row.name)
+            if loading is None:
+                untried.append(row)
+            elif loading.model == model and loading.placed_at is None:
+                aside.append(row)
+        untried.sort(key=lambda row: (row.running_here, row.name))
+        aside.sort(key=lambda row: self._loading_by_target[row.name].set_aside_at)
+        return untried + aside
+
+    def _place(self, row, model, now):
+        loading = self._loading_by_target.get(row.name)
+        if loading is None:
+            loading = _Loading(row.life, model, self._weights.named(model), now)
+            self._loading_by_target[row.name] = loading
+        loading.placed_at, loading.tried_at = now, None
+        self._ask(row, loading, now)
+
+    def _set_aside(self, loading, now):
+        why = "no report"
+        if loading.running_at is not None:
+            why = "nothing seen of its load"
+        elif loading.tried_at is not None:
+            why = "its order is in doubt"
+        loading.placed_at, loading.set_aside_at = None, now
+        loading.running_at = None
+        self._state.emit(commands.Note("place_given_up", loading.life.name, why))
+
+    def _follow(self, row, loading, now):
+        self._note_doubt(loading, now)
+        if loading.ready_after is not None:
+            self._order(row, loading, loading.ready_after, now)
+        has_place = loading.placed_at is not None
+        pause = _REPORT_INTERVAL if has_place else _ASIDE_INTERVAL
+        if now - loading.asked_at >= pause:
+            self._ask(row, loading, now)
+
+    def _note_doubt(self, loading, now):
+        """Tell once for an order that nothing is seen of it."""
+        if loading.ordered_at is None or loading.running_at or loading.doubt_noted:
+            return
+        if now - loading.ordered_at >= _ORDER_LOST_AFTER:
+            loading.doubt_noted = True
+            detail = f"version {loading.version} after {loading.ordered_after} orders"
+            note = commands.Note("order_in_doubt", loading.life.name, detail)
+            self._state.emit(note)
+
+    def _note_running(self, loading, now):
+        """Take in that an engine loads; it counts, also if it gave its place up."""
+        loading.running_at = now
+        if loading.placed_at is None:
+            loading.placed_at = now
+            self._state.emit(commands.Note("late_load", loading.life.name))
 
     def _ask(self, row, loading, now):
         loading.asked_at = now
@@ -182,7 +283,7 @@
         loading = self._loading_by_target.get(event.target)
         if loading is None or loading.life != row.life or not self._lease.is_held(now):
             return
-        if self._is_done(row, loading):
+        if not self._is_behind(row, loading.model):
             del self._loading_by_target[event.target]
             row.switching_until = None
             self._state.emit(
@@ -192,8 +293,10 @@
         loading.ready_after = None
         if event.busy:
             row.switching_until = now + 2 * _REPORT_INTERVAL
+            self._note_running(loading, now)
             return
-        if self._may_order(loading, event, now):
+        loading.running_at = None
+        if loading.placed_at is not None and self._may_order(loading, event, now):
             self._order(row, loading, event.orders, now)
 
     def _may_order(self, loading, event, now):
@@ -201,21 +304,29 @@
 
         An order without an answer may have been taken and not show yet, or may
         be carried out seconds later. It is given again with the same count of
-        earlier orders, so that at most one of them takes effect.
+        earlier orders, so that at most one of them takes effect. So is one to a
+        version that was named since, without waiting.
         """
         if loading.ordered_at is None or event.orders != loading.ordered_after:
             return True
+        if loading.version < self._weights.named(loading.model):
+            return True
         return now - loading.ordered_at >= _ORDER_LOST_AFTER
 
     def _order(self, row, loading, orders, now):
         if not self._lease.may_act(now):
             loading.ready_after = orders
             return
+        version = self._weights.named(loading.model)
+        is_repeat = (orders, version) == (loading.ordered_after, loading.version)
+        if loading.tried_at is None or not is_repeat:
+            loading.tried_at = now
         loading.ready_after = None
+        loading.doubt_noted = False
         self._lease.note_act(now)
         loading.ordered_at = now
         loading.ordered_after = orders
-        loading.version = self._weights.named(loading.model)
+        loading.version = version
         row.switching_until = now + 2 * _REPORT_INTERVAL
         self._state.emit(
             OrderVersion(
@@ -228,5 +339,39 @@
             )
         )
 
-    def _is_done(self, row, loading):
-        return not self._weights.is_behind(row, loading.model)
+    def _is_over(self, row, loading, now):
+        """Return whether an engine needs no more looking after."""
+        if not self._is_behind(row, loading.model):
+            return True
+        return not _may_load(row) and not _is_running(loading, now)
+
+    def _is_behind(self, row, model):
+        """Return whether an engine's last sure version is older than the named.
+
+        Guards against an engine that is left behind: it refused a request, is then
+        thought to run the next version, which may be the named one, and would need
+        no order by that guess. Its report costs little and tells.
+        """
+        return row.version_by_model.get(model, 1) < self._weights.named(model)
+
+
+def _may_load(row):
+    return row.listed and not row.leaving and row.missing_since is None
+
+
+def _is_running(loading, now):
+    running_at = loading.running_at
+    return running_at is not None and now - running_at <= _STUCK_AFTER
+
+
+def _is_fruitless(loading, now):
+    """Return whether nothing is known to come of the place that an engine has.
+
+    A load that is known to run keeps its place, for as long as word of it comes.
+    """
+    if loading.running_at is not None:
+        return not _is_running(loading, now)
+    if loading.ready_after is not None:
+        return False
+    since = loading.tried_at or loading.placed_at
+    return now - since >= _ORDER_LOST_AFTER
--- a/tests/decide/test_rollout.py
+++ b/tests/decide/test_rollout.py
@@ -402,3 +402,32 @@
     newest = [order for at, order in engines.orders if at >= 0.5]
     assert {order.target for order in newest} == {"llm-0", "llm-1"}
     assert {(order.version, order.expected_orders) for order in newest} == {(3, 0)}
+
+
+def test_a_place_is_kept_while_the_lease_is_not_yet_active():
+    """The store takes two seconds to say that orders may follow.
+
+    The engines have answered their reports, so nothing speaks against them.
+    """
+    core = made_core()
+    now = NOW + seconds(0.6)
+    (idle,) = writes(core.step(now, [events.Tick()]))
+    core.step(now, [lease.LeaseWritten(idle.record, 2)])
+    core.step(now, [weights.VersionNamed("m", 2)])
+    names = asked(core.step(now, [events.Tick()]))
+    core.step(now, [report(name) for name in names])
+    out = []
+    for step in range(1, 14):
+        out += core.step(now + seconds(0.1 * step), [events.Tick()])
+    assert core.lease.is_held(now + seconds(1.3))
+    assert set(asked(out)) == set(names)
+
+
+def test_an_engine_that_turns_out_not_to_load_is_in_doubt_like_others(engines):
+    """An engine accepts its order, and its reports show nothing of a load."""
+    engines.deaf = {"llm-0", "llm-1"}
+    engines.run(0.1)
+    for _, order in list(engines.orders):
+        engines.step(rollout.OrderAccepted(order.target, order.expected_orders))
+    engines.run(1.5)
+    assert engines.noted("place_given_up") == ["llm-0", "llm-1"]
