--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -369,15 +369,18 @@
     def _candidates(self, flight, service, now):
         """Return targets with room for one more connection of this daemon.
 
-        Engines whose weights' time is over go first: else one that was not tried
-        yet would keep the request from one that was, and has the named weights.
+        Engines whose weights' time is over are left out first: else one that is not
+        shunned, or was not tried yet, would keep the request from one that is or
+        was, and has the named weights.
         """
-        rows = list(self._state.targets.where("pool", flight.service))
-        rows = placement.usable(rows, now) or [
-            row for row in rows if row.listed and not row.leaving
+        rows = [
+            row
+            for row in self._state.targets.where("pool", flight.service)
+            if row.listed and not row.leaving
         ]
         if _is_prompt(flight, service):
             rows = self._placing.timely(flight, service.engines, rows, now)
+        rows = placement.usable(rows, now) or rows
         fresh = [row for row in rows if row.life not in flight.tried]
         rows = fresh or rows
         if service is None or not service.max_connections:
--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -118,6 +118,19 @@
     assert again.target == "llm-3"
 
 
+def test_a_busy_engine_with_the_named_weights_goes_before_a_refusal(core):
+    """All prompts are refused for a moment, though an engine could take them.
+
+    The one engine with the new weights turned a request away and is left alone for
+    a tenth of a second. Those with the old ones aren't, but their time is over.
+    """
+    late = NOW + 7 * SECOND
+    row = core.state.targets.get("llm-3")
+    row.learn_version("m", 2)
+    row.shunned_until = late + SECOND / 10
+    assert chat(core, late).target == "llm-3"
+
+
 def give_other_new_weights(core, sent):
     """Have the engine that a send didn't go to load version 2."""
     for row in core.state.targets.where("pool", "llm"):
