Let no host that hears of a version twice take older weights for too old

A peer that asked between a naming and the next tick learned the version without its age, for up to 0.5 s. Where no host had heard the naming, times before it weren't told. An answer that lay at a paused host was dated from its waking.

Now a version replaces the newest known one below it; ages are told from when they are known, also times before a naming, for as long as a host may need them; and answers count from their questions. A peer port is no longer shared by two processes, which the taking back of a lease relies on.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -16,6 +16,9 @@
 _KEY_METADATA = "peer-key"
 _OPTIONS = (
     ("grpc.enable_http_proxy", 0),
+    # A peer address is of one process: whoever listens there held what the process
+    # before it held. The library would share the port.
+    ("grpc.so_reuseport", 0),
     # A peer that was away is tried again within a second; the library's own
     # pause grows to minutes.
     ("grpc.initial_reconnect_backoff_ms", 100),
@@ -217,13 +220,14 @@
 
     async def _gossip(self, command):
         stamp = self._clock.stamp()
-        message = peermessages.gossip_to_wire(command.message, stamp, self._now())
+        asked_at = self._now()
+        message = peermessages.gossip_to_wire(command.message, stamp, asked_at)
         answer = await self._call(command.peer_address, "Gossip", message)
         if answer is not None:
             self._driver.feed(
                 gossip.GossipAnswered(
                     command.peer_address,
-                    peermessages.gossip_from_wire(answer, self._now()),
+                    peermessages.gossip_from_wire(answer, self._now(), asked_at),
                 )
             )
 
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -77,8 +77,19 @@
     )
 
 
-def gossip_from_wire(message, now):
-    """Return the `gossip.GossipMessage` of a protobuf message."""
+def gossip_from_wire(message, now, sent_after=None):
+    """Return the `gossip.GossipMessage` of a protobuf message.
+
+    Parameters
+    ----------
+    now : datetime.datetime
+        When it arrived. What is told in durations and may rather seem young than
+        old counts from here.
+    sent_after : datetime.datetime, optional
+        A time after which it was sent, where one is known. Versions count from
+        here: an answer that lay here while this process was paused would have them
+        named later than they were.
+    """
     return gossip.GossipMessage(
         message.sender,
         message.data_centre,
@@ -115,7 +126,7 @@
             for item in message.pending
         ),
         message.brief,
-        tuple(_naming_from_wire(item, now) for item in message.named),
+        tuple(_naming_from_wire(item, sent_after or now) for item in message.named),
     )
 
 
@@ -141,12 +152,18 @@
         version=naming.version,
         replaces=naming.replaces,
         seconds_ago=(now - naming.at).total_seconds(),
+        is_sure=naming.is_sure,
     )
 
 
-def _naming_from_wire(message, now):
-    at = now - datetime.timedelta(seconds=message.seconds_ago)
-    return namings.Naming(message.model, message.version, message.replaces, at, True)
+def _naming_from_wire(message, sent_at):
+    return namings.Naming(
+        message.model,
+        message.version,
+        message.replaces,
+        sent_at - datetime.timedelta(seconds=message.seconds_ago),
+        message.is_sure,
+    )
 
 
 def asks_to_wire(asks):
--- a/packages/decide/sesamespindle/decide/namings.py
+++ b/packages/decide/sesamespindle/decide/namings.py
@@ -18,7 +18,8 @@
         The version that was named before it; 0 where it isn't known.
     at : datetime.datetime or None
         When it was named, by the clock of whoever has this record. Where that isn't
-        sure, a time at which it was not named yet; None if there is none.
+        sure, a time at which it was not named yet; None if there is none. Either
+        way it was not named long before, so ages count from here.
     is_sure : bool
         Whether a host heard of it as it was named.
     """
@@ -35,8 +36,7 @@
 
     def __init__(self):
         self._naming_by_version_by_model = {}
-        # Sure ones that peers are told of.
-        self.told = ()
+        self._told_after = None
 
     def learn(self, naming):
         """Take a naming in, and return what is known of that version now."""
@@ -48,15 +48,27 @@
             del by_version[version]
         return merged
 
-    def stop_telling(self, before):
-        """Tell peers only of versions that were named after a time."""
-        self.told = tuple(
+    def forget_telling(self, before):
+        """Tell peers no more of versions that were named before a time."""
+        self._told_after = before
+
+    @property
+    def told(self):
+        """The namings whose age peers are told, each from when it is known here.
+
+        Guards against peers that hear of a change, read of a version by way of this
+        host, and take it for one of any age until they hear the age too.
+        """
+        return tuple(
             naming
             for by_version in self._naming_by_version_by_model.values()
             for naming in by_version.values()
-            if naming.is_sure and naming.at > before
+            if naming.at is not None and self._is_told(naming.at)
         )
 
+    def _is_told(self, at):
+        return self._told_after is None or at > self._told_after
+
     def models(self):
         """Return the models of which a version is named."""
         return list(self._naming_by_version_by_model)
@@ -65,6 +77,11 @@
         """Return the version that is to run; 1 until one is named."""
         return max(self._naming_by_version_by_model.get(model, ()), default=1)
 
+    def newest_below(self, model, version):
+        """Return the newest known version below one; 1 until one is named."""
+        known = self._naming_by_version_by_model.get(model, ())
+        return max((item for item in known if item < version), default=1)
+
     def get(self, model, version):
         """Return what is known of a version, or None."""
         return self._naming_by_version_by_model.get(model, {}).get(version)
--- a/packages/decide/sesamespindle/decide/weights.py
+++ b/packages/decide/sesamespindle/decide/weights.py
@@ -101,10 +101,10 @@
         """Take in one of this module's events; return whether it was one."""
         match event:
             case VersionNamed(model, version):
-                replaces = self.named(model)
+                replaces = self._before(model, version)
                 self._learn(namings.Naming(model, version, replaces, now, True), now)
             case VersionFound(model, version, not_named_at):
-                replaces = 0 if not_named_at is None else self.named(model)
+                replaces = 0 if not_named_at is None else self._before(model, version)
                 self._learn(
                     namings.Naming(model, version, replaces, not_named_at, False), now
                 )
@@ -119,7 +119,8 @@
 
     def tick(self, now):
         """Tell peers no longer of versions whose time is over."""
-        self._state.namings.stop_telling(before=now - self._in_force_within)
+        told_for = self._in_force_within + self._contact_time
+        self._state.namings.forget_telling(before=now - told_for)
 
     def models(self):
         """Return the models of which a version is named."""
@@ -192,6 +193,15 @@
         else:
             row.guessed_version = None
 
+    def _before(self, model, version):
+        """Return the version that was in force when one was named.
+
+        Guards against a version that seems to have replaced itself where a host
+        reads of it twice, by a peer and by its own watch: all hosts would then take
+        older weights for too old at once, and refuse what they could serve.
+        """
+        return self._state.namings.newest_below(model, version)
+
     def _learn(self, naming, now):
         known = self._state.namings.get(naming.model, naming.version)
         learned = self._state.namings.learn(naming)
