Judge the soak's runs on old weights by the daemon that sent them

Cause: a daemon that had started or woken up sent prompts to targets with weights replaced 11 s before, and no soak showed it. The rule left out every run with any fault of any kind between the naming and the run, thus all runs after a start or a pause. Targets carried orders out at once, so few had old weights for longer than the users allow. Versions were seldom named beside a failing daemon with the platform's store and all links sound meanwhile.

The rule now leaves out a run only if its own daemon was not in touch for 3 s before it (kill, stop, pause, its link to the store or to the target, the store), or if no calm time of 8 s has passed since the naming, or calm spans of 2 s or more that make 11 s. The time stands still while the store is unstable or a link is harmed, not for daemons and targets. It finds all that it found before. A calm time that has passed stays passed when something is harmed later: the daemon has to be in touch again besides.

New in some seeds, drawn apart so that the others play as before: a share of the orders gets no answer and is carried out 2 to 12 s later, with the expected count checked then; weights are named just before all daemons are killed, are paused or stop in turn, and while some are paused.

--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -259,6 +259,102 @@
     assert found == {"all engines follow"}
 
 
+def _is_late_run_found(*faults):
+    """Return whether a run 11 s after a naming, by ``entry-1``, breaks a promise."""
+    named = records.Change("weights", 20.0, version=2)
+    asked = dataclasses.replace(_CHAT, sent_at=31.0, ended_at=31.5)
+    run = dataclasses.replace(_CHAT_RUN, at=31.0)
+    made = {"asked": [asked], "runs": [run], "changes": [named]}
+    found = _promises(**made, faults=list(faults))
+    assert found <= {"newest weights"}
+    return bool(found)
+
+
+@pytest.mark.parametrize("subject", ["entry-1", "entry-2", ""])
+@pytest.mark.parametrize("what", ["SIGTERM", "SIGKILL", "end all", "pause"])
+def test_old_weights_are_found_after_daemons_failed(what, subject):
+    """A daemon sent a prompt to an engine whose weights were replaced 11 s before.
+
+    It had missed the naming, as it had ended or stood still, and took the version
+    for a new one when it heard of it. It had been back for 4 s.
+    """
+    fault = records.Fault(what, records.Area.DAEMON, subject, 20.5, 27.0)
+    assert _is_late_run_found(fault)
+
+
+@pytest.mark.parametrize(
+    ("subject", "ended", "is_found"),
+    [
+        # Back for less, or for more, than it has to be in touch.
+        ("entry-1", 28.2, False),
+        ("entry-1", 27.8, True),
+        # Another one sent it.
+        ("entry-2", 28.2, True),
+        # All of them.
+        ("", 28.2, False),
+    ],
+)
+def test_old_weights_are_allowed_to_a_daemon_that_is_just_back(
+    subject, ended, is_found
+):
+    for what in ("SIGKILL", "pause"):
+        fault = records.Fault(what, records.Area.DAEMON, subject, 20.5, ended)
+        assert _is_late_run_found(fault) == is_found
+
+
+def test_old_weights_are_found_though_a_daemon_reloads_or_targets_fail():
+    reload = records.Fault("reload", records.Area.DAEMON, "entry-1", 30.0, 30.1)
+    crash = records.Fault("crash", records.Area.TARGET, "llm-2", 24.0, 26.0)
+    lost = records.Fault("lose answers", records.Area.TARGET, "llm-1", 19.0, 40.0)
+    assert _is_late_run_found(reload, crash, lost)
+
+
+@pytest.mark.parametrize(
+    ("what", "area", "subject", "began", "ended", "is_found"),
+    [
+        # The store is stable 3 s after its harm: from 22.4 or 22.6 on.
+        ("is_away", records.Area.STORE, "", 18.0, 19.4, True),
+        ("is_away", records.Area.STORE, "", 18.0, 19.6, False),
+        ("is_away", records.Area.STORE, "", 24.0, 25.0, False),
+        # Harmed once the time was over, and the daemon in touch again or not.
+        ("link freeze", records.Area.TARGET, "llm-2", 28.6, 29.0, True),
+        ("link freeze", records.Area.TARGET, "llm-1", 28.6, 29.0, False),
+        ("is_away", records.Area.STORE, "", 28.6, 29.0, False),
+        ("link freeze", records.Area.STORE, "entry-2", 28.6, 29.0, True),
+        ("link freeze", records.Area.STORE, "entry-1", 28.6, 29.0, False),
+        # Any link that is harmed stops the clock.
+        ("link freeze", records.Area.TARGET, "llm-2", 21.0, 22.4, True),
+        ("link freeze", records.Area.TARGET, "llm-2", 21.0, 22.6, False),
+        ("link freeze", records.Area.STORE, "entry-2", 21.0, 22.4, True),
+        ("cut link", records.Area.STORE, "entry-2", 24.0, 24.0, False),
+    ],
+)
+def test_old_weights_are_allowed_until_a_calm_time_has_passed(
+    what, area, subject, began, ended, is_found
+):
+    fault = records.Fault(what, area, subject, began, ended)
+    assert _is_late_run_found(fault) == is_found
+
+
+def test_old_weights_are_found_once_calm_spans_add_up():
+    """Spans of 2 s or more count together, and are due at 11 s."""
+    named = records.Change("weights", 10.0, version=2)
+    # Calm from 10 to 14, 14.5 to 18 and 18.5 to 23 and later.
+    harmed = [
+        records.Fault("link freeze", records.Area.TARGET, "llm-2", began, began + 0.5)
+        for began in (14.0, 18.0)
+    ]
+    early = dataclasses.replace(_CHAT_RUN, at=22.4)
+    assert _promises(runs=[early], changes=[named], faults=harmed) == set()
+    late = dataclasses.replace(_CHAT_RUN, at=22.6)
+    found = _promises(runs=[late], changes=[named], faults=harmed)
+    assert found == {"newest weights"}
+    # Of less than 2 s each they don't count: 14.5 to 16 and 16.5 to 18.
+    split = records.Fault("link freeze", records.Area.TARGET, "llm-2", 16.0, 16.5)
+    found = _promises(runs=[late], changes=[named], faults=[*harmed, split])
+    assert found == set()
+
+
 def test_kv_cache_that_is_shared_wrongly_is_found():
     for changed in ({"weights": 2}, {"account": "bank"}):
         other = dataclasses.replace(_CHAT_RUN, request="r2", **changed)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,15 +21,35 @@
     80121,
 )
 
+# Weights are named just before daemons end or while they are paused, and targets
+# carry orders out late. A host that had started took the version for named just
+# then, and sent prompts to targets with older weights for 6.4 s from then on. So
+# did one that woke up.
+SEEDS_WITH_NAMINGS = (
+    # All hosts are killed 0.9 s after a naming, and are back 4 s later; they sent
+    # to all targets until 13.6 s after it.
+    4123,
+    # Kills, stops in turn, and two hosts paused as a version was named: these sent
+    # until 10.3 s after it, as the answer to their watch lay there as they woke up.
+    4296,
+)
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_through_a_seeded_soak(seed):
-    outcome = asyncio.run(play.play(seed, seconds=12.0, restarts=False))
+    outcome = asyncio.run(play.play(seed, seconds=12.0, restarts=False, namings=False))
     assert outcome.violations == []
     assert len(outcome.journal.asked) > 100
 
 
 def test_promises_hold_while_targets_start_again_under_their_names():
-    outcome = asyncio.run(play.play(7, seconds=12.0))
+    outcome = asyncio.run(play.play(7, seconds=12.0, namings=False))
     assert outcome.violations == []
     assert any(fault.what == "restart" for fault in outcome.journal.faults)
+
+
+@pytest.mark.parametrize("seed", SEEDS_WITH_NAMINGS)
+def test_promises_hold_while_weights_are_named_as_daemons_fail(seed):
+    outcome = asyncio.run(play.play(seed, seconds=4.0))
+    assert outcome.violations == []
+    assert any(order.delay for order in outcome.journal.orders)
--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -53,8 +53,9 @@
     folder.mkdir(parents=True, exist_ok=True)
     for name, lines in outcome.log_by_daemon.items():
         (folder / f"{name}.log").write_text("\n".join(lines))
-    records = (*outcome.journal.faults, *outcome.journal.changes)
-    text = "\n".join(str(record) for record in records)
+    journal = outcome.journal
+    records = (*journal.faults, *journal.changes, *journal.orders)
+    text = "\n".join(str(record) for record in (*records, *outcome.violations))
     (folder / "faults.txt").write_text(text)
     print(f"  logs are in {folder}")
 
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -13,6 +13,9 @@
 _CONFIGURATION = 2.0
 _ROLLBACK = 0.25
 _WEIGHTS = 8.0
+# New weights are due too once calm spans, none shorter than this, add up to so much.
+_WEIGHTS_SPAN = 2.0
+_WEIGHTS_IN_ALL = 11.0
 _LEASE = 3.0
 _RECOVER = 12.0
 _GRACE = 8.0
@@ -259,12 +262,18 @@
 def _check_weights(journal):
     """Check that no run begins on old weights late, and all engines follow."""
     named = [change for change in journal.changes if change.what == "weights"]
+    daemon_by_request = {asked.request: asked.daemon for asked in journal.asked}
     for change in named:
         for run in journal.runs:
             old = 0 < run.weights < change.version
-            late = run.at > change.at + _WEIGHTS + _SLACK
-            if old and late and _calm(journal.faults, change.at, run.at):
-                yield Violation("newest weights", run.request, f"{run}, {change}")
+            daemon = daemon_by_request.get(run.request, "")
+            if (
+                old
+                and _are_weights_due(journal.faults, change.at, run.at)
+                and _is_in_touch(journal.faults, daemon, run)
+            ):
+                detail = f"{run.at - change.at:.2f} s, by {daemon}, {run}, {change}"
+                yield Violation("newest weights", run.request, detail)
     newest = max((change.version for change in named), default=1)
     for engine, version in journal.final_weights_by_engine.items():
         if version < newest:
@@ -272,6 +281,54 @@
             yield Violation("all engines follow", "", detail)
 
 
+def _are_weights_due(faults, named_at, until):
+    """Return whether engines had their time to follow since a version was named.
+
+    It passes while the store is stable and no link is harmed, whatever becomes of
+    daemons and targets meanwhile.
+    """
+    lengths = []
+    since = named_at
+    for fault in sorted(faults, key=lambda fault: fault.began):
+        if not _harms_store_or_link(fault):
+            continue
+        lengths.append(min(fault.began, until) - since)
+        # The store counts as stable again some time after its harm, links at once.
+        is_of_store = fault.area is _Area.STORE and not fault.subject
+        settles = _CONTACT if is_of_store else 0.0
+        since = max(since, fault.ended + settles)
+    lengths.append(until - since)
+    in_all = sum(length for length in lengths if length >= _WEIGHTS_SPAN)
+    return max(lengths) > _WEIGHTS + _SLACK or in_all > _WEIGHTS_IN_ALL + _SLACK
+
+
+def _harms_store_or_link(fault):
+    return fault.area is _Area.STORE or (
+        fault.area is _Area.TARGET and "link" in fault.what
+    )
+
+
+def _is_in_touch(faults, daemon, run):
+    """Return whether a run's daemon was in touch when it sent the request.
+
+    For some time before, its process ran and neither the store nor its link to the
+    store or to the target was harmed. What becomes of other daemons excuses nothing.
+    """
+    own = [
+        fault
+        for fault in faults
+        if fault.subject in ("", daemon)
+        and fault.area in (_Area.DAEMON, _Area.STORE)
+        and fault.what != "reload"
+    ]
+    held_up = [
+        fault
+        for fault in faults
+        if fault.subject == run.target and _harms_store_or_link(fault)
+    ]
+    return _calm(own + held_up, run.at, run.at)
+
+
 def _check_salts(runs):
     """Check that no salt is of two weight versions or on both sides of a wall."""
     seen = {}
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -166,6 +166,16 @@
     return source.choice(_plan(source))()
 
 
+def draw_after_naming(source):
+    """Return a fault that keeps daemons from hearing of a version as it is named."""
+    makers = (
+        lambda: EndAll(source.uniform(0.5, 5)),
+        lambda: PauseDaemon(source.uniform(3, 8)),
+        lambda: StopInTurn(4, source.uniform(0, 1.5), source.uniform(0, 4), 0.5),
+    )
+    return source.choice(makers)()
+
+
 def _plan(source):
     def stop_in_turn():
         apart, pause = source.uniform(0, 1.5), source.uniform(0, 1)
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -21,6 +21,20 @@
 # Nothing fails any more for this long at the end: what must recover has 12 s,
 # new weights have 11 s.
 _END_SECONDS = 14.0
+# In how many seeds weights are named just before daemons fail, and orders are late.
+_NAMINGS_SHARE = 0.6
+_LATE_ORDERS_SHARES = (0.3, 1.0)
+_MOST_NAMINGS = 2
+# From a naming to the faults that follow it, at most.
+_AFTER_NAMING_SECONDS = 2.0
+# Some daemons are paused at once, or all end, some tenths of a second apart.
+_MOST_AFTER_NAMING = 3
+# In how many of these seeds weights are also named while daemons are paused, which
+# hear of it as they wake up.
+_PAUSES_SHARE = 0.5
+_PAUSE_SECONDS = (4.0, 8.0)
+# Nothing fails for this long after them: new weights have 8 s.
+_AFTER_FAULTS_SECONDS = 8.0
 # Targets start again under their names at most this far apart.
 _RESTARTS_APART_SECONDS = 4.0
 
@@ -34,7 +48,7 @@
     log_by_daemon: dict[str, list[str]]
 
 
-async def play(seed, seconds, daemons=4, crowd=16, restarts=True):
+async def play(seed, seconds, daemons=4, crowd=16, restarts=True, namings=True):
     """Play one soak and return its `Outcome`.
 
     Parameters
@@ -42,6 +56,9 @@
     restarts : bool
         Whether targets also start again under their names. They are drawn apart,
         so that a seed without them plays as it did before there were any.
+    namings : bool
+        Whether, in some seeds, weights are also named just before daemons fail and
+        targets carry orders out late. Drawn apart for the same reason.
     """
     async with contextlib.AsyncExitStack() as stack:
         made = await stack.enter_async_context(world.World(seed, daemons))
@@ -58,7 +75,16 @@
             watching = group.create_task(made.watch_ends())
             if restarts:
                 group.create_task(_restart_targets(made, seed, seconds))
+            source = random.Random(f"namings {seed}")
+            named_before_faults = namings and source.random() < _NAMINGS_SHARE
+            if named_before_faults:
+                made.delay_orders(source.uniform(*_LATE_ORDERS_SHARES))
             await _strike(made, seed, seconds)
+            if named_before_faults:
+                await _name_before_faults(made, source)
+                if source.random() < _PAUSES_SHARE:
+                    await _name_during_pauses(made, source)
+                made.delay_orders(0.0)
             made.journal.recovered_at = made.now()
             await asyncio.sleep(_END_SECONDS)
             stopped.set()
@@ -99,6 +125,31 @@
         await faults.play(fault, made)
 
 
+async def _name_before_faults(made, source):
+    """Name weights just before daemons fail, while neither store nor links do."""
+    for _ in range(source.randint(1, _MOST_NAMINGS)):
+        await asyncio.sleep(_QUIET_SECONDS)
+        await faults.play(faults.NameWeights(), made)
+        await asyncio.sleep(source.uniform(0, _AFTER_NAMING_SECONDS))
+        async with asyncio.TaskGroup() as burst:
+            for _ in range(source.randint(1, _MOST_AFTER_NAMING)):
+                fault = faults.draw_after_naming(source)
+                burst.create_task(faults.play(fault, made))
+                await asyncio.sleep(source.uniform(0, _APART_SECONDS))
+        await asyncio.sleep(_AFTER_FAULTS_SECONDS)
+
+
+async def _name_during_pauses(made, source):
+    await asyncio.sleep(_QUIET_SECONDS)
+    async with asyncio.TaskGroup() as pauses:
+        for _ in range(source.randint(1, _MOST_AFTER_NAMING)):
+            fault = faults.PauseDaemon(source.uniform(*_PAUSE_SECONDS))
+            pauses.create_task(faults.play(fault, made))
+        await asyncio.sleep(source.uniform(0.1, _APART_SECONDS))
+        await faults.play(faults.NameWeights(), made)
+    await asyncio.sleep(_AFTER_FAULTS_SECONDS)
+
+
 async def _change_in_calm(made, source):
     """Play changes that overlap and that nobody should notice, in calm."""
     await asyncio.sleep(_QUIET_SECONDS)
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -86,12 +86,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """A target took an order to load weights."""
+    """A target was given an order to load weights.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds until it is carried out; an order with a delay gets no answer.
+    """
 
     target: str
     at: float
     holder: str
     epoch: int
+    delay: float = 0.0
 
 
 class Area(enum.Enum):
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -11,6 +11,8 @@
 
 # How long an engine loads new weights, in seconds, and turns requests away.
 _LOAD_SECONDS = 0.4
+# An order that gets no answer is carried out so many seconds later.
+_ORDER_DELAY_SECONDS = (2.0, 12.0)
 _EVENT_SECONDS = 0.03
 # One in so many streams is long: begun 2.5 s after the SIGTERM of its host or
 # later, it outlasts the rest of the 8 s that the host has. A target that leaves
@@ -58,6 +60,13 @@
         The soak's clock.
     source : random.Random
         Chooses which runs fail.
+
+    Attributes
+    ----------
+    late_orders_share : float
+        Of the orders, how many get no answer and are carried out later.
+    order_source : random.Random
+        Chooses these orders and when they are carried out.
     """
 
     def __init__(self, name, address, service, listed_address, journal, now, source):
@@ -66,11 +75,13 @@
         self.weights = 1
         self.failing_share = 0.05
         self.answers_lost_share = 0.0
+        self.late_orders_share = 0.0
         self.orders_taken = 0
         self._loading_until = 0.0
         self._journal = journal
         self._now = now
         self._random = source
+        self.order_source = source
 
     def entry(self, state="ready"):
         """Return the record under which the target is listed."""
@@ -94,8 +105,7 @@
         elif path == "/v1/report":
             writer.write(standins.make_answer(200, headers, {}, self._report()))
         elif path == "/v1/order":
-            status = self._take_order(json.loads(self.body))
-            writer.write(standins.make_answer(status, headers, {}))
+            await self._answer_order(json.loads(self.body), headers, writer)
         elif self.service == "llm":
             await self._run_prompt(headers, writer)
         else:
@@ -120,9 +130,25 @@
     def _loads(self):
         return self._now() < self._loading_until
 
-    def _take_order(self, order):
-        made = records.Order(self.name, self._now(), order["Holder"], order["Fence"])
+    async def _answer_order(self, order, headers, writer):
+        """Carry an order out, at once or late and without an answer."""
+        delay = 0.0
+        if self.order_source.random() < self.late_orders_share:
+            delay = self.order_source.uniform(*_ORDER_DELAY_SECONDS)
+        given_by = order["Holder"], order["Fence"]
+        made = records.Order(self.name, self._now(), *given_by, delay)
         self._journal.orders.append(made)
+        if not delay:
+            status = self._take_order(order)
+            writer.write(standins.make_answer(status, headers, {}))
+            return
+        born = self.born
+        await asyncio.sleep(delay)
+        if self.born == born:
+            self._take_order(order)
+        writer.transport.abort()
+
+    def _take_order(self, order):
         if self._loads() or order.get("Expect", self.orders_taken) != self.orders_taken:
             return 409
         if order["Version"] <= self.weights:
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -34,6 +34,7 @@
     def __init__(self, seed, daemons):
         self.journal = records.Journal()
         self.random = random.Random(seed)
+        self._seed = seed
         self.daemon_by_name = {}
         self.life_by_daemon = {}
         self.target_by_name = {}
@@ -44,6 +45,7 @@
         self._daemons = daemons
         self._expected_ends = set()
         self.weights = 1
+        self._late_orders_share = 0.0
         self._versions = [1]
         self._names = 0
         self._start = time.monotonic()
@@ -141,6 +143,8 @@
         )
         # A new engine has the newest weights, one that starts again those it had.
         made.weights = weights or self.weights
+        made.late_orders_share = self._late_orders_share
+        made.order_source = random.Random(f"orders {self._seed} {name}")
         await self._stack.enter_async_context(made)
         self.target_by_name[name] = made
         self.link_by_target[name] = link
@@ -184,6 +188,12 @@
         await asyncio.sleep(_SERVES_ON_SECONDS)
         target.crash()
 
+    def delay_orders(self, share):
+        """Have a share of the orders to all targets carried out late."""
+        self._late_orders_share = share
+        for target in self.target_by_name.values():
+            target.late_orders_share = share
+
     def engines(self):
         """Return the engines that are listed."""
         return [
