--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -134,7 +134,8 @@
         self._leaving = False
         self._acted_at = None
         self._wanted_at = None
-        # Whether the record may say that the lease is idle, by then or later.
+        # Whether the record says that the lease is idle, or may yet by a write that
+        # is under way.
         self._maybe_idle = True
         self._was_idle = False
         self._released_epoch = 0
