Count the time after a start from the start of the process

Cause: where all hosts have started again, older weights are used for 2.4 s of the 3 s for which a host that has started isn't held to bounds, and these counted from the first step of the decision logic, after all modules were loaded. Now the start that the process itself saw first counts.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -71,10 +71,12 @@
         The seed of all random choices.
     seeds : tuple of str
         Peer addresses to begin with.
+    started_at : datetime.datetime, optional
+        When the process was started.
     """
 
-    def __init__(self, me, terms, policy=None, seed=0, seeds=()):
-        self.state = world.World(me, policy, seed)
+    def __init__(self, me, terms, policy=None, seed=0, seeds=(), started_at=None):
+        self.state = world.World(me, policy, seed, started_at)
         # Peers and callers are told of this host once it can serve.
         self.state.put_entry(catalogue.me_as_entry(dataclasses.replace(me, url="")))
         self.weights = weights.Weights(
--- a/packages/decide/sesamespindle/decide/pauses.py
+++ b/packages/decide/sesamespindle/decide/pauses.py
@@ -13,13 +13,15 @@
     Attributes
     ----------
     started_at : datetime.datetime or None
-        The first step.
+        When the process was started, as far as it knows; the first step otherwise.
+        Guards against a host that counts from its first step, and so allows itself
+        the time of loading once more: 1.6 s where the host is busy.
     woke_at : datetime.datetime or None
         The first step after the latest pause.
     """
 
-    def __init__(self):
-        self.started_at = None
+    def __init__(self, started_at=None):
+        self.started_at = started_at
         self.woke_at = None
         self._stepped_at = None
 
@@ -27,7 +29,7 @@
         """Take in that the process runs now."""
         if self.started_at is None:
             self.started_at = now
-        elif now - self._stepped_at > _PAUSE:
+        if self._stepped_at is not None and now - self._stepped_at > _PAUSE:
             self.woke_at = now
         self._stepped_at = now
 
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -240,9 +240,11 @@
         The numbers in force.
     seed : int
         The seed of the only source of randomness.
+    started_at : datetime.datetime, optional
+        When the process was started.
     """
 
-    def __init__(self, me, policy=None, seed=0):
+    def __init__(self, me, policy=None, seed=0, started_at=None):
         self.me = me
         self.policy = policy or Policy()
         self.random = random.Random(seed)
@@ -270,7 +272,7 @@
         self.seen_by_kind: dict[str, int] = {}
         self.covered_by_kind: dict[str, int] = {}
         self.namings = namings.Namings()
-        self.pauses = pauses.Pauses()
+        self.pauses = pauses.Pauses(started_at)
         # The latest lease that its holder has given up, as heard.
         self.lease_release: gossip.LeaseRelease | None = None
         # Whether work was sent that peers are to hear of before the next round.
--- a/packages/wire/sesamespindle/wire/clock.py
+++ b/packages/wire/sesamespindle/wire/clock.py
@@ -27,8 +27,11 @@
 
     def now(self):
         """Return the present in UTC; it never goes back."""
-        passed = time.clock_gettime(time.CLOCK_BOOTTIME) - self._boot_start
-        return self._start + datetime.timedelta(seconds=passed)
+        return self.at(time.clock_gettime(time.CLOCK_BOOTTIME))
+
+    def at(self, since_boot):
+        """Return the time in UTC at so many seconds since boot, by this clock."""
+        return self._start + datetime.timedelta(seconds=since_boot - self._boot_start)
 
 
 class ManualClock:
--- a/tests/decide/test_weights.py
+++ b/tests/decide/test_weights.py
@@ -6,7 +6,15 @@
 import pytest
 
 from sesamespindle.daemon import peermessages
-from sesamespindle.decide import events, gossip, namings, targetlist, weights
+from sesamespindle.decide import (
+    budgets,
+    events,
+    gateway,
+    gossip,
+    namings,
+    targetlist,
+    weights,
+)
 
 NOW, SECOND = gateways.NOW, gateways.SECOND
 
@@ -179,6 +187,24 @@
     assert not may_begin(core, NOW + 2.5 * SECOND)
 
 
+def test_the_time_after_a_start_counts_from_the_start_of_the_process():
+    """All hosts start again on busy machines, where loading takes 1.6 s.
+
+    A host counted the time for which it isn't held to bounds from when it had
+    loaded, and sent prompts to replaced weights beyond it.
+    """
+    me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
+    core = gateway.Gateway(
+        me, gateway.Terms(budgets.BudgetRule()), started_at=NOW - 1.6 * SECOND
+    )
+    target = gateways.make_target("llm-3", "llm", versions={"m": 1})
+    core.step(NOW, [targetlist.TargetsListed((target,))])
+    core.step(NOW, [weights.VersionFound("m", 2, None)])
+    assert may_begin(core, NOW + 0.7 * SECOND)
+    assert not may_begin(core, NOW + 0.9 * SECOND)
+    assert not core.state.pauses.paused_since(NOW - SECOND)
+
+
 def test_after_a_pause_a_version_counts_from_the_last_reading_before_it():
     core = make_core()
     late = NOW + 6 * SECOND
