Have two hosts of each data centre follow a KV store, and tell the others with gossip

Cause: where a store has no place for all hosts, all still asked it, more shortly and rarely: at 195 hosts and 21 stores 2,000 questions a second at the longest pause. What is told is advice; a store's start (boot), its own position and the time of its own word say which news are later. Small fleets follow all stores as before.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import events, gossip, lives, namings
+from sesamespindle.decide import events, gossip, kvstores, lives, namings
 from sesamespindle.wire import peers_pb2
 
 
@@ -74,6 +74,8 @@
         ],
         brief=message.brief,
         named=[_naming_to_wire(item, now) for item in message.named],
+        store_words=[_word_to_wire(item, now) for item in message.store_words],
+        store_news=[_news_to_wire(item) for item in message.store_news],
     )
 
 
@@ -127,6 +129,8 @@
         ),
         message.brief,
         tuple(_naming_from_wire(item, sent_after or now) for item in message.named),
+        tuple(_word_from_wire(item, sent_after or now) for item in message.store_words),
+        tuple(_news_from_wire(item) for item in message.store_news),
     )
 
 
@@ -166,6 +170,60 @@
     )
 
 
+def _word_to_wire(word, now):
+    """Return how long ago a store was known to answer, and the engines' clock."""
+    clock_ms = None
+    if word.clock_lead is not None:
+        clock_ms = now.timestamp() * 1000.0 + word.clock_lead
+    return peers_pb2.StoreWord(
+        store=word.store,
+        boot=word.boot,
+        position=word.position,
+        seconds_ago=(now - word.told_at).total_seconds(),
+        is_silent=word.is_silent,
+        clock_ms=clock_ms,
+    )
+
+
+def _word_from_wire(message, sent_at):
+    clock_lead = None
+    if message.HasField("clock_ms"):
+        clock_lead = message.clock_ms - sent_at.timestamp() * 1000.0
+    return gossip.StoreWord(
+        message.store,
+        message.boot,
+        message.position,
+        sent_at - datetime.timedelta(seconds=message.seconds_ago),
+        message.is_silent,
+        clock_lead,
+    )
+
+
+def _news_to_wire(news):
+    return peers_pb2.StoreNews(
+        store=news.store,
+        boot=news.boot,
+        since=news.since,
+        position=news.position,
+        whole_list=news.whole_list,
+        salts=[part.salt for part in news.parts],
+        part_ids=[part.part_id for part in news.parts],
+        tokens=[part.tokens for part in news.parts],
+    )
+
+
+def _news_from_wire(message):
+    rows = zip(message.salts, message.part_ids, message.tokens, strict=True)
+    return gossip.StoreNews(
+        message.store,
+        message.boot,
+        message.since,
+        message.position,
+        message.whole_list,
+        tuple(kvstores.PartEvent(*row) for row in rows),
+    )
+
+
 def asks_to_wire(asks):
     """Return the protobuf forms of `events.SliceAsk` records."""
     return [
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -89,7 +89,9 @@
             self.stores,
             budgets.SharedBudgets(terms.budget),
         )
-        self.membership = membership.Membership(self.state, seeds)
+        self.membership = membership.Membership(
+            self.state, seeds, store_relay=self.stores.relay
+        )
         self.lease = lease.Lease(
             self.state, terms.lease_time, self.membership.is_reachable
         )
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -121,6 +121,50 @@
     last_act_at: datetime.datetime
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreWord:
+    """Up to where the sender knows a KV store.
+
+    Attributes
+    ----------
+    boot : int
+        The start of the store that `position` is of.
+    told_at : datetime.datetime
+        When it was last known whether the store answers.
+    is_silent : bool
+        Whether it didn't then.
+    clock_lead : float or None
+        Milliseconds by which the engines' clock is ahead.
+    """
+
+    store: str
+    boot: int
+    position: int
+    told_at: datetime.datetime
+    is_silent: bool
+    clock_lead: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreNews:
+    """What the receiver lacks of a KV store.
+
+    Attributes
+    ----------
+    since : int
+        The position from which changes are told; 0 with a whole list.
+    parts : tuple of kvstores.PartEvent
+        What has changed, or all that it holds.
+    """
+
+    store: str
+    boot: int
+    since: int
+    position: int
+    whole_list: bool
+    parts: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipMessage:
     """One half of a round of gossip.
@@ -145,6 +189,8 @@
     pending: tuple[PendingWork, ...] = ()
     brief: bool = False
     named: tuple[namings.Naming, ...] = ()
+    store_words: tuple[StoreWord, ...] = ()
+    store_news: tuple[StoreNews, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, hashing, tables
+from sesamespindle.decide import commands, hashing, storerelay, tables
 
 # A save that no event has confirmed after this long was lost, and its part may
 # be sent again. Events come within 0.1 s; a large part on a slow link takes 1 s.
@@ -11,6 +11,12 @@
 # A store that hasn't answered for this long isn't used: an engine that fetches
 # from a dead store waits for some hundred ms.
 _SILENT_AFTER = datetime.timedelta(seconds=2.5)
+# The same for a store that peers tell of: its follower hears of it every 1.2 s, and
+# four rounds of gossip of 0.4 s take that through a data centre of 40 hosts.
+_RELAYED_SILENT_AFTER = datetime.timedelta(seconds=4)
+# Changes of a store that are kept for peers, in parts; a peer that lacks more gets
+# the whole list, which has some hundred.
+_KEPT_CHANGES = 400
 # Part of a store's capacity that is filled. The rest covers saves that other
 # daemons have begun and that this one hasn't heard of.
 _FILLED_SHARE = 0.94
@@ -61,6 +67,9 @@
         Whether `parts` is all that it holds, rather than what has changed.
     clock_ms : float or None
         The engines' clock when it told.
+    since, position : int
+        The positions in the store's own count of changes that this leads from and
+        to; 0 where they aren't known.
     """
 
     store: str
@@ -68,6 +77,8 @@
     parts: tuple[PartEvent, ...]
     whole_list: bool = False
     clock_ms: float | None = None
+    since: int = 0
+    position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,9 +129,32 @@
 NO_TRANSFERS = Transfers()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Parts of a store that changed between two positions."""
+
+    since: int
+    position: int
+    parts: tuple[PartEvent, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class StoreRow:
-    """A KV store as this daemon knows it."""
+    """A KV store as this daemon knows it.
+
+    Attributes
+    ----------
+    position : int
+        Up to where its changes are known, in its own count.
+    changes : list of Changes
+        The latest ones, each from where the one before ends, for peers.
+    heard_at : datetime.datetime or None
+        When it last answered; None once it didn't.
+    told_at : datetime.datetime or None
+        When it was last known whether it answers, here or by a peer.
+    is_followed : bool
+        Whether this host asks the store itself.
+    """
 
     name: str
     store: object
@@ -128,12 +162,75 @@
     tokens_by_part: dict = dataclasses.field(default_factory=dict)
     saving_by_part: dict = dataclasses.field(default_factory=dict)
     used: int = 0
+    position: int = 0
+    changes: list = dataclasses.field(default_factory=list)
     heard_at: datetime.datetime | None = None
+    told_at: datetime.datetime | None = None
     clock_lead: float | None = None
+    is_followed: bool = True
 
     def alive(self, now):
         """Return whether the store has told of itself lately."""
-        return self.heard_at is not None and now - self.heard_at < _SILENT_AFTER
+        limit = _SILENT_AFTER if self.is_followed else _RELAYED_SILENT_AFTER
+        return self.heard_at is not None and now - self.heard_at < limit
+
+    def note_word(self, told_at, is_silent, clock_lead):
+        """Note that the store answered at a time, or didn't."""
+        self.told_at = told_at
+        self.heard_at = None if is_silent else told_at
+        if clock_lead is not None:
+            self.clock_lead = clock_lead
+
+    def apply(self, told):
+        """Take in a list or changes, of which none is older than what is known.
+
+        Parameters
+        ----------
+        told : StoreChanged or gossip.StoreNews
+            From the store itself or from a peer.
+        """
+        if told.boot != self.boot or told.whole_list:
+            # A store that started anew holds nothing of what it held before.
+            self.boot = told.boot
+            self.tokens_by_part.clear()
+            self.used = 0
+            self.changes.clear()
+        else:
+            self._keep_changes(told)
+        self.position = told.position
+        for part in told.parts:
+            key = part.salt, part.part_id
+            self.saving_by_part.pop(key, None)
+            self.used -= self.tokens_by_part.pop(key, 0)
+            if part.tokens > 0:
+                self.tokens_by_part[key] = part.tokens
+                self.used += part.tokens
+
+    def changes_since(self, position):
+        """Return the parts that changed since a position, or None if not all."""
+        if not self.changes or self.changes[0].since > position:
+            return None
+        return tuple(
+            part
+            for change in self.changes
+            if change.position > position
+            for part in change.parts
+        )
+
+    def whole_list(self):
+        """Return all parts that the store holds."""
+        return tuple(
+            PartEvent(salt, part_id, tokens)
+            for (salt, part_id), tokens in self.tokens_by_part.items()
+        )
+
+    def _keep_changes(self, told):
+        if told.position <= self.position:
+            return
+        self.changes.append(Changes(told.since, told.position, told.parts))
+        kept = sum(len(change.parts) for change in self.changes)
+        while kept > _KEPT_CHANGES:
+            kept -= len(self.changes.pop(0).parts)
 
     def has_room(self, tokens):
         """Return whether a part of this size fits."""
@@ -175,6 +272,7 @@
     def __init__(self, state):
         self._state = state
         self.rows: tables.Table[StoreRow] = tables.Table("name")
+        self.relay = storerelay.StoreRelay(state, self)
         self._old_salts_since = {}
         self._free_asked_at = {}
 
@@ -204,11 +302,11 @@
             case StoreHeard():
                 row = self.rows.get(event.store)
                 if row is not None and row.heard_at is not None:
-                    row.heard_at = now
+                    row.note_word(now, False, None)
             case StoreSilent():
                 row = self.rows.get(event.store)
                 if row is not None and row.heard_at is not None:
-                    row.heard_at = None
+                    row.note_word(now, True, None)
                     self._state.emit(commands.Note("kv_store_silent", row.name))
             case PartsFreed():
                 self._forget(event)
@@ -230,21 +328,14 @@
             return
         if row.heard_at is None:
             self._state.emit(commands.Note("kv_store_heard", row.name))
-        row.heard_at = now
+        clock_lead = None
         if event.clock_ms is not None:
-            row.clock_lead = event.clock_ms - now.timestamp() * 1000.0
-        if event.boot != row.boot or event.whole_list:
-            # A store that started anew holds nothing of what it held before.
-            row.boot = event.boot
-            row.tokens_by_part.clear()
-            row.used = 0
-        for part in event.parts:
-            key = part.salt, part.part_id
-            row.saving_by_part.pop(key, None)
-            row.used -= row.tokens_by_part.pop(key, 0)
-            if part.tokens > 0:
-                row.tokens_by_part[key] = part.tokens
-                row.used += part.tokens
+            clock_lead = event.clock_ms - now.timestamp() * 1000.0
+        row.note_word(now, False, clock_lead)
+        is_known = event.boot == row.boot and 0 < event.position < row.position
+        if not is_known:
+            # Else peers have told of later changes while the store was asked.
+            row.apply(event)
 
     def plan(self, engines, engine_row, home_row, salt, parts, now):
         """Return the `Transfers` for a prompt's shared parts at an engine.
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -54,10 +54,20 @@
         once it has left a few unanswered. Not where a death frees what its host may
         still use: a new owner of an account's limit doesn't wait for the slices of
         a dead host, and a slice may be used for longer than these rounds take.
+    store_relay : storerelay.StoreRelay, optional
+        Passes on what KV stores hold, inside the data centre.
     """
 
-    def __init__(self, state, seeds=(), contradicts=True, gives_up_early=True):
+    def __init__(
+        self,
+        state,
+        seeds=(),
+        contradicts=True,
+        gives_up_early=True,
+        store_relay=None,
+    ):
         self._state = state
+        self._store_relay = store_relay
         self._seeds = seeds
         self._contradicts = contradicts
         self._gives_up_early = gives_up_early
@@ -154,7 +164,7 @@
             self._read_again(sender.peer_address, message.seen)
         inside = message.data_centre == self._state.me.data_centre
         newer, wanted = self._compare(message)
-        reply = self._message(inside, newer, wanted)
+        reply = self._message(inside, newer, wanted, message.store_words)
         self._state.emit(commands.GossipReply(event.exchange_id, reply))
 
     def answered(self, event, now):
@@ -305,9 +315,20 @@
     def _sample(self, rows, count):
         return self._state.random.sample(rows, min(count, len(rows)))
 
-    def _message(self, inside, members=(), wanted=()):
+    def _message(self, inside, members=(), wanted=(), their_words=None):
+        """Return a message to a peer.
+
+        Parameters
+        ----------
+        their_words : tuple of gossip.StoreWord, optional
+            What the peer knows of KV stores, where it has asked.
+        """
         state = self._state
-        digests = ()
+        digests = store_words = store_news = ()
+        if inside and self._store_relay is not None:
+            store_words = self._store_relay.words()
+            if store_words and their_words is not None:
+                store_news = self._store_relay.news_for(their_words)
         if inside:
             digests = tuple(
                 gossip.MemberDigest(row.name, row.incarnation, row.heartbeat)
@@ -330,6 +351,8 @@
             state.lease_release,
             self._pending(),
             named=state.namings.told,
+            store_words=store_words,
+            store_news=store_news,
         )
 
     def _pending(self):
@@ -417,6 +440,8 @@
             self._merge_version(running)
         self._merge_release(message.lease_release)
         self._merge_pending(message, now)
+        if self._store_relay is not None:
+            self._store_relay.hear(message)
 
     def _merge_pending(self, message, now):
         """Take in what a peer has sent, in place of what it told before."""
--- /dev/null
+++ b/tests/decide/test_storerelay.py
@@ -0,0 +1,268 @@
+"""What KV stores hold, as hosts hear it from peers that follow the stores."""
+
+import datetime
+
+import pytest
+
+from sesamespindle.decide import (
+    catalogue,
+    commands,
+    events,
+    gateway,
+    gossip,
+    kvstores,
+    routes,
+)
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+TERMS = gateway.Terms(None)
+STORES = 21
+PLACES = 12
+
+
+def seconds(count):
+    return datetime.timedelta(seconds=count)
+
+
+def make_hosts(count, data_centres=1, stores=STORES):
+    """Return gateways by name that all know each other and the stores."""
+    hosts = [
+        events.Host(
+            f"entry-{number}",
+            "entry",
+            f"dc-{number % data_centres}",
+            f"entry-{number}:80",
+            f"entry-{number}:81",
+            "",
+            1,
+        )
+        for number in range(count)
+    ]
+    service_by_name = {
+        f"store-{number}": routes.Service(
+            f"store-{number}",
+            0,
+            None,
+            routes.KvStore(
+                f"s-{number}:1", "dc-0", 100_000, 8e9, seconds(0), True, PLACES
+            ),
+        )
+        for number in range(stores)
+    }
+    made = {}
+    for seed, host in enumerate(hosts):
+        core = gateway.Gateway(host, TERMS, seed=seed)
+        for other in hosts:
+            if other.name != host.name:
+                core.state.put_entry(catalogue.me_as_entry(other))
+            core.state.entries.get(other.name).heard_at = NOW
+        core.state.entries.get(host.name).url = host.url
+        core.state.note_view_change()
+        core.state.knows_entries = True
+        core.stores.adopt(routes.Configuration(1, service_by_name=service_by_name))
+        made[host.name] = core
+    return made
+
+
+def followers_of(hosts, store):
+    return [
+        name for name, core in hosts.items() if store in core.stores.relay.followed()
+    ]
+
+
+def tell(core, *parts, since, position, boot=1, whole_list=False, now=NOW):
+    told = tuple(kvstores.PartEvent("1", *part) for part in parts)
+    core.stores.take(
+        kvstores.StoreChanged(
+            "store-0", boot, told, whole_list, 5000.0, since, position
+        ),
+        now,
+    )
+
+
+def run_round(hosts, now):
+    """Have each host begin one round of gossip, and all rounds answered."""
+    core_by_address = {core.state.me.peer_address: core for core in hosts.values()}
+    for core in hosts.values():
+        core.state.take_commands()
+        core.membership.spread(now)
+        for command in core.state.take_commands():
+            if isinstance(command, commands.GossipTo):
+                answer(core, core_by_address[command.peer_address], command, now)
+
+
+def answer(core, peer, command, now):
+    peer.state.take_commands()
+    peer.membership.receive(gossip.GossipReceived("1", command.message), now)
+    for reply in peer.state.take_commands():
+        if isinstance(reply, commands.GossipReply):
+            address = peer.state.me.peer_address
+            core.membership.answered(gossip.GossipAnswered(address, reply.message), now)
+
+
+def parts_of(core):
+    return core.stores.rows.get("store-0").tokens_by_part
+
+
+@pytest.mark.parametrize("count", [1, 6, PLACES])
+def test_each_host_follows_stores_that_have_places_for_all(count):
+    hosts = make_hosts(count, data_centres=3)
+    for number in range(STORES):
+        assert len(followers_of(hosts, f"store-{number}")) == count
+    assert next(iter(hosts.values())).stores.relay.words() == ()
+
+
+def test_two_hosts_of_each_data_centre_follow_a_store_of_a_large_fleet():
+    """195 hosts ask 21 stores with 12 places each, 2,000 times a second.
+
+    Most questions are refused, and each refusal is charged as a probe. Ten hosts
+    find room at a store, and the work is spread over the hosts.
+    """
+    hosts = make_hosts(195, data_centres=5)
+    follows = []
+    for number in range(STORES):
+        names = followers_of(hosts, f"store-{number}")
+        assert len(names) == 10
+        assert {hosts[name].state.me.data_centre for name in names} == {
+            f"dc-{place}" for place in range(5)
+        }
+        follows += names
+    assert max(follows.count(name) for name in hosts) <= 8
+    assert hosts["entry-0"].stores.relay.followers(PLACES) == 10
+
+
+def test_a_host_that_knows_no_others_yet_follows_nothing():
+    """All hosts start at once, and each knows only itself for a moment.
+
+    Each would follow every store until it has heard of the others.
+    """
+    core = make_hosts(1)["entry-0"]
+    core.state.knows_entries = False
+    assert core.stores.relay.followed() == frozenset()
+
+
+def test_another_host_follows_in_place_of_a_lost_one():
+    hosts = make_hosts(40)
+    lost, second = followers_of(hosts, "store-0")
+    del hosts[lost]
+    for core in hosts.values():
+        core.state.entries.get(lost).state = events.HostState.SUSPECT
+        core.state.note_view_change()
+    names = followers_of(hosts, "store-0")
+    assert len(names) == 2
+    assert second in names
+
+
+def test_all_hosts_of_a_data_centre_hear_what_a_follower_is_told():
+    """A briefing's context is stored, and returns at a host that doesn't follow.
+
+    That host has to know the part within 2 s, as long as a host of a large fleet
+    that asked stores itself had to wait between two questions.
+    """
+    hosts = make_hosts(40)
+    follower = hosts[followers_of(hosts, "store-0")[0]]
+    tell(follower, ("a", 100), since=0, position=5, whole_list=True)
+    tell(follower, ("b", 200), since=5, position=6)
+    for number in range(5):
+        run_round(hosts, NOW + number * seconds(0.4))
+    expected = {("1", "a"): 100, ("1", "b"): 200}
+    assert [parts_of(core) for core in hosts.values()] == [expected] * 40
+
+
+def hear(core, other):
+    """Have a host ask another in one round of gossip."""
+    words = core.stores.relay.words()
+    relay = other.stores.relay
+    message = gossip.GossipMessage(
+        "e",
+        "dc-0",
+        store_words=relay.words(),
+        store_news=relay.news_for(words),
+    )
+    core.stores.relay.hear(message)
+
+
+@pytest.fixture
+def pair():
+    """Give two hosts of a large fleet that both have the store's list."""
+    hosts = list(make_hosts(40).values())[:2]
+    for core in hosts:
+        tell(core, ("a", 100), since=0, position=5, whole_list=True)
+        core.stores.rows.get("store-0").is_followed = False
+    return hosts
+
+
+def test_changes_are_told_and_not_the_whole_list(pair):
+    first, second = pair
+    tell(second, ("b", 200), since=5, position=7, now=NOW + seconds(1))
+    news = second.stores.relay.news_for(first.stores.relay.words())
+    assert [(item.whole_list, len(item.parts)) for item in news] == [(False, 1)]
+
+
+def test_a_part_that_is_gone_does_not_come_back_by_a_peer_that_is_behind(pair):
+    """The store drops a part; a peer hears of it later than this host.
+
+    Taken from the peer the part would be planned for fetches that all miss.
+    """
+    first, second = pair
+    tell(first, ("a", 0), since=5, position=6, now=NOW + seconds(1))
+    hear(first, second)
+    assert parts_of(first) == {}
+    hear(second, first)
+    assert parts_of(second) == {}
+
+
+def test_older_changes_from_the_store_itself_undo_no_later_news(pair):
+    """A host's own question is under way while a peer tells of later changes.
+
+    The answer, which is older, must not have the part back.
+    """
+    first, second = pair
+    tell(second, ("a", 0), since=5, position=9, now=NOW + seconds(1))
+    hear(first, second)
+    tell(first, ("a", 100), since=5, position=7, now=NOW + seconds(1.2))
+    assert parts_of(first) == {}
+
+
+def test_a_store_that_started_anew_holds_nothing_of_before(pair):
+    """A store comes back empty; one host has heard it, the other not yet.
+
+    Whoever asks whom, the earlier start's parts are not believed any more.
+    """
+    first, second = pair
+    tell(first, since=0, position=1, boot=2, whole_list=True, now=NOW + seconds(2))
+    hear(first, second)
+    assert first.stores.rows.get("store-0").boot == 2
+    hear(second, first)
+    assert parts_of(first) == parts_of(second) == {}
+    assert second.stores.rows.get("store-0").boot == 2
+
+
+def test_a_gap_is_filled_by_a_peer_and_not_by_the_store(pair):
+    first, second = pair
+    tell(second, ("b", 200), since=20, position=30, now=NOW + seconds(1))
+    hear(first, second)
+    assert parts_of(first) == {("1", "a"): 100, ("1", "b"): 200}
+
+
+def test_a_store_counts_as_gone_by_the_age_of_its_own_word(pair):
+    """A store dies; the word of its last answer goes round among the hosts.
+
+    Counted from its arrival it would be used as long as anybody repeats it.
+    """
+    first, second = pair
+    for number in range(1, 5):
+        hear(first, second)
+        hear(second, first)
+        row = first.stores.rows.get("store-0")
+        assert row.alive(NOW + seconds(number)) == (number < 4)
+
+
+def test_peers_hear_that_a_store_is_silent_and_that_it_is_back(pair):
+    first, second = pair
+    second.stores.take(kvstores.StoreSilent("store-0"), NOW + seconds(1))
+    hear(first, second)
+    assert not first.stores.rows.get("store-0").alive(NOW + seconds(1))
+    tell(second, since=5, position=5, now=NOW + seconds(2))
+    hear(first, second)
+    assert first.stores.rows.get("store-0").alive(NOW + seconds(2))
--- a/tests/platform/test_storefeed.py
+++ b/tests/platform/test_storefeed.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sesamespindle.daemon import driver, eventlog
-from sesamespindle.decide import events, kvstores, routes, world
+from sesamespindle.decide import catalogue, events, kvstores, routes, world
 from sesamespindle.platform import storefeed
 from sesamespindle.wire import clock
 
@@ -44,10 +44,15 @@
 
 
 class _Core:
-    """Takes events in and commands nothing."""
+    """Takes events in and commands nothing; alone, it follows all stores."""
 
-    def __init__(self):
+    def __init__(self, rows):
         self.state = world.World(events.Host("entry-1", "entry", "dc-1", "u"))
+        self.state.put_entry(catalogue.me_as_entry(self.state.me))
+        self.state.knows_entries = True
+        self.stores = kvstores.KvStores(self.state)
+        for row in rows:
+            self.stores.rows.add(row)
         self.taken = []
 
     def step(self, now, happened):
@@ -79,12 +84,12 @@
     """
 
     async def run():
-        core, stores, now = _Core(), _Stores(), clock.SystemClock()
+        store = routes.KvStore("s:1", "dc-1", 10, 1e9, datetime.timedelta(0), True)
+        row = kvstores.StoreRow("s", store)
+        core, stores, now = _Core([row]), _Stores(), clock.SystemClock()
         log = eventlog.EventLog("entry-1", eventlog.HybridClock(now), 1)
         feeding = driver.Driver(core, now, log)
         feed = storefeed.StoreFeed(feeding, stores, random.Random(1))
-        store = routes.KvStore("s:1", "dc-1", 10, 1e9, datetime.timedelta(0), True)
-        row = kvstores.StoreRow("s", store)
         async with feed:
             feed._follow_all(kvstores.FollowStores((row,)))
             assert not feed.all_asked.is_set()
