--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,117 @@
+"""The record by which a host that starts is found, and finds others."""
+
+import dataclasses
+
+import pytest
+
+from sesamespindle.daemon import driver, eventlog
+from sesamespindle.decide import events
+from sesamespindle.platform import entries, objects
+from sesamespindle.wire import clock, platform
+
+ME = events.Host("entry-1", "entry", "dc-1", "10.1.0.1:80", "10.1.0.1:81", "", 7)
+
+
+class _Core:
+    """Notes which hosts it is told of."""
+
+    def __init__(self):
+        self.told = []
+
+    def step(self, now, happened):
+        self.told += [[host.name for host in item.hosts] for item in happened]
+        return []
+
+
+class _Client:
+    """The platform's objects; calls fail as often as it is told."""
+
+    def __init__(self, *hosts):
+        self.spec_by_name = {host.name: _spec(host) for host in hosts}
+        self.calls = []
+        self.failures = 0
+
+    def _call(self, text):
+        self.calls.append(text)
+        if self.failures:
+            self.failures -= 1
+            raise platform.PlatformAwayError("It is away.")
+
+    async def list(self, kind, may_be_old=False):
+        self._call("old list" if may_be_old else "list")
+        items = [
+            objects.StoredObject(name, 1, spec)
+            for name, spec in self.spec_by_name.items()
+        ]
+        return objects.Listing(tuple(items), 1)
+
+    async def get(self, kind, name):
+        self._call("get")
+        return objects.StoredObject(name, 1, self.spec_by_name[name])
+
+    async def write(self, kind, name, spec, replaces):
+        self._call("replace" if replaces else "create")
+        if name in self.spec_by_name and not replaces:
+            raise platform.ConflictError(None)
+        self.spec_by_name[name] = spec
+        return 2
+
+
+def _spec(host):
+    return {
+        "data_centre": host.data_centre,
+        "url": host.url,
+        "peer_address": host.peer_address,
+        "incarnation": host.incarnation,
+    }
+
+
+OTHER = dataclasses.replace(ME, name="entry-2", url="10.1.0.2:80")
+
+
+def run(go, client):
+    """Have a host announce itself, and return what it was told."""
+    core, now = _Core(), clock.SystemClock()
+    log = eventlog.EventLog(ME.name, eventlog.HybridClock(now), 1)
+    record = entries.EntryRecord(driver.Driver(core, now, log), client, ME)
+    go(record.announce())
+    return core
+
+
+def test_a_new_host_writes_its_record_and_lists_the_others_after_it(go):
+    """All hosts start for the first time; the first lists of all are empty.
+
+    Without a list after its own write each would know of itself only.
+    """
+    client = _Client()
+    core = run(go, client)
+    assert client.calls == ["old list", "create", "list"]
+    assert core.told[-1] == ["entry-1"]
+
+
+def test_a_host_that_starts_again_asks_once(go):
+    """All hosts have lost their power, and their records lie there still.
+
+    Each wrote its record anew, with four calls, while callers waited.
+    """
+    before = dataclasses.replace(ME, incarnation=3)
+    client = _Client(before, OTHER)
+    core = run(go, client)
+    assert client.calls == ["old list"]
+    assert core.told == [["entry-1", "entry-2"]]
+
+
+@pytest.mark.parametrize("change", [{"url": "10.9.0.1:80"}, {"peer_address": "x:1"}])
+def test_a_host_at_another_address_replaces_its_record(go, change):
+    client = _Client(dataclasses.replace(ME, **change))
+    run(go, client)
+    assert client.calls == ["old list", "create", "get", "replace", "list"]
+    assert client.spec_by_name["entry-1"] == _spec(ME)
+
+
+@pytest.mark.parametrize("failures", [1, 2])
+def test_a_platform_that_is_away_is_asked_again(go, failures):
+    client = _Client()
+    client.failures = failures
+    run(go, client)
+    assert client.calls == ["old list"] * (1 + failures) + ["create", "list"]
