--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -1,5 +1,6 @@
 """Who is there: gossip in full inside a data centre, in digests between them."""
 
+import collections
 import dataclasses
 import datetime
 
@@ -18,6 +19,10 @@
 ROUNDS_BEFORE_SUSPICION = 5
 PEERS_INSIDE = 2
 PEERS_OUTSIDE = 1
+# Rounds with other data centres that all daemons of one begin at a time, if it has so
+# many: news is in each other one after a round or two. With one round of each of 39
+# daemons, a third of all messages went between data centres.
+ROUNDS_OUTSIDE = 8
 MAX_LEAVING_TARGETS = 256
 MAX_TARGET_VERSIONS = 256
 MAX_PENDING = 64
@@ -208,6 +213,13 @@
         ]
         return self._state.me.name in hashing.rank("declarations", here)[:WATCHERS]
 
+    def watchers(self):
+        """Return how many daemons of all data centres watch the platform."""
+        counts = collections.Counter(
+            row.data_centre for row in self._state.live_entries()
+        )
+        return sum(min(WATCHERS, count) for count in counts.values())
+
     def spread_soon(self):
         """Have the next tick begin a round of gossip, as something has changed."""
         self._urgent = True
@@ -301,7 +313,7 @@
         here = self._state.me.data_centre
         others = [name for name in self._state.entries.keys_of("data_centre")]
         others.remove(here)
-        if not others:
+        if not others or not self._has_turn_outside():
             return []
         name = self._state.random.choice(sorted(others))
         known = [
@@ -312,6 +324,11 @@
         present = [row for row in known if row.state not in _GONE]
         return self._sample(present or known, PEERS_OUTSIDE)
 
+    def _has_turn_outside(self):
+        """Return whether this daemon begins a round with another data centre now."""
+        inside = 1 + len(self._peers_inside())
+        return self._state.random.random() * inside < ROUNDS_OUTSIDE
+
     def _sample(self, rows, count):
         return self._state.random.sample(rows, min(count, len(rows)))
 
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -603,3 +603,22 @@
         ]
         told.append(bool(sent[0].message.target_versions))
     assert told == [True] * world.VERSION_ROUNDS + [False, False]
+
+
+def test_daemons_of_a_large_data_centre_take_turns_outside():
+    """Forty daemons begin a round each 0.4 s, each with another data centre too.
+
+    News would be there as soon with a few of them; the rest is bytes between data
+    centres. A data centre of few daemons needs each of theirs.
+    """
+    for count, low, high in ((4, 200, 200), (40, 20, 60)):
+        names = [f"entry-{number}" for number in range(count)]
+        made, state = make_membership("entry-0", names, ["far-1"])
+        begun = 0
+        for number in range(200):
+            state.take_commands()
+            made.spread(NOW + number * ROUND)
+            begun += sum(
+                item.peer_address == "far-1:81" for item in state.take_commands()
+            )
+        assert low <= begun <= high
