Show that a peer address which leads nowhere ends a daemon

Found by reading: a round of gossip is begun within a tick since it goes by datagram, where it was a task of its own. The platform's records are checked for such addresses, what peers tell is not.

--- a/tests/daemon/test_datagrams.py
+++ b/tests/daemon/test_datagrams.py
@@ -144,3 +144,25 @@
 def _answer_to(number, message):
     datagram = peers_pb2.GossipDatagram(round=number, is_answer=True, message=message)
     return datagram.SerializeToString()
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", "nobody", "nobody:80", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999"],
+)
+def test_a_peer_address_that_leads_nowhere_ends_nothing(go, address):
+    """Another writer changes the record of a host, and its address with it.
+
+    The next round of gossip with that host raised an error in the daemon's ticks,
+    which a daemon can't do without, so that all hosts would have ended one by one.
+    """
+
+    async def run():
+        async with _Peer("entry-1") as first, _Peer("entry-2") as second:
+            message = gossip.GossipMessage("entry-1", "dc-1")
+            first.driver._hand_on(commands.GossipTo(address, message))
+            first.begin_round_with(second)
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                await first.answered.wait()
+
+    go(run())
