--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import ipaddress
 import itertools
 
 import grpc
@@ -243,8 +244,12 @@
         number = next(self._rounds)
         self._begun_by_round[number] = now
         self._forget_rounds(now)
-        host, _, port = command.peer_address.rpartition(":")
-        self._send(number, False, message, (host, int(port)))
+        try:
+            self._send(number, False, message, _split(command.peer_address))
+        except ValueError as error:
+            # What peers tell of each other isn't checked; this is within a tick,
+            # which the daemon can't do without.
+            _log.warning("{!r} is no peer's address. {}", command.peer_address, error)
 
     async def _gossip_at_length(self, address, message):
         begun_at = self._now()
@@ -424,6 +429,18 @@
         return task
 
 
+def _split(address):
+    """Return the (host, port) of an address of a peer.
+
+    Raises
+    ------
+    ValueError
+        If it isn't an IP address and a port.
+    """
+    host, _, port = address.rpartition(":")
+    return str(ipaddress.ip_address(host)), int(port)
+
+
 def _refusal_to_wire(error, stamp):
     seconds = error.retry_after.total_seconds() if error.retry_after else 0.0
     return peers_pb2.ForwardedAnswer(
