--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -684,3 +684,87 @@
 def test_a_lease_that_is_renewed_is_not_noted_as_waited_for(hosts):
     run(hosts, 20)
     assert len(hosts[1].noted("lease_waits")) <= 1
+
+
+def make_fleet(count):
+    """Return hosts that all know each other and ask one store, by their rank."""
+    store = [None, 0]
+    names = hashing.rank("lease", [f"entry-{number}" for number in range(count)])
+    return [
+        Host(name, store, others=[other for other in names if other != name])
+        for name in names
+    ]
+
+
+def tell_release(hosts, by):
+    """Have all hosts hear which lease its holder has given up."""
+    for host in hosts:
+        if by.state.lease_release is not None:
+            host.state.lease_release = by.state.lease_release
+
+
+def run_fleet(hosts, start, until, holder=None):
+    """Tick all hosts, and return the names of those that held the lease."""
+    held = set()
+    at = start
+    while at < until:
+        for host in hosts:
+            host.tick(NOW + seconds(at))
+            if host.lease.is_held(NOW + seconds(at)):
+                held.add(host.state.me.name)
+        if holder is not None:
+            tell_release(hosts, holder)
+        at += 0.1
+    return held
+
+
+def test_other_hosts_stand_in_for_candidates_that_the_store_turns_away():
+    """The store turns the holder away, and both hosts that would follow it.
+
+    Nobody orders engines for as long as that lasts, though forty other hosts reach
+    the store, and prompts run out of engines with the named weights.
+    """
+    hosts = make_fleet(40)
+    first, second = hosts[:2]
+    run_fleet(hosts, 0, 6)
+    assert first.lease.is_held(NOW + seconds(6))
+    first.cut_off = second.cut_off = True
+    held = run_fleet(hosts, 6, 14, holder=first)
+    assert held - {first.state.me.name}
+
+
+def test_no_host_stands_in_while_a_candidate_follows():
+    """The holder is cut off, and the next candidate takes the lease.
+
+    Forty hosts that looked at it all the same would be forty calls a second.
+    """
+    hosts = make_fleet(40)
+    run_fleet(hosts, 0, 6)
+    hosts[0].cut_off = True
+    run_fleet(hosts, 6, 14, holder=hosts[0])
+    assert hosts[1].lease.is_held(NOW + seconds(14) - seconds(0.1))
+    for host in hosts[2:]:
+        host.store = _Unasked(host.store)
+    run_fleet(hosts, 14, 20)
+
+
+class _Unasked(list):
+    """A store that must not be asked by the host that has it."""
+
+    def __iter__(self):
+        raise AssertionError("The lease was read.")
+
+
+def test_few_hosts_stand_in_while_the_store_is_away_for_all():
+    """The store is down for a minute; each refused question is a call all the same."""
+    hosts = make_fleet(40)
+    run_fleet(hosts, 0, 6)
+    for host in hosts:
+        host.cut_off = True
+    run_fleet(hosts, 6, 60, holder=hosts[0])
+    asking = 0
+    for host in hosts:
+        for step in range(20):
+            host.lease.tick(NOW + seconds(60 + 0.1 * step))
+        asking += bool(host.state.take_commands())
+    assert asking <= 10
