Have other hosts stand in for lease candidates that the store turns away

Cause: only the first two by rank look at the lease, and nobody else learns that both are turned away. Hypothesis: a host that has heard that the lease was given up may join them after 2 s, as a take-over replaces a known revision whoever tries it.

--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -17,6 +17,11 @@
 # candidates.
 _LOOK_SHARE = 1 / 3
 _CANDIDATES = 2
+# Where a lease that was given up isn't taken, one more host stands in as a candidate
+# each time this has passed: a candidate that reaches the store takes it within the
+# lease's time and a look. At most so many do, as the store may be away for all.
+_STAND_IN_AFTER = datetime.timedelta(seconds=2)
+_MOST_STAND_INS = 6
 # An idle lease is taken over once it wasn't renewed for this many renewals. That
 # is no matter of safety: it keeps a lease from changing hands for one lost call.
 _IDLE_MISSED_RENEWALS = 2.5
@@ -141,6 +146,9 @@
         self._was_idle = False
         self._released_epoch = 0
         self._highest_epoch = 0
+        # The latest epoch that was heard to be given up, by any host, and since when.
+        self._given_up_epoch = 0
+        self._given_up_at = None
 
     @property
     def epoch(self):
@@ -178,6 +186,7 @@
     def tick(self, now):
         """Renew, look or take over when it is time."""
         self._started_at = self._started_at or now
+        self._note_given_up(now)
         if self._mine() and not self.is_held(now):
             self._release(now)
         if self._leaving or (self._busy and now - self._sent_at < self._duration):
@@ -399,7 +408,27 @@
             for row in self._state.live_entries()
             if self._reachable(row.data_centre, now)
         ]
-        return self._state.me.name in hashing.rank("lease", names)[:_CANDIDATES]
+        count = _CANDIDATES + self._stand_ins(now)
+        return self._state.me.name in hashing.rank("lease", names)[:count]
+
+    def _note_given_up(self, now):
+        release = self._state.lease_release
+        if release is not None and release.epoch > self._given_up_epoch:
+            self._given_up_epoch, self._given_up_at = release.epoch, now
+
+    def _stand_ins(self, now):
+        """Return how many hosts look at the lease besides the usual candidates.
+
+        Guards against engines that nobody orders: the store turns the holder away
+        and both candidates, while all other hosts reach it (seen for 8 s). Each
+        host knows by gossip that the lease was given up, and by its own look when
+        it has been taken again; who stands in needn't be agreed on, as a take-over
+        replaces a known revision.
+        """
+        if self._given_up_at is None or self._given_up_epoch < self._highest_epoch:
+            return 0
+        passed = (now - self._given_up_at) // _STAND_IN_AFTER
+        return min(passed, _MOST_STAND_INS)
 
     def _look(self, now):
         self._busy, self._sent_at = True, now
