Correct figures in comments that were not measured as they stood

Comments, docstrings and pages only. The share that versions took was told as a third; measured were 35.7 and 17.9 ms.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -20,8 +20,8 @@
 PEERS_INSIDE = 2
 PEERS_OUTSIDE = 1
 # Rounds with other data centres that all daemons of one begin at a time, if it has so
-# many: news is in each other one after a round or two. With one round of each of 39
-# daemons, a third of all messages went between data centres.
+# many: news is in each other one after a round or two. Where each of 39 begins one,
+# as it does two inside, a third of all rounds go between data centres (worked out).
 ROUNDS_OUTSIDE = 8
 MAX_LEAVING_TARGETS = 256
 MAX_TARGET_VERSIONS = 256
@@ -389,9 +389,9 @@
     def _target_versions(self):
         """Return the versions that were learned lately.
 
-        Those of 40 targets, told in every message, took a third of a message's
-        processor time. Who missed the news reads the target's record, or is turned
-        away by the target and learns it then.
+        With those of 40 targets in every message 20 idle daemons took 35.7 ms of
+        processor time a second each, and 17.9 ms without. Who missed the news reads
+        the target's record, or is turned away by the target and learns it then.
         """
         versions = [
             gossip.TargetVersion(row.life, model, version, row.revision)
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -585,8 +585,8 @@
 def test_the_version_of_a_target_is_told_while_it_is_news():
     """A daemon sees an engine answer on new weights, and tells its peers.
 
-    Told in each message for ever, the versions of 40 engines were a third of what
-    gossip cost; told once, it would end at a peer that doesn't hear this message.
+    Told in each message for ever, the versions of 40 engines were half of an idle
+    daemon's work; told once, the news would end at a peer that misses the message.
     """
     made, state = make_membership("entry-0")
     row = world.TargetRow("llm-1", "llm", None, "dc-1", False)
