Tell of crashed targets with the requests under way, and what makes requests the same

Each send now tells the request's fingerprint, a keyed digest of account, method, path with query and whole body; nothing of a body is logged. When connections break with runs under way the host finds out whether the target's life is over: its port refuses (asked at most twice), its address answers for another, or the list has another in its place. A drain, a record taken off the list, a pause of this host and a link that broke are told apart. Nothing that is decided changes.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import weakref
 
 import aiohttp
@@ -9,7 +10,7 @@
 import yarl
 
 from sesamespindle.daemon import connections, eventstream, logs
-from sesamespindle.decide import commands, events, forwarding, routes
+from sesamespindle.decide import commands, events, fingerprints, forwarding, routes
 
 _log = logs.part("relay")
 # Bodies and answers up to this size are held whole, so that they can be sent
@@ -43,6 +44,11 @@
         self._rest = rest
         self.is_spent = False
 
+    @property
+    def whole(self):
+        """The whole body, or None where it passes through."""
+        return (self._held or b"") if self._rest is None else None
+
     def content(self):
         """Return what the HTTP library sends as the body."""
         if self._rest is None:
@@ -173,6 +179,7 @@
         if not request.request_id or self._is_taken(request):
             return self._refuse(http, _without_own_id(request))
         body = await self._read_body(http)
+        request = dataclasses.replace(request, content=_content(http, body))
         command = self._decide(self._forwarding.begin, request)
         answer = _Answer()
         try:
@@ -249,6 +256,7 @@
         finally:
             self._send_by_request.pop(forward.request_id, None)
         if ending is None:
+            self._forwarding.served(forward.request_id, self._clock.now())
             return None
         command = self._decide(self._forwarding.ended, forward.request_id, ending)
         self._log_end(forward, ending.value, command)
@@ -335,7 +343,11 @@
                 async with response:
                     patience.reschedule(None)
                     return await self._take(http, forward, response, answer)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                return forwarding.Ending.REFUSED
+            return forwarding.Ending.UNREACHABLE
+        except aiohttp.ConnectionTimeoutError:
             return forwarding.Ending.UNREACHABLE
         except TimeoutError:
             if not patience.expired():
@@ -469,6 +481,7 @@
         """Return the ending of an answer that broke off."""
         resumes = forward.repeats is routes.Repeats.RESUMABLE
         if answer.response is not None and not resumes:
+            self._decide(self._forwarding.broke_off, forward.request_id)
             raise _CutOffError
         return forwarding.Ending.LOST
 
@@ -548,6 +561,14 @@
             http.transport.abort()
 
 
+def _content(http, body):
+    """Return what `fingerprints` make of a request; None if its body isn't held."""
+    if body.whole is None:
+        return None
+    path = http.raw_path.encode("utf-8", "surrogateescape")
+    return fingerprints.of_content(http.method.encode(), path, body.whole)
+
+
 def _was_reset(protocol):
     return protocol is not None and protocol.was_reset
 
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -16,6 +16,8 @@
         When the caller gives up.
     body_bytes : int
         Length of the body; -1 where it isn't known.
+    content : bytes or None
+        From `fingerprints.of_content`; None where the body isn't known whole.
     prompt : tuple of kvstores.Part
         The parts of the prompt, in order.
     answer_tokens : int
@@ -31,6 +33,7 @@
     prompt: tuple[kvstores.Part, ...] = ()
     answer_tokens: int = 0
     body_bytes: int = -1
+    content: bytes | None = None
 
     @property
     def affinity(self):
@@ -64,6 +67,8 @@
         The weight version that was to run its last send.
     has_begun : bool
         Whether an answer to its last send has begun.
+    fingerprint : str
+        The same for all attempts of the same request; empty where it isn't known.
     """
 
     request: Request
@@ -79,3 +84,4 @@
     tried: set = dataclasses.field(default_factory=set)
     version: int | None = None
     has_begun: bool = False
+    fingerprint: str = ""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -52,6 +52,8 @@
 
     # Nothing left this host: the connection could not be made.
     UNREACHABLE = "unreachable"
+    # Nor could it here: nobody listens at the target's address.
+    REFUSED = "refused"
     # The target says that it did not run the request: it is full or leaving.
     TURNED_AWAY = "turned_away"
     # Another target has the address now.
@@ -68,6 +70,7 @@
     WITHDRAWN = "withdrawn"
 
 
+_NOT_ARRIVED = frozenset((Ending.UNREACHABLE, Ending.REFUSED))
 # The endings after which a target may have begun to run the request.
 _MAYBE_RAN = frozenset((Ending.FAILED, Ending.LOST, Ending.SILENT, Ending.WITHDRAWN))
 
@@ -142,13 +145,19 @@
         What may be fetched.
     budgets : budgets.SharedBudgets
         What may be sent again.
+    crashes : crashes.Crashes
+        Is told how runs end.
+    fingerprints : fingerprints.Fingerprints
+        Names requests.
     """
 
-    def __init__(self, state, weights, stores, budgets):
+    def __init__(self, state, weights, stores, budgets, crashes, fingerprints):
         self._state = state
         self._weights = weights
         self._placing = promptplacing.PromptPlacing(state, weights, stores)
         self._budgets = budgets
+        self._crashes = crashes
+        self._fingerprints = fingerprints
         self.configuration = None
         self.flight_by_request = {}
 
@@ -180,6 +189,8 @@
             return self._refuse_leaving(request, until, now)
         service = self._service(route)
         flight = flights.Flight(request, route, service, account, now, until)
+        name = account.name if account is not None else ""
+        flight.fingerprint = self._fingerprints.of(name, request.content)
         self.flight_by_request[request.request_id] = flight
         self._budgets.earn(flight.service, self._entries())
         return self._send(flight, now)
@@ -193,6 +204,7 @@
         """
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.life)
+        self._tell_crashes(flight, ending, now)
         self._release(flight)
         self._note_ending(flight, row, ending, now)
         maybe_ran = ending in _MAYBE_RAN
@@ -211,6 +223,8 @@
         row = self._state.target_in(flight.life)
         if row is None:
             return
+        if flight.sent_at is not None:
+            self._crashes.answered(flight.life, flight.sent_at)
         row.sent_by_request.pop(request_id, None)
         _note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
@@ -248,9 +262,25 @@
     def close(self, request_id, now):
         """Forget a request that has its final answer or lost its caller."""
         flight = self.flight_by_request.pop(request_id, None)
+        if flight is None:
+            return
+        if flight.sent_at is not None:
+            self._crashes.left(flight.fingerprint, flight.life, now)
+        self._release(flight)
+
+    def served(self, request_id, now):
+        """Take in that a caller has got a target's whole answer."""
+        flight = self.flight_by_request.get(request_id)
         if flight is not None:
             self._release(flight)
 
+    def broke_off(self, request_id, now):
+        """Take in that an answer broke off which nothing can continue."""
+        flight = self.flight_by_request.get(request_id)
+        if flight is not None:
+            self._tell_crashes(flight, Ending.LOST, now)
+            self._release(flight)
+
     def report_load(self, request_id, running, waiting):
         """Take in the load that a target told with an answer."""
         row = self._row_of(request_id)
@@ -337,7 +367,8 @@
         """Return the inputs of a choice, for the log."""
         text = (
             f"Configuration {self.configuration.version}, route {flight.route.name}, "
-            f"load {row.reported_load}, {row.running_here} from here"
+            f"load {row.reported_load}, {row.running_here} from here, "
+            f"fingerprint {flight.fingerprint or 'unknown'}"
         )
         if place is None:
             return text + "."
@@ -420,16 +451,30 @@
             return False
         if flight.sends >= _MAX_SENDS or flight.until - now < _SHORTEST_RUN:
             return False
-        if ending is Ending.UNREACHABLE:
+        if ending in _NOT_ARRIVED:
             # Nothing arrived anywhere, so it is no repeat.
             return True
         return self._budgets.spend(flight.service, self._entries())
 
+    def _tell_crashes(self, flight, ending, now):
+        """Tell how a send ended, as far as it says whether its target lives."""
+        if flight.sent_at is None:
+            return
+        match ending:
+            case Ending.LOST:
+                self._crashes.broke(
+                    flight.fingerprint, flight.life, flight.sent_at, now
+                )
+            case Ending.REFUSED | Ending.WRONG_TARGET:
+                self._crashes.is_over(flight.life)
+            case Ending.FAILED | Ending.TURNED_AWAY | Ending.WRONG_VERSION:
+                self._crashes.answered(flight.life, flight.sent_at)
+
     def _note_ending(self, flight, row, ending, now):
         if row is None:
             return
         match ending:
-            case Ending.UNREACHABLE:
+            case Ending.UNREACHABLE | Ending.REFUSED:
                 catalogue.note_failure(self._state, row, now)
             case Ending.TURNED_AWAY:
                 row.shunned_until = now + _BUSY_SHUN
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -7,8 +7,10 @@
     budgets,
     catalogue,
     commands,
+    crashes,
     directory,
     events,
+    fingerprints,
     forwarding,
     gossip,
     kvstores,
@@ -73,9 +75,13 @@
         Peer addresses to begin with.
     started_at : datetime.datetime, optional
         When the process was started.
+    key : str
+        The secret that all daemons share.
     """
 
-    def __init__(self, me, terms, policy=None, seed=0, seeds=(), started_at=None):
+    def __init__(
+        self, me, terms, policy=None, seed=0, seeds=(), started_at=None, key=""
+    ):
         self.state = world.World(me, policy, seed, started_at)
         # Peers and callers are told of this host once it can serve.
         self.state.put_entry(catalogue.me_as_entry(dataclasses.replace(me, url="")))
@@ -83,11 +89,14 @@
             self.state, terms.weights_within, terms.contact_time
         )
         self.stores = kvstores.KvStores(self.state)
+        self.crashes = crashes.Crashes(self.state)
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
             self.stores,
             budgets.SharedBudgets(terms.budget),
+            self.crashes,
+            fingerprints.Fingerprints(key),
         )
         self.membership = membership.Membership(
             self.state, seeds, store_relay=self.stores.relay
@@ -104,6 +113,7 @@
             self.stores,
             self.lease,
             self.rollout,
+            self.crashes,
         )
 
     def step(self, now, happened):
@@ -180,6 +190,7 @@
         self.lease.tick(now)
         self.rollout.tick(now)
         self.forwarding.tick(now)
+        self.crashes.tick(now)
         if self.lease.is_held(now):
             self.stores.free_replaced(self._salt_is_kept, now)
 
--- /dev/null
+++ b/tests/decide/test_crashes.py
@@ -0,0 +1,134 @@
+"""Crashed targets are told from links that broke, drains and pauses."""
+
+import datetime
+
+import pytest
+from gateways import NOW, SECOND, make_gateway, make_target
+
+from sesamespindle.decide import crashes, events, lives, targetlist
+
+LIFE = lives.Life("llm-1")
+SOON = NOW + datetime.timedelta(milliseconds=20)
+
+
+@pytest.fixture
+def core():
+    made = make_gateway()
+    listed = tuple(make_target(f"llm-{n}", "llm") for n in (1, 2))
+    made.step(NOW, [targetlist.TargetsListed(listed)])
+    return made
+
+
+def break_off(core, *fingerprints, at=NOW, sent_at=NOW):
+    for fingerprint in fingerprints:
+        core.crashes.broke(fingerprint, LIFE, sent_at, at)
+
+
+def suspects(core):
+    return [crash.suspects for crash in core.crashes.crash_by_life.values()]
+
+
+def test_runs_that_broke_off_are_suspects_once_their_target_refuses(core):
+    break_off(core, "aa", "bb")
+    probes = core.step(NOW, [])
+    assert probes == [crashes.ProbeLife(LIFE, "10.1.0.1:80")]
+    assert suspects(core) == []
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == [{"aa", "bb"}]
+
+
+def test_a_run_whose_end_is_noticed_late_is_a_suspect_too(core):
+    break_off(core, "aa")
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    break_off(core, "bb", at=SOON)
+    assert suspects(core) == [{"aa", "bb"}]
+
+
+def test_a_target_that_started_again_has_crashed(core):
+    break_off(core, "aa")
+    restarted = make_target("llm-1", "llm", revision=2, born=7)
+    core.step(SOON, [targetlist.TargetChanged(restarted), events.Tick()])
+    assert suspects(core) == [{"aa"}]
+
+
+def test_a_target_with_another_at_its_address_has_crashed(core):
+    break_off(core, "aa")
+    successor = make_target("llm-9-1", "llm", revision=2)
+    core.step(SOON, [targetlist.TargetChanged(successor), events.Tick()])
+    assert suspects(core) == [{"aa"}]
+
+
+def test_a_link_that_broke_is_no_crash(core):
+    """A link breaks and its target lives on: its runs would be suspects."""
+    break_off(core, "aa")
+    core.crashes.answered(LIFE, SOON)
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == []
+
+
+def test_an_answer_from_before_the_break_proves_no_life(core):
+    """An answer lies here as its target crashes: it would be taken to live."""
+    break_off(core, "aa", at=SOON)
+    core.crashes.answered(LIFE, NOW)
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == [{"aa"}]
+
+
+def test_a_target_that_leaves_has_not_crashed(core):
+    """A target ends after its drain, with a long run cut off."""
+    leaving = make_target("llm-1", "llm", leaving=True, revision=2)
+    core.step(NOW, [targetlist.TargetChanged(leaving)])
+    break_off(core, "aa")
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == []
+
+
+def test_a_target_that_was_taken_off_the_list_has_not_crashed(core):
+    """Some targets never say that they leave, their record goes before them."""
+    core.step(NOW, [targetlist.TargetRemoved("llm-1")])
+    break_off(core, "aa")
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == []
+
+
+def test_a_host_that_was_paused_blames_no_request(core):
+    """A host wakes up: its targets ended, for reasons of their own, as it slept."""
+    later = NOW + 5 * SECOND
+    core.step(later, [])
+    break_off(core, "aa", at=later)
+    core.step(later, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == []
+
+
+def test_a_run_that_its_caller_left_just_before_is_a_suspect(core):
+    """Impatient callers repeat what crashes targets, and leave before it does."""
+    core.crashes.left("cc", LIFE, NOW - 0.5 * SECOND)
+    core.crashes.left("dd", LIFE, NOW - 2 * SECOND)
+    break_off(core, "aa")
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    assert suspects(core) == [{"aa", "cc"}]
+
+
+def test_a_crash_is_refuted_by_a_later_answer(core):
+    """A cut link refuses connections as a dead target does, and heals."""
+    break_off(core, "aa")
+    core.step(SOON, [crashes.LifeRefuses(LIFE)])
+    core.crashes.answered(LIFE, NOW + 3 * SECOND)
+    assert core.crashes.crash_by_life[LIFE].is_refuted
+
+
+def test_a_life_is_asked_twice_and_then_left_to_the_list(core):
+    break_off(core, "aa")
+    moments = [NOW + number * 0.1 * SECOND for number in range(1, 5)]
+    found = [core.step(moment, [events.Tick()]) for moment in moments]
+    probes = [item for step in found for item in step if _is_probe(item)]
+    assert len(probes) == 2
+    assert core.crashes.is_suspected("aa")
+    core.step(NOW + 0.9 * SECOND, [events.Tick()])
+    for number in range(1, 8):
+        core.step(NOW + number * 0.95 * SECOND, [events.Tick()])
+    assert not core.crashes.is_suspected("aa")
+
+
+def _is_probe(command):
+    return isinstance(command, crashes.ProbeLife)
--- a/tests/support/relays.py
+++ b/tests/support/relays.py
@@ -5,7 +5,14 @@
 
 import aiohttp.web
 
-from sesamespindle.daemon import connections, driver, eventlog, measures, relay
+from sesamespindle.daemon import (
+    connections,
+    driver,
+    eventlog,
+    lifeprobe,
+    measures,
+    relay,
+)
 from sesamespindle.decide import events, gateway, kvstores, lease, rollout
 from sesamespindle.platform import dialect
 
@@ -50,7 +57,7 @@
     driving = driver.Driver(core, clock, log)
     for kind in _LEFT_OUT:
         driving.on(kind, lambda command: None)
-    async with connections.make_session() as session:
+    async with connections.make_session() as session, lifeprobe.LifeProbe(driving):
         made = relay.Relay(driving, dialect.Dialect(), session, measures.Measures())
         server = aiohttp.web.Server(made.handle, handler_cancellation=True)
         runner = aiohttp.web.ServerRunner(server, shutdown_timeout=0.1)
