Show that a request which crashes engines takes one after the other

A caller repeats one request at three hosts before four engines that it crashes and that are back half a second later. Later than the 3 s in which hosts in touch learn from each other, after the third crash, it may reach engines three times more. It reaches them as often as it comes.

--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -186,6 +186,10 @@
         Set once a request waits.
     dropped : asyncio.Event
         Set once a request was dropped.
+    crashed_by : bytes
+        A request whose body begins so crashes it as soon as it runs; none if empty.
+    crashes : list of float
+        When it has crashed, in seconds of the event loop.
     turns_away : bool
         Whether it says of all requests that it is full, with a body that comes
         once `release` is set.
@@ -206,6 +210,8 @@
         self.admits.set()
         self.queued = asyncio.Event()
         self.dropped = asyncio.Event()
+        self.crashed_by = b""
+        self.crashes = []
         self.turns_away = False
         self.readers = []
         self.writers = []
@@ -218,13 +224,23 @@
         self._server = None
 
     async def __aenter__(self):
-        host, port = self.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        await self.listen()
         return self
 
     async def __aexit__(self, *exc_info):
         self._server.close()
 
+    async def listen(self):
+        """Take requests at its address."""
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def crash(self):
+        """End as a process does that crashes: nobody listens any more."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        self._server.close()
+        self.begin_life()
+
     def entry(self, state="ready"):
         """Return the record under which the target is listed."""
         return {
@@ -293,6 +309,9 @@
             return
         self.runs.append(headers)
         self.began.set()
+        if self.crashed_by and self.body.startswith(self.crashed_by):
+            self.crash()
+            return
         if self.is_mute:
             return
         if self.loses_answers:
@@ -579,6 +598,11 @@
         self.target_by_name[name] = made
         return made
 
+    async def bring_back(self, target):
+        """Start a crashed target again under its name, and list it."""
+        await target.listen()
+        await self.store.put("servers", target.name, target.entry())
+
     async def add_daemon(self, seeds=(), grace=8):
         """Start a daemon and wait until it is ready."""
         made = await self.start_daemon(seeds, grace)
@@ -604,7 +628,9 @@
         """Return whether a daemon says that it is ready."""
         return await status_of(daemon.ready_url()) == 200
 
-    async def ask(self, daemon, path, request_id, method="POST", **headers):
+    async def ask(
+        self, daemon, path, request_id, method="POST", body=b"body", **headers
+    ):
         """Send a request; return its status, headers and body."""
         sent = {
             "Host": "a.example",
@@ -613,7 +639,7 @@
             "X-Api-Key": KEY,
         } | headers
         async with self.session.request(
-            method, daemon.url(path), headers=sent, data=b"body"
+            method, daemon.url(path), headers=sent, data=body
         ) as response:
             return response.status, response.headers, await response.read()
 
