Let the soak send requests that crash engines, and check that they are stopped

An engine of the soak ends when it runs such a request, its port refuses until another takes its address. They come one after the other at any daemon while daemons, links and the store fail. The promise: later than the contact time after the third crash such a request reaches engines three times more at most, sent by daemons in touch. The checker has a test for each side of it. Drawn apart, so that the seeds of before play as they did.

--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -365,3 +365,29 @@
     refused = dataclasses.replace(_ASKED, status=503, stamp=None)
     assert "recovers" in _promises(asked=[refused], recovered_at=5.0)
     assert _promises(exits=[("entry-1", 1)]) == {"the daemon stays up"}
+
+
+def _find_crashing(late_runs, *faults):
+    crashes = [records.Crash("/chat/bad", f"llm-{n}", 10.0 + n) for n in range(3)]
+    runs = [
+        dataclasses.replace(_RUN, request="bad", path="/chat/bad", at=16.0 + 0.1 * n)
+        for n in range(late_runs)
+    ]
+    return _promises(
+        crashes=crashes,
+        runs=runs,
+        daemon_by_crashing={"bad": "entry-1"},
+        faults=list(faults),
+    )
+
+
+def test_a_request_that_goes_on_crashing_targets_is_found():
+    assert _find_crashing(4) == {"what crashes targets is stopped"}
+    assert _find_crashing(3) == set()
+
+
+def test_a_daemon_that_is_out_of_touch_may_not_know_what_crashes_targets():
+    paused = records.Fault("pause", records.Area.DAEMON, "entry-1", 13.0, 15.9)
+    elsewhere = records.Fault("pause", records.Area.DAEMON, "entry-2", 13.0, 15.9)
+    assert _find_crashing(4, paused) == set()
+    assert _find_crashing(4, elsewhere) == {"what crashes targets is stopped"}
--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -31,7 +31,7 @@
 
 def _play(seed, options):
     outcome = asyncio.run(
-        play.play(seed, options.seconds, options.daemons, options.callers)
+        play.play(seed, options.seconds, options.daemons, options.callers, crashes=True)
     )
     journal = outcome.journal
     print(
--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from soak import records
+from soak import records, targets
 
 # How long a caller keeps an answer of the directory, in seconds: some three
 # times as long as the directory says.
@@ -85,6 +85,35 @@
         self._world.journal.asked.append(asked)
         return asked
 
+    async def crash(self, path):
+        """Send the request of a path that crashes engines."""
+        address = await self._choose()
+        if address is None:
+            return
+        request = next(self._ids)
+        daemon = self._world.daemon_at(address)
+        self._world.journal.daemon_by_crashing[request] = daemon.name
+        key, _ = self._world.keys[0]
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": request,
+            "X-Deadline-Ms": str(_DEADLINES_MS[0]),
+            "X-Api-Key": key,
+            "X-Model": "m",
+            "X-Token-Count": "120,40",
+            "X-Prompt-Prefix": "c0:100,bad:20",
+        }
+        status, _, _ = await self._exchange(
+            records.Kind.CHAT,
+            address,
+            path,
+            headers,
+            _DEADLINES_MS[0] / 1000,
+            targets.CRASHING,
+        )
+        if status is None or not self._clings:
+            self._address = None
+
     async def _choose(self):
         now = self._world.now()
         if self._clings and self._address is not None:
@@ -169,7 +198,7 @@
             version,
         )
 
-    async def _exchange(self, kind, address, path, headers, seconds):
+    async def _exchange(self, kind, address, path, headers, seconds, content=b"body"):
         """Return status, body and stamp; no status without a whole answer."""
         plain_read = kind in (records.Kind.READ, records.Kind.PROBE)
         method = "GET" if plain_read else "POST"
@@ -181,7 +210,7 @@
                     method,
                     f"http://{address}{path}",
                     headers=headers,
-                    data=None if plain_read else b"body",
+                    data=None if plain_read else content,
                 ) as response,
             ):
                 stamp = response.headers.get("X-Server-Stamp")
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -17,6 +17,8 @@
 _WEIGHTS_SPAN = 2.0
 _WEIGHTS_IN_ALL = 11.0
 _LEASE = 3.0
+# A request under which so many targets ended reaches few more.
+_CRASHES, _MOST_RETRIES = 3, 3
 _RECOVER = 12.0
 _GRACE = 8.0
 # A leaving daemon may be sent requests for so long by callers that can't know,
@@ -69,6 +71,7 @@
     found += _check_weights(journal)
     found += _check_salts(journal.runs)
     found += _check_recovery(journal)
+    found += _check_crashing(journal)
     found += [
         Violation("the daemon stays up", "", f"{daemon} ended by itself with {code}")
         for daemon, code in journal.exits
@@ -353,6 +356,31 @@
             yield _broken("recovers", asked, f"status {asked.status}")
 
 
+def _check_crashing(journal):
+    """Check that a request which crashes targets is stopped on all hosts."""
+    crashes_by_path = collections.defaultdict(list)
+    for crash in journal.crashes:
+        crashes_by_path[crash.path].append(crash.at)
+    for path, times in crashes_by_path.items():
+        if len(times) < _CRASHES:
+            continue
+        known_at = sorted(times)[_CRASHES - 1] + _CONTACT
+        late = [
+            run
+            for run in journal.runs
+            if run.path == path
+            and run.at > known_at + _SLACK
+            and _is_in_touch(
+                journal.faults, journal.daemon_by_crashing[run.request], run
+            )
+        ]
+        if len(late) > _MOST_RETRIES:
+            detail = (
+                f"{len(times)} crashes, late: {[run.at - known_at for run in late]}"
+            )
+            yield Violation("what crashes targets is stopped", path, detail)
+
+
 def _striking(journal, daemon):
     """Return the faults that keep a daemon from learning of a change."""
     return [
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -35,6 +35,9 @@
 _PAUSE_SECONDS = (4.0, 8.0)
 # Nothing fails for this long after them: new weights have 8 s.
 _AFTER_FAULTS_SECONDS = 8.0
+# Requests that crash engines come for so long, one after the other at any daemon.
+_CRASHING_SECONDS = (4.0, 9.0)
+_CRASHING_PAUSE_SECONDS = (0.02, 0.6)
 # Targets start again under their names at most this far apart.
 _RESTARTS_APART_SECONDS = 4.0
 
@@ -48,7 +51,9 @@
     log_by_daemon: dict[str, list[str]]
 
 
-async def play(seed, seconds, daemons=4, crowd=16, restarts=True, namings=True):
+async def play(
+    seed, seconds, daemons=4, crowd=16, restarts=True, namings=True, crashes=False
+):
     """Play one soak and return its `Outcome`.
 
     Parameters
@@ -59,6 +64,8 @@
     namings : bool
         Whether, in some seeds, weights are also named just before daemons fail and
         targets carry orders out late. Drawn apart for the same reason.
+    crashes : bool
+        Whether requests that crash engines come besides.
     """
     async with contextlib.AsyncExitStack() as stack:
         made = await stack.enter_async_context(world.World(seed, daemons))
@@ -79,7 +86,11 @@
             named_before_faults = namings and source.random() < _NAMINGS_SHARE
             if named_before_faults:
                 made.delay_orders(source.uniform(*_LATE_ORDERS_SHARES))
+            crashing = []
+            if crashes:
+                crashing.append(group.create_task(_crash_engines(made, seed, seconds)))
             await _strike(made, seed, seconds)
+            await asyncio.gather(*crashing)
             if named_before_faults:
                 await _name_before_faults(made, source)
                 if source.random() < _PAUSES_SHARE:
@@ -125,6 +136,21 @@
         await faults.play(fault, made)
 
 
+async def _crash_engines(made, seed, seconds):
+    """Have one request after the other crash engines, twice or more."""
+    source = random.Random(f"crashing {seed}")
+    number = 0
+    near = world.DATA_CENTRES[0]
+    async with callers.Caller(made, seed * 1000 + 999, False, near) as caller:
+        while made.now() < seconds or number < 2:
+            await asyncio.sleep(source.uniform(0, 2))
+            number += 1
+            until = made.now() + source.uniform(*_CRASHING_SECONDS)
+            while made.now() < until:
+                await caller.crash(f"/chat/crashing-{number}")
+                await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
+
+
 async def _name_before_faults(made, source):
     """Name weights just before daemons fail, while neither store nor links do."""
     for _ in range(source.randint(1, _MOST_NAMINGS)):
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -146,6 +146,21 @@
     subject: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """An engine ended under a request that crashes engines.
+
+    Attributes
+    ----------
+    path : str
+        Of the request; each such request has a path of its own.
+    """
+
+    path: str
+    target: str
+    at: float
+
+
 @dataclasses.dataclass
 class Journal:
     """All records of one soak."""
@@ -156,6 +171,9 @@
     orders: list[Order] = dataclasses.field(default_factory=list)
     faults: list[Fault] = dataclasses.field(default_factory=list)
     changes: list[Change] = dataclasses.field(default_factory=list)
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
+    # The daemon that each attempt of such requests was sent to, by its id.
+    daemon_by_crashing: dict[str, str] = dataclasses.field(default_factory=dict)
     # Exits that no signal of the soak explains: daemon and exit code.
     exits: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     # The weight version of each engine that is listed at the end.
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -21,6 +21,8 @@
 _LONG_EVENTS, _LONG_EVENT_SECONDS = 12, 0.45
 _WORK_SECONDS = 0.02
 _FEWEST_EVENTS, _EVENT_CHOICES = 3, 8
+# An engine that runs a request with this body crashes.
+CRASHING = b"crashes engines"
 
 
 def event_count(request):
@@ -67,6 +69,8 @@
         Of the orders, how many get no answer and are carried out later.
     order_source : random.Random
         Chooses these orders and when they are carried out.
+    crashed_by : callable
+        Called with the target and a path when a request crashes it.
     """
 
     def __init__(self, name, address, service, listed_address, journal, now, source):
@@ -82,6 +86,7 @@
         self._now = now
         self._random = source
         self.order_source = source
+        self.crashed_by = None
 
     def entry(self, state="ready"):
         """Return the record under which the target is listed."""
@@ -208,6 +213,9 @@
             weights=self.weights,
             salt=headers.get("x-cache-salt", ""),
         )
+        if self.body == CRASHING:
+            self.crashed_by(self, headers[":path"])
+            return
         with contextlib.suppress(ConnectionError):
             await self._stream_events(headers, writer, first)
 
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -18,6 +18,8 @@
 # A leaving target is listed for this long, in seconds, and serves on for as long
 # after it was removed: longer than anybody may go on sending to it.
 _SERVES_ON_SECONDS = 4.0
+# An engine that a request crashed has a successor after so long.
+_BACK_AFTER_SECONDS = (0.5, 2.0)
 
 
 class World:
@@ -44,6 +46,8 @@
         self.keys = (("key-of-acme", "acme"), ("key-of-bank", "bank"))
         self._daemons = daemons
         self._expected_ends = set()
+        self._crashing = set()
+        self._crash_source = random.Random(f"crashes {seed}")
         self.weights = 1
         self._late_orders_share = 0.0
         self._versions = [1]
@@ -145,6 +149,7 @@
         made.weights = weights or self.weights
         made.late_orders_share = self._late_orders_share
         made.order_source = random.Random(f"orders {self._seed} {name}")
+        made.crashed_by = self._crash_by_request
         await self._stack.enter_async_context(made)
         self.target_by_name[name] = made
         self.link_by_target[name] = link
@@ -164,6 +169,27 @@
         if service != target.service:
             await self.add_target(target.service)
 
+    def _crash_by_request(self, target, path):
+        """Crash a target as its process ends: its port refuses from then on."""
+        task = asyncio.create_task(self._end_and_replace(target, path))
+        self._crashing.add(task)
+        task.add_done_callback(self._crashing.discard)
+
+    async def _end_and_replace(self, target, path):
+        if target.name not in self.target_by_name:
+            return
+        self.journal.crashes.append(records.Crash(path, target.name, self.now()))
+        fault = records.Fault(
+            "crash", records.Area.TARGET, target.name, self.now(), self.now()
+        )
+        self.journal.faults.append(fault)
+        link = self.link_by_target[target.name]
+        await link.apply({"mode": proxy.Mode.REFUSE, "cut": True})
+        seconds = self._crash_source.uniform(*_BACK_AFTER_SECONDS)
+        await self.crash_target(target, seconds)
+        await link.apply({"mode": proxy.Mode.PASS})
+        fault.ended = self.now()
+
     async def restart_target(self, target, seconds):
         """Crash a target, which then starts again under the name that it had."""
         if self.target_by_name.pop(target.name, None) is None:
