--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -388,9 +388,8 @@
         next where the platform turns that one away.
         """
         fingerprint = record.fingerprint
-        turn = (
-            self._unwritten_since[fingerprint] + self._rank(fingerprint) * _WRITE_TURN
-        )
+        turn = self._unwritten_since[fingerprint]
+        turn += self._rank(fingerprint) * _WRITE_TURN
         if now < max(turn, self._write_after.get(fingerprint, turn)):
             return
         self._write_after[fingerprint] = now + _WRITE_TURN
--- a/tests/decide/test_crashfleet.py
+++ b/tests/decide/test_crashfleet.py
@@ -119,6 +119,18 @@
     assert len(made.late_runs(CONTACT_SECONDS, BAD)) <= MOST_RETRIES
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_host_that_starts_hears_of_crashes_that_are_no_news(seed):
+    made = crashfleet.Fleet(seed, hosts=5)
+    made.run(1.0)
+    made.ask(BAD, is_bad=True, retries_left=0)
+    made.run(15.0)
+    made.start_host("entry-0", 0)
+    made.run(3.0)
+    crashes = made.core_by_name["entry-0"].crashes.crash_by_life
+    assert len(crashes) == len(made.crashes) == 2
+
+
 def test_hundreds_of_hosts_hear_of_it_in_time():
     made = crashfleet.Fleet(
         1, hosts=100, engines=30, data_centres=tuple(f"dc-{n}" for n in range(5))
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -167,13 +167,16 @@
 def test_all_hosts_try_a_suspect_at_one_target(core):
     """Copies of a request come to all hosts at once: each crashes another target."""
     other = make_core()
-    for made in (core, other):
-        crash(made, 1, BAD)
-    places = [
-        made.quarantine.narrow(BAD, list(made.state.targets), NOW)[0].name
-        for made in (core, other)
-    ]
-    assert len(set(places)) == 1
+    other.state.random.random()
+    for fingerprint in (BAD, OTHER, THIRD):
+        places = set()
+        for made in (core, other):
+            crash(made, 1, fingerprint)
+            rows = list(made.state.targets)
+            places |= {
+                row.name for row in made.quarantine.narrow(fingerprint, rows, NOW)
+            }
+        assert len(places) == 1
 
 
 def test_waves_of_crashes_convict_nobody(core):
@@ -255,7 +258,6 @@
 
 def test_another_host_writes_where_the_first_can_not(core):
     """The platform turns away the host whose turn it is."""
-    later = NOW + 2.5 * SECOND
     peers = tuple(
         events.Host(f"entry-{n}", "entry", "dc-1", f"10.0.0.{n}:80", f"10.0.0.{n}:81")
         for n in range(2, 6)
@@ -263,9 +265,9 @@
     core.step(NOW, [events.HostsListed(peers)])
     _, found = crash_thrice(core)
     assert writes(found) == []
-    turns = [writes(judge(core, 2.5 + wait)[1]) for wait in range(1, 5)]
-    assert any(turns)
-    core.step(later, [quarantine.QuarantineUnwritten(BAD)])
+    for wait in range(1, len(peers) + 1):
+        core.quarantine.tick(NOW + (2.5 + wait) * SECOND)
+    assert len(writes(core.state.take_commands())) == 1
 
 
 def test_an_unwritten_conviction_is_written_once_the_platform_is_back(core):
