Explain a refusal by the crashes behind it, and say how a request that crashes targets is handled

explain shows what any host told of the request's fingerprint. A run that was given up here just before a crash is a suspect as one that its caller left. Names of the evidence and of the records are the field's.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -3,10 +3,12 @@
 import dataclasses
 import datetime
 import json
+import re
 
 # Lines of a daemon that lie this close to a request's are shown beside it.
 _NEAR = datetime.timedelta(seconds=3)
 _CONTEXT_PARTS = ("decide", "platform", "daemon")
+_FINGERPRINT = re.compile(r"\b[0-9a-f]{32}\b")
 # First match wins; the strongest sign of a cause comes first.
 _CAUSES = (
     (
@@ -23,6 +25,14 @@
     ),
     ("no_route", "No route of the configuration in force matches host and path."),
     ("not_ready", "The host had no configuration yet; it had just started."),
+    (
+        "Refused: quarantined",
+        "Targets crash under this request, so it is sent to none.",
+    ),
+    (
+        "Refused: suspected",
+        "Targets crashed under this request; hosts waited for what others saw.",
+    ),
     ("shutting_down", "The host was leaving and would have ended too soon."),
     ("Refused: overloaded", "All targets were too busy to answer in time."),
     ("Refused: no_target", "The host knew no target that could take the request."),
@@ -60,12 +70,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explanation:
-    """What the logs tell of one request."""
+    """What the logs tell of one request.
+
+    Attributes
+    ----------
+    crashes : tuple of Line
+        What any host tells of crashes under it, in any of its attempts.
+    """
 
     request: str
     decisions: tuple[Line, ...]
     beside: tuple[Line, ...]
     cause: str
+    crashes: tuple[Line, ...] = ()
 
     def __str__(self):
         if not self.decisions:
@@ -75,6 +92,9 @@
         if self.beside:
             lines.append("On the same hosts, at about that time:")
             lines += [f"  {line}" for line in self.beside]
+        if self.crashes:
+            lines.append("Crashes under it, on all hosts:")
+            lines += [f"  {line}" for line in self.crashes]
         lines.append(f"Likely cause: {self.cause}")
         return "\n".join(lines)
 
@@ -109,7 +129,23 @@
         and line.part in _CONTEXT_PARTS
         and first <= line.at <= last
     )
-    return Explanation(decisions[0].request, decisions, beside, _cause(decisions))
+    crashes = _crashes_under(lines, decisions)
+    return Explanation(
+        decisions[0].request, decisions, beside, _cause(decisions), crashes
+    )
+
+
+def _crashes_under(lines, decisions):
+    """Return the lines of no request that name the fingerprint of this one."""
+    fingerprints = {
+        found for line in decisions for found in _FINGERPRINT.findall(line.message)
+    }
+    return tuple(
+        line
+        for line in lines
+        if line.request == "-"
+        and not fingerprints.isdisjoint(_FINGERPRINT.findall(line.message))
+    )
 
 
 def _cause(decisions):
--- a/packages/daemon/sesamespindle/daemon/crashmessages.py
+++ b/packages/daemon/sesamespindle/daemon/crashmessages.py
@@ -13,12 +13,12 @@
     """Return the fields of a protobuf gossip message, by name."""
     return {
         "crashes": [_crash_to_wire(item, now) for item in news.crashes],
-        "acquittals": [
-            peers_pb2.Acquittal(
+        "cleared": [
+            peers_pb2.ClearedRequest(
                 fingerprint=bytes.fromhex(item.fingerprint),
                 seconds_ago=_age(item.at, now),
             )
-            for item in news.acquittals
+            for item in news.cleared
         ],
         "quarantined": [
             peers_pb2.QuarantinedRequest(
@@ -38,8 +38,8 @@
     return gossip.CrashNews(
         tuple(_crash_from_wire(item, sent_at) for item in message.crashes),
         tuple(
-            gossip.Acquittal(item.fingerprint.hex(), _before(sent_at, item))
-            for item in message.acquittals
+            gossip.ClearedRequest(item.fingerprint.hex(), _before(sent_at, item))
+            for item in message.cleared
         ),
         tuple(
             gossip.QuarantinedRequest(
--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -22,7 +22,7 @@
 _REPEATED = 2
 # News of a crash is told in so many rounds of gossip, as in `world.VERSION_ROUNDS`.
 _TOLD_ROUNDS = 10
-# Crashes and acquittals in one message, the latest; a crash has some 500 bytes.
+# Crashes and cleared in one message, the latest; a crash has some 500 bytes.
 _MAX_TOLD = 32
 
 
@@ -135,26 +135,26 @@
         broken.fingerprints.add(fingerprint)
 
     def left(self, fingerprint, life, now):
-        """Take in a run that its caller left."""
+        """Take in a run that its caller left, or that was given up here."""
         if fingerprint:
             self._left_by_life.setdefault(life, {})[fingerprint] = now
 
     def served(self, fingerprint, now):
         """Take in that a run has ended well: what crashed before was not its doing."""
         if fingerprint in self._lives_by_fingerprint:
-            self.acquit(fingerprint, now)
+            self.clear(fingerprint, now)
 
-    def acquit(self, fingerprint, at):
+    def clear(self, fingerprint, at):
         """Have crashes up to a time count no longer for a request.
 
-        Guards against hosts that tell each other of one acquittal for ever, each a
+        Guards against hosts that tell each other of one clearing for ever, each a
         few milliseconds later than the one before: the same time is no news.
         """
-        if at - _TOLERANCE > self.acquitted_at(fingerprint, at - _KEPT_FOR):
+        if at - _TOLERANCE > self.cleared_at(fingerprint, at - _KEPT_FOR):
             self._served_by_fingerprint[fingerprint] = _Served(at)
             self._state.tells_crashes = True
 
-    def acquitted_at(self, fingerprint, otherwise):
+    def cleared_at(self, fingerprint, otherwise):
         """Return when a request was last known to do no harm, or another time."""
         served = self._served_by_fingerprint.get(fingerprint)
         return served.at if served is not None else otherwise
@@ -170,7 +170,7 @@
     def _counts(self, fingerprint, crash):
         if crash.is_refuted:
             return False
-        return crash.at > self.acquitted_at(fingerprint, crash.at - _KEPT_FOR)
+        return crash.at > self.cleared_at(fingerprint, crash.at - _KEPT_FOR)
 
     def repeated(self):
         """Return the fingerprints that were under way in two crashes or more."""
@@ -290,7 +290,7 @@
     # What is told to peers and heard from them.
 
     def told(self, whole):
-        """Return the `gossip.TargetCrash` and `gossip.Acquittal` records to tell.
+        """Return the `gossip.TargetCrash` and `gossip.ClearedRequest` records to tell.
 
         Parameters
         ----------
@@ -308,12 +308,12 @@
             for crash in self.crash_by_life.values()
             if whole or crash.rounds
         ]
-        acquittals = [
-            gossip.Acquittal(fingerprint, served.at)
+        cleared = [
+            gossip.ClearedRequest(fingerprint, served.at)
             for fingerprint, served in self._served_by_fingerprint.items()
             if whole or served.rounds
         ]
-        return tuple(crashes[-_MAX_TOLD:]), tuple(acquittals[-_MAX_TOLD:])
+        return tuple(crashes[-_MAX_TOLD:]), tuple(cleared[-_MAX_TOLD:])
 
     def note_round(self):
         """Count a round of gossip in which what is news was told."""
@@ -323,10 +323,10 @@
         ):
             item.rounds = max(0, item.rounds - 1)
 
-    def hear(self, crashes, acquittals):
+    def hear(self, crashes, cleared):
         """Take in what a peer tells; hearing it twice changes nothing."""
-        for told in acquittals:
-            self.acquit(told.fingerprint, told.at)
+        for told in cleared:
+            self.clear(told.fingerprint, told.at)
         for told in crashes:
             self._hear_crash(told)
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -488,6 +488,8 @@
                 self._crashes.broke(
                     flight.fingerprint, flight.life, flight.sent_at, now
                 )
+            case Ending.SILENT | Ending.WITHDRAWN:
+                self._crashes.left(flight.fingerprint, flight.life, now)
             case Ending.REFUSED | Ending.WRONG_TARGET:
                 self._crashes.is_over(flight.life)
             case Ending.FAILED | Ending.TURNED_AWAY | Ending.WRONG_VERSION:
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -187,7 +187,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Acquittal:
+class ClearedRequest:
     """A request did no harm up to a time, by the clock of whoever has this record."""
 
     fingerprint: str
@@ -222,7 +222,7 @@
     """What the sender knows of requests that crash targets."""
 
     crashes: tuple[TargetCrash, ...] = ()
-    acquittals: tuple[Acquittal, ...] = ()
+    cleared: tuple[ClearedRequest, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
 
 
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -12,17 +12,17 @@
 from sesamespindle.decide import commands, gossip, hashing, retries
 
 # Crashes under one request after which it is refused.
-_CONVICTED_BY = 3
+_QUARANTINED_FROM = 3
 # From so many crashes on it is refused although others ran beside it each time, or its
 # targets crashed together with others.
-_CONVICTED_ANYHOW_BY = 6
-# Crashes outside of waves that are needed: one may be chance.
-_OUTSIDE_WAVES = 2
-# Crashes outside of waves after which a suspect gets no target that another such
+_QUARANTINED_ANYHOW_FROM = 6
+# Uncorrelated crashes that are needed: one may be chance.
+_UNCORRELATED = 2
+# Uncorrelated crashes after which a suspect gets no target that another such
 # suspect has.
 _APART_FROM = 2
-# Targets of one service that crash so close together crash in a wave.
-_WAVE = datetime.timedelta(seconds=0.5)
+# Crashes of one service so close together are correlated.
+_CORRELATED_WITHIN = datetime.timedelta(seconds=0.5)
 # What other hosts saw of a crash is here after this long: three rounds of urgent news,
 # and what a busy host adds.
 _SETTLED_AFTER = datetime.timedelta(seconds=0.5)
@@ -160,8 +160,8 @@
         return True
 
     def tick(self, now):
-        """Convict, have the platform remember, and begin tries that are due."""
-        self._convict(now)
+        """Find causes, have the platform remember, and begin tries that are due."""
+        self._quarantine_causes(now)
         for record in list(self.record_by_fingerprint.values()):
             if record.revision:
                 self._begin_try(record, now)
@@ -173,7 +173,7 @@
     def refusal(self, fingerprint, now):
         """Return the `Refusal` of a request, or None where it may be sent."""
         crashes = self._against(fingerprint)
-        if len(crashes) >= _CONVICTED_BY:
+        if len(crashes) >= _QUARANTINED_FROM:
             if not self._have_settled(crashes, now):
                 return self._refuse(
                     commands.Code.SUSPECTED,
@@ -181,7 +181,7 @@
                     _SETTLED_AFTER,
                 )
             # The next tick would be too late for this request.
-            self._convict(now)
+            self._quarantine_causes(now)
         record = self.record_by_fingerprint.get(fingerprint)
         if record is None:
             return None
@@ -202,7 +202,7 @@
         if not fingerprint:
             return 0
         if fingerprint in self.record_by_fingerprint:
-            return _CONVICTED_BY
+            return _QUARANTINED_FROM
         unsure = self._crashes.unsure(fingerprint)
         return len(self._against(fingerprint)) + unsure
 
@@ -242,7 +242,7 @@
         if fingerprint in self.record_by_fingerprint:
             return True
         crashes = self._against(fingerprint)
-        return len(self._outside_waves(fingerprint, crashes)) >= _APART_FROM
+        return len(self._uncorrelated(fingerprint, crashes)) >= _APART_FROM
 
     def served(self, fingerprint, now):
         """Take in that a run has ended well."""
@@ -251,7 +251,7 @@
             self._lift(fingerprint, now)
             self._state.emit(RemoveQuarantine(fingerprint))
 
-    # Who is convicted.
+    # Who is the cause.
 
     def _against(self, fingerprint):
         """Return the crashes that a request may have caused.
@@ -270,7 +270,7 @@
     def _have_settled(self, crashes, now):
         return now - max(crash.at for crash in crashes) >= _SETTLED_AFTER
 
-    def _convict(self, now):
+    def _quarantine_causes(self, now):
         """Quarantine who crashed most targets first: that clears who was beside it."""
         found = [
             (fingerprint, self._against(fingerprint))
@@ -280,44 +280,46 @@
         found.sort(key=lambda item: (-len(item[1]), item[0]))
         for fingerprint, _ in found:
             crashes = self._against(fingerprint)
-            if len(crashes) < _CONVICTED_BY or not self._have_settled(crashes, now):
+            if len(crashes) < _QUARANTINED_FROM or not self._have_settled(crashes, now):
                 continue
-            if self._is_guilty(fingerprint, crashes):
+            if self._is_cause(fingerprint, crashes):
                 record = gossip.QuarantinedRequest(fingerprint, now, len(crashes))
                 self._adopt(record, now, _describe(crashes))
 
-    def _is_guilty(self, fingerprint, crashes):
+    def _is_cause(self, fingerprint, crashes):
         """Return whether the crashes under a request are its doing.
 
-        Guards against innocents that are refused: those that ran beside the cause
+        Guards against others that are refused: those that ran beside the cause
         more than once, as each of their crashes has another suspect with as many, and
-        those that met waves of crashes, in which targets crash without them.
+        those that met correlated crashes, in which targets crash without them.
         """
-        if len(crashes) >= _CONVICTED_ANYHOW_BY:
+        if len(crashes) >= _QUARANTINED_ANYHOW_FROM:
             return True
-        outside = self._outside_waves(fingerprint, crashes)
+        outside = self._uncorrelated(fingerprint, crashes)
         has_no_other = any(
             not self._has_suspect(crash, len(crashes), fingerprint) for crash in outside
         )
-        return len(outside) >= _OUTSIDE_WAVES and has_no_other
+        return len(outside) >= _UNCORRELATED and has_no_other
 
-    def _outside_waves(self, fingerprint, crashes):
-        if len(crashes) < _OUTSIDE_WAVES:
+    def _uncorrelated(self, fingerprint, crashes):
+        if len(crashes) < _UNCORRELATED:
             return []
-        return [crash for crash in crashes if not self._is_in_wave(fingerprint, crash)]
+        return [
+            crash for crash in crashes if not self._is_correlated(fingerprint, crash)
+        ]
 
-    def _is_in_wave(self, fingerprint, crash):
+    def _is_correlated(self, fingerprint, crash):
         """Return whether another target crashed at the time, without the request.
 
-        One that ran under another request with as many crashes was not in a wave.
+        One that ran under another request with as many crashes does not count.
         """
         return any(
-            abs(other.at - crash.at) <= _WAVE
+            abs(other.at - crash.at) <= _CORRELATED_WITHIN
             and other.service == crash.service
             and fingerprint not in other.suspects
             and not other.is_refuted
             and not self._is_explained(other)
-            and not self._has_suspect(other, _CONVICTED_BY, fingerprint)
+            and not self._has_suspect(other, _QUARANTINED_FROM, fingerprint)
             for other in self._crashes.crash_by_life.values()
         )
 
@@ -328,13 +330,13 @@
             for other in crash.suspects
         )
 
-    # What is remembered of the convicted.
+    # What is remembered.
 
     def _adopt(self, record, now, how):
         """Take a record in, unless the request was seen to do no harm since."""
         fingerprint = record.fingerprint
-        acquitted_at = self._crashes.acquitted_at(fingerprint, None)
-        if acquitted_at is not None and acquitted_at >= record.decided_at:
+        cleared_at = self._crashes.cleared_at(fingerprint, None)
+        if cleared_at is not None and cleared_at >= record.decided_at:
             return
         known = self.record_by_fingerprint.get(fingerprint)
         if known is not None and _standing(known) >= _standing(record):
@@ -371,7 +373,7 @@
         if fingerprint not in self.record_by_fingerprint:
             return
         self._forget(fingerprint)
-        self._crashes.acquit(fingerprint, now)
+        self._crashes.clear(fingerprint, now)
         self._state.emit(commands.Note("quarantine_lifted", fingerprint))
 
     def _forget(self, fingerprint):
@@ -384,7 +386,7 @@
         """Have the platform remember a record, if it is this host's turn.
 
         Guards against a loss of power that takes every host's memory. All hosts
-        convict at about the same time; they take turns, so that one writes, and the
+        decide at about the same time; they take turns, so that one writes, and the
         next where the platform turns that one away.
         """
         fingerprint = record.fingerprint
@@ -408,7 +410,7 @@
             self._let_through.add(event.record.fingerprint)
 
     def _begin_try(self, record, now):
-        """Let a request through once more, some time after it was convicted.
+        """Let a request through once more, some time after it was quarantined.
 
         Guards against a request that is refused for good although its cause is
         mended. The platform counts the tries, and one host makes them.
@@ -434,9 +436,9 @@
 
     def told(self, whole):
         """Return the `gossip.CrashNews` for a peer."""
-        crashes, acquittals = self._crashes.told(whole)
+        crashes, cleared = self._crashes.told(whole)
         records = tuple(self.record_by_fingerprint.values())
-        return gossip.CrashNews(crashes, acquittals, records[-_MAX_TOLD:])
+        return gossip.CrashNews(crashes, cleared, records[-_MAX_TOLD:])
 
     def note_round(self):
         """Count a round of gossip in which what is news was told."""
@@ -444,8 +446,8 @@
 
     def hear(self, news, now):
         """Take in what a peer tells."""
-        self._crashes.hear(news.crashes, news.acquittals)
-        for told in news.acquittals:
+        self._crashes.hear(news.crashes, news.cleared)
+        for told in news.cleared:
             record = self.record_by_fingerprint.get(told.fingerprint)
             if record is not None and record.decided_at <= told.at:
                 self._lift(told.fingerprint, told.at)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -50,6 +50,25 @@
     assert str(found) == "No line of any log names request nobody."
 
 
+def test_crashes_behind_a_refusal_are_shown_from_all_hosts(tmp_path):
+    name = "0f" * 16
+    told = f"target_crashed llm-1. 2 requests under way: {'1e' * 16}, {name}"
+    told_elsewhere = f"request_quarantined {name}. heard"
+    refused = "Refused: quarantined, not_run. Targets crash under this request, 3 so "
+    lines = [
+        line(1, "entry-2", "-", told, "decide"),
+        line(2, "entry-3", "-", told_elsewhere, "decide"),
+        line(2, "entry-3", "-", f"request_quarantined {'1e' * 16}. heard", "decide"),
+        line(9, "entry-1", "abc", f"{refused}far. Its fingerprint is {name}."),
+    ]
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(lines))
+    found = explain.explain(explain.read([path]), "abc")
+    assert [item.message for item in found.crashes] == [told, told_elsewhere]
+    assert found.cause.startswith("Targets crash under this request")
+    assert "Crashes under it, on all hosts:" in str(found)
+
+
 def test_a_refusal_under_load_is_named(logs):
     found = explain.explain(explain.read(logs), "other")
     assert found.cause == "All targets were too busy to answer in time."
--- a/tests/daemon/test_crashmessages.py
+++ b/tests/daemon/test_crashmessages.py
@@ -14,7 +14,7 @@
             lives.Life("llm-1", 7), "llm", NOW - 2 * SECOND, (FINGERPRINT,), True
         ),
     ),
-    (gossip.Acquittal(FINGERPRINT, NOW - SECOND),),
+    (gossip.ClearedRequest(FINGERPRINT, NOW - SECOND),),
     (gossip.QuarantinedRequest(FINGERPRINT, NOW - 3 * SECOND, 4, 1, 99),),
 )
 
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -71,7 +71,7 @@
     return refusal.code if refusal is not None else None
 
 
-def test_three_crashes_convict_once_others_had_time_to_tell(core):
+def test_three_crashes_quarantine_once_others_had_time_to_tell(core):
     for number in (1, 2, 3):
         assert code_of(core, after=1.8) is None
         crash(core, number, BAD, after=0.6 * number)
@@ -139,7 +139,7 @@
 
 
 def test_two_that_ran_together_each_time_are_told_apart_by_the_next_crash(core):
-    """An innocent ran beside the cause three times, and would be refused with it."""
+    """Another ran beside the cause three times, and would be refused with it."""
     for number in (1, 2, 3):
         crash(core, number, BAD, OTHER, after=0.6 * number)
     assert judge(core, 2.5)[0] == set()
@@ -150,7 +150,7 @@
 
 
 def test_suspects_that_crashed_two_targets_are_tried_apart(core):
-    """Two suspects share a target: its crash tells nothing, and hurts an innocent."""
+    """Two suspects share a target: its crash tells nothing, and hurts the other."""
     for number in (1, 2):
         crash(core, number, BAD, OTHER, THIRD)
     rows = list(core.state.targets.where("pool", "llm"))
@@ -179,7 +179,7 @@
         assert len(places) == 1
 
 
-def test_waves_of_crashes_convict_nobody(core):
+def test_correlated_crashes_quarantine_nobody(core):
     """Half of the targets crash, three times, and a request was there each time."""
     for number, (first, second) in enumerate(((1, 2), (3, 4), (5, 6))):
         crash(core, first, BAD, after=2.0 * number)
@@ -188,7 +188,7 @@
     assert code_of(core, after=6.0) is None
 
 
-def test_equal_bodies_that_end_well_convict_nobody(core):
+def test_equal_bodies_that_end_well_quarantine_nobody(core):
     """Short requests are equal; targets crash by themselves where they run."""
     for number in (1, 2, 3, 4):
         crash(core, number, BAD, after=2.0 * number)
@@ -219,13 +219,13 @@
     assert judge(core, 12.0)[0] == set()
 
 
-def test_one_acquittal_that_goes_round_is_no_news(core):
+def test_one_clearing_that_goes_round_is_no_news(core):
     """Hosts tell it on a little later each time, and never stop."""
     crash(core, 1, BAD)
     core.quarantine.served(BAD, NOW + 2 * SECOND)
     core.state.tells_crashes = False
-    told = gossip.Acquittal(BAD, NOW + 2.03 * SECOND)
-    core.quarantine.hear(gossip.CrashNews(acquittals=(told,)), NOW + 2.1 * SECOND)
+    told = gossip.ClearedRequest(BAD, NOW + 2.03 * SECOND)
+    core.quarantine.hear(gossip.CrashNews(cleared=(told,)), NOW + 2.1 * SECOND)
     assert not core.state.tells_crashes
 
 
@@ -243,8 +243,8 @@
     assert started.quarantine.suspicion(BAD) == 2
 
 
-def test_the_conviction_is_written_once_and_known_from_the_platform(core):
-    """All hosts lose power after the conviction, and the request comes again."""
+def test_what_is_decided_is_written_once_and_known_from_the_platform(core):
+    """All hosts lose power after the decision, and the request comes again."""
     _, found = crash_thrice(core)
     written = [item.record for item in writes(found)]
     assert [item.fingerprint for item in written] == [BAD]
@@ -270,7 +270,7 @@
     assert len(writes(core.state.take_commands())) == 1
 
 
-def test_an_unwritten_conviction_is_written_once_the_platform_is_back(core):
+def test_an_unwritten_record_is_written_once_the_platform_is_back(core):
     crash_thrice(core)
     core.step(NOW + 3 * SECOND, [quarantine.QuarantineUnwritten(BAD)])
     assert writes(judge(core, 3.1)[1]) == []
