--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -9,13 +9,10 @@
 import aiohttp.web
 import yarl
 
-from sesamespindle.daemon import connections, eventstream, logs
-from sesamespindle.decide import commands, events, fingerprints, forwarding, routes
+from sesamespindle.daemon import connections, logs, relayed
+from sesamespindle.decide import commands, events, forwarding, routes
 
 _log = logs.part("relay")
-# Bodies and answers up to this size are held whole, so that they can be sent
-# again or judged before they are passed on; larger ones pass through.
-_HELD_BYTES = 256 * 1024
 _CHUNK_BYTES = 64 * 1024
 # A target that keeps idle connections for less than this is not trusted with
 # a kept connection: the pool would use it up to its end.
@@ -28,97 +25,6 @@
     code = "cut_off"
 
 
-class _Body:
-    """A request's body, held or passing through.
-
-    Parameters
-    ----------
-    held : bytes or None
-        The body, or its beginning.
-    rest : aiohttp.StreamReader, optional
-        Where the rest comes from, once.
-    """
-
-    def __init__(self, held, rest=None):
-        self._held = held
-        self._rest = rest
-        self.is_spent = False
-
-    @property
-    def whole(self):
-        """The whole body, or None where it passes through."""
-        return (self._held or b"") if self._rest is None else None
-
-    def content(self):
-        """Return what the HTTP library sends as the body."""
-        if self._rest is None:
-            return self._held
-        self.is_spent = True
-        return self._pass_through()
-
-    async def _pass_through(self):
-        yield self._held
-        async for chunk in self._rest.iter_any():
-            yield chunk
-
-
-class _Answer:
-    """What a caller has got of its answer."""
-
-    def __init__(self):
-        self.response = None
-        self.cutter = eventstream.EventCutter()
-        self.failure = None
-        self.passed_bytes = 0
-        self.passed_at = None
-
-    def describe(self, now):
-        """Return how far the answer has come, for the log."""
-        if self.passed_at is None:
-            return "nothing of the answer was passed on"
-        silent = (now - self.passed_at).total_seconds() * 1000
-        return (
-            f"{self.passed_bytes} bytes of the answer were passed on, "
-            f"the last {silent:.0f} ms ago"
-        )
-
-
-class _Send:
-    """A send whose answer has not begun, which may be withdrawn.
-
-    Parameters
-    ----------
-    attempt : int
-        Which send of its request it is.
-    limit : asyncio.Timeout
-        Ends it.
-    """
-
-    def __init__(self, attempt, limit):
-        self.attempt = attempt
-        self._limit = limit
-        self._ends_at = limit.when()
-        # Why it is withdrawn, for the log; empty while it isn't.
-        self.withdrawn = ""
-
-    def withdraw(self, reason):
-        """End it now, unless it ends already."""
-        if self._limit.expired():
-            return
-        self.withdrawn = reason
-        self._limit.reschedule(asyncio.get_running_loop().time())
-
-    def keep(self):
-        """Let it come to its end after all.
-
-        Guards against an answer that begins in the instant of its withdrawal: its
-        caller would get a beginning without an end.
-        """
-        if self.withdrawn and not self._limit.expired():
-            self._limit.reschedule(self._ends_at)
-            self.withdrawn = ""
-
-
 class Relay:
     """Answers callers' requests.
 
@@ -178,10 +84,10 @@
         request = self._dialect.read_request(http, arrived)
         if not request.request_id or self._is_taken(request):
             return self._refuse(http, _without_own_id(request))
-        body = await self._read_body(http)
-        request = dataclasses.replace(request, content=_content(http, body))
+        body = await relayed.read_body(http)
+        request = dataclasses.replace(request, content=relayed.content_of(http, body))
         command = self._decide(self._forwarding.begin, request)
-        answer = _Answer()
+        answer = relayed.Answer()
         try:
             return await self._carry_out(http, request, body, command, answer)
         except _CutOffError:
@@ -248,7 +154,7 @@
             )
         try:
             async with self._limit(max(left, 0.001)) as limit:
-                send = _Send(forward.attempt, limit)
+                send = relayed.Send(forward.attempt, limit)
                 self._send_by_request[forward.request_id] = send
                 ending = await self._exchange(http, body, forward, answer)
         except TimeoutError:
@@ -402,7 +308,7 @@
                     await self._write(answer, chunk)
                     continue
                 held += chunk
-                if len(held) > _HELD_BYTES:
+                if len(held) > relayed.HELD_BYTES:
                     await self._begin(http, response, answer)
                     await self._write(answer, bytes(held))
         except aiohttp.ClientError:
@@ -427,7 +333,7 @@
         """Return a target's own failure, or None if it didn't come whole."""
         protocol = _protocol(response)
         try:
-            content = await response.content.read(_HELD_BYTES)
+            content = await response.content.read(relayed.HELD_BYTES)
             whole = response.content.at_eof() or not await response.content.read(1)
         except aiohttp.ClientError:
             return None
@@ -523,17 +429,6 @@
                 waited.total_seconds() * 1000,
             )
 
-    async def _read_body(self, http):
-        """Return the `_Body` of a request, held whole if it is small."""
-        if not http.body_exists:
-            return _Body(None)
-        held = bytearray()
-        async for chunk in http.content.iter_any():
-            held += chunk
-            if len(held) > _HELD_BYTES:
-                return _Body(bytes(held), http.content)
-        return _Body(bytes(held))
-
     def _decide(self, decide, *args, **named):
         """Call the decision logic, and carry out what it wants besides."""
         result = decide(*args, now=self._clock.now(), **named)
@@ -561,14 +456,6 @@
             http.transport.abort()
 
 
-def _content(http, body):
-    """Return what `fingerprints` make of a request; None if its body isn't held."""
-    if body.whole is None:
-        return None
-    path = http.raw_path.encode("utf-8", "surrogateescape")
-    return fingerprints.of_content(http.method.encode(), path, body.whole)
-
-
 def _was_reset(protocol):
     return protocol is not None and protocol.was_reset
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -13,6 +13,7 @@
     promptplacing,
     retries,
     routes,
+    sendlog,
     world,
 )
 
@@ -379,45 +380,12 @@
             place.salt if place else None,
             place.transfers if place else kvstores.NO_TRANSFERS,
             self._patience(flight, row),
-            self._explain(flight, row, place, now),
+            sendlog.explain(
+                self.configuration, flight, row, place, self._replacement(flight), now
+            ),
             row.born,
         )
 
-    def _explain(self, flight, row, place, now):
-        """Return the inputs of a choice, for the log."""
-        text = (
-            f"Configuration {self.configuration.version}, route {flight.route.name}, "
-            f"load {row.reported_load}, {row.running_here} from here, "
-            f"fingerprint {flight.fingerprint or 'unknown'}"
-        )
-        if place is None:
-            return text + "."
-        request = flight.request
-        fetched = sum(
-            part.tokens
-            for part, address in zip(
-                request.prompt, place.transfers.fetch_from, strict=False
-            )
-            if address
-        )
-        saved = sum(address is not None for address in place.transfers.save_to)
-        queued = placement.queue_seconds(row, now) * 1000
-        return (
-            f"{text}, context {request.affinity or 'none'}, "
-            f"{'at home' if place.at_home else 'away from home'}, "
-            f"{self._describe_version(flight, now)}, {request.prompt_tokens} tokens, "
-            f"{fetched} to fetch, {saved} parts to save, {queued:.0f} ms queued."
-        )
-
-    def _describe_version(self, flight, now):
-        """Return what weights a send is to run on, and since when they're replaced."""
-        text = f"version {flight.version}"
-        replaced = self._replacement(flight)
-        if replaced is None:
-            return text
-        age = replaced.describe_age(now)
-        return f"{text}, replaced by {replaced.version} {age} ago"
-
     def _candidates(self, flight, service, now):
         """Return targets with room for one more connection of this daemon.
 
@@ -532,7 +500,7 @@
             return PassOn(request.request_id)
         if flight.runs == 0:
             code = code or commands.Code.OVERLOADED
-            return self._refuse(request, code, self._describe(flight, now))
+            return self._refuse(request, code, self._describe_targets(flight, now))
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
@@ -541,15 +509,9 @@
             message = "The target's weights were replaced before it answered."
         return self._refuse(request, code, message, commands.Outcome.UNKNOWN)
 
-    def _describe(self, flight, now):
-        """Return what is known of the service's targets, for the caller's log."""
+    def _describe_targets(self, flight, now):
         rows = list(self._state.targets.where("pool", flight.service))
-        usable = sum(row.usable(now) for row in rows)
-        running = sum(row.running_here for row in rows)
-        return (
-            f"Of {len(rows)} targets {usable} may be used; "
-            f"{running} requests run from here, {self._entries()} entries."
-        )
+        return sendlog.describe_targets(rows, self._entries(), now)
 
     def timed_out(self, request_id, now, sent):
         """Return the final answer at the end of a request's time."""
