--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -10,7 +10,7 @@
 import yarl
 
 from sesamespindle.daemon import connections, logs, relayed
-from sesamespindle.decide import commands, events, forwarding, routes
+from sesamespindle.decide import commands, events, routes, sends
 
 _log = logs.part("relay")
 _CHUNK_BYTES = 64 * 1024
@@ -54,7 +54,7 @@
         self._send_by_request = {}
         self._is_ending = False
         self.in_flight = 0
-        driver.on(forwarding.Withdraw, self._withdraw)
+        driver.on(sends.Withdraw, self._withdraw)
 
     def end(self):
         """Give all requests under way their final answers now, as the host ends.
@@ -128,11 +128,11 @@
                     if answer.response is not None:
                         raise _CutOffError
                     return self._refuse(http, command)
-                case forwarding.PassOn():
+                case sends.PassOn():
                     if answer.response is not None:
                         raise _CutOffError
                     return self._last_if_leaving(answer.failure)
-                case forwarding.Forward():
+                case sends.Forward():
                     command = await self._send(http, body, command, answer)
                     if command is None:
                         return answer.response
@@ -179,7 +179,7 @@
                 self._limits.discard(limit)
 
     def _withdraw(self, command):
-        """Carry out a `forwarding.Withdraw`."""
+        """Carry out a `sends.Withdraw`."""
         send = self._send_by_request.get(command.request_id)
         if send is not None and send.attempt == command.attempt:
             send.withdraw(command.reason)
@@ -204,7 +204,7 @@
             return command
         if send.withdrawn:
             command = self._decide(
-                self._forwarding.ended, forward.request_id, forwarding.Ending.WITHDRAWN
+                self._forwarding.ended, forward.request_id, sends.Ending.WITHDRAWN
             )
             self._log_end(forward, f"withdrawn, {send.withdrawn}", command)
             return command
@@ -229,7 +229,7 @@
 
         Returns
         -------
-        ending : forwarding.Ending or None
+        ending : sends.Ending or None
             None once the caller has its whole answer.
         """
         url = yarl.URL(f"http://{forward.address}{http.raw_path}", encoded=True)
@@ -251,16 +251,16 @@
                     return await self._take(http, forward, response, answer)
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
-                return forwarding.Ending.REFUSED
-            return forwarding.Ending.UNREACHABLE
+                return sends.Ending.REFUSED
+            return sends.Ending.UNREACHABLE
         except aiohttp.ConnectionTimeoutError:
-            return forwarding.Ending.UNREACHABLE
+            return sends.Ending.UNREACHABLE
         except TimeoutError:
             if not patience.expired():
                 raise
-            return forwarding.Ending.SILENT
+            return sends.Ending.SILENT
         except aiohttp.ClientError:
-            return forwarding.Ending.LOST
+            return sends.Ending.LOST
 
     def _patience(self, forward, answer):
         seconds = None
@@ -283,18 +283,18 @@
             # It is known what has become of it: "not run" must not get lost.
             self._keep(forward)
         try:
-            if ending is forwarding.Ending.FAILED:
+            if ending is sends.Ending.FAILED:
                 answer.failure = await self._read_failure(response)
-                return ending if answer.failure is not None else forwarding.Ending.LOST
+                return ending if answer.failure is not None else sends.Ending.LOST
             if ending is not None:
-                if ending is not forwarding.Ending.LOST:
+                if ending is not sends.Ending.LOST:
                     await response.read()
                 return ending
             if forward.streaming and response.status == 200:
                 return await self._pass_stream(http, forward, response, answer)
             return await self._pass_plain(http, forward, response, answer)
         finally:
-            if not keeps or ending is forwarding.Ending.LOST:
+            if not keeps or ending is sends.Ending.LOST:
                 response.close()
 
     async def _pass_plain(self, http, forward, response, answer):
@@ -389,7 +389,7 @@
         if answer.response is not None and not resumes:
             self._decide(self._forwarding.broke_off, forward.request_id)
             raise _CutOffError
-        return forwarding.Ending.LOST
+        return sends.Ending.LOST
 
     async def _begin(self, http, response, answer):
         answer.response = aiohttp.web.StreamResponse(
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -1,8 +1,6 @@
 """The life of a forwarded request: where it goes, and what its caller gets."""
 
-import dataclasses
 import datetime
-import enum
 
 from sesamespindle.decide import (
     catalogue,
@@ -14,6 +12,7 @@
     retries,
     routes,
     sendlog,
+    sends,
     world,
 )
 
@@ -48,91 +47,6 @@
 _ROUTE_RANKS = 3
 
 
-class Ending(enum.Enum):
-    """How a send to a target ended, other than with an answer to pass on."""
-
-    # Nothing left this host: the connection could not be made.
-    UNREACHABLE = "unreachable"
-    # Nor could it here: nobody listens at the target's address.
-    REFUSED = "refused"
-    # The target says that it did not run the request: it is full or leaving.
-    TURNED_AWAY = "turned_away"
-    # Another target has the address now.
-    WRONG_TARGET = "wrong_target"
-    # The target runs other weights than expected.
-    WRONG_VERSION = "wrong_version"
-    # The target ran the request and failed it.
-    FAILED = "failed"
-    # It isn't known whether the request ran.
-    LOST = "lost"
-    # No answer began within the patience of the send.
-    SILENT = "silent"
-    # It was taken back, by a `Withdraw`, before its answer had begun.
-    WITHDRAWN = "withdrawn"
-
-
-_NOT_ARRIVED = frozenset((Ending.UNREACHABLE, Ending.REFUSED))
-# The endings after which a target may have begun to run the request.
-_MAYBE_RAN = frozenset((Ending.FAILED, Ending.LOST, Ending.SILENT, Ending.WITHDRAWN))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forward:
-    """Send a request to a target.
-
-    Attributes
-    ----------
-    until : datetime.datetime
-        When the target is to stop, and the caller gets a final answer.
-    patience : datetime.timedelta or None
-        Silence after which `Ending.SILENT` is reported; None to wait on.
-    version : int or None
-        The weight version that must run it.
-    born : int
-        When the target's life began, as in `lives.Life`.
-    """
-
-    request_id: str
-    attempt: int
-    target: str
-    address: str
-    until: datetime.datetime
-    urgency: int
-    account: str | None
-    repeats: routes.Repeats
-    streaming: bool
-    version: int | None = None
-    salt: str | None = None
-    transfers: kvstores.Transfers = kvstores.NO_TRANSFERS
-    patience: datetime.timedelta | None = None
-    reason: str = ""
-    born: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PassOn:
-    """Give the caller the target's own failure."""
-
-    request_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withdraw:
-    """Close the connection of a send, unless its answer has begun meanwhile.
-
-    It then ends as `Ending.WITHDRAWN`.
-
-    Attributes
-    ----------
-    reason : str
-        What decided it, for the log.
-    """
-
-    request_id: str
-    attempt: int
-    reason: str
-
-
 class Forwarding:
     """Decides on every request and every end of a send.
 
@@ -168,7 +82,7 @@
         self.flight_by_request = {}
 
     def begin(self, request, now):
-        """Return `Forward` or `commands.Refuse` for a new request."""
+        """Return `sends.Forward` or `commands.Refuse` for a new request."""
         configuration = self.configuration
         if configuration is None:
             return self._refuse(
@@ -217,14 +131,14 @@
 
         Returns
         -------
-        command : Forward, PassOn or commands.Refuse
+        command : sends.Forward, sends.PassOn or commands.Refuse
         """
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.life)
         self._tell_crashes(flight, ending, now)
         self._release(flight)
         self._note_ending(flight, row, ending, now)
-        maybe_ran = ending in _MAYBE_RAN
+        maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
         if self._may_repeat(flight, ending, maybe_ran, now):
@@ -262,7 +176,7 @@
                 continue
             age = replaced.describe_age(now)
             self._state.emit(
-                Withdraw(
+                sends.Withdraw(
                     flight.request.request_id,
                     flight.sends,
                     f"not begun on version {flight.version}, {age} after "
@@ -296,7 +210,7 @@
         """Take in that an answer broke off which nothing can continue."""
         flight = self.flight_by_request.get(request_id)
         if flight is not None:
-            self._tell_crashes(flight, Ending.LOST, now)
+            self._tell_crashes(flight, sends.Ending.LOST, now)
             self._release(flight)
 
     def report_load(self, request_id, running, waiting):
@@ -366,7 +280,7 @@
             if place.read_tokens >= _TOLD_AT_ONCE_TOKENS:
                 self._state.tells_pending = True
         account = flight.account
-        return Forward(
+        return sends.Forward(
             request.request_id,
             flight.sends,
             row.name,
@@ -442,7 +356,7 @@
             return False
         if flight.sends >= _MAX_SENDS or flight.until - now < _SHORTEST_RUN:
             return False
-        if ending in _NOT_ARRIVED:
+        if ending in sends.NOT_ARRIVED:
             # Nothing arrived anywhere, so it is no repeat.
             return True
         return self._budgets.spend(flight.service, self._entries())
@@ -452,33 +366,37 @@
         if flight.sent_at is None:
             return
         match ending:
-            case Ending.LOST:
+            case sends.Ending.LOST:
                 self._crashes.broke(
                     flight.fingerprint, flight.life, flight.sent_at, now
                 )
-            case Ending.SILENT | Ending.WITHDRAWN:
+            case sends.Ending.SILENT | sends.Ending.WITHDRAWN:
                 self._crashes.left(flight.fingerprint, flight.life, now)
-            case Ending.REFUSED | Ending.WRONG_TARGET:
+            case sends.Ending.REFUSED | sends.Ending.WRONG_TARGET:
                 self._crashes.is_over(flight.life)
-            case Ending.FAILED | Ending.TURNED_AWAY | Ending.WRONG_VERSION:
+            case (
+                sends.Ending.FAILED
+                | sends.Ending.TURNED_AWAY
+                | sends.Ending.WRONG_VERSION
+            ):
                 self._crashes.answered(flight.life, flight.sent_at)
 
     def _note_ending(self, flight, row, ending, now):
         if row is None:
             return
         match ending:
-            case Ending.UNREACHABLE | Ending.REFUSED:
+            case sends.Ending.UNREACHABLE | sends.Ending.REFUSED:
                 catalogue.note_failure(self._state, row, now)
-            case Ending.TURNED_AWAY:
+            case sends.Ending.TURNED_AWAY:
                 row.shunned_until = now + _BUSY_SHUN
                 if self._weights.is_behind(row, flight.request.model):
                     row.switching_until = now + _SWITCHING
-            case Ending.WRONG_TARGET:
+            case sends.Ending.WRONG_TARGET:
                 self._state.refute_target(row, now)
-            case Ending.WRONG_VERSION:
+            case sends.Ending.WRONG_VERSION:
                 self._weights.note_refused(row, flight.request.model, flight.version)
                 flight.tried.discard(row.life)
-            case Ending.FAILED | Ending.LOST | Ending.SILENT:
+            case sends.Ending.FAILED | sends.Ending.LOST | sends.Ending.SILENT:
                 _note_result(row, True)
 
     def _release(self, flight):
@@ -496,8 +414,8 @@
         "Not run" is said only where no send can have run it.
         """
         request = flight.request
-        if ending is Ending.FAILED:
-            return PassOn(request.request_id)
+        if ending is sends.Ending.FAILED:
+            return sends.PassOn(request.request_id)
         if flight.runs == 0:
             code = code or commands.Code.OVERLOADED
             return self._refuse(request, code, self._describe_targets(flight, now))
@@ -505,7 +423,7 @@
         if now >= flight.until:
             code = commands.Code.TIMEOUT
         message = "The target gave no whole answer."
-        if ending is Ending.WITHDRAWN:
+        if ending is sends.Ending.WITHDRAWN:
             message = "The target's weights were replaced before it answered."
         return self._refuse(request, code, message, commands.Outcome.UNKNOWN)
 
--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -6,10 +6,10 @@
 from sesamespindle.decide import (
     commands,
     events,
-    forwarding,
     gateway,
     kvstores,
     routes,
+    sends,
     targetlist,
     weights,
     world,
@@ -47,7 +47,7 @@
     return [
         (command.request_id, command.attempt)
         for command in happened
-        if isinstance(command, forwarding.Withdraw)
+        if isinstance(command, sends.Withdraw)
     ]
 
 
@@ -85,7 +85,7 @@
     assert isinstance(refused, commands.Refuse)
     assert refused.outcome is commands.Outcome.NOT_RUN
     note_peer_work(core, late, 0)
-    assert isinstance(chat(core, late, request_id="r2"), forwarding.Forward)
+    assert isinstance(chat(core, late, request_id="r2"), sends.Forward)
 
 
 def test_nothing_waits_for_memory_on_weights_whose_time_ends_soon(core):
@@ -97,7 +97,7 @@
     """
     early, late = NOW + SECOND, NOW + 5 * SECOND
     note_peer_work(core, early, 0, 90_000)
-    assert isinstance(chat(core, early), forwarding.Forward)
+    assert isinstance(chat(core, early), sends.Forward)
     note_peer_work(core, late, 0, 90_000)
     refused = chat(core, late, request_id="r2")
     assert isinstance(refused, commands.Refuse)
@@ -113,8 +113,8 @@
     late = NOW + 7 * SECOND
     core.state.targets.get("llm-3").learn_version("m", 2)
     assert chat(core, late).target == "llm-3"
-    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=late)
-    assert isinstance(again, forwarding.Forward)
+    again = core.forwarding.ended("r1", sends.Ending.LOST, now=late)
+    assert isinstance(again, sends.Forward)
     assert again.target == "llm-3"
 
 
@@ -152,8 +152,8 @@
     assert withdrawn(core, NOW + 7 * SECOND) == []
     late = NOW + 7.5 * SECOND
     assert withdrawn(core, late) == [("r1", 1)]
-    again = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
-    assert isinstance(again, forwarding.Forward)
+    again = core.forwarding.ended("r1", sends.Ending.WITHDRAWN, now=late)
+    assert isinstance(again, sends.Forward)
     assert again.target != sent.target
     assert (again.attempt, again.version) == (2, 2)
     row = core.state.targets.get(sent.target)
@@ -173,7 +173,7 @@
     give_other_new_weights(core, sent)
     late = NOW + 7.5 * SECOND
     assert withdrawn(core, late) == [("r1", 1)]
-    refused = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
+    refused = core.forwarding.ended("r1", sends.Ending.WITHDRAWN, now=late)
     assert isinstance(refused, commands.Refuse)
     assert refused.code is commands.Code.TARGET_FAILED
     assert refused.outcome is commands.Outcome.UNKNOWN
@@ -184,7 +184,7 @@
     chat(core, NOW + 5 * SECOND)
     late = NOW + 7.5 * SECOND
     assert withdrawn(core, late) == [("r1", 1)]
-    refused = core.forwarding.ended("r1", forwarding.Ending.WITHDRAWN, now=late)
+    refused = core.forwarding.ended("r1", sends.Ending.WITHDRAWN, now=late)
     assert isinstance(refused, commands.Refuse)
     assert refused.outcome is commands.Outcome.UNKNOWN
 
@@ -209,7 +209,7 @@
     chat(core, NOW + SECOND)
     core.forwarding.first_byte("r1", now=NOW + 2 * SECOND)
     soon = NOW + 5 * SECOND
-    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=soon)
+    again = core.forwarding.ended("r1", sends.Ending.LOST, now=soon)
     assert again.attempt == 2
     assert withdrawn(core, NOW + 7.5 * SECOND) == [("r1", 2)]
 
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -9,12 +9,12 @@
     budgets,
     commands,
     events,
-    forwarding,
     gateway,
     hashing,
     kvstores,
     lease,
     routes,
+    sends,
     targetlist,
     weights,
     world,
@@ -46,7 +46,7 @@
     """
     host = events.Host("entry-2", "entry", "dc-1", "10.0.0.2:80", "10.0.0.2:81")
     core.step(NOW, [events.HostsListed((host,))])
-    assert isinstance(gateways.begin(core, "/once/1"), forwarding.Forward)
+    assert isinstance(gateways.begin(core, "/once/1"), sends.Forward)
 
 
 def test_a_leaving_host_refuses_only_what_may_outlast_it(core):
@@ -63,7 +63,7 @@
     assert datetime.timedelta() < refused.retry_after < SECOND / 5
     assert "r1" not in core.forwarding.flight_by_request
     soon_over = gateways.begin(core, "/once/1", later, deadline=later + 1.5 * SECOND)
-    assert isinstance(soon_over, forwarding.Forward)
+    assert isinstance(soon_over, sends.Forward)
 
 
 def test_a_leaving_host_takes_no_booking_that_it_may_cut_off(core):
@@ -76,9 +76,9 @@
     soon = NOW + SECOND
     assert gateways.begin(core, "/once/1", soon).code is commands.Code.SHUTTING_DOWN
     read = gateways.begin(core, "/read/1", soon, request_id="r2")
-    assert isinstance(read, forwarding.Forward)
+    assert isinstance(read, sends.Forward)
     assert isinstance(
-        gateways.begin(core, "/chat/1", soon, request_id="r3"), forwarding.Forward
+        gateways.begin(core, "/chat/1", soon, request_id="r3"), sends.Forward
     )
 
 
@@ -117,23 +117,23 @@
     told that it hasn't run.
     """
     gateways.begin(core, "/once/1")
-    refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    refused = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
     assert isinstance(refused, commands.Refuse)
     assert refused.outcome is commands.Outcome.UNKNOWN
 
 
 def test_sends_on_what_the_target_did_not_run(core):
     first = gateways.begin(core, "/once/1")
-    second = core.forwarding.ended("r1", forwarding.Ending.TURNED_AWAY, now=NOW)
+    second = core.forwarding.ended("r1", sends.Ending.TURNED_AWAY, now=NOW)
     assert second.target != first.target
 
 
 def test_repeats_a_lookup_at_another_target_up_to_its_attempts(core):
     first = gateways.begin(core, "/read/1")
-    second = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
+    second = core.forwarding.ended("r1", sends.Ending.FAILED, now=NOW)
     assert second.target != first.target
-    last = core.forwarding.ended("r1", forwarding.Ending.FAILED, now=NOW)
-    assert isinstance(last, forwarding.PassOn)
+    last = core.forwarding.ended("r1", sends.Ending.FAILED, now=NOW)
+    assert isinstance(last, sends.PassOn)
 
 
 def test_repeats_stay_within_the_shared_budget():
@@ -149,8 +149,8 @@
     for number in range(200):
         request_id = f"r{number}"
         gateways.begin(core, "/read/1", request_id=request_id)
-        ended = core.forwarding.ended(request_id, forwarding.Ending.FAILED, now=NOW)
-        repeats += isinstance(ended, forwarding.Forward)
+        ended = core.forwarding.ended(request_id, sends.Ending.FAILED, now=NOW)
+        repeats += isinstance(ended, sends.Forward)
         core.forwarding.close(request_id, now=NOW)
     assert 20 < repeats <= 0.2 * 200 + 10
 
@@ -193,7 +193,7 @@
     core.step(NOW, [targetlist.PlatformBack(), targetlist.TargetsListed(())])
     later = NOW + 2 * SECOND
     core.step(later, [events.Tick()])
-    assert isinstance(gateways.begin(core, "/read/1", now=later), forwarding.Forward)
+    assert isinstance(gateways.begin(core, "/read/1", now=later), sends.Forward)
     much_later = NOW + 3 * SECOND
     core.step(much_later, [events.Tick()])
     refused = gateways.begin(core, "/read/1", now=much_later, request_id="r2")
--- a/tests/decide/test_lives.py
+++ b/tests/decide/test_lives.py
@@ -8,11 +8,11 @@
 from sesamespindle.decide import (
     commands,
     events,
-    forwarding,
     gossip,
     kvstores,
     lives,
     rollout,
+    sends,
     targetlist,
 )
 
@@ -79,7 +79,7 @@
     change(core, "desk-1", leaving=True, revision=2)
     assert row_of(core, "desk-1").leaving
     change(core, "desk-1", born=BORN_AGAIN, revision=3)
-    assert isinstance(gateways.begin(core, "/once/1"), forwarding.Forward)
+    assert isinstance(gateways.begin(core, "/once/1"), sends.Forward)
 
 
 @pytest.mark.parametrize("revision", [1, 9])
@@ -124,7 +124,7 @@
     other = gateways.begin(core, "/once/1", request_id="r2")
     assert other.born == BORN_AGAIN
     core.forwarding.report_load("r1", 30, 30)
-    refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    refused = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
     assert refused.outcome is commands.Outcome.UNKNOWN
     row = row_of(core, "desk-1")
     assert (row.running_here, row.failure_rate, row.reported_load) == (1, 0.0, 0)
@@ -133,7 +133,7 @@
 def test_a_lookup_may_go_to_the_next_life_of_its_target(core):
     gateways.begin(core, "/read/1")
     change(core, "desk-1", born=BORN_AGAIN, revision=2)
-    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    again = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
     assert (again.target, again.born) == ("desk-1", BORN_AGAIN)
 
 
@@ -230,7 +230,7 @@
     core.step(NOW, [targetlist.TargetChanged(ghost)])
     sent = gateways.begin(core, "/once/1")
     assert sent.target == "desk-5"
-    again = core.forwarding.ended("r1", forwarding.Ending.WRONG_TARGET, now=NOW)
+    again = core.forwarding.ended("r1", sends.Ending.WRONG_TARGET, now=NOW)
     assert again.target == "desk-1"
     core.step(NOW, [targetlist.TargetChanged(ghost)])
     assert gateways.begin(core, "/once/1", request_id="r2").target == "desk-1"
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -17,12 +17,12 @@
     commands,
     events,
     fingerprints,
-    forwarding,
     gateway,
     gossip,
     lives,
     quarantine,
     routes,
+    sends,
     targetlist,
 )
 
@@ -113,10 +113,10 @@
     core.step(NOW, [gateway.ConfigurationRead(configuration)])
     content = fingerprints.of_content(b"x")
     sent = begin(core, "/chat/1", model="m", content=content)
-    again = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
-    assert isinstance(again, forwarding.Forward)
+    again = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
+    assert isinstance(again, sends.Forward)
     assert again.target != sent.target
-    refused = core.forwarding.ended("r1", forwarding.Ending.LOST, now=NOW)
+    refused = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
     assert refused.outcome is commands.Outcome.UNKNOWN
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -5,7 +5,7 @@
 import multidict
 import pytest
 
-from sesamespindle.decide import commands, forwarding, kvstores, routes
+from sesamespindle.decide import commands, kvstores, routes, sends
 from sesamespindle.platform import dialect
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
@@ -36,7 +36,7 @@
         "repeats": routes.Repeats.ONCE,
         "streaming": False,
     }
-    return forwarding.Forward(**(fields | changed))
+    return sends.Forward(**(fields | changed))
 
 
 def test_reads_a_request():
@@ -91,7 +91,7 @@
 
 
 def test_an_answer_to_another_request_is_nobodys():
-    assert judge(200, X_Attempt_Id="r0", X_Server_Stamp="s") is forwarding.Ending.LOST
+    assert judge(200, X_Attempt_Id="r0", X_Server_Stamp="s") is sends.Ending.LOST
 
 
 def test_a_refusal_without_the_targets_word_promises_nothing():
@@ -99,14 +99,14 @@
 
     Passed on, the 503 would promise the caller that it has not run.
     """
-    assert judge(503) is forwarding.Ending.LOST
-    assert judge(503, X_Not_Executed="1") is forwarding.Ending.TURNED_AWAY
+    assert judge(503) is sends.Ending.LOST
+    assert judge(503, X_Not_Executed="1") is sends.Ending.TURNED_AWAY
 
 
 def test_tells_another_target_from_another_version():
-    assert judge(421, X_Instance_Id="i-2") is forwarding.Ending.WRONG_TARGET
+    assert judge(421, X_Instance_Id="i-2") is sends.Ending.WRONG_TARGET
     wrong_version = judge(421, version=1, X_Instance_Id="i-1")
-    assert wrong_version is forwarding.Ending.WRONG_VERSION
+    assert wrong_version is sends.Ending.WRONG_VERSION
 
 
 def test_a_plain_target_that_is_misdirected_is_another_target():
@@ -115,12 +115,12 @@
     It has no weights, so it can't be another version. Taken for one, the
     decision logic compared a version with nothing and the caller got a 500.
     """
-    assert judge(421) is forwarding.Ending.WRONG_TARGET
+    assert judge(421) is sends.Ending.WRONG_TARGET
 
 
 def test_a_failure_is_repeated_only_where_that_is_allowed():
     assert judge(500) is None
-    assert judge(500, routes.Repeats.IDEMPOTENT) is forwarding.Ending.FAILED
+    assert judge(500, routes.Repeats.IDEMPOTENT) is sends.Ending.FAILED
 
 
 def refusal(code, outcome):
--- a/tests/support/crashfleet.py
+++ b/tests/support/crashfleet.py
@@ -17,10 +17,10 @@
     crashes,
     events,
     fingerprints,
-    forwarding,
     gateway,
     gossip,
     quarantine,
+    sends,
     targetlist,
 )
 
@@ -262,19 +262,19 @@
     def _go_on(self, asked, name, command):
         self._feed(name)
         match command:
-            case forwarding.Forward():
+            case sends.Forward():
                 self._schedule(0.003, self._arrive, asked, name, command)
             case commands.Refuse():
                 self._end(asked, name, command.code, command.retry_after)
-            case forwarding.PassOn():
+            case sends.PassOn():
                 self._end(asked, name, "failed", None)
 
     def _arrive(self, asked, name, forward):
         engine = self.engine_by_name[forward.target]
         if not engine.is_up:
-            self._end_send(asked, name, forwarding.Ending.REFUSED)
+            self._end_send(asked, name, sends.Ending.REFUSED)
         elif engine.life != forward.born:
-            self._end_send(asked, name, forwarding.Ending.WRONG_TARGET)
+            self._end_send(asked, name, sends.Ending.WRONG_TARGET)
         else:
             engine.runs.append((asked, name, forward.attempt))
             if asked.is_bad:
@@ -303,7 +303,7 @@
         self._end(asked, name, "served", None)
 
     def _break(self, asked, name, attempt):
-        self._end_send(asked, name, forwarding.Ending.LOST)
+        self._end_send(asked, name, sends.Ending.LOST)
 
     def _end_send(self, asked, name, ending):
         core = self.core_by_name[name]
