--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -17,13 +17,15 @@
 _TOLERANCE = datetime.timedelta(seconds=1)
 # Crashes that are remembered, the latest, and for how long: what crashes targets may
 # come back after minutes.
-MAX_CRASHES = 256
+MAX_CRASHES = 128
 _KEPT_FOR = datetime.timedelta(hours=1)
 _REPEATED = 2
 # News of a crash is told in so many rounds of gossip, as in `world.VERSION_ROUNDS`.
 _TOLD_ROUNDS = 10
-# Crashes and cleared in one message, the latest; a crash has some 500 bytes.
+# What one message tells at most: crashes and cleared requests, and suspects in all, of
+# 18 bytes each. Hosts have 20 KB/s for control.
 _MAX_TOLD = 32
+_MAX_TOLD_SUSPECTS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -298,22 +300,30 @@
             Whether the peer has just started, and is told all that is known.
         """
         crashes = [
-            gossip.TargetCrash(
-                crash.life,
-                crash.service,
-                crash.at,
-                tuple(crash.suspects),
-                crash.is_refuted,
-            )
-            for crash in self.crash_by_life.values()
-            if whole or crash.rounds
+            crash for crash in self.crash_by_life.values() if whole or crash.rounds
         ]
         cleared = [
             gossip.ClearedRequest(fingerprint, served.at)
             for fingerprint, served in self._served_by_fingerprint.items()
             if whole or served.rounds
         ]
-        return tuple(crashes[-_MAX_TOLD:]), tuple(cleared[-_MAX_TOLD:])
+        told = tuple(self._tell_crashes(crashes[-_MAX_TOLD:]))
+        return told, tuple(cleared[-_MAX_TOLD:])
+
+    def _tell_crashes(self, crashes):
+        """Yield the records of crashes, latest first, while there is room.
+
+        Suspects of several crashes go first: the cause is one of them.
+        """
+        room = _MAX_TOLD_SUSPECTS
+        for crash in reversed(crashes):
+            names = sorted(crash.suspects, key=lambda name: name not in self._repeated)
+            names = names[:room]
+            room -= len(names)
+            if names:
+                yield gossip.TargetCrash(
+                    crash.life, crash.service, crash.at, tuple(names), crash.is_refuted
+                )
 
     def note_round(self):
         """Count a round of gossip in which what is news was told."""
