--- a/packages/daemon/sesamespindle/daemon/datagrams.py
+++ b/packages/daemon/sesamespindle/daemon/datagrams.py
@@ -18,9 +18,8 @@
     """A port for datagrams of peers that share a key.
 
     One may be lost, or come late; who sends sees to that. Gossip is sent this way
-    and not by gRPC because its rounds are most of what an idle daemon does: 20 daemons
-    before 40 targets took 61 ms of processor time a second each with gRPC, whose
-    threads wake each other some 400 times a second, and 36 ms with datagrams.
+    and not by gRPC because its rounds are most of what an idle daemon does, and gRPC's
+    threads wake each other for each.
 
     Parameters
     ----------
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -20,8 +20,7 @@
 PEERS_INSIDE = 2
 PEERS_OUTSIDE = 1
 # Rounds with other data centres that all daemons of one begin at a time, if it has so
-# many: news is in each other one after a round or two. Where each of 39 begins one,
-# as it does two inside, a third of all rounds go between data centres (worked out).
+# many: news is in each other one after a round or two.
 ROUNDS_OUTSIDE = 8
 MAX_LEAVING_TARGETS = 256
 MAX_TARGET_VERSIONS = 256
@@ -136,9 +135,7 @@
         """Tell peers of this data centre what was sent since the last round.
 
         Guards against long prompts of several hosts that meet at one engine while
-        others idle: each knows at once only of its own. Alone it gains +0.004 of the
-        worth, with a standard error of 0.005 over six days, so nothing that is told
-        apart; where prompts may leave a busy home it gained 0.015 (0.003).
+        others idle: each knows at once only of its own.
         """
         self._state.tells_pending = False
         message = self._brief_message()
@@ -438,9 +435,9 @@
     def _target_versions(self):
         """Return the versions that were learned lately.
 
-        With those of 40 targets in every message 20 idle daemons took 35.7 ms of
-        processor time a second each, and 17.9 ms without. Who missed the news reads
-        the target's record, or is turned away by the target and learns it then.
+        Those of all targets in every message would be most of what an idle daemon
+        does. Who missed the news reads the target's record, or is turned away by the
+        target and learns it then.
         """
         versions = [
             gossip.TargetVersion(row.life, model, version, row.revision)
--- a/packages/decide/sesamespindle/decide/retries.py
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -74,9 +74,7 @@
 
     Guards against hosts that the platform turns away and that ask it all the while,
     for 9 s three times a second about each kind of object; each refusal costs as
-    much as an answer. Peers tell them what changes meanwhile. With longer watches
-    and records that are found again, the calls of 20 hosts on a day with three such
-    outages fell from 1,478 to 1,092, which is worth 0.033.
+    much as an answer. Peers tell them what changes meanwhile.
 
     Parameters
     ----------
