Stop prompts and calls that crash their targets on the product's own face too

A prompt that ends its engine's process was sent on to three more within one attempt, and came again. The prompt and call systems ask the same evidence and decision as the platform's face. Their targets keep their names and tell no birth, so lives are told apart by how many are known to be over; else a second crash of one engine would count as the first, and an engine that is back would clear what had crashed it.

What is decided is kept in memory only on this face.

--- a/packages/daemon/sesamespindle/daemon/admin.py
+++ b/packages/daemon/sesamespindle/daemon/admin.py
@@ -49,6 +49,10 @@
                     for row in state.targets
                 ],
                 "accounts": [_account_value(row) for row in state.accounts],
+                "quarantined": [
+                    {"fingerprint": record.fingerprint, "crashes": record.crashes}
+                    for record in self._driver.core.quarantine.records()
+                ],
                 "slices": [_slice_value(row) for row in self._driver.core.slices.held],
             }
         )
--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -16,6 +16,7 @@
     driver,
     eventlog,
     front,
+    lifeprobe,
     logs,
     metrics,
     peering,
@@ -126,12 +127,19 @@
         log = eventlog.EventLog(
             me.name, eventlog.HybridClock(self._clock), settings.event_log_size
         )
-        decide = core.Core(me, _policy(settings), me.incarnation, settings.seeds)
+        decide = core.Core(
+            me,
+            _policy(settings),
+            me.incarnation,
+            settings.seeds,
+            settings.token_key.get_secret_value(),
+        )
         driving = driver.Driver(decide, self._clock, log)
         keyring = auth.Keyring()
         declarations = watchers.DeclarationsWatcher(driving, keyring, client, settings)
         signer = tokens.Signer(settings.token_key.get_secret_value())
         timeout = settings.policy.call_timeout
+        await self._stack.enter_async_context(lifeprobe.LifeProbe(driving))
         calls = await self._stack.enter_async_context(
             call_runner.CallRunner(driving, client, timeout)
         )
--- a/packages/daemon/sesamespindle/daemon/front.py
+++ b/packages/daemon/sesamespindle/daemon/front.py
@@ -16,7 +16,7 @@
     sinks,
     tokens,
 )
-from sesamespindle.decide import commands, events, hashing
+from sesamespindle.decide import commands, events, fingerprints, hashing
 from sesamespindle.wire import service
 
 _log = logs.part("front")
@@ -163,6 +163,7 @@
         account = self._account(request)
         body = await bodies.read_model(request, self._settings.limits, model)
         prompt, token = self._prompt_request(request, account, body)
+        prompt = dataclasses.replace(prompt, content=await _content(request))
         answer_id = token.answer_id if token else f"cmpl-{prompt.request_id}"
         form = replies.AnswerForm(
             is_chat, answer_id, body.model, int(self._driver.clock.now().timestamp())
@@ -231,6 +232,7 @@
                     prompt.deadline,
                     body.prompt_cache_key,
                     resume,
+                    prompt.content,
                 )
             )
             await run.run()
@@ -369,6 +371,12 @@
         return self._driver.clock
 
 
+async def _content(request):
+    """Return what `fingerprints` make of a request whose body was read."""
+    path = request.raw_path.encode("utf-8", "surrogateescape")
+    return fingerprints.of_content(request.method.encode(), path, await request.read())
+
+
 def _unknown_stream():
     return replies.CallerError(
         404, "unknown_stream", "The Last-Event-ID names no stream."
--- a/packages/daemon/sesamespindle/daemon/lifeprobe.py
+++ b/packages/daemon/sesamespindle/daemon/lifeprobe.py
@@ -41,7 +41,8 @@
         A connection that is made tells nothing, as the next life may have the address
         already; nor does silence, as the link may be cut.
         """
-        host, _, port = command.address.rpartition(":")
+        place = command.address.rpartition("//")[2]
+        host, _, port = place.rpartition(":")
         try:
             async with asyncio.timeout(connections.CONNECT_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
--- a/packages/daemon/sesamespindle/daemon/prompt_runner.py
+++ b/packages/daemon/sesamespindle/daemon/prompt_runner.py
@@ -27,6 +27,8 @@
         The stream to read on; empty for a new answer.
     delivered : int
         The last sequence number that the caller has.
+    content : bytes or None
+        From `fingerprints.of_content`.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     deadline: datetime.datetime
     resume_stream: str = ""
     delivered: int = 0
+    content: bytes | None = None
 
 
 class PromptRun:
--- a/packages/daemon/sesamespindle/daemon/replies.py
+++ b/packages/daemon/sesamespindle/daemon/replies.py
@@ -24,6 +24,8 @@
     _Code.STREAM_LOST: 410,
     _Code.ENTRY_GONE: 502,
     _Code.SHUTTING_DOWN: 503,
+    _Code.SUSPECTED: 503,
+    _Code.QUARANTINED: 503,
 }
 _TYPE_BY_STATUS = {
     401: "authentication_error",
--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -7,6 +7,7 @@
     catalogue,
     commands,
     events,
+    lives,
     refusals,
     routing,
     tables,
@@ -38,6 +39,11 @@
     target: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    # What all attempts of the call have in common, also those with other keys.
+    request_fingerprint: str = ""
+    # The life of the target that it was sent to last, and when.
+    life: lives.Life | None = None
+    sent_at: datetime.datetime | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,11 +75,20 @@
         The shared tables.
     admission : admission.Admission
         The slots of accounts for calls.
+    crashes : crashes.Crashes
+        Is told how attempts end.
+    quarantine : quarantine.Quarantine
+        Knows which calls crash targets.
+    fingerprints : fingerprints.Fingerprints
+        Names calls.
     """
 
-    def __init__(self, state, admission):
+    def __init__(self, state, admission, crashes, quarantine, fingerprints):
         self._state = state
         self._admission = admission
+        self._crashes = crashes
+        self._quarantine = quarantine
+        self._fingerprints = fingerprints
         self.rows: tables.Table[CallRow] = tables.Table("request_id")
         self.keys: tables.Table[KeyRow] = tables.Table("account_and_key")
 
@@ -91,6 +106,11 @@
             return
         if event.key and self._answer_repeat(event):
             return
+        fingerprint = self._fingerprints.of(event.account, event.fingerprint.encode())
+        refusal = self._quarantine.refusal(fingerprint, now)
+        if refusal is not None:
+            refusals.refuse_quarantined(self._state, event.request_id, refusal)
+            return
         if self.may_outlast_host(event.deadline):
             refusals.refuse_leaving(self._state, event.request_id)
             return
@@ -105,6 +125,7 @@
             )
             return
         row = _row(event, now)
+        row.request_fingerprint = fingerprint
         self.rows.add(row)
         if row.key:
             self._add_key(row, now)
@@ -324,7 +345,11 @@
                 row, commands.Code.DEADLINE, "The deadline has passed.", now
             )
             return
-        target = routing.choose_service(self._state, row.pool, now, row.tried)
+
+        def narrow(targets):
+            return self._quarantine.narrow(row.request_fingerprint, targets, now)
+
+        target = routing.choose_service(self._state, row.pool, now, row.tried, narrow)
         if target is None or len(row.tried) >= _MAX_STARTS:
             self._give_up_unrun(
                 row,
@@ -336,6 +361,7 @@
         row.attempt += 1
         row.target = target.name
         row.tried.add(target.name)
+        row.life, row.sent_at = self._crashes.life_of(target), now
         target.running_here += 1
         self._state.emit(
             commands.SendCall(row.request_id, row.attempt, target.name, target.url)
@@ -358,7 +384,14 @@
             self._send(row, now)
             return
         row.may_have_run = True
-        may_retry = row.repeatable and event.ending is not events.Ending.TIMED_OUT
+        timed_out = event.ending is events.Ending.TIMED_OUT
+        if timed_out:
+            self._crashes.left(row.request_fingerprint, row.life, now)
+        else:
+            self._crashes.broke(row.request_fingerprint, row.life, row.sent_at, now)
+        may_retry = row.repeatable and not timed_out
+        if self._quarantine.suspicion(row.request_fingerprint) > 1:
+            may_retry = False
         if may_retry and self._state.budget_by_pool[row.pool].spend():
             self._send(row, now)
             return
@@ -372,6 +405,8 @@
         target = self._state.targets.get(row.target)
         if target is not None:
             catalogue.note_success(target)
+        self._crashes.answered(row.life, row.sent_at)
+        self._quarantine.served(row.request_fingerprint, now)
         self._state.emit(
             commands.ReplyStored(row.request_id, event.answer, replayed=False)
         )
--- a/packages/decide/sesamespindle/decide/core.py
+++ b/packages/decide/sesamespindle/decide/core.py
@@ -4,11 +4,14 @@
     admission,
     calls,
     catalogue,
+    crashes,
     events,
+    fingerprints,
     gossip,
     hashing,
     membership,
     prompts,
+    quarantine,
     sliceholder,
     sliceowner,
     world,
@@ -28,9 +31,11 @@
         The seed of all random choices.
     seeds : tuple of str
         Peer addresses to begin with where the platform is away.
+    key : str
+        The secret that all daemons share.
     """
 
-    def __init__(self, me, policy=None, seed=0, seeds=()):
+    def __init__(self, me, policy=None, seed=0, seeds=(), key=""):
         self.state = world.World(me, policy, seed)
         self.state.put_entry(catalogue.me_as_entry(me))
         self._now = None
@@ -41,14 +46,30 @@
             resource: admission.Admission(self.state, resource, self.slices)
             for resource in events.Resource
         }
+        self.crashes = crashes.Crashes(self.state, names_return=True)
+        self.quarantine = quarantine.Quarantine(
+            self.state, self.crashes, is_written=False
+        )
         self.prompts = prompts.Prompts(
-            self.state, self._admission_by_resource[events.Resource.PROMPTS]
+            self.state,
+            self._admission_by_resource[events.Resource.PROMPTS],
+            self.crashes,
+            self.quarantine,
+            fingerprints.Fingerprints(key),
         )
         self.calls = calls.Calls(
-            self.state, self._admission_by_resource[events.Resource.CALLS]
+            self.state,
+            self._admission_by_resource[events.Resource.CALLS],
+            self.crashes,
+            self.quarantine,
+            fingerprints.Fingerprints(key),
         )
         self.membership = membership.Membership(
-            self.state, seeds, contradicts=False, gives_up_early=False
+            self.state,
+            seeds,
+            contradicts=False,
+            gives_up_early=False,
+            quarantine=self.quarantine,
         )
 
     def step(self, now, happened):
@@ -67,8 +88,10 @@
             Records of `commands`, to be carried out in this order.
         """
         self._now = now
+        self.state.pauses.note_step(now)
         for event in happened:
             self._take(event, now)
+        self.membership.tell_crashes(now)
         return self.state.take_commands()
 
     def choose_entries(self, account, count):
@@ -155,8 +178,12 @@
                 self.slices.tell(event, now)
             case events.HoldingsTold():
                 self.slice_owner.told(event, now)
+            case _:
+                self.crashes.take(event, now)
 
     def _tick(self, now):
+        self.crashes.tick(now)
+        self.quarantine.tick(now)
         self.membership.tick(now)
         self.slice_owner.tick(now)
         self.slices.tick(now)
--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -96,10 +96,15 @@
     ----------
     state : world.World
         The shared tables.
+    names_return : bool
+        Whether targets start again under their names and don't tell their births.
+        Their lives are then told apart by how many of them are known to be over.
     """
 
-    def __init__(self, state):
+    def __init__(self, state, names_return=False):
         self._state = state
+        self._names_return = names_return
+        self._lives_over_by_name = {}
         self.crash_by_life = {}
         self._broken_by_life = {}
         # When callers left runs, by life and fingerprint.
@@ -118,6 +123,17 @@
                 return False
         return True
 
+    def life_of(self, row):
+        """Return the `lives.Life` that a target is in."""
+        if not self._names_return:
+            return row.life
+        return lives.Life(row.name, self._lives_over_by_name.get(row.name, 0))
+
+    def _row_in(self, life):
+        """Return the row of a target in a life of it, or None once that is over."""
+        row = self._state.targets.get(life.name)
+        return row if row is not None and self.life_of(row) == life else None
+
     def broke(self, fingerprint, life, sent_at, now):
         """Take in a run whose connection broke before its answer was whole."""
         if not fingerprint or self._state.pauses.paused_since(sent_at):
@@ -126,7 +142,7 @@
         if known is not None:
             self._suspect(known, {fingerprint})
             return
-        row = self._state.target_in(life)
+        row = self._row_in(life)
         if row is None or row.leaving or row.missing_since is not None:
             return
         broken = self._broken_by_life.get(life)
@@ -218,12 +234,10 @@
         """Look what the list says of lives, ask once more, and forget what is old."""
         self._forget_old(now)
         for life, broken in list(self._broken_by_life.items()):
-            row = self._state.targets.get(life.name)
-            if row is not None and row.life == life and row.leaving:
-                del self._broken_by_life[life]
-            elif row is None or row.life != life or row.superseded_by:
+            row = self._row_in(life)
+            if row is None or row.superseded_by:
                 self.is_over(life)
-            elif now - broken.at > _CONFIRMED_WITHIN:
+            elif row.leaving or now - broken.at > _CONFIRMED_WITHIN:
                 del self._broken_by_life[life]
             else:
                 self._probe(life, broken)
@@ -251,6 +265,9 @@
 
     def _forget(self, crash):
         del self.crash_by_life[crash.life]
+        name = crash.life.name
+        if all(life.name != name for life in self.crash_by_life):
+            self._lives_over_by_name.pop(name, None)
         for fingerprint in crash.suspects:
             found = self._lives_by_fingerprint[fingerprint]
             found.discard(crash.life)
@@ -261,6 +278,10 @@
 
     def _record(self, crash):
         self.crash_by_life[crash.life] = crash
+        name, over = crash.life.name, crash.life.born + 1
+        self._lives_over_by_name[name] = max(
+            over, self._lives_over_by_name.get(name, 0)
+        )
         self._index(crash, crash.suspects)
         while len(self.crash_by_life) > MAX_CRASHES:
             self._forget(next(iter(self.crash_by_life.values())))
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -113,6 +113,8 @@
         The caller's name for the context; may be empty.
     resume : StreamPosition or None
         Where to read on, for a caller whose entry died.
+    content : bytes or None
+        From `fingerprints.of_content`.
     """
 
     request_id: str
@@ -124,6 +126,7 @@
     deadline: datetime.datetime
     cache_hint: str = ""
     resume: StreamPosition | None = None
+    content: bytes | None = None
 
 
 class KeyKind(enum.Enum):
--- a/packages/decide/sesamespindle/decide/prompts.py
+++ b/packages/decide/sesamespindle/decide/prompts.py
@@ -9,6 +9,7 @@
     contexts,
     events,
     hashing,
+    lives,
     refusals,
     retries,
     routing,
@@ -53,6 +54,10 @@
     resume_target: str = ""
     delivered: int = 0
     version: str = ""
+    fingerprint: str = ""
+    # The life of the target that it was sent to last, and when.
+    life: lives.Life | None = None
+    sent_at: datetime.datetime | None = None
 
 
 class Prompts:
@@ -64,11 +69,20 @@
         The shared tables.
     admission : admission.Admission
         The slots of accounts for prompts.
+    crashes : crashes.Crashes
+        Is told how attempts end.
+    quarantine : quarantine.Quarantine
+        Knows which prompts crash targets.
+    fingerprints : fingerprints.Fingerprints
+        Names prompts.
     """
 
-    def __init__(self, state, admission):
+    def __init__(self, state, admission, crashes, quarantine, fingerprints):
         self._state = state
         self._admission = admission
+        self._crashes = crashes
+        self._quarantine = quarantine
+        self._fingerprints = fingerprints
         self.rows: tables.Table[PromptRow] = tables.Table("request_id")
         self.contexts = contexts.Contexts()
 
@@ -93,6 +107,11 @@
                 f"The model takes {model.context_tokens} tokens in all.",
             )
             return
+        fingerprint = self._fingerprints.of(event.account, event.content)
+        refusal = self._quarantine.refusal(fingerprint, now)
+        if refusal is not None:
+            refusals.refuse_quarantined(state, event.request_id, refusal)
+            return
         if state.departure is not None and state.departure.is_over:
             # Before that prompts are taken whatever they may last: one that is cut
             # off can be read on, or sent again, at another entry without harm.
@@ -108,7 +127,7 @@
                 wait,
             )
             return
-        self.rows.add(_row(event, model, now))
+        self.rows.add(_row(event, model, fingerprint, now))
         self._admission.push(event.account, event.request_id, now)
         self.drain(now)
 
@@ -145,6 +164,8 @@
             target.sent_by_request.pop(row.request_id, None)
             row.version = row.version or target.version
             catalogue.note_success(target)
+        if row.sent_at is not None:
+            self._crashes.answered(row.life, row.sent_at)
         self.contexts.learn(row.ids, row.target, now)
 
     def end_attempt(self, event, now):
@@ -153,6 +174,7 @@
         if row is None or row.attempt != event.attempt:
             return
         row.delivered = event.delivered
+        self._tell_crashes(row, event.ending, now)
         target = self._state.targets.get(row.target)
         match event.ending:
             case events.Ending.COMPLETED:
@@ -178,10 +200,26 @@
                     row, commands.Code.DEADLINE, "The deadline has passed.", now
                 )
 
+    def _tell_crashes(self, row, ending, now):
+        """Tell how an attempt ended, as far as it says whether its target lives."""
+        if row.sent_at is None:
+            return
+        match ending:
+            case events.Ending.COMPLETED:
+                self._quarantine.served(row.fingerprint, now)
+            case events.Ending.REFUSED:
+                self._crashes.answered(row.life, row.sent_at)
+            case events.Ending.LINK_LOST:
+                self._crashes.broke(row.fingerprint, row.life, row.sent_at, now)
+            case events.Ending.TIMED_OUT:
+                self._crashes.left(row.fingerprint, row.life, now)
+
     def leave(self, request_id, now):
         """Forget a prompt whose caller is gone or has its answer."""
         row = self.rows.get(request_id)
         if row is not None:
+            if row.sent_at is not None:
+                self._crashes.left(row.fingerprint, row.life, now)
             self._drop(row, now)
             self.drain(now)
 
@@ -229,7 +267,11 @@
 
     def _send(self, row, now, retry_after=None):
         state = self._state
-        place = routing.choose(state, row, self.contexts, now, avoid=row.tried)
+
+        def narrow(targets):
+            return self._quarantine.narrow(row.fingerprint, targets, now)
+
+        place = routing.choose(state, row, self.contexts, now, row.tried, narrow)
         if place is None:
             self._give_up(
                 row,
@@ -259,6 +301,7 @@
         row.resumes = 0
         row.target = target.name
         row.tried.add(target.name)
+        row.life, row.sent_at = self._crashes.life_of(target), now
         target.running_here += 1
         target.sent_by_request[row.request_id] = world.SentWork(
             now, row.tokens - place.reused_tokens
@@ -331,6 +374,10 @@
             self._give_up(row, commands.Code.DEADLINE, "The deadline has passed.", now)
         elif row.resume_target:
             self._give_up_taken_over(row, now)
+        elif row.may_have_run and self._quarantine.suspicion(row.fingerprint) > 1:
+            self._give_up(
+                row, commands.Code.SUSPECTED, "Targets crashed under the prompt.", now
+            )
         elif row.starts >= policy.max_attempts:
             self._give_up(
                 row,
@@ -382,7 +429,7 @@
     return not pools or model.pool in pools
 
 
-def _row(event, model, now):
+def _row(event, model, fingerprint, now):
     salt = hashing.salt(event.account, model.name, model.version)
     ids = hashing.chain(salt, event.text)
     hint = event.cache_hint or (ids[0] if ids else event.request_id)
@@ -396,6 +443,7 @@
         event.tokens,
         now,
         event.deadline,
+        fingerprint=fingerprint,
     )
     if event.resume is not None:
         row.may_have_run = True
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -127,10 +127,13 @@
         The shared tables.
     crashes : crashes.Crashes
         What is known against whom.
+    is_written : bool
+        Whether the platform keeps what is decided; else the hosts' memories do.
     """
 
-    def __init__(self, state, crashes):
+    def __init__(self, state, crashes, is_written=True):
         self._state = state
+        self._is_written = is_written
         self._crashes = crashes
         self.record_by_fingerprint = {}
         # When records came to be known here that the platform may not have.
@@ -162,7 +165,9 @@
     def tick(self, now):
         """Find causes, have the platform remember, and begin tries that are due."""
         self._quarantine_causes(now)
-        for record in list(self.record_by_fingerprint.values()):
+        if not self._is_written:
+            return
+        for record in self.records():
             if record.revision:
                 self._begin_try(record, now)
             else:
@@ -216,7 +221,8 @@
         """
         if not rows or not self.suspicion(fingerprint):
             return rows
-        alive = [row for row in rows if not self._crashes.has_crashed(row.life)]
+        life_of = self._crashes.life_of
+        alive = [row for row in rows if not self._crashes.has_crashed(life_of(row))]
         row_by_name = {row.name: row for row in alive or rows}
         names = set(row_by_name)
         if self._stays_apart(fingerprint):
@@ -361,7 +367,7 @@
     def _adopt_all(self, listed, now):
         """Take in all that the platform has; what it had before is lifted."""
         names = {record.fingerprint for record in listed.records}
-        for record in list(self.record_by_fingerprint.values()):
+        for record in self.records():
             is_gone = record.fingerprint not in names
             if is_gone and 0 < record.revision <= listed.revision:
                 self._lift(record.fingerprint, now)
@@ -426,11 +432,13 @@
         more = dataclasses.replace(record, tries=record.tries + 1)
         self._state.emit(WriteQuarantine(more, is_try=True))
 
+    def records(self):
+        """Return the `gossip.QuarantinedRequest` of all that are refused."""
+        return list(self.record_by_fingerprint.values())
+
     def written(self):
         """Return the records that the platform is known to have."""
-        return [
-            record for record in self.record_by_fingerprint.values() if record.revision
-        ]
+        return [record for record in self.records() if record.revision]
 
     # What is told to peers and heard from them.
 
--- a/packages/decide/sesamespindle/decide/refusals.py
+++ b/packages/decide/sesamespindle/decide/refusals.py
@@ -15,6 +15,19 @@
     _refuse(state, request_id, code, commands.Outcome.NOT_RUN, message, wait)
 
 
+def refuse_quarantined(state, request_id, refusal):
+    """Refuse a request as a `quarantine.Refusal` says."""
+    state.emit(
+        commands.Refuse(
+            request_id,
+            refusal.code,
+            commands.Outcome.NOT_RUN,
+            refusal.message,
+            refusal.retry_after,
+        )
+    )
+
+
 def refuse_leaving(state, request_id):
     """Refuse a request that this host could cut off, as it leaves."""
     refuse_unrun(
--- a/packages/decide/sesamespindle/decide/routing.py
+++ b/packages/decide/sesamespindle/decide/routing.py
@@ -30,7 +30,7 @@
     reused_tokens: int
 
 
-def choose(state, row, contexts, now, avoid=()):
+def choose(state, row, contexts, now, avoid=(), narrow=None):
     """Return the best place for a prompt, or None where no target is usable.
 
     Parameters
@@ -40,6 +40,8 @@
         version are taken.
     avoid : collection of str
         Names of targets that are taken only if there is no other.
+    narrow : callable, optional
+        Returns those of some targets that may be taken.
     """
     usable = [
         target
@@ -47,6 +49,8 @@
         if target.usable(now) and _version_fits(target, row)
     ]
     candidates = [target for target in usable if target.name not in avoid] or usable
+    if narrow is not None:
+        candidates = narrow(candidates)
     if not candidates:
         return None
     reused_by_target = contexts.reusable_tokens(row.ids, now)
@@ -83,13 +87,15 @@
     return best
 
 
-def choose_service(state, pool, now, avoid=()):
+def choose_service(state, pool, now, avoid=(), narrow=None):
     """Return the usable target of a service pool with the fewest calls."""
     candidates = [
         target
         for target in state.targets.where("pool", pool)
         if target.usable(now) and target.name not in avoid
     ]
+    if narrow is not None:
+        candidates = narrow(candidates)
     return min(
         candidates,
         key=lambda target: (
--- a/packages/lab/sesamespindle/lab/engine.py
+++ b/packages/lab/sesamespindle/lab/engine.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 import json
+import os
 import time
 
 import aiohttp
@@ -16,6 +17,8 @@
 
 _PING_SECONDS = 0.2
 _SHUFFLED_TOGETHER = 4
+# The exit status of an engine that a prompt crashes.
+_CRASH_STATUS = 70
 
 
 @dataclasses.dataclass
@@ -114,6 +117,7 @@
             hide_end_mark=0,
             load_frozen=False,
             leaving=False,
+            crashed_by="",
         )
 
     def application(self):
@@ -144,6 +148,9 @@
     async def _start(self, request):
         body = await request.json()
         self._counts["received"] += 1
+        crashed_by = self._faults["crashed_by"]
+        if crashed_by and crashed_by in body["prompt"]:
+            os._exit(_CRASH_STATUS)
         wrong_version = body["version"] != self._model.version
         full = len(self._waiting) >= self._model.max_waiting
         if self._faults["refuse"] or wrong_version or full:
--- a/tests/decide/test_calls.py
+++ b/tests/decide/test_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamespindle.decide import commands, core, declared, events, gossip
+from sesamespindle.decide import commands, core, crashes, declared, events, gossip
 
 START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 ME = events.Host("entry-1", "entry", "dc", "http://e", "e:1", "http://a", 1)
@@ -114,3 +114,25 @@
     found = made.step(START, [events.ClaimFound("repeat", 3, claim)])
     (refused,) = about("repeat", found)
     assert (refused.code, refused.outcome) == (code, commands.Outcome.UNKNOWN)
+
+
+def test_a_call_that_crashes_its_service_is_refused_at_the_fourth_time():
+    """A repeated call takes a service down each time that it is back."""
+    made = make_core()
+    second = datetime.timedelta(seconds=1)
+    now = START
+    for number in range(3):
+        now += second
+        (sent,) = about(f"r{number}", made.step(now, [arrival(f"r{number}", now, 30)]))
+        ended = events.AttemptEnded(
+            sent.request_id, sent.attempt, events.Ending.LINK_LOST
+        )
+        made.step(now, [ended])
+        life = next(iter(made.crashes._broken_by_life))
+        assert life.born == number
+        made.step(now, [crashes.LifeRefuses(life)])
+        made.state.targets.get("hall-1").shunned_until = None
+    now += second
+    (refused,) = about("last", made.step(now, [arrival("last", now, 30)]))
+    assert refused.code is commands.Code.QUARANTINED
+    assert refused.outcome is commands.Outcome.NOT_RUN
--- a/tests/decide/test_prompts.py
+++ b/tests/decide/test_prompts.py
@@ -3,7 +3,17 @@
 import collections
 import datetime
 
-from sesamespindle.decide import commands, core, declared, events, fairqueue, hashing
+from sesamespindle.decide import (
+    commands,
+    core,
+    crashes,
+    declared,
+    events,
+    fairqueue,
+    fingerprints,
+    hashing,
+    lives,
+)
 
 START = datetime.datetime(2026, 12, 7, 9, tzinfo=datetime.UTC)
 ME = events.Host("entry-1", "entry", "dc", "http://e", "e:1", "http://a", 1)
@@ -115,3 +125,55 @@
     assert isinstance(after, commands.Refuse)
     assert after.code is commands.Code.SHUTTING_DOWN
     assert after.outcome is commands.Outcome.NOT_RUN
+
+
+def crash_under(made, request_id, now, found):
+    """Have the target of a prompt crash; return the commands that follow."""
+    sent = next(item for item in found if isinstance(item, commands.SendPrompt))
+    lost, gone = events.Ending.LINK_LOST, events.Ending.NOT_SENT
+    made.step(now, [events.AttemptEnded(request_id, sent.attempt, lost)])
+    life = made.crashes.life_of(made.state.targets.get(sent.target))
+    made.step(now, [crashes.LifeRefuses(life)])
+    return made.step(now, [events.AttemptEnded(request_id, sent.attempt + 1, gone)])
+
+
+def bad_arrival(request_id, now):
+    deadline = now + datetime.timedelta(minutes=1)
+    content = fingerprints.of_content(b"bad")
+    return events.PromptArrived(
+        request_id, "desk", "words", "text", 10, 10, deadline, content=content
+    )
+
+
+def test_a_prompt_that_crashes_engines_reaches_three():
+    """Each attempt of a prompt takes engine after engine, and it comes again."""
+    made = make_core([f"engine-{number}" for number in range(6)])
+    now = START + datetime.timedelta(seconds=1)
+    found = made.step(now, [bad_arrival("r1", now)])
+    found = crash_under(made, "r1", now, found)
+    refused = crash_under(made, "r1", now, found)[-1]
+    assert refused.outcome is commands.Outcome.UNKNOWN
+    assert refused.code is commands.Code.SUSPECTED
+    now += datetime.timedelta(seconds=1)
+    crash_under(made, "r2", now, made.step(now, [bad_arrival("r2", now)]))
+    now += datetime.timedelta(seconds=1)
+    found = made.step(now, [bad_arrival("r3", now)])
+    (again,) = [item for item in found if isinstance(item, commands.Refuse)]
+    assert again.code is commands.Code.QUARANTINED
+    assert again.outcome is commands.Outcome.NOT_RUN
+
+
+def test_an_engine_that_is_back_under_its_name_clears_no_prompt():
+    """It answers again after its crash: its earlier life would seem to go on."""
+    made = make_core(["engine-0"])
+    now = START + datetime.timedelta(seconds=1)
+    found = made.step(now, [bad_arrival("r1", now)])
+    crash_under(made, "r1", now, found)
+    row = made.state.targets.get("engine-0")
+    assert made.crashes.life_of(row) == lives.Life("engine-0", 1)
+    row.shunned_until = None
+    now += datetime.timedelta(seconds=5)
+    sent = made.step(now, [arrival("r2", now)])[-1]
+    made.step(now, [events.FirstToken(sent.request_id, 0, 10)])
+    (crash,) = made.crashes.crash_by_life.values()
+    assert not crash.is_refuted
