Count tries and late crashes together, and stop what crashes targets at the fifth in any case

After the third crash a request may reach targets three times more in all. One whose crashes fell together with others' was stopped at the sixth, and tried twice more after that: five times. Now at the fifth, and let through once less for each crash beyond three.

--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -14,8 +14,9 @@
 # Crashes under one request after which it is refused.
 _QUARANTINED_FROM = 3
 # From so many crashes on it is refused although others ran beside it each time, or its
-# targets crashed together with others.
-_QUARANTINED_ANYHOW_FROM = 6
+# targets crashed together with others. Three retries after the third are allowed in
+# all, tries among them, and one is left for news that comes late.
+_QUARANTINED_ANYHOW_FROM = 5
 # Uncorrelated crashes that are needed: one may be chance.
 _UNCORRELATED = 2
 # Uncorrelated crashes after which a suspect gets no target that another such
@@ -35,7 +36,7 @@
 # it in rank: several calls of the platform fit in.
 _WRITE_TURN = datetime.timedelta(seconds=1)
 # A quarantined request is let through once after the first time, and once more after
-# the second. With three retries in all the third is left for news that came late.
+# the second.
 _TRIED_AFTER = (datetime.timedelta(minutes=10), datetime.timedelta(hours=2))
 # Quarantined requests that are remembered, and that are told in one message.
 _MAX_RECORDS = 1024
@@ -421,7 +422,8 @@
         Guards against a request that is refused for good although its cause is
         mended. The platform counts the tries, and one host makes them.
         """
-        if record.tries >= len(_TRIED_AFTER):
+        allowed = min(len(_TRIED_AFTER), _QUARANTINED_ANYHOW_FROM - record.crashes)
+        if record.tries >= allowed:
             return
         if now < record.decided_at + _TRIED_AFTER[record.tries]:
             return
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -320,6 +320,16 @@
     assert writes(judge(core, 1000 * 60 * 60)[1]) == []
 
 
+@pytest.mark.parametrize("crashes, tries", [(3, 2), (4, 1), (5, 0), (9, 0)])
+def test_tries_and_late_crashes_stay_below_three_retries(core, crashes, tries):
+    """One that was stopped only at the fifth crash is let through twice more."""
+    for tried in range(3):
+        record = gossip.QuarantinedRequest(BAD, NOW, crashes, tried, revision=9 + tried)
+        core.step(NOW, [quarantine.QuarantineRead(record)])
+        wanted = writes(judge(core, (tried + 1) * 24 * 60 * 60)[1])
+        assert len(wanted) == (tried < tries)
+
+
 def test_a_try_that_ends_well_lifts_the_quarantine(core):
     quarantined(core)
     core.quarantine.served(BAD, NOW + 11 * MINUTE)
