--- /dev/null
+++ b/tests/soak/test_crashing.py
@@ -0,0 +1,15 @@
+"""Short soaks with fixed seeds in which requests crash engines."""
+
+import asyncio
+
+import pytest
+from soak import play
+
+
+@pytest.mark.parametrize("seed", (31, 32))
+def test_promises_hold_while_requests_crash_engines(seed):
+    outcome = asyncio.run(
+        play.play(seed, 6.0, restarts=False, namings=False, crashes=True)
+    )
+    assert outcome.violations == []
+    assert len(outcome.journal.crashes) >= 4
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -48,15 +48,6 @@
     assert any(fault.what == "restart" for fault in outcome.journal.faults)
 
 
-@pytest.mark.parametrize("seed", (31, 32))
-def test_promises_hold_while_requests_crash_engines(seed):
-    outcome = asyncio.run(
-        play.play(seed, 6.0, restarts=False, namings=False, crashes=True)
-    )
-    assert outcome.violations == []
-    assert len(outcome.journal.crashes) >= 4
-
-
 @pytest.mark.parametrize("seed", SEEDS_WITH_NAMINGS)
 def test_promises_hold_while_weights_are_named_as_daemons_fail(seed):
     outcome = asyncio.run(play.play(seed, seconds=4.0))
