Don't take a popular request for the cause of crashes at one instant

Callers of a prompt that many send were refused for half a second as if it crashed engines, after three engines had crashed together for another reason.

Cause: crashes count as correlated where another target crashed beside them without the request. A request that many callers send ran at all three, so none was correlated.

Mend: crashes within 0.1 s are one event and prove nothing alone. A request that is tried again needs longer for the next crash (0.03 s and more to run, after the news); copies at several hosts at once are judged by the next crash.

--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -24,6 +24,9 @@
 _APART_FROM = 2
 # Crashes of one service so close together are correlated.
 _CORRELATED_WITHIN = datetime.timedelta(seconds=0.5)
+# Crashes so close together are one event: a request that is tried again takes longer to
+# crash the next target.
+_AT_ONCE = datetime.timedelta(seconds=0.1)
 # What other hosts saw of a crash is here after this long: three rounds of urgent news,
 # and what a busy host adds.
 _SETTLED_AFTER = datetime.timedelta(seconds=0.5)
@@ -297,12 +300,17 @@
         """Return whether the crashes under a request are its doing.
 
         Guards against others that are refused: those that ran beside the cause
-        more than once, as each of their crashes has another suspect with as many, and
-        those that met correlated crashes, in which targets crash without them.
+        more than once, as each of their crashes has another suspect with as many,
+        those that met correlated crashes, in which targets crash without them, and
+        those that many callers send, so that they ran at all targets that crashed
+        together.
         """
         if len(crashes) >= _QUARANTINED_ANYHOW_FROM:
             return True
         outside = self._uncorrelated(fingerprint, crashes)
+        times = [crash.at for crash in outside]
+        if not times or max(times) - min(times) <= _AT_ONCE:
+            return False
         has_no_other = any(
             not self._has_suspect(crash, len(crashes), fingerprint) for crash in outside
         )
