Spread prompts over all engines where their homes are away

Callers of long prompts waited for one engine while others idled: of engines that cost the same, min() takes the first of the table, and all hosts have the same table. So while homes are cold, dark or shunned, all hosts send to the first engine in the list until they hear of each other's work.

The new test failed before (all 600 contexts at one of twelve engines).

Mend: engines are compared in the order of the context's rendezvous ranks, so ties go to the next in rank: the same on all hosts, another one for each context.

--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -95,13 +95,23 @@
     return row_by_name.get(name)
 
 
+def ranked(rows, key):
+    """Return rows in the order in which a key's requests prefer them.
+
+    Guards against hosts that all take the same one of many equal engines: the first
+    of the list, where a context's home is away.
+    """
+    row_by_name = {row.name: row for row in rows}
+    return [row_by_name[name] for name in hashing.rank(key, row_by_name)]
+
+
 def choose_engine(rows, work, now, loss_of, home_row=None):
     """Return the engine at which a prompt's answer is expected to be worth most.
 
     Parameters
     ----------
     rows : list of world.TargetRow
-        Engines that may be used.
+        Engines that may be used; the first of equal ones is taken.
     work : Work
         The request.
     loss_of : callable
--- a/packages/decide/sesamespindle/decide/promptplacing.py
+++ b/packages/decide/sesamespindle/decide/promptplacing.py
@@ -79,6 +79,7 @@
         def loss_of(row):
             return self._weights.loss(row, request.model, now)
 
+        rows = placement.ranked(rows, request.affinity or request.request_id)
         row = placement.choose_engine(rows, work, now, loss_of, home)
         if row is None:
             return None
@@ -104,7 +105,7 @@
         if not affinity:
             return None
         rows = self._state.targets.where("pool", flight.service)
-        staying = [row for row in rows if row.listed and not row.leaving]
+        staying = [row for row in rows if row.stays]
         return placement.home(staying, affinity)
 
     def _effort_at(self, flight, engines, row, home, now):
--- a/tests/decide/test_placement.py
+++ b/tests/decide/test_placement.py
@@ -1,5 +1,6 @@
 """Choosing a target by what its answer is expected to be worth."""
 
+import collections
 import datetime
 
 from sesamespindle.decide import placement, world
@@ -86,3 +87,17 @@
 def test_a_plain_target_with_less_to_do_goes_first():
     rows = [make_row("a", reported_load=6, slots=6), make_row("b", slots=6)]
     assert placement.choose_plain(rows, "dc-1", NOW) is rows[1]
+
+
+def test_contexts_whose_homes_are_away_spread_over_all_engines():
+    """Engines were away, and all hosts took the first of the others for their prompts.
+
+    One engine got what a quarter of them had served, while others idled.
+    """
+    rows = [make_row(f"llm-{number}") for number in range(12)]
+    chosen = collections.Counter(
+        choose(placement.ranked(rows, f"context-{number}")).name
+        for number in range(600)
+    )
+    assert len(chosen) == 12
+    assert max(chosen.values()) < 2 * 600 / 12
