Send cold targets no more than they bear, from one host each

Cause: nothing knew of cold targets; the record's field was read and dropped. A target that comes back looks empty to all 70 hosts at once, and the bound is the fleet's: not even one request from each host fits in.

Mend: a target's life is cold by its own record, and by a start of its data centre's return. Its one sender is named by rendezvous among all hosts that are known, whether they live or not, and sends at half of the rate that the target bears: hosts that can't reach each other name the same one, and where lists of hosts differ for a while three senders still stay within the bound. A host that has just started sends to none. A target whose port was closed lately, or whose crash is told, counts as cold as long as others may be used, until its next record.

Tests: simulated fleets of 70 and 370 hosts with half of the targets cold at once, a split in two and three, a start of all hosts, late news, and random schedules. Ways weighed: only warm targets (the fleet crowds on the others and the cold ones come back empty to all at once); a sender of those alive in one's own view (each side of a split names one: 25 of them after a cut of 25 hosts); a relay by the sender's host (a second hop on a request's path for three seconds).

--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -194,10 +194,14 @@
         """Return the fingerprints that were under way in two crashes or more."""
         return self._repeated
 
+    def crash_of(self, life):
+        """Return the `Crash` by which a life is known to be over, or None."""
+        crash = self.crash_by_life.get(life)
+        return crash if crash is not None and not crash.is_refuted else None
+
     def has_crashed(self, life):
         """Return whether a life of a target is known to be over."""
-        crash = self.crash_by_life.get(life)
-        return crash is not None and not crash.is_refuted
+        return self.crash_of(life) is not None
 
     def answered(self, life, sent_at):
         """Take in that a life answered what was sent to it at a time."""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -66,10 +66,20 @@
         Knows which requests crash targets.
     fingerprints : fingerprints.Fingerprints
         Names requests.
+    cold_targets : coldtargets.ColdTargets
+        Knows which targets bear only a few requests.
     """
 
     def __init__(
-        self, state, weights, stores, budgets, crashes, quarantine, fingerprints
+        self,
+        state,
+        weights,
+        stores,
+        budgets,
+        crashes,
+        quarantine,
+        fingerprints,
+        cold_targets,
     ):
         self._state = state
         self._weights = weights
@@ -78,6 +88,7 @@
         self._crashes = crashes
         self._quarantine = quarantine
         self._fingerprints = fingerprints
+        self._cold_targets = cold_targets
         self.configuration = None
         self.flight_by_request = {}
 
@@ -273,6 +284,7 @@
         flight.has_begun = False
         flight.tried.add(row.life)
         row.running_here += 1
+        self._cold_targets.note_sent(row, now)
         if place:
             sent = world.SentWork(now, place.read_tokens)
             row.sent_by_request[request.request_id] = sent
@@ -310,8 +322,9 @@
         rows = [
             row
             for row in self._state.targets.where("pool", flight.service)
-            if row.listed and not row.leaving
+            if row.stays
         ]
+        rows = self._cold_targets.narrow(rows, flight.service, now)
         if _is_prompt(flight, service):
             rows = self._placing.timely(flight, service.engines, rows, now)
         rows = placement.usable(rows, now) or rows
@@ -385,7 +398,10 @@
         if row is None:
             return
         match ending:
-            case sends.Ending.UNREACHABLE | sends.Ending.REFUSED:
+            case sends.Ending.UNREACHABLE:
+                catalogue.note_failure(self._state, row, now)
+            case sends.Ending.REFUSED:
+                row.refused_at = now
                 catalogue.note_failure(self._state, row, now)
             case sends.Ending.TURNED_AWAY:
                 row.shunned_until = now + _BUSY_SHUN
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -6,6 +6,7 @@
 from sesamespindle.decide import (
     budgets,
     catalogue,
+    coldtargets,
     commands,
     crashes,
     directory,
@@ -92,6 +93,9 @@
         self.stores = kvstores.KvStores(self.state)
         self.crashes = crashes.Crashes(self.state)
         self.quarantine = quarantine.Quarantine(self.state, self.crashes)
+        self._cold_targets = coldtargets.ColdTargets(
+            self.state, self.crashes, terms.contact_time
+        )
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
@@ -100,6 +104,7 @@
             self.crashes,
             self.quarantine,
             fingerprints.Fingerprints(key),
+            self._cold_targets,
         )
         self.membership = membership.Membership(
             self.state,
@@ -184,6 +189,7 @@
             return
         self.forwarding.configuration = configuration
         self.state.service_names = frozenset(configuration.service_by_name)
+        self.state.cold_start_by_service = configuration.cold_start_by_service
         self.stores.adopt(configuration)
         self.state.emit(commands.Note("configuration", str(configuration.version)))
         self.membership.spread(now)
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -100,6 +100,22 @@
     followers: int = 12
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStart:
+    """What targets bear that have just started.
+
+    Attributes
+    ----------
+    lasts : datetime.timedelta
+        How long a target is cold after its start.
+    per_second : float
+        Requests that it bears meanwhile, from all hosts together.
+    """
+
+    lasts: datetime.timedelta
+    per_second: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of equal targets, or a KV store.
@@ -108,12 +124,15 @@
     ----------
     max_connections : int
         Connections that one target accepts from all callers together.
+    cold_start : ColdStart or None
+        None where targets bear as much as ever from their start on.
     """
 
     name: str
     max_connections: int
     engines: Engines | None = None
     kv_store: KvStore | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +171,15 @@
             by_host.setdefault(route.host.lower(), {})[route.prefix] = route
         return by_host
 
+    @functools.cached_property
+    def cold_start_by_service(self):
+        """The `ColdStart` of each service whose targets are cold at first."""
+        return {
+            name: service.cold_start
+            for name, service in self.service_by_name.items()
+            if service.cold_start is not None
+        }
+
     def match(self, host, path):
         """Return the route with the longest prefix of a path, or None.
 
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -13,6 +13,7 @@
 # Entries that lapsed while the platform was away are back this long after its
 # return, by the platform's own word, and half a second for the reading.
 _LAPSED_USED_FOR = datetime.timedelta(seconds=2.5)
+_NOT_COLD = datetime.timedelta(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +26,8 @@
         The platform's revision at the last change of this record.
     born : int or None
         Milliseconds since the epoch at its start; None where it doesn't tell.
+    cold_for : datetime.timedelta or None
+        How much longer it bears few requests; None for as long as its service says.
     """
 
     name: str
@@ -36,6 +39,7 @@
     version_by_model: dict[str, int]
     revision: int
     born: int | None = None
+    cold_for: datetime.timedelta | None = datetime.timedelta(0)
 
     @property
     def life(self):
@@ -235,6 +239,7 @@
                 checks_fencing=False,
                 url=target.address,
                 born=target.life.born,
+                evacuated=target.data_centre in self._state.evacuated_data_centres,
             )
             self._supersede(row, target.revision)
             self._state.targets.add(row)
@@ -244,6 +249,8 @@
             return
         if target.revision > row.revision or not row.superseded_by:
             row.listed, row.superseded_by = True, ""
+        if target.revision > max(row.revision, row.cold_revision):
+            self._adopt_cold_time(row, target, now)
         row.revision = target.revision
         row.slots = target.slots
         row.adopt_versions(target.version_by_model, target.revision)
@@ -251,6 +258,25 @@
             row.leaving = True
             self._state.emit(commands.Note("target_leaving", row.name, "listed"))
 
+    def _adopt_cold_time(self, row, target, now):
+        """Take in how much longer a target is cold, by a record that is news."""
+        cold_for = target.cold_for
+        if cold_for is None:
+            cold_start = self._state.cold_start_by_service.get(row.pool)
+            cold_for = cold_start.lasts if cold_start is not None else _NOT_COLD
+        before = row.cold_until
+        row.cold_until = now + cold_for if cold_for > _NOT_COLD else None
+        row.cold_revision = target.revision
+        row.refused_at = None
+        _note_if_cold(self._state, row, before, now)
+
+
+def _note_if_cold(state, row, before, now):
+    """Log that a target turned cold."""
+    if row.cold_until is not None and (before is None or before <= now):
+        seconds = (row.cold_until - now).total_seconds()
+        state.emit(commands.Note("target_cold", row.name, f"for {seconds:.1f} s"))
+
 
 def _tell_births(targets):
     """Return whether half of the targets, listed ones or rows, tell their starts."""
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -16,6 +16,7 @@
     namings,
     pauses,
     retries,
+    routes,
     tables,
 )
 
@@ -136,6 +137,15 @@
     # The record's revision that last listed older weights than the one before it.
     fell_at_revision: int = 0
     missing_since: datetime.datetime | None = None
+    # Whether its data centre is evacuated.
+    evacuated: bool = False
+    # Until when it bears few requests, the record's revision that told so, and when
+    # this host last sent it one meanwhile.
+    cold_until: datetime.datetime | None = None
+    cold_revision: int = 0
+    cold_sent_at: datetime.datetime | None = None
+    # When nobody listened at its address.
+    refused_at: datetime.datetime | None = None
     # The name of a target whose later record has the same address, or empty.
     superseded_by: str = ""
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -197,9 +207,14 @@
             oldest = next(iter(self.read_parts))
             self.read_tokens -= self.read_parts.pop(oldest)
 
+    @property
+    def stays(self):
+        """Whether the target is there, and is not to be emptied."""
+        return self.listed and not self.leaving and not self.evacuated
+
     def usable(self, now):
         """Return whether the target may get new work."""
-        if not self.listed or self.leaving or not self.url:
+        if not self.stays or not self.url:
             return False
         return self.shunned_until is None or now >= self.shunned_until
 
@@ -272,6 +287,10 @@
         self.budget_by_pool = collections.defaultdict(retries.RetryBudget)
         # The services that the configuration names; empty until there is one.
         self.service_names: frozenset[str] = frozenset()
+        # What targets bear that have just started, by the service.
+        self.cold_start_by_service: dict[str, routes.ColdStart] = {}
+        # The data centres whose targets are to get nothing.
+        self.evacuated_data_centres: frozenset[str] = frozenset()
         # The record's revision and when it was refuted, by the target's life.
         self._refuted_by_life = {}
         self.region_by_data_centre: dict[str, str] = {}
--- /dev/null
+++ b/tests/support/coldfleet.py
@@ -0,0 +1,216 @@
+"""Many hosts' decision logic before engines that turn cold, simulated.
+
+There is one clock, moved by events. Hosts hear of targets and of each other only what
+a test tells them, when it does.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+import gateways
+
+from sesamespindle.decide import (
+    commands,
+    events,
+    gateway,
+    kvstores,
+    sends,
+    targetlist,
+)
+
+COLD_FOR = 3.0
+PER_SECOND = 8.8
+# What a cold engine may get in any second: the rate that it bears, over by half, and
+# five more.
+MOST_IN_A_SECOND = PER_SECOND * 1.5 + 5
+_RUN_SECONDS = (0.05, 0.6)
+_CONTEXTS = 400
+
+
+class Engine:
+    """An engine, and when requests reached it while it was cold."""
+
+    def __init__(self, name):
+        self.name = name
+        self.revision = 1
+        self.born = 1
+        self.cold_until = -1.0
+        self.arrived_cold = []
+
+    def record(self, now):
+        """Return its record as it stands now."""
+        cold_for = max(0.0, self.cold_until - now) * gateways.SECOND
+        return gateways.make_target(
+            self.name,
+            "llm",
+            revision=self.revision,
+            born=self.born,
+            cold_for=cold_for,
+        )
+
+
+class Fleet:
+    """Hosts that know each other and all engines, and callers.
+
+    Attributes
+    ----------
+    sent_by_engine : collections.Counter
+        How many requests reached each engine.
+    refused : list of str
+        The codes of refusals.
+    """
+
+    def __init__(self, seed, hosts, engines):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.sent_by_engine = collections.Counter()
+        self.refused = []
+        self._queue = []
+        self._order = itertools.count()
+        self._revision = itertools.count(10)
+        self._hosts = [self._host(number) for number in range(hosts)]
+        self.engines = [Engine(f"llm-{number}") for number in range(engines)]
+        self.cores = []
+        for number in range(hosts):
+            self.cores.append(None)
+            self.start_host(number)
+
+    def run(self, seconds):
+        """Play on for so many seconds."""
+        until = self.now + seconds
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self._queue)
+            call(*args)
+        self.now = until
+
+    def after(self, seconds, call, *args):
+        """Have something called later."""
+        entry = self.now + seconds, next(self._order), call, args
+        heapq.heappush(self._queue, entry)
+
+    def _time(self):
+        return gateways.NOW + self.now * gateways.SECOND
+
+    # Hosts.
+
+    def _host(self, number):
+        address = f"10.0.{number // 200}.{number % 200}"
+        data_centre = f"dc-{number % 3}"
+        return events.Host(
+            f"entry-{number}", "entry", data_centre, f"{address}:80", f"{address}:81"
+        )
+
+    def start_host(self, number, knows_others=True):
+        """Start a host, also once more; it then remembers nothing."""
+        terms = gateway.Terms(gateways.budgets.BudgetRule(0.2, 50.0))
+        core = gateway.Gateway(self._hosts[number], terms, seed=number)
+        # It runs since long before, unless it starts in the middle of a play.
+        started = self._time() - (60.0 if self.now == 0 else 0.0) * gateways.SECOND
+        core.state.pauses.started_at = started
+        self.cores[number] = core
+        configuration = gateways.make_cold_configuration(
+            COLD_FOR * gateways.SECOND, PER_SECOND
+        )
+        listed = tuple(engine.record(self.now) for engine in self.engines)
+        core.step(
+            self._time(),
+            [
+                gateway.ConfigurationRead(configuration),
+                targetlist.TargetsListed(listed),
+            ],
+        )
+        if knows_others:
+            self.list_hosts(number)
+
+    def list_hosts(self, number):
+        """Tell a host of all others."""
+        self._feed(number, events.HostsListed(tuple(self._hosts)))
+
+    def split(self, part_of):
+        """Have hosts of different parts take each other for gone."""
+        for number, core in enumerate(self.cores):
+            for other, host in enumerate(self._hosts):
+                row = core.state.entries.get(host.name)
+                if row is not None and part_of(other) != part_of(number):
+                    row.state = events.HostState.DEAD
+            core.state.note_view_change()
+
+    def _feed(self, number, *happened):
+        self.cores[number].step(self._time(), happened)
+
+    # Engines.
+
+    def turn_cold(self, engine, news_after, is_new_life=False):
+        """Have an engine turn cold now, and each host told so a while later."""
+        engine.revision = next(self._revision)
+        engine.born += is_new_life
+        engine.cold_until = self.now + COLD_FOR
+        record = engine.record(self.now)
+        for number in range(len(self.cores)):
+            self.after(
+                self.random.uniform(*news_after),
+                self._feed,
+                number,
+                targetlist.TargetChanged(record),
+            )
+
+    # Callers.
+
+    def ask_steadily(self, every, until):
+        """Have callers send requests at random times."""
+        self._ask()
+        if self.now < until:
+            pause = self.random.expovariate(1.0 / every)
+            self.after(pause, self.ask_steadily, every, until)
+
+    def _ask(self):
+        core = self.random.choice(self.cores)
+        context = kvstores.Part(f"c{self.random.randrange(_CONTEXTS)}", 800)
+        request = gateways.make_request(
+            "/chat/1",
+            f"r{next(self._order)}",
+            deadline=self._time() + 10 * gateways.SECOND,
+            model="m",
+            prompt=(context, kvstores.Part("own", 200)),
+        )
+        match core.forwarding.begin(request, now=self._time()):
+            case sends.Forward() as forward:
+                self._arrive(core, forward)
+            case commands.Refuse() as refuse:
+                self.refused.append(refuse.code)
+
+    def _arrive(self, core, forward):
+        engine = self.engines[int(forward.target.rpartition("-")[2])]
+        self.sent_by_engine[engine.name] += 1
+        if self.now < engine.cold_until:
+            engine.arrived_cold.append(self.now)
+        self.after(
+            self.random.uniform(*_RUN_SECONDS), self._serve, core, forward.request_id
+        )
+
+    def _serve(self, core, request_id):
+        core.forwarding.first_byte(request_id, self._time())
+        core.forwarding.served(request_id, self._time())
+        core.forwarding.close(request_id, self._time())
+
+    # What came of it.
+
+    def most_in_a_second(self):
+        """Return the most requests that any cold engine got in any second."""
+        return max((_most(engine.arrived_cold) for engine in self.engines), default=0)
+
+    def arrived_cold(self):
+        """Return how many requests reached cold engines."""
+        return sum(len(engine.arrived_cold) for engine in self.engines)
+
+
+def _most(times):
+    """Return the most of some ascending times that lie within one second."""
+    first = most = 0
+    for last, time in enumerate(times):
+        while time - times[first] >= 1.0:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -1,5 +1,6 @@
 """A gateway's decision logic with a small configuration, and requests to it."""
 
+import dataclasses
 import datetime
 
 from sesamespindle.decide import (
@@ -54,21 +55,40 @@
 
 
 def make_target(
-    name, service="desk", leaving=False, revision=1, versions=None, born=None
+    name,
+    service="desk",
+    leaving=False,
+    revision=1,
+    versions=None,
+    born=None,
+    cold_for=0 * SECOND,
+    data_centre="dc-1",
 ):
     return targetlist.ListedTarget(
         name,
         service,
-        f"10.1.0.{name[-1]}:80",
-        "dc-1",
+        f"10.1.0.{name.rpartition('-')[2]}:80",
+        data_centre,
         8,
         leaving,
         versions or {},
         revision,
         born,
+        cold_for,
     )
 
 
+def make_cold_configuration(lasts=3 * SECOND, per_second=8.8):
+    """Return a configuration whose targets of both services are cold at first."""
+    made = make_configuration()
+    cold_start = routes.ColdStart(lasts, per_second)
+    service_by_name = {
+        name: dataclasses.replace(service, cold_start=cold_start, max_connections=2000)
+        for name, service in made.service_by_name.items()
+    }
+    return dataclasses.replace(made, service_by_name=service_by_name)
+
+
 def make_gateway(slack=50.0):
     me = events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
     terms = gateway.Terms(budgets.BudgetRule(0.2, slack))
