Keep requests from data centres that an operator evacuates

Callers' requests went on to targets of a data centre that was being emptied (EVAC): the records of evacuations weren't read.

They are read like the other kinds: listed at a start, watched by two hosts of each data centre, told on by the peers' packs to hosts that the platform turns away, kept while it is away. Targets there get nothing and are nobody's home until the record is removed; then they count as cold until a later record of their own says otherwise, as they may have turned cold meanwhile. What nobody may run is refused at once as not run. Nothing is written back: on the platform the operator has its acknowledgement from the store.

A record of an unknown data centre, or whose content is no object, is passed over with a log line. Late news (a peer's pack against a watch that began before) changes nothing.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -10,6 +10,7 @@
     commands,
     crashes,
     directory,
+    evacuations,
     events,
     fingerprints,
     forwarding,
@@ -120,6 +121,7 @@
         self._entries = catalogue.Catalogue(self.state)
         self._systems = (
             self._targets,
+            evacuations.Evacuations(self.state),
             self.weights,
             self.stores,
             self.lease,
--- /dev/null
+++ b/tests/platform/test_evacuations.py
@@ -0,0 +1,88 @@
+"""Evacuations as the operator writes them, read by a real daemon."""
+
+import itertools
+
+import standins
+
+_IDS = itertools.count()
+
+
+def refuses(world, daemon):
+    async def ask():
+        status, headers, _ = await world.ask(daemon, "/read/1", f"r{next(_IDS)}")
+        return status == 503 and "Retry-After" in headers
+
+    return ask
+
+
+def serves(world, daemon):
+    async def ask():
+        status, _, _ = await world.ask(daemon, "/read/1", f"r{next(_IDS)}")
+        return status == 200
+
+    return ask
+
+
+def test_an_evacuation_holds_until_it_is_removed(play):
+    """Requests went on to targets of a data centre that an operator had emptied."""
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        await world.store.put("evacuations", "dc-1", {})
+        await world.until(refuses(world, daemon))
+        await world.store.remove("evacuations", "dc-1")
+        await world.until(serves(world, daemon))
+
+    play(scenario)
+
+
+def test_a_host_that_starts_and_one_that_the_platform_turns_away_know_of_it(play):
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        await world.store.put("evacuations", "dc-1", {})
+        first = await world.add_daemon()
+        assert await refuses(world, first)()
+        world.store.turned_away.add(first.ip)
+        second = await world.add_daemon()
+        assert await refuses(world, second)()
+        assert await refuses(world, first)()
+        await world.store.remove("evacuations", "dc-1")
+        await world.until(serves(world, second))
+        await world.until(serves(world, first))
+        assert target.runs
+
+    play(scenario)
+
+
+def test_records_that_name_no_evacuation_change_nothing(play):
+    """One line is logged for each, and requests are served as before."""
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        await world.store.put("evacuations", "nowhere", {})
+        await world.store.put("evacuations", "dc-1", ["not", "a", "record"])
+        daemon = await world.add_daemon()
+        assert await serves(world, daemon)()
+        passed_over = [line for line in daemon.lines() if "is passed over" in line]
+        assert len(passed_over) == 2
+
+    play(scenario)
+
+
+def test_a_target_that_has_just_started_is_used_by_its_sender(play):
+    async def scenario(world):
+        manifest = standins.make_manifest(2)
+        for service in manifest["Services"]:
+            service |= {"ColdStartS": 3.0, "ColdPerS": 8.0}
+        await world.store.put("config", "main", manifest)
+        target = await world.add_target("desk-1")
+        daemon = await world.add_daemon()
+        assert await serves(world, daemon)()
+        cold = target.entry() | {"ColdRemainingMs": 600_000.0}
+        await world.store.put("servers", "desk-1", cold)
+        await world.until(refuses(world, daemon))
+        await world.store.put("servers", "desk-1", target.entry())
+        await world.until(serves(world, daemon))
+
+    play(scenario)
