--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -26,7 +26,7 @@
 _CORRELATED_WITHIN = datetime.timedelta(seconds=0.5)
 # Crashes so close together are one event: a request that is tried again takes longer to
 # crash the next target.
-_AT_ONCE = datetime.timedelta(seconds=0.1)
+_AT_ONCE = datetime.timedelta(seconds=0.03)
 # What other hosts saw of a crash is here after this long: three rounds of urgent news,
 # and what a busy host adds.
 _SETTLED_AFTER = datetime.timedelta(seconds=0.5)
@@ -308,8 +308,7 @@
         if len(crashes) >= _QUARANTINED_ANYHOW_FROM:
             return True
         outside = self._uncorrelated(fingerprint, crashes)
-        times = [crash.at for crash in outside]
-        if not times or max(times) - min(times) <= _AT_ONCE:
+        if _are_one_event(outside):
             return False
         has_no_other = any(
             not self._has_suspect(crash, len(crashes), fingerprint) for crash in outside
@@ -473,6 +472,14 @@
             self._adopt(record, now, "heard")
 
 
+def _are_one_event(crashes):
+    """Return whether targets crashed together, each with several requests."""
+    times = [crash.at for crash in crashes]
+    if not times or max(times) - min(times) > _AT_ONCE:
+        return False
+    return all(len(crash.suspects) > 1 for crash in crashes)
+
+
 def _standing(record):
     return record.revision, record.tries
 
