Work out once for each prompt what it takes to bring its parts

What a store holds doesn't depend on the engine, and the way only on its data centre: it is looked up once for each part and data centre.

--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -238,6 +238,36 @@
         return self.used + saving + tokens <= self.store.capacity * _FILLED_SHARE
 
 
+class Sources:
+    """How long it takes to bring parts of a prompt from stores, each worked out once.
+
+    Parameters
+    ----------
+    engines : routes.Engines
+        The service whose engines are compared.
+    rows : list of StoreRow
+        The stores that answer.
+    """
+
+    def __init__(self, engines, rows):
+        self._engines = engines
+        self._rows = rows
+        self._seconds_by_need = {}
+
+    def seconds(self, salt, part, near):
+        """Return the expected time to bring a part to a data centre, or None."""
+        need = salt, part.part_id, near
+        if need not in self._seconds_by_need:
+            self._seconds_by_need[need] = self._look_up(salt, part, near)
+        return self._seconds_by_need[need]
+
+    def _look_up(self, salt, part, near):
+        holder = _holder(self._rows, salt, part, near)
+        if holder is None:
+            return None
+        return _transfer_seconds(self._engines, holder.store, part.tokens, near)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowStores:
     """Follow these KV stores and no others; each is a `StoreRow`."""
@@ -359,11 +389,11 @@
         """
         if len(parts) < 2:
             return NO_TRANSFERS
-        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
+        rows = self._alive_rows(now)
         near = engine_row.data_centre
         fetch_from, save_to, seconds = [], [], 0.0
         for part in parts[:-1]:
-            holder = self._holder(rows, salt, part, near)
+            holder = _holder(rows, salt, part, near)
             if holder is not None:
                 fetch_from.append(holder.store.address)
                 save_to.append(None)
@@ -378,14 +408,12 @@
         until = _until(rows, now, seconds) if seconds else None
         return Transfers((*fetch_from, None), (*save_to, None), seconds, until)
 
-    def part_seconds(self, engines, engine_row, salt, part, now):
-        """Return the expected time to bring a part to an engine, or None."""
-        rows = [row for row in self.rows if row.store.managed and row.alive(now)]
-        near = engine_row.data_centre
-        holder = self._holder(rows, salt, part, near)
-        if holder is None:
-            return None
-        return _transfer_seconds(engines, holder.store, part.tokens, near)
+    def sources(self, engines, now):
+        """Return the `Sources` for one choice among a service's engines."""
+        return Sources(engines, self._alive_rows(now))
+
+    def _alive_rows(self, now):
+        return [row for row in self.rows if row.store.managed and row.alive(now)]
 
     def free_replaced(self, kept_salts, now):
         """Free the parts whose salt belongs to weights that nobody runs.
@@ -419,19 +447,6 @@
                     )
                 )
 
-    def _holder(self, rows, salt, part, near):
-        """Return a store that has all of a part, a near one if there is one."""
-        holders = [
-            row
-            for row in rows
-            if row.tokens_by_part.get((salt, part.part_id), 0) >= part.tokens
-        ]
-        return min(
-            holders,
-            key=lambda row: (row.store.data_centre != near, row.name),
-            default=None,
-        )
-
     def _save(self, rows, salt, part, near, now):
         """Return where to save a part, and count on it being saved there."""
         key = salt, part.part_id
@@ -451,6 +466,17 @@
         return row_by_name[name].store.address
 
 
+def _holder(rows, salt, part, near):
+    """Return a store that has all of a part, a near one if there is one."""
+    key = salt, part.part_id
+    holders = [row for row in rows if row.tokens_by_part.get(key, 0) >= part.tokens]
+    return min(
+        holders,
+        key=lambda row: (row.store.data_centre != near, row.name),
+        default=None,
+    )
+
+
 def _transfer_seconds(engines, store, tokens, data_centre):
     rate = min(engines.link_bits_per_second, store.link_bits_per_second)
     seconds = tokens * engines.kv_token_bytes * 8.0 / rate
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -81,6 +81,22 @@
     effort_at: typing.Callable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """What known requests take of an engine.
+
+    Attributes
+    ----------
+    tokens : int
+        Prompt tokens of those that were not seen to begin.
+    held_tokens : int
+        Tokens of memory that all need until they end.
+    """
+
+    tokens: int
+    held_tokens: int
+
+
 def usable(rows, now):
     """Return the rows that may get new work, missing ones only if no other may."""
     candidates = [row for row in rows if row.usable(now)]
@@ -122,10 +138,11 @@
 
     def cost(row):
         effort = work.effort_at(row)
-        seconds = expected_seconds(row, effort, now)
+        waiting = pending(row, now)
+        seconds = _expected_seconds(row, effort, waiting, now)
         loss = loss_of(row) + _late_loss(seconds, work.goal_seconds)
         loss += row.failure_rate + _LOSS_PER_SECOND * seconds
-        if _fills_memory(row, work, now):
+        if _fills_memory(waiting, work):
             loss += _MEMORY_LOSS
         if row is not home_row:
             loss += _READ_AGAIN_LOSS * effort.read_tokens / 1000.0
@@ -134,10 +151,10 @@
     return min(rows, key=cost, default=None)
 
 
-def expected_seconds(row, effort, now):
+def _expected_seconds(row, effort, waiting, now):
     """Return the expected time to first token at an engine."""
     seconds = effort.read_tokens / PREFILL_TOKENS_PER_SECOND
-    seconds += effort.transfer_seconds + queue_seconds(row, now)
+    seconds += effort.transfer_seconds + _queue_seconds(row, waiting)
     if row.switching_until is not None and now < row.switching_until:
         seconds += _SWITCHING_SECONDS
     return seconds
@@ -148,16 +165,16 @@
 
     The queue tells nothing of memory that is full, so the wait for it is added.
     """
-    seconds = expected_seconds(row, work.effort_at(row), now)
-    if _fills_memory(row, work, now):
+    waiting = pending(row, now)
+    seconds = _expected_seconds(row, work.effort_at(row), waiting, now)
+    if _fills_memory(waiting, work):
         seconds += _MEMORY_SECONDS
     return now + datetime.timedelta(seconds=seconds)
 
 
-def _fills_memory(row, work, now):
+def _fills_memory(waiting, work):
     """Return whether a prompt would fill an engine's memory, as far as is known."""
-    held = held_tokens(row, now) + work.held_tokens
-    return held > _MEMORY_FILLED * work.capacity
+    return waiting.held_tokens + work.held_tokens > _MEMORY_FILLED * work.capacity
 
 
 def _late_loss(seconds, goal_seconds):
@@ -184,23 +201,30 @@
     return min(rows, key=cost, default=None)
 
 
-def held_tokens(row, now):
-    """Return the tokens of memory that known runs at an engine need."""
-    held = sum(row.held_by_request.values())
+def pending(row, now):
+    """Return the `Pending` of an engine.
+
+    The engine's own count lags and misses what is on its way, so what this
+    daemon and its peers have sent is counted instead.
+    """
+    tokens = held_tokens = 0
+    for work in row.sent_by_request.values():
+        tokens += work.tokens
+    for held in row.held_by_request.values():
+        held_tokens += held
+    oldest = now - _PEER_WORK_KEPT
     for work in row.peer_work_by_entry.values():
-        if now - work.at < _PEER_WORK_KEPT:
-            held += work.held_tokens
-    return held
+        if work.at > oldest:
+            tokens += work.tokens
+            held_tokens += work.held_tokens
+    return Pending(tokens, held_tokens)
 
 
 def queue_seconds(row, now):
-    """Return the expected wait for what was sent before.
+    """Return the expected wait for what was sent before."""
+    return _queue_seconds(row, pending(row, now))
 
-    The engine's own count lags and misses what is on its way, so what this
-    daemon and its peers have sent and not seen begin is counted instead.
-    """
-    pending = sum(work.tokens for work in row.sent_by_request.values())
-    for work in row.peer_work_by_entry.values():
-        if now - work.at < _PEER_WORK_KEPT:
-            pending += work.tokens
-    return pending / PREFILL_TOKENS_PER_SECOND + row.reported_load * _LOAD_SECONDS
+
+def _queue_seconds(row, waiting):
+    read_seconds = waiting.tokens / PREFILL_TOKENS_PER_SECOND
+    return read_seconds + row.reported_load * _LOAD_SECONDS
--- a/packages/decide/sesamespindle/decide/promptplacing.py
+++ b/packages/decide/sesamespindle/decide/promptplacing.py
@@ -92,11 +92,12 @@
 
     def _work(self, flight, engines, home, now):
         """Return what `placement` needs to know of a prompt."""
+        sources = self._stores.sources(engines, now)
         return placement.Work(
             flight.request.held_tokens,
             engines.kv_capacity,
             flight.route.latency_goal.total_seconds(),
-            lambda row: self._effort_at(flight, engines, row, home, now),
+            lambda row: self._effort_at(flight, engines, row, home, sources),
         )
 
     def _home(self, flight):
@@ -108,7 +109,7 @@
         staying = [row for row in rows if row.stays]
         return placement.home(staying, affinity)
 
-    def _effort_at(self, flight, engines, row, home, now):
+    def _effort_at(self, flight, engines, row, home, sources):
         """Return what the prompt is expected to cost at an engine.
 
         A part is there if this daemon had the engine read it lately, and can
@@ -121,7 +122,7 @@
         for part in request.prompt[:-1]:
             key = salt, part.part_id
             if key not in row.read_parts:
-                brought = self._stores.part_seconds(engines, row, salt, part, now)
+                brought = sources.seconds(salt, part, row.data_centre)
                 if brought is None and home is not None and key in home.read_parts:
                     brought = kvstores.engine_seconds(engines, home, row, part.tokens)
                 if brought is None:
