--- a/tests/decide/test_coldtargets.py
+++ b/tests/decide/test_coldtargets.py
@@ -55,16 +55,16 @@
     assert fleet.refused == []
 
 
-@pytest.mark.parametrize("knows_others", [False, True])
-def test_hosts_that_all_start_at_once_stay_within_the_bound(knows_others):
-    """After a loss of power each host took itself for the only one."""
+@pytest.mark.parametrize("knows", [0, 3, None])
+def test_hosts_that_all_start_at_once_stay_within_the_bound(knows):
+    """After a loss of power each host took itself for one of a few."""
     fleet = coldfleet.Fleet(4, 70, 30)
     for engine in fleet.engines[:25]:
         fleet.turn_cold(engine, SOON)
     fleet.run(0.5)
     for number in range(70):
-        fleet.start_host(number, knows_others)
-    play(fleet, 300.0, 2.5)
+        fleet.start_host(number, knows)
+    play(fleet, 600.0, 2.5)
     assert fleet.most_in_a_second() <= coldfleet.MOST_IN_A_SECOND
     assert fleet.refused == []
 
@@ -106,7 +106,7 @@
         case "whole":
             fleet.split(lambda host: 0)
         case "start" | "alone":
-            fleet.start_host(number, kind == "start")
+            fleet.start_host(number, None if kind == "start" else number % 4)
 
 
 def make_core():
--- a/tests/support/coldfleet.py
+++ b/tests/support/coldfleet.py
@@ -102,8 +102,15 @@
             f"entry-{number}", "entry", data_centre, f"{address}:80", f"{address}:81"
         )
 
-    def start_host(self, number, knows_others=True):
-        """Start a host, also once more; it then remembers nothing."""
+    def start_host(self, number, knows=None):
+        """Start a host, also once more; it then remembers nothing.
+
+        Parameters
+        ----------
+        knows : int, optional
+            How many others it knows of; all by default. With none, it hasn't been
+            told of any list.
+        """
         terms = gateway.Terms(gateways.budgets.BudgetRule(0.2, 50.0))
         core = gateway.Gateway(self._hosts[number], terms, seed=number)
         # It runs since long before, unless it starts in the middle of a play.
@@ -121,12 +128,11 @@
                 targetlist.TargetsListed(listed),
             ],
         )
-        if knows_others:
-            self.list_hosts(number)
-
-    def list_hosts(self, number):
-        """Tell a host of all others."""
-        self._feed(number, events.HostsListed(tuple(self._hosts)))
+        if knows is None:
+            self._feed(number, events.HostsListed(tuple(self._hosts)))
+        elif knows:
+            known = tuple(self.random.sample(self._hosts, knows))
+            self._feed(number, events.HostsListed(known))
 
     def split(self, part_of):
         """Have hosts of different parts take each other for gone."""
