Make a round of gossip once for all its peers, and leave out what a peer knows

A profile of one round inside a data centre of 24 hosts with 34 KV stores: 2.3 ms for both sides, most of it the positions of stores, built and encoded anew for each peer, and sent back to peers that know them.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -70,6 +70,8 @@
         self._datagrams = datagrams.Datagrams(key, self._receive_datagram)
         # When each round of gossip was begun that has no answer yet, oldest first.
         self._begun_by_round = {}
+        # The message of the latest round, and its protobuf form.
+        self._round_message = self._round_on_wire = None
         self._rounds = itertools.count(1)
         self._exchange_ids = itertools.count()
         self._tasks = set()
@@ -236,7 +238,7 @@
 
     def _gossip(self, command):
         """Begin a round with a peer."""
-        message = self._gossip_to_wire(command.message)
+        message = self._round_to_wire(command.message)
         if message.ByteSize() > datagrams.MAX_BYTES:
             self._spawn(self._gossip_at_length(command.peer_address, message))
             return
@@ -301,6 +303,13 @@
         message = peermessages.gossip_from_wire(answer, self._now(), begun_at)
         self._driver.feed(gossip.GossipAnswered(address, message))
 
+    def _round_to_wire(self, message):
+        """Return the protobuf form of a round's message, made once for all peers."""
+        if self._round_message is not message:
+            self._round_message = message
+            self._round_on_wire = self._gossip_to_wire(message)
+        return self._round_on_wire
+
     def _gossip_to_wire(self, message):
         stamp = self._clock.stamp()
         return peermessages.gossip_to_wire(message, stamp, self._now())
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -124,8 +124,11 @@
         self._raise_pulse(me)
         me.heard_at = now
         me.revision = self._state.revision
+        message_by_inside = {}
         for address, inside in self._choose_peers(now):
-            self._state.emit(commands.GossipTo(address, self._message(inside)))
+            if inside not in message_by_inside:
+                message_by_inside[inside] = self._message(inside)
+            self._state.emit(commands.GossipTo(address, message_by_inside[inside]))
         for row in self._state.targets:
             row.version_rounds = max(0, row.version_rounds - 1)
         if self._quarantine is not None:
@@ -388,7 +391,7 @@
             crash_news = self._quarantine.told(is_newly_met)
         digests = store_words = store_news = ()
         if inside and self._store_relay is not None:
-            store_words = self._store_relay.words()
+            store_words = self._store_relay.words(their_words or ())
             if store_words and their_words is not None:
                 store_news = self._store_relay.news_for(their_words)
         if inside:
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -56,10 +56,17 @@
             count += min(FOLLOWERS, sum(row.data_centre == name for row in entries))
         return count
 
-    def words(self):
-        """Return up to where each store is known here, for peers."""
+    def words(self, theirs=()):
+        """Return up to where each store is known here, for a peer.
+
+        Parameters
+        ----------
+        theirs : tuple of gossip.StoreWord
+            What the peer has told; what it knows as well is left out.
+        """
         if all(row.is_followed for row in self._stores.rows):
             return ()
+        word_by_store = {word.store: word for word in theirs}
         return tuple(
             gossip.StoreWord(
                 row.name,
@@ -71,6 +78,7 @@
             )
             for row in self._stores.rows
             if row.told_at is not None
+            and not _is_as_late(word_by_store.get(row.name), row)
         )
 
     def news_for(self, words):
@@ -115,6 +123,11 @@
         )
 
 
+def _is_as_late(word, row):
+    """Return whether a peer's word, or None, is no older than what is known here."""
+    return word is not None and _knows(word, row) and word.told_at >= row.told_at
+
+
 def _is_later(word, row):
     return row.told_at is None or word.told_at > row.told_at
 
