Compare eight engines of a context's rank in place of all

Which engine: all (as it stood), or the first eight in the context's rank as long as one of them has room, with the first eight that have new weights while they are replaced. News of queues is a second old, so all hosts find the same shortest queue; a context's rank spreads them, and its second home is as stable as its first.

The test failed before: one context's hundred prompts went to 40 engines.

--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -172,6 +172,11 @@
     return now + datetime.timedelta(seconds=seconds)
 
 
+def has_room(row, work, now):
+    """Return whether an engine's memory holds a prompt too, as far as is known."""
+    return not _fills_memory(pending(row, now), work)
+
+
 def _fills_memory(waiting, work):
     """Return whether a prompt would fill an engine's memory, as far as is known."""
     return waiting.held_tokens + work.held_tokens > _MEMORY_FILLED * work.capacity
--- a/packages/decide/sesamespindle/decide/promptplacing.py
+++ b/packages/decide/sesamespindle/decide/promptplacing.py
@@ -4,6 +4,11 @@
 
 from sesamespindle.decide import kvstores, placement, world
 
+# Engines that a prompt's choice is made among: the first in its context's rank, as long
+# as one of them has room. More would find a shorter queue, but news of queues is a
+# second old, and all hosts would find the same one.
+_CONSIDERED = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
@@ -80,9 +85,12 @@
             return self._weights.loss(row, request.model, now)
 
         rows = placement.ranked(rows, request.affinity or request.request_id)
-        row = placement.choose_engine(rows, work, now, loss_of, home)
+        considered = self._considered(rows, request.model)
+        row = placement.choose_engine(considered, work, now, loss_of, home)
         if row is None:
             return None
+        if not placement.has_room(row, work, now):
+            row = placement.choose_engine(rows, work, now, loss_of, home)
         version = self._weights.running(row, request.model)
         salt = _salt(flight, version)
         effort = work.effort_at(row)
@@ -90,6 +98,19 @@
         row.note_read(salt, request.prompt[:-1], engines.kv_capacity)
         return Place(row, version, salt, transfers, effort.read_tokens, row is home)
 
+    def _considered(self, rows, model):
+        """Return the engines of a context's rank that are compared.
+
+        While weights are replaced the first that have the new ones are among them.
+        """
+        considered = rows[:_CONSIDERED]
+        if not any(self._weights.is_behind(row, model) for row in considered):
+            return considered
+        current = [
+            row for row in rows[_CONSIDERED:] if not self._weights.is_behind(row, model)
+        ]
+        return considered + current[:_CONSIDERED]
+
     def _work(self, flight, engines, home, now):
         """Return what `placement` needs to know of a prompt."""
         sources = self._stores.sources(engines, now)
--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -260,3 +260,24 @@
     core.state.targets.get("llm-3").learn_version("m", 2)
     core.state.targets.get("llm-4").learn_version("m", 2)
     assert "replaced" not in chat(core, NOW + 5 * SECOND, request_id="r2").reason
+
+
+def test_a_context_goes_to_few_engines_while_they_have_room():
+    """All hosts took the engine with the shortest queue of a second ago, the same."""
+    core = gateways.make_gateway()
+    names = [f"llm-{number}" for number in range(40)]
+    targets = tuple(gateways.make_target(name, "llm") for name in names)
+    core.step(NOW, [targetlist.TargetsListed(targets)])
+    prompt = (kvstores.Part("context", 3000), kvstores.Part("own", 10))
+
+    def ask(number):
+        return gateways.begin(
+            core, "/chat/1", request_id=f"r{number}", model="m", prompt=prompt
+        ).target
+
+    few = {ask(number) for number in range(100)}
+    assert 2 <= len(few) <= 8
+    for row in core.state.targets:
+        if row.name in few:
+            row.held_by_request["other"] = 200_000
+    assert ask(200) not in few
