--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -1,5 +1,7 @@
 """Prompts and engines whose weights are replaced, without a network."""
 
+import collections
+
 import gateways
 import pytest
 
@@ -262,22 +264,35 @@
     assert "replaced" not in chat(core, NOW + 5 * SECOND, request_id="r2").reason
 
 
-def test_a_context_goes_to_few_engines_while_they_have_room():
-    """All hosts took the engine with the shortest queue of a second ago, the same."""
+def test_hosts_do_not_all_take_the_one_engine_that_was_idle():
+    """All hosts heard that one engine idles, and sent their prompts there at once."""
     core = gateways.make_gateway()
     names = [f"llm-{number}" for number in range(40)]
     targets = tuple(gateways.make_target(name, "llm") for name in names)
     core.step(NOW, [targetlist.TargetsListed(targets)])
-    prompt = (kvstores.Part("context", 3000), kvstores.Part("own", 10))
+    for row in core.state.targets:
+        busy = world.SentWork(NOW, 0 if row.name == "llm-7" else 40_000)
+        row.peer_work_by_entry["entry-2"] = busy
+    chosen = collections.Counter(ask_once(core, number) for number in range(100))
+    assert chosen["llm-7"] < 40
 
-    def ask(number):
-        return gateways.begin(
-            core, "/chat/1", request_id=f"r{number}", model="m", prompt=prompt
-        ).target
 
-    few = {ask(number) for number in range(100)}
-    assert 2 <= len(few) <= 8
+def test_a_context_leaves_its_few_engines_when_they_are_full():
+    core = gateways.make_gateway()
+    names = [f"llm-{number}" for number in range(40)]
+    targets = tuple(gateways.make_target(name, "llm") for name in names)
+    core.step(NOW, [targetlist.TargetsListed(targets)])
     for row in core.state.targets:
-        if row.name in few:
+        if row.name != "llm-7":
             row.held_by_request["other"] = 200_000
-    assert ask(200) not in few
+    assert {ask_once(core, number) for number in range(20)} == {"llm-7"}
+
+
+def ask_once(core, number):
+    """Return where a prompt of a context of its own goes, which then ends."""
+    prompt = (kvstores.Part(f"context-{number}", 3000), kvstores.Part("own", 10))
+    sent = gateways.begin(
+        core, "/chat/1", request_id=f"r{number}", model="m", prompt=prompt
+    )
+    core.forwarding.close(f"r{number}", NOW)
+    return sent.target
