Have both simulated fleets share their clock

The queue of planned calls stood in two files of the tests; it has one of its own now. Likewise the engines that two tests of forwarding list.

--- a/tests/decide/test_forwarding.py
+++ b/tests/decide/test_forwarding.py
@@ -266,10 +266,7 @@
 
 def test_hosts_do_not_all_take_the_one_engine_that_was_idle():
     """All hosts heard that one engine idles, and sent their prompts there at once."""
-    core = gateways.make_gateway()
-    names = [f"llm-{number}" for number in range(40)]
-    targets = tuple(gateways.make_target(name, "llm") for name in names)
-    core.step(NOW, [targetlist.TargetsListed(targets)])
+    core = make_core_before_engines(40)
     for row in core.state.targets:
         busy = world.SentWork(NOW, 0 if row.name == "llm-7" else 40_000)
         row.peer_work_by_entry["entry-2"] = busy
@@ -278,16 +275,21 @@
 
 
 def test_a_context_leaves_its_few_engines_when_they_are_full():
-    core = gateways.make_gateway()
-    names = [f"llm-{number}" for number in range(40)]
-    targets = tuple(gateways.make_target(name, "llm") for name in names)
-    core.step(NOW, [targetlist.TargetsListed(targets)])
+    core = make_core_before_engines(40)
     for row in core.state.targets:
         if row.name != "llm-7":
             row.held_by_request["other"] = 200_000
     assert {ask_once(core, number) for number in range(20)} == {"llm-7"}
 
 
+def make_core_before_engines(count):
+    core = gateways.make_gateway()
+    names = [f"llm-{number}" for number in range(count)]
+    targets = tuple(gateways.make_target(name, "llm") for name in names)
+    core.step(NOW, [targetlist.TargetsListed(targets)])
+    return core
+
+
 def ask_once(core, number):
     """Return where a prompt of a context of its own goes, which then ends."""
     prompt = (kvstores.Part(f"context-{number}", 3000), kvstores.Part("own", 10))
--- a/tests/support/coldfleet.py
+++ b/tests/support/coldfleet.py
@@ -1,15 +1,15 @@
 """Many hosts' decision logic before engines that turn cold, simulated.
 
-There is one clock, moved by events. Hosts hear of targets and of each other only what
+Hosts hear of targets and of each other only what
 a test tells them, when it does.
 """
 
 import collections
-import heapq
 import itertools
 import random
 
 import gateways
+import simulation
 
 from sesamespindle.decide import (
     commands,
@@ -51,7 +51,7 @@
         )
 
 
-class Fleet:
+class Fleet(simulation.Simulation):
     """Hosts that know each other and all engines, and callers.
 
     Attributes
@@ -63,13 +63,12 @@
     """
 
     def __init__(self, seed, hosts, engines):
+        super().__init__()
         self.random = random.Random(seed)
-        self.now = 0.0
         self.sent_by_engine = collections.Counter()
         self.refused = []
-        self._queue = []
-        self._order = itertools.count()
         self._revision = itertools.count(10)
+        self._ids = itertools.count()
         self._hosts = [self._host(number) for number in range(hosts)]
         self.engines = [Engine(f"llm-{number}") for number in range(engines)]
         self.cores = []
@@ -77,22 +76,6 @@
             self.cores.append(None)
             self.start_host(number)
 
-    def run(self, seconds):
-        """Play on for so many seconds."""
-        until = self.now + seconds
-        while self._queue and self._queue[0][0] <= until:
-            self.now, _, call, args = heapq.heappop(self._queue)
-            call(*args)
-        self.now = until
-
-    def after(self, seconds, call, *args):
-        """Have something called later."""
-        entry = self.now + seconds, next(self._order), call, args
-        heapq.heappush(self._queue, entry)
-
-    def _time(self):
-        return gateways.NOW + self.now * gateways.SECOND
-
     # Hosts.
 
     def _host(self, number):
@@ -114,7 +97,7 @@
         terms = gateway.Terms(gateways.budgets.BudgetRule(0.2, 50.0))
         core = gateway.Gateway(self._hosts[number], terms, seed=number)
         # It runs since long before, unless it starts in the middle of a play.
-        started = self._time() - (60.0 if self.now == 0 else 0.0) * gateways.SECOND
+        started = self.time() - (60.0 if self.now == 0 else 0.0) * gateways.SECOND
         core.state.pauses.started_at = started
         self.cores[number] = core
         configuration = gateways.make_cold_configuration(
@@ -122,7 +105,7 @@
         )
         listed = tuple(engine.record(self.now) for engine in self.engines)
         core.step(
-            self._time(),
+            self.time(),
             [
                 gateway.ConfigurationRead(configuration),
                 targetlist.TargetsListed(listed),
@@ -144,7 +127,7 @@
             core.state.note_view_change()
 
     def _feed(self, number, *happened):
-        self.cores[number].step(self._time(), happened)
+        self.cores[number].step(self.time(), happened)
 
     # Engines.
 
@@ -176,12 +159,12 @@
         context = kvstores.Part(f"c{self.random.randrange(_CONTEXTS)}", 800)
         request = gateways.make_request(
             "/chat/1",
-            f"r{next(self._order)}",
-            deadline=self._time() + 10 * gateways.SECOND,
+            f"r{next(self._ids)}",
+            deadline=self.time() + 10 * gateways.SECOND,
             model="m",
             prompt=(context, kvstores.Part("own", 200)),
         )
-        match core.forwarding.begin(request, now=self._time()):
+        match core.forwarding.begin(request, now=self.time()):
             case sends.Forward() as forward:
                 self._arrive(core, forward)
             case commands.Refuse() as refuse:
@@ -197,9 +180,9 @@
         )
 
     def _serve(self, core, request_id):
-        core.forwarding.first_byte(request_id, self._time())
-        core.forwarding.served(request_id, self._time())
-        core.forwarding.close(request_id, self._time())
+        core.forwarding.first_byte(request_id, self.time())
+        core.forwarding.served(request_id, self.time())
+        core.forwarding.close(request_id, self.time())
 
     # What came of it.
 
--- a/tests/support/crashfleet.py
+++ b/tests/support/crashfleet.py
@@ -1,16 +1,15 @@
 """Several hosts' decision logic before engines that some requests crash, simulated.
 
-There is one clock, moved by events; hosts talk by gossip that takes a while, and the
-platform remembers what they write. Nothing here waits.
+Hosts talk by gossip that takes a while, and the platform remembers what they write.
 """
 
 import dataclasses
 import datetime
-import heapq
 import itertools
 import random
 
 import gateways
+import simulation
 
 from sesamespindle.decide import (
     commands,
@@ -60,7 +59,7 @@
     code: str = ""
 
 
-class Fleet:
+class Fleet(simulation.Simulation):
     """Hosts, engines, callers and the platform.
 
     Attributes
@@ -74,15 +73,13 @@
     """
 
     def __init__(self, seed, hosts=5, engines=5, data_centres=("dc-1",)):
+        super().__init__()
         self.random = random.Random(seed)
-        self.now = 0.0
         self.crashes = []
         self.bad_runs = []
         self.asked = []
         self.platform_is_away = False
         self.cut_hosts = set()
-        self._queue = []
-        self._order = itertools.count()
         self._ids = itertools.count(1)
         self._revision = itertools.count(100)
         self._quarantined = {}
@@ -93,24 +90,7 @@
         for number in range(hosts):
             self.start_host(f"entry-{number}", number)
         for name in self.core_by_name:
-            self._schedule(self.random.uniform(0, _TICK), self._tick, name)
-
-    # Time.
-
-    def run(self, seconds):
-        """Play on for so many seconds."""
-        until = self.now + seconds
-        while self._queue and self._queue[0][0] <= until:
-            self.now, _, call, args = heapq.heappop(self._queue)
-            call(*args)
-        self.now = until
-
-    def _schedule(self, after, call, *args):
-        entry = self.now + after, next(self._order), call, args
-        heapq.heappush(self._queue, entry)
-
-    def _time(self):
-        return gateways.NOW + datetime.timedelta(seconds=self.now)
+            self.after(self.random.uniform(0, _TICK), self._tick, name)
 
     # Hosts.
 
@@ -148,11 +128,11 @@
 
     def _tick(self, name):
         self._feed(name, events.Tick())
-        self._schedule(_TICK, self._tick, name)
+        self.after(_TICK, self._tick, name)
 
     def _feed(self, name, *happened):
         core = self.core_by_name[name]
-        for command in core.step(self._time(), happened):
+        for command in core.step(self.time(), happened):
             self._carry_out(name, command)
 
     def _carry_out(self, name, command):
@@ -164,9 +144,9 @@
                 answered = gossip.GossipAnswered(address, command.message)
                 self._deliver(name, sender, answered)
             case crashes.ProbeLife():
-                self._schedule(0.003, self._probe, name, command)
+                self.after(0.003, self._probe, name, command)
             case quarantine.WriteQuarantine():
-                self._schedule(0.01, self._write, name, command)
+                self.after(0.01, self._write, name, command)
             case quarantine.RemoveQuarantine():
                 self._quarantined.pop(command.fingerprint, None)
                 self._show_all(quarantine.QuarantineLifted(command.fingerprint))
@@ -174,7 +154,7 @@
     def _deliver(self, sender, receiver, event):
         if sender not in self.cut_hosts and receiver not in self.cut_hosts:
             after = self.random.uniform(*_MESSAGE_SECONDS)
-            self._schedule(after, self._feed, receiver, event)
+            self.after(after, self._feed, receiver, event)
 
     def _send_gossip(self, name, command):
         number = int(command.peer_address.partition(":")[0].rpartition(".")[2])
@@ -205,7 +185,7 @@
 
     def _show_all(self, event):
         for name in self._names():
-            self._schedule(self.random.uniform(*_LISTED_AFTER), self._feed, name, event)
+            self.after(self.random.uniform(*_LISTED_AFTER), self._feed, name, event)
 
     def remembered(self):
         """Return how many records the platform has."""
@@ -230,10 +210,8 @@
         engine.is_up = False
         runs, engine.runs = engine.runs, []
         for asked, name, attempt in runs:
-            self._schedule(
-                self.random.uniform(0, 0.01), self._break, asked, name, attempt
-            )
-        self._schedule(self.random.uniform(*_DOWN_FOR), self._bring_back, engine)
+            self.after(self.random.uniform(0, 0.01), self._break, asked, name, attempt)
+        self.after(self.random.uniform(*_DOWN_FOR), self._bring_back, engine)
 
     def _bring_back(self, engine):
         engine.is_up = True
@@ -252,18 +230,18 @@
         request = gateways.make_request(
             "/chat/1",
             asked.request_id,
-            deadline=self._time() + datetime.timedelta(seconds=_DEADLINE_SECONDS),
+            deadline=self.time() + datetime.timedelta(seconds=_DEADLINE_SECONDS),
             model="m",
             content=fingerprints.of_content(content),
         )
         core = self.core_by_name[name]
-        self._go_on(asked, name, core.forwarding.begin(request, now=self._time()))
+        self._go_on(asked, name, core.forwarding.begin(request, now=self.time()))
 
     def _go_on(self, asked, name, command):
         self._feed(name)
         match command:
             case sends.Forward():
-                self._schedule(0.003, self._arrive, asked, name, command)
+                self.after(0.003, self._arrive, asked, name, command)
             case commands.Refuse():
                 self._end(asked, name, command.code, command.retry_after)
             case sends.PassOn():
@@ -280,12 +258,12 @@
             if asked.is_bad:
                 self.bad_runs.append((self.now, asked.content))
                 after = self.random.uniform(*_CRASHES_AFTER)
-                self._schedule(
+                self.after(
                     after, self._crash_in_life, engine, engine.life, asked.content
                 )
             else:
                 after = self.random.uniform(*_RUN_SECONDS)
-                self._schedule(after, self._serve, asked, name, engine, engine.life)
+                self.after(after, self._serve, asked, name, engine, engine.life)
 
     def _crash_in_life(self, engine, life, content):
         if engine.life == life:
@@ -298,8 +276,8 @@
         core = self.core_by_name[name]
         if asked.request_id not in core.forwarding.flight_by_request:
             return
-        core.forwarding.first_byte(asked.request_id, self._time())
-        core.forwarding.served(asked.request_id, self._time())
+        core.forwarding.first_byte(asked.request_id, self.time())
+        core.forwarding.served(asked.request_id, self.time())
         self._end(asked, name, "served", None)
 
     def _break(self, asked, name, attempt):
@@ -309,18 +287,18 @@
         core = self.core_by_name[name]
         if asked.request_id not in core.forwarding.flight_by_request:
             return
-        command = core.forwarding.ended(asked.request_id, ending, now=self._time())
+        command = core.forwarding.ended(asked.request_id, ending, now=self.time())
         self._go_on(asked, name, command)
 
     def _end(self, asked, name, code, retry_after):
-        self.core_by_name[name].forwarding.close(asked.request_id, self._time())
+        self.core_by_name[name].forwarding.close(asked.request_id, self.time())
         asked.code = str(code)
         self.asked.append(asked)
         if asked.retries_left and asked.code != "served":
             pause = self.random.uniform(*_CALLER_PAUSE)
             if retry_after is not None:
                 pause = min(retry_after.total_seconds(), _DEADLINE_SECONDS / 3)
-            self._schedule(
+            self.after(
                 pause, self.ask, asked.content, asked.is_bad, asked.retries_left - 1
             )
 
@@ -331,7 +309,7 @@
         self.ask(content, is_bad=True)
         if self.now < until:
             pause = self.random.uniform(0.5 * every, 1.5 * every)
-            self._schedule(pause, self.repeat, content, every, until)
+            self.after(pause, self.repeat, content, every, until)
 
     def ask_others(self, every, until, bodies=0):
         """Have callers send other requests, of a few bodies or each of its own."""
@@ -339,7 +317,7 @@
         self.ask(f"other {number % bodies if bodies else number}".encode())
         if self.now < until:
             pause = self.random.uniform(0.5 * every, 1.5 * every)
-            self._schedule(pause, self.ask_others, every, until, bodies)
+            self.after(pause, self.ask_others, every, until, bodies)
 
     def late_runs(self, contact, content):
         """Return when a bad request reached engines after all should know of it."""
