Log the limits that targets name in their answers

Nothing in the logs could tell whether hosts overlooked a limit, kept to it one by one or heard of it late: no line said what an answer named. Now each host logs when a target begins to name a limit, changes it or ends it, with the request whose answer said so, and each send tells the limit that was known and how old the word was. The limit decides nothing yet.

What a target says of itself in its headers is read in one place, with types, and only from its own answer to the request: a late answer to an earlier request on the same connection, or an answer of the next target at the address, says nothing. Its load was taken from such answers before.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -348,12 +348,10 @@
         ending : sends.Ending or None
             As `_exchange` returns it.
         """
-        load = self._dialect.load(response.headers)
-        if load is not None:
-            self._forwarding.report_load(forward.request_id, load.running, load.waiting)
-        version = self._dialect.weight_version(response.headers)
-        if version is not None:
-            self._forwarding.report_version(forward.request_id, version)
+        signals = self._dialect.signals(forward, response.status, response.headers)
+        if signals is not None:
+            now = self._clock.now()
+            self._forwarding.note_signals(forward.request_id, signals, now)
         idle_seconds = self._dialect.keep_alive_seconds(response.headers)
         is_reusable = idle_seconds is None or idle_seconds >= _MIN_IDLE_SECONDS
         ending = self._dialect.ending_of(forward, response.status, response.headers)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -71,6 +71,8 @@
         Computes the fingerprints of requests.
     cold_targets : coldtargets.ColdTargets
         Which targets are warming up and can serve only a few requests.
+    target_limits : targetlimits.TargetLimits
+        Which targets limit the requests from all hosts together.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         quarantine,
         fingerprints,
         cold_targets,
+        target_limits,
     ):
         self._state = state
         self._weights = weights
@@ -92,6 +95,7 @@
         self._quarantine = quarantine
         self._fingerprints = fingerprints
         self._cold_targets = cold_targets
+        self._target_limits = target_limits
         self.configuration = None
         self.flight_by_request = {}
 
@@ -260,33 +264,31 @@
             self._report_to_crashes(flight, sends.Ending.LOST, now)
             self._release(flight)
 
-    def report_load(self, request_id, running, waiting):
-        """Record the load that a target reported with an answer.
+    def note_signals(self, request_id, signals, now):
+        """Record what a target says of itself with its answer to a request.
 
         Parameters
         ----------
         request_id : str
-            The request that it answered.
-        running, waiting : int
-            Requests that run, and that are queued, at the target.
+            The request.
+        signals : targetsignals.TargetSignals
+            What the target says.
+        now : datetime.datetime
+            The current time.
         """
-        row = self._target_row(request_id)
-        if row is not None:
-            row.reported_load = running + waiting
-
-    def report_version(self, request_id, version):
-        """Record the weight version that a target reported with an answer."""
-        row = self._target_row(request_id)
+        flight = self.flight_by_request.get(request_id)
+        if flight is None or flight.sent_at is None:
+            return
+        self._target_limits.note_answer(
+            flight.incarnation, signals, request_id, flight.sent_at, now
+        )
+        row = self._state.target_in(flight.incarnation)
         if row is None:
             return
-        model = self.flight_by_request[request_id].request.model
-        if model:
-            row.learn_version(model, version)
-
-    def _target_row(self, request_id):
-        """Return the row of the target of a request's last send, or None."""
-        flight = self.flight_by_request.get(request_id)
-        return self._state.target_in(flight.incarnation) if flight is not None else None
+        if signals.load is not None:
+            row.reported_load = signals.load
+        if signals.weight_version is not None and flight.request.model:
+            row.learn_version(flight.request.model, signals.weight_version)
 
     def _count_live_entries(self):
         """Return the number of live entry hosts, at least 1."""
@@ -353,7 +355,13 @@
             place.transfers if place else kvstores.NO_TRANSFERS,
             self._first_byte_timeout(flight, row),
             sendlog.explain(
-                self.configuration, flight, row, place, self._replacement(flight), now
+                self.configuration,
+                flight,
+                row,
+                place,
+                self._replacement(flight),
+                self._target_limits.describe(row.incarnation, now),
+                now,
             ),
             row.born,
         )
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -21,6 +21,7 @@
     quarantine,
     rollout,
     routes,
+    targetlimits,
     targetlist,
     weights,
     world,
@@ -103,6 +104,7 @@
         self._cold_targets = coldtargets.ColdTargets(
             self.state, self.crashes, terms.contact_time
         )
+        self.target_limits = targetlimits.TargetLimits(self.state)
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
@@ -112,6 +114,7 @@
             self.quarantine,
             fingerprints.Fingerprints(key),
             self._cold_targets,
+            self.target_limits,
         )
         self.membership = membership.Membership(
             self.state,
@@ -244,6 +247,7 @@
         self.weights.tick(now)
         self.crashes.tick(now)
         self.quarantine.tick(now)
+        self.target_limits.tick(now)
         self.membership.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
--- a/packages/decide/sesamespindle/decide/sendlog.py
+++ b/packages/decide/sesamespindle/decide/sendlog.py
@@ -3,7 +3,7 @@
 from sesamespindle.decide import placement
 
 
-def explain(configuration, flight, row, place, replaced, now):
+def explain(configuration, flight, row, place, replaced, limit, now):
     """Return the inputs of the choice of a target, for the log.
 
     Parameters
@@ -18,12 +18,15 @@
         The placement of a prompt; None for a call to a plain service.
     replaced : weights.Replacement or None
         What superseded the weights that the prompt is to run on.
+    limit : str
+        The limit that the target has named, as text.
     now : datetime.datetime
         The current time.
     """
     text = (
         f"Configuration {configuration.version}, route {flight.route.name}, "
-        f"reported load {row.reported_load}, {row.running_here} in flight from here, "
+        f"reported load {row.reported_load}, {limit}, "
+        f"{row.running_here} in flight from here, "
         f"fingerprint {flight.fingerprint or 'unknown'}"
     )
     if place is None:
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/targetsignals.py
@@ -0,0 +1,27 @@
+"""What a target says of itself in the headers of its answers."""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSignals:
+    """The signals of one answer.
+
+    Attributes
+    ----------
+    load : int or None
+        Requests that run or wait at the target; None if the answer doesn't tell.
+    weight_version : int or None
+        The weight version that generated the answer; None if the answer doesn't tell.
+    limit : float or None
+        Requests per second that the target accepts from all hosts together;
+        infinite if it names no limit, None if the value can't be read.
+    unreadable : tuple of str
+        The headers that can't be read, as ``NAME: VALUE``.
+    """
+
+    load: int | None = None
+    weight_version: int | None = None
+    limit: float | None = math.inf
+    unreadable: tuple[str, ...] = ()
--- a/tests/decide/test_incarnations.py
+++ b/tests/decide/test_incarnations.py
@@ -14,6 +14,7 @@
     rollout,
     sends,
     targetlist,
+    targetsignals,
 )
 
 NOW = gateways.NOW
@@ -130,7 +131,7 @@
     change(core, "desk-1", born=BORN_AGAIN, revision=2)
     other = gateways.begin(core, "/once/1", request_id="r2")
     assert other.born == BORN_AGAIN
-    core.forwarding.report_load("r1", 30, 30)
+    core.forwarding.note_signals("r1", targetsignals.TargetSignals(60), NOW)
     refused = core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
     assert refused.outcome is commands.Outcome.UNKNOWN
     row = row_of(core, "desk-1")
--- /dev/null
+++ b/tests/platform/test_signalheaders.py
@@ -0,0 +1,90 @@
+"""What targets say of themselves in the headers of their answers."""
+
+import math
+
+import multidict
+import pytest
+
+from sesamespindle.decide import routes, sends
+from sesamespindle.platform import dialect, signalheaders
+
+
+def read(*headers):
+    return signalheaders.read(
+        multidict.CIMultiDictProxy(multidict.CIMultiDict(headers))
+    )
+
+
+def test_an_answer_without_signals():
+    signals = read(("X-Server-Load", "busy"), ("X-Weight-Versions", "?"))
+    assert (signals.load, signals.weight_version) == (None, None)
+    assert signals.limit == math.inf
+    assert signals.unreadable == ()
+
+
+def test_load_and_weight_version():
+    signals = read(("X-Server-Load", "3,2,8"), ("x-weight-versions", "4"))
+    assert (signals.load, signals.weight_version) == (5, 4)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"), [("1.7", 1.7), ("12", 12.0), (" 0 ", 0.0), ("0.25", 0.25)]
+)
+def test_a_limit(value, limit):
+    assert read(("server-limit", value)).limit == limit
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "nan",
+        "inf",
+        "-inf",
+        "-1",
+        "+1",
+        "1e300",
+        "1.",
+        ".5",
+        "1,7",
+        "soon",
+        "\u0661",
+    ],
+)
+def test_a_bad_limit_changes_nothing_and_is_named(value):
+    signals = read(("Server-Limit", value))
+    assert signals.limit is None
+    assert signals.unreadable == (f"Server-Limit: {value}",)
+
+
+def test_a_limit_that_comes_twice_is_bad():
+    signals = read(("Server-Limit", "1"), ("Server-Limit", "5"))
+    assert signals.limit is None
+    assert signals.unreadable == ("Server-Limit: 1, 5",)
+
+
+def test_a_limit_with_more_digits_than_a_number_holds_limits_nothing():
+    assert read(("Server-Limit", "9" * 400)).limit == math.inf
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_heard"),
+    [
+        (200, {"X-Attempt-Id": "r1"}, True),
+        (200, {"X-Attempt-Id": "r0"}, False),
+        (503, {"X-Attempt-Id": "r1", "X-Not-Executed": "1"}, True),
+        (421, {"X-Attempt-Id": "r1"}, False),
+        (421, {"X-Attempt-Id": "r1", "X-Instance-Id": "other-2"}, False),
+        (421, {"X-Attempt-Id": "r1", "X-Instance-Id": "llm-1"}, True),
+    ],
+)
+def test_only_the_targets_own_answer_to_this_request_is_heard(
+    status, headers, is_heard
+):
+    """Another target at the address, or a late answer, would name a limit for it."""
+    forward = sends.Forward(
+        "r1", 1, "llm-1", "10.1.0.1:80", None, 5, None, routes.Repeats.ONCE, True
+    )
+    headers = multidict.CIMultiDict(headers | {"Server-Limit": "1.5"})
+    signals = dialect.Dialect().signals(forward, status, headers)
+    assert (signals is not None) == is_heard
