--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import aiohttp.web
+import limits
 
 # Waits end when their condition holds; this time-out only ends a test in which that
 # never happens.
@@ -233,6 +234,13 @@
         it runs; if empty, no request does.
     crashes : list of float
         The times of its crashes, in seconds of the event loop's clock.
+    signals : dict of str to str
+        Headers in which it says something of itself in every answer.
+    arrivals : list of limits.Arrival
+        The requests that reached it, but for those meant for another target. The host
+        is what the request's id has before its first dot.
+    answers : list of limits.Answer
+        Its answers, with the limits that they name.
     turns_away : bool
         Whether it refuses all requests with status 503 as overloaded. The body of
         that answer is sent once `release` is set.
@@ -256,6 +264,9 @@
         self.crashed_by = b""
         self.crashes = []
         self.turns_away = False
+        self.signals = {}
+        self.arrivals = []
+        self.answers = []
         self.readers = []
         self.writers = []
         self.loses_answers = False
@@ -347,6 +358,7 @@
             self.refused += 1
             writer.write(make_answer(421, headers, {"X-Instance-Id": self.name}))
             return
+        self._note_arrival(headers)
         if self.turns_away:
             await self._refuse_as_full(headers, writer)
             return
@@ -367,14 +379,23 @@
             await self._answer_unframed(headers, writer)
             return
         body = f"{self.name} ran {headers['x-attempt-id']}".encode()
-        stamp = {"X-Server-Stamp": "s"}
+        extra = {"X-Server-Stamp": "s"} | self.signals
         writer.write(
-            make_answer(self.status, headers, stamp, body) + self.second_answer
+            make_answer(self.status, headers, extra, body) + self.second_answer
         )
 
+    def _note_arrival(self, headers):
+        """Record a request, and the answer, whose headers follow at once."""
+        now = asyncio.get_running_loop().time()
+        host, _, _ = headers.get("x-attempt-id", "").partition(".")
+        self.arrivals.append(limits.Arrival(now, host))
+        limit = float(self.signals.get("Server-Limit", "inf"))
+        self.answers.append(limits.Answer(now, host, limit))
+
     async def _refuse_as_full(self, headers, writer):
         body = b"full"
-        answer = make_answer(503, headers, {"X-Not-Executed": "1"}, body)
+        extra = {"X-Not-Executed": "1"} | self.signals
+        answer = make_answer(503, headers, extra, body)
         writer.write(answer.removesuffix(body))
         await self.release.wait()
         writer.write(body)
@@ -397,10 +418,16 @@
         writer.close()
 
     async def _stream(self, headers, writer):
+        signals = "".join(
+            f"{name}: {value}\r\n" for name, value in self.signals.items()
+        )
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"X-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n"
-            b"X-Attempt-Id: " + headers["x-attempt-id"].encode() + b"\r\n\r\n"
+            + signals.encode()
+            + b"X-Attempt-Id: "
+            + headers["x-attempt-id"].encode()
+            + b"\r\n\r\n"
         )
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, 4):
