Let a few hosts share what a target with a limit accepts

What callers and operators saw: engines that named a limit of 1.0 to 1.7 requests a second for all hosts together got 13 to 17 requests in 4 s, where 11 to 15 are allowed.

Cause: no host used what an engine says of itself in its answers; the header was dropped with all others that nothing reads. The daemons' new log lines show sends to an engine whose limit the host had heard 0.1 s before. Ruled out: a word that comes late (hosts sent five times more after their first answer with a limit) and hosts that each keep to the limit alone (one stand-in host sent eight times the limit).

The limit is the fleet's, with no coordinator and no call on a request's path. Weighed: equal parts for all hosts (at 1 a second and 195 hosts a part is nothing, and the requests that each may send at once are above the bound already), one sender as for cold targets (loses the whole target with that host), senders chosen among live hosts (each side of a partition chooses its own). Chosen: the first 3 + 1.2 x limit hosts by rendezvous among all known ones, dead or not, with equal parts of nine tenths and a pause between requests, so that in any 4 s they send at most 3 + 1.2 x allowed of the 5 + 1.5 x allowed. Cold targets use the same ranks. Hosts tell each other the limits by gossip, with the time of the target's word; a host that is no sender asks the target after a silence that grows with its rank, so that a limit whose senders are gone, or which ended while a host was out of touch, is noticed. What no target takes is refused at once with the new code 'limited'.

The choice of candidates has a module of its own, which the second thing that engines say can use as well.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -41,6 +41,10 @@
         "The host was leaving and would have stopped before it could answer.",
     ),
     ("Refused: overloaded", "All targets were too busy to answer in time."),
+    (
+        "Refused: limited",
+        "All targets limit their requests, and this host's part of that was used.",
+    ),
     ("Refused: no_target", "The host knew no target that could take the request."),
     (
         "ended: silent",
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import datetime
+import math
 
 from sesamespindle.daemon import crashmessages
 from sesamespindle.decide import announcements, events, gossip, incarnations, kvstores
@@ -116,6 +117,7 @@
         named=[_naming_to_wire(item, now) for item in message.named],
         store_words=[_store_word_to_wire(item, now) for item in message.store_words],
         store_news=[_store_news_to_wire(item) for item in message.store_news],
+        target_limits=[_limit_to_wire(item, now) for item in message.target_limits],
         **crashmessages.to_wire(message.crash_news, now),
     )
 
@@ -187,6 +189,9 @@
         ),
         tuple(_store_news_from_wire(item) for item in message.store_news),
         crashmessages.from_wire(message, sent_after or now),
+        tuple(
+            _limit_from_wire(item, sent_after or now) for item in message.target_limits
+        ),
     )
 
 
@@ -283,6 +288,24 @@
     )
 
 
+def _limit_to_wire(item, now):
+    """Return a target's limit, with the time since the target told it."""
+    return peers_pb2.TargetLimit(
+        target=item.incarnation.name,
+        born=item.incarnation.born,
+        per_second=item.limit if math.isfinite(item.limit) else None,
+        seconds_ago=(now - item.told_at).total_seconds(),
+    )
+
+
+def _limit_from_wire(message, sent_at):
+    return gossip.TargetLimit(
+        incarnations.TargetIncarnation(message.target, message.born),
+        message.per_second if message.HasField("per_second") else math.inf,
+        sent_at - datetime.timedelta(seconds=message.seconds_ago),
+    )
+
+
 def asks_to_wire(asks):
     """Return the protobuf forms of `events.SliceAsk` records, as a list."""
     return [
--- /dev/null
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -0,0 +1,81 @@
+"""Finds the targets that a request may be sent to."""
+
+from sesamespindle.decide import placement
+
+
+class Candidates:
+    """Leaves out the targets that must not get a request from this host now.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    cold_targets : coldtargets.ColdTargets
+        Which targets are warming up and can serve only a few requests.
+    target_limits : targetlimits.TargetLimits
+        Which targets limit the requests from all hosts together.
+    prompt_placement : promptplacement.PromptPlacement
+        On which engines a prompt can begin in time.
+    quarantine : quarantine.Quarantine
+        Which requests are suspected of crashing targets.
+    """
+
+    def __init__(
+        self, state, cold_targets, target_limits, prompt_placement, quarantine
+    ):
+        self._state = state
+        self._cold_targets = cold_targets
+        self._target_limits = target_limits
+        self._prompt_placement = prompt_placement
+        self._quarantine = quarantine
+
+    def find(self, flight, service, connection_limit, now):
+        """Return the targets that can take one more connection from this host.
+
+        Engines on which the prompt can't begin before the deadline of their
+        superseded weights are removed first. Guards against a refusal although an
+        engine with the new weights exists: if that one was ejected or already tried,
+        the later filters would drop it in favour of engines that can't serve.
+
+        Parameters
+        ----------
+        flight : flights.Flight
+            The request.
+        service : routes.Service or None
+            Its service, if the configuration has it.
+        connection_limit : int or None
+            The most requests in flight from this host to one target; None for no
+            limit.
+        now : datetime.datetime
+            The current time.
+
+        Returns
+        -------
+        rows : list of world.TargetRow
+        """
+        rows = self._target_limits.permitted_targets(self.staying(flight.service), now)
+        rows = self._cold_targets.permitted_targets(rows, flight.service, now)
+        if flight.is_engine_prompt(service):
+            rows = self._prompt_placement.engines_in_time(
+                flight, service.engines, rows, now
+            )
+        rows = placement.usable(rows, now) or rows
+        untried = [row for row in rows if row.incarnation not in flight.tried]
+        rows = untried or rows
+        if connection_limit is not None:
+            rows = [row for row in rows if row.running_here < connection_limit]
+        return self._quarantine.permitted_targets(flight.fingerprint, rows, now)
+
+    def staying(self, service):
+        """Return the targets of a service that are listed and don't leave."""
+        return [row for row in self._state.targets.where("pool", service) if row.stays]
+
+    def are_limited(self, service):
+        """Return whether a service has targets, and all of them name limits."""
+        rows = self.staying(service)
+        return bool(rows) and all(self._target_limits.is_limited(row) for row in rows)
+
+    def note_sent(self, row, now):
+        """Note that a request was sent to a target, which limits the rate of sends."""
+        self._cold_targets.note_sent(row, now)
+        self._target_limits.note_sent(row, now)
--- a/packages/decide/sesamespindle/decide/coldtargets.py
+++ b/packages/decide/sesamespindle/decide/coldtargets.py
@@ -1,14 +1,10 @@
 """Limits the requests to cold targets, which have just started.
 
 A cold target can handle only a few requests a second. With more it crashes, and its
-memory and runs are lost. The limit is on the requests of all hosts together, far below
-one request a second from each host, and it must hold although some hosts can't reach
-each other. So only one host sends to each cold target, and all hosts find the same one
-without communication, by rendezvous hashing.
+memory and runs are lost. So only one host sends to each cold target, the first of
+`senders.SenderRanks`. A target whose sender is dead gets no requests until it is warm.
 """
 
-from sesamespindle.decide import hashing
-
 # Share of a cold target's permitted rate that its sender uses. For a while two or three
 # hosts may each consider themselves the sender, as the lists of hosts that they know
 # differ by recently replaced hosts.
@@ -24,18 +20,14 @@
         The shared tables.
     crashes : crashes.Crashes
         Knows the incarnations of targets that have crashed.
-    settled_after : datetime.timedelta
-        A host sends to no cold target before it has run for this long. Until then it
-        may know too few other hosts to find the same sender as they do.
+    ranks : senders.SenderRanks
+        Which host sends to which target.
     """
 
-    def __init__(self, state, crashes, settled_after):
+    def __init__(self, state, crashes, ranks):
         self._state = state
         self._crashes = crashes
-        self._settled_after = settled_after
-        # A cache, valid as long as `state.view` is `_cached_view`.
-        self._sender_by_incarnation = {}
-        self._cached_view = None
+        self._ranks = ranks
 
     def permitted_targets(self, rows, service, now):
         """Return the targets, out of some, that may get a request from this host now.
@@ -96,40 +88,9 @@
 
     def _may_send(self, row, cold_start, now):
         """Return whether this host may send to a cold target now."""
-        if (
-            not self._is_settled(now)
-            or self._sender(row.incarnation) != self._state.me.name
-        ):
+        if not self._ranks.is_settled(now) or self._ranks.rank(row.incarnation) > 0:
             return False
         if row.cold_sent_at is None:
             return True
         gap = 1.0 / (_RATE_SHARE * cold_start.per_second)
         return (now - row.cold_sent_at).total_seconds() >= gap
-
-    def _is_settled(self, now):
-        """Return whether this host has run long enough to know the other hosts.
-
-        Guards against hosts that all start at once, for example after a power failure:
-        each knows few others at first, considers itself the sender of most cold
-        targets, and together they send more than those can handle.
-        """
-        if not self._state.knows_entries:
-            return False
-        return now - self._state.pauses.started_at >= self._settled_after
-
-    def _sender(self, incarnation):
-        """Return the name of the host that sends to a cold incarnation of a target.
-
-        Dead hosts are not left out: hosts that can't reach each other consider each
-        other dead, and each side would choose a sender of its own. A target whose
-        sender is dead gets no requests until it is warm.
-        """
-        if self._cached_view != self._state.view:
-            self._cached_view = self._state.view
-            self._sender_by_incarnation.clear()
-        if incarnation not in self._sender_by_incarnation:
-            names = [entry.name for entry in self._state.entries]
-            self._sender_by_incarnation[incarnation] = hashing.first(
-                f"cold/{incarnation.name}", names
-            )
-        return self._sender_by_incarnation[incarnation]
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -26,6 +26,7 @@
     CONCURRENCY = "concurrency_limit"
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
+    LIMITED = "limited"
     RETRY_BUDGET = "retry_budget_spent"
     DEADLINE = "deadline_passed"
     PLATFORM_AWAY = "platform_away"
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -108,3 +108,7 @@
     tried: set = dataclasses.field(default_factory=set)
     version: int | None = None
     has_begun: bool = False
+
+    def is_engine_prompt(self, service):
+        """Return whether it is a prompt, and a service is known and has engines."""
+        return service is not None and bool(service.engines and self.request.model)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -8,7 +8,6 @@
     flights,
     kvstores,
     placement,
-    promptplacement,
     retries,
     routes,
     sendlog,
@@ -59,8 +58,6 @@
         The shared tables.
     weights : weights.Weights
         The announced weight version of each model.
-    stores : kvstores.KvStores
-        Which KV cache can be fetched from where.
     budgets : budgets.SharedBudgets
         The retry budgets.
     crashes : crashes.Crashes
@@ -69,33 +66,35 @@
         Which requests are suspected of crashing targets.
     fingerprints : fingerprints.Fingerprints
         Computes the fingerprints of requests.
-    cold_targets : coldtargets.ColdTargets
-        Which targets are warming up and can serve only a few requests.
+    prompt_placement : promptplacement.PromptPlacement
+        Selects the engines of prompts.
     target_limits : targetlimits.TargetLimits
         Which targets limit the requests from all hosts together.
+    found_candidates : candidates.Candidates
+        Finds the targets that a request may be sent to.
     """
 
     def __init__(
         self,
         state,
         weights,
-        stores,
         budgets,
         crashes,
         quarantine,
         fingerprints,
-        cold_targets,
+        prompt_placement,
         target_limits,
+        found_candidates,
     ):
         self._state = state
         self._weights = weights
-        self._prompt_placement = promptplacement.PromptPlacement(state, weights, stores)
+        self._prompt_placement = prompt_placement
         self._budgets = budgets
         self._crashes = crashes
         self._quarantine = quarantine
         self._fingerprints = fingerprints
-        self._cold_targets = cold_targets
         self._target_limits = target_limits
+        self._candidates = found_candidates
         self.configuration = None
         self.flight_by_request = {}
 
@@ -306,13 +305,13 @@
         if flight.until - now < _MIN_TIME_LEFT:
             return self._final_answer(flight, ending, now)
         service = self.configuration.service_by_name.get(flight.service)
-        rows = self._candidates(flight, service, now)
+        rows = self._candidates.find(
+            flight, service, self._connection_limit(service), now
+        )
         if not rows:
-            code = commands.Code.NO_TARGET
-            if self._quarantine.possible_crash_count(flight.fingerprint) > 1:
-                code = commands.Code.SUSPECTED
+            code = self._code_without_candidates(flight)
             return self._final_answer(flight, ending, now, code)
-        if not _is_engine_prompt(flight, service):
+        if not flight.is_engine_prompt(service):
             row = placement.choose_service_target(rows, self._state.me.data_centre, now)
             return self._start(flight, row, None, now)
         place = self._prompt_placement.choose(flight, service.engines, rows, now)
@@ -322,6 +321,20 @@
             return self._final_answer(flight, ending, now, commands.Code.OVERLOADED)
         return self._start(flight, place.row, place, now)
 
+    def _connection_limit(self, service):
+        """Return the most requests in flight from here to one target, or None."""
+        if service is None or not service.max_connections:
+            return None
+        return max(1, service.max_connections // self._count_live_entries())
+
+    def _code_without_candidates(self, flight):
+        """Return the code of the refusal of a request that no target may get."""
+        if self._quarantine.possible_crash_count(flight.fingerprint) > 1:
+            return commands.Code.SUSPECTED
+        if self._candidates.are_limited(flight.service):
+            return commands.Code.LIMITED
+        return commands.Code.NO_TARGET
+
     def _start(self, flight, row, place, now):
         """Record a send at its target, and return it."""
         request = flight.request
@@ -332,7 +345,7 @@
         flight.has_begun = False
         flight.tried.add(row.incarnation)
         row.running_here += 1
-        self._cold_targets.note_sent(row, now)
+        self._candidates.note_sent(row, now)
         if place:
             sent = world.SentWork(now, place.prefill_tokens)
             row.sent_by_request[request.request_id] = sent
@@ -360,38 +373,12 @@
                 row,
                 place,
                 self._replacement(flight),
-                self._target_limits.describe(row.incarnation, now),
+                self._target_limits.describe(row, now),
                 now,
             ),
             row.born,
         )
 
-    def _candidates(self, flight, service, now):
-        """Return the targets that can take one more connection from this daemon.
-
-        Engines on which the prompt can't begin before the deadline of their
-        superseded weights are removed first. Guards against a refusal although an
-        engine with the new weights exists: if that one was ejected or already tried,
-        the later filters would drop it in favour of engines that can't serve.
-        """
-        rows = [
-            row
-            for row in self._state.targets.where("pool", flight.service)
-            if row.stays
-        ]
-        rows = self._cold_targets.permitted_targets(rows, flight.service, now)
-        if _is_engine_prompt(flight, service):
-            rows = self._prompt_placement.engines_in_time(
-                flight, service.engines, rows, now
-            )
-        rows = placement.usable(rows, now) or rows
-        untried = [row for row in rows if row.incarnation not in flight.tried]
-        rows = untried or rows
-        if service is not None and service.max_connections:
-            limit = max(1, service.max_connections // self._count_live_entries())
-            rows = [row for row in rows if row.running_here < limit]
-        return self._quarantine.permitted_targets(flight.fingerprint, rows, now)
-
     def _would_wait_too_long(self, flight, row, now):
         """Return whether the queue at a target is too long for the time left."""
         time_left = flight.until - now
@@ -513,7 +500,8 @@
 
     def _describe_targets(self, flight, now):
         rows = list(self._state.targets.where("pool", flight.service))
-        return sendlog.describe_targets(rows, self._count_live_entries(), now)
+        limited = sum(self._target_limits.is_limited(row) for row in rows)
+        return sendlog.describe_targets(rows, self._count_live_entries(), limited, now)
 
     def timed_out(self, request_id, now, sent):
         """Return the final answer of a request whose time limit has passed.
@@ -581,11 +569,6 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
-def _is_engine_prompt(flight, service):
-    """Return whether a request is a prompt, and its service has engines."""
-    return service is not None and bool(service.engines and flight.request.model)
-
-
 def _urgency(flight):
     """Return the urgency that a target sorts the request by, 0 first.
 
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -5,6 +5,7 @@
 
 from sesamespindle.decide import (
     budgets,
+    candidates,
     catalogue,
     coldtargets,
     commands,
@@ -18,9 +19,11 @@
     kvstores,
     lease,
     membership,
+    promptplacement,
     quarantine,
     rollout,
     routes,
+    senders,
     targetlimits,
     targetlist,
     weights,
@@ -101,26 +104,34 @@
         self.stores = kvstores.KvStores(self.state)
         self.crashes = crashes.Crashes(self.state)
         self.quarantine = quarantine.Quarantine(self.state, self.crashes)
-        self._cold_targets = coldtargets.ColdTargets(
-            self.state, self.crashes, terms.contact_time
+        ranks = senders.SenderRanks(self.state, terms.contact_time)
+        self.target_limits = targetlimits.TargetLimits(self.state, ranks)
+        prompt_placement = promptplacement.PromptPlacement(
+            self.state, self.weights, self.stores
         )
-        self.target_limits = targetlimits.TargetLimits(self.state)
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
-            self.stores,
             budgets.SharedBudgets(terms.budget),
             self.crashes,
             self.quarantine,
             fingerprints.Fingerprints(key),
-            self._cold_targets,
+            prompt_placement,
             self.target_limits,
+            candidates.Candidates(
+                self.state,
+                coldtargets.ColdTargets(self.state, self.crashes, ranks),
+                self.target_limits,
+                prompt_placement,
+                self.quarantine,
+            ),
         )
         self.membership = membership.Membership(
             self.state,
             seeds,
             store_relay=self.stores.relay,
             quarantine=self.quarantine,
+            target_limits=self.target_limits,
         )
         self.lease = lease.Lease(
             self.state, terms.lease_time, self.membership.is_reachable
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -112,6 +112,23 @@
     held_tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLimit:
+    """The limit on requests that a target last told a host.
+
+    Attributes
+    ----------
+    limit : float
+        Requests per second from all hosts together; infinite if the limit has ended.
+    told_at : datetime.datetime
+        When the target told it.
+    """
+
+    incarnation: incarnations.TargetIncarnation
+    limit: float
+    told_at: datetime.datetime
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRelease:
     """A holder's promise that it never acts under a lease's epoch again.
@@ -277,6 +294,7 @@
     store_words: tuple[StoreWord, ...] = ()
     store_news: tuple[StoreNews, ...] = ()
     crash_news: CrashNews = CrashNews()
+    target_limits: tuple[TargetLimit, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -77,6 +77,8 @@
         Propagates the contents of KV stores inside the data centre.
     quarantine : quarantine.Quarantine, optional
         Propagates which requests crash targets.
+    target_limits : targetlimits.TargetLimits, optional
+        Propagates the limits that targets name.
     """
 
     def __init__(
@@ -87,9 +89,11 @@
         probes_at_start=True,
         store_relay=None,
         quarantine=None,
+        target_limits=None,
     ):
         self._state = state
         self._quarantine = quarantine
+        self._target_limits = target_limits
         # The incarnation of each peer of this data centre that was last sent all known
         # crashes, by the peer's name.
         self._informed_incarnation_by_peer = {}
@@ -113,7 +117,10 @@
         """Check which peers don't respond, and start a gossip round when one is due."""
         self._probes.tick(now)
         self._check_responses(now)
-        is_urgent = self._urgent or self._state.must_announce_crashes
+        state = self._state
+        is_urgent = (
+            self._urgent or state.must_announce_crashes or state.must_start_round
+        )
         if self._next_round is None or now >= self._next_round or is_urgent:
             self._next_round = now + self._interval
             self.start_round(now)
@@ -135,9 +142,8 @@
     def start_round(self, now):
         """Start a gossip round with a few peers."""
         self._last_round_at = now
-        self._urgent = self._state.must_announce_pending = (
-            self._state.must_announce_crashes
-        ) = False
+        self._urgent = self._state.must_start_round = False
+        self._state.must_announce_pending = self._state.must_announce_crashes = False
         me = self._state.entries.get(self._state.me.name)
         me.heartbeat += 1
         self._raise_pulse(me)
@@ -146,7 +152,7 @@
         message_by_inside = {}
         for address, inside in self._choose_peers(now):
             if inside not in message_by_inside:
-                message_by_inside[inside] = self._message(inside)
+                message_by_inside[inside] = self._message(inside, now)
             self._state.emit(commands.GossipTo(address, message_by_inside[inside]))
         for row in self._state.targets:
             row.version_rounds = max(0, row.version_rounds - 1)
@@ -214,7 +220,7 @@
         inside = message.data_centre == self._state.me.data_centre
         newer, wanted = self._compare(message)
         reply = self._message(
-            inside, newer, wanted, message.store_words, self._is_newly_met(message)
+            inside, now, newer, wanted, message.store_words, self._is_newly_met(message)
         )
         self._state.emit(commands.GossipReply(event.exchange_id, reply))
 
@@ -234,7 +240,8 @@
             if name in self._state.entries
         ]
         if asked_for:
-            message = self._message(True, [_to_member(row) for row in asked_for])
+            members = [_to_member(row) for row in asked_for]
+            message = self._message(True, now, members)
             self._state.emit(commands.GossipTo(event.peer_address, message))
 
     def is_reachable(self, data_centre, now):
@@ -404,7 +411,7 @@
         return True
 
     def _message(
-        self, inside, members=(), wanted=(), their_words=None, is_newly_met=False
+        self, inside, now, members=(), wanted=(), their_words=None, is_newly_met=False
     ):
         """Return a message to a peer.
 
@@ -412,6 +419,8 @@
         ----------
         inside : bool
             Whether the peer is in this data centre.
+        now : datetime.datetime
+            The current time.
         members : iterable of gossip.Member
             The records that the peer lacks.
         wanted : iterable of str
@@ -425,6 +434,9 @@
         crash_news = gossip.CrashNews()
         if self._quarantine is not None:
             crash_news = self._quarantine.records_to_announce(is_newly_met)
+        target_limits = ()
+        if self._target_limits is not None:
+            target_limits = self._target_limits.records_to_announce(now)
         digests = store_words = store_news = ()
         if inside and self._store_relay is not None:
             store_words = self._store_relay.states_for(their_words or ())
@@ -455,6 +467,7 @@
             store_words=store_words,
             store_news=store_news,
             crash_news=crash_news,
+            target_limits=target_limits,
         )
 
     def _pending(self):
@@ -546,6 +559,8 @@
             self._store_relay.merge(message)
         if self._quarantine is not None:
             self._quarantine.merge(message.crash_news, now)
+        if self._target_limits is not None:
+            self._target_limits.merge(message.target_limits, now)
 
     def _merge_pending(self, message, now):
         """Replace the sender's pending work at each target by that in its message."""
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -344,6 +344,8 @@
         self.lease_release: gossip.LeaseRelease | None = None
         # Whether work was sent that must be announced before the next gossip round.
         self.must_announce_pending = False
+        # Whether something has changed that peers must hear at the next tick.
+        self.must_start_round = False
         # Whether a crash, a clearing or a quarantine must be announced before the next
         # gossip round.
         self.must_announce_crashes = False
--- a/tests/support/limitfleet.py
+++ b/tests/support/limitfleet.py
@@ -45,6 +45,7 @@
         self.refused = []
         self.group_of = lambda name: 0
         self.sends = 0
+        self._removed = set()
         self._request_ids = itertools.count()
         # When each host was started again, or cut off from its peers, by its name.
         self.restarted_at = {}
@@ -59,6 +60,14 @@
         self.restarted_at.setdefault(name, []).append(self.now)
         self.start_host(name, int(name.rpartition("-")[2]))
 
+    def remove_host(self, name):
+        """End a host for good, without notice."""
+        self.cut_hosts.add(name)
+        self._removed.add(name)
+
+    def _names(self):
+        return [name for name in super()._names() if name not in self._removed]
+
     def split(self, group_of):
         """Let only hosts of one group reach each other; `group_of` takes a name."""
         self.group_of = group_of
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 
 # From this long after a target first named its limit, in seconds, it may get no more in
 # any window than a part above what the limit allows, and a few requests besides. A
@@ -11,6 +12,7 @@
 FACTOR = 1.5
 SLACK = 5
 TOLD_SECONDS = 0.5
+_DECIMAL = re.compile(r"\d+(\.\d+)?")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +32,20 @@
     limit: float
 
 
+def read(value):
+    """Return the limit that a header's value names, as a host has to read it.
+
+    Returns
+    -------
+    limit : float or None
+        Infinite for no header; None if the value can't be read, so that the limit
+        stays as it was.
+    """
+    if value is None:
+        return math.inf
+    return float(value) if _DECIMAL.fullmatch(value) else None
+
+
 def allowed(limit):
     """Return the most requests that a limit allows in one window."""
     return FACTOR * limit * WINDOW_SECONDS + SLACK
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -237,10 +237,10 @@
     signals : dict of str to str
         Headers in which it says something of itself in every answer.
     arrivals : list of limits.Arrival
-        The requests that reached it, but for those meant for another target. The host
-        is what the request's id has before its first dot.
+        The requests that reached its current incarnation, but for those meant for
+        another target. The host is what the request's id has before its first dot.
     answers : list of limits.Answer
-        Its answers, with the limits that they name.
+        The answers of its current incarnation, with the limits that they name.
     turns_away : bool
         Whether it refuses all requests with status 503 as overloaded. The body of
         that answer is sent once `release` is set.
@@ -321,6 +321,7 @@
         for writer in self.writers if is_seen else ():
             writer.transport.abort()
         self.readers, self.writers, self.runs = [], [], []
+        self.arrivals, self.answers = [], []
         self.born += 1000
 
     async def _serve(self, reader, writer):
@@ -389,8 +390,9 @@
         now = asyncio.get_running_loop().time()
         host, _, _ = headers.get("x-attempt-id", "").partition(".")
         self.arrivals.append(limits.Arrival(now, host))
-        limit = float(self.signals.get("Server-Limit", "inf"))
-        self.answers.append(limits.Answer(now, host, limit))
+        limit = limits.read(self.signals.get("Server-Limit"))
+        if limit is not None:
+            self.answers.append(limits.Answer(now, host, limit))
 
     async def _refuse_as_full(self, headers, writer):
         body = b"full"
