Have the soak's targets name limits, and its checker judge them

Targets of the soak now name a limit for some seconds, one of them or all at once, beside all other faults; the checker judges each incarnation by what its targets saw. Existing seeds keep their faults: the new kind is drawn from a source of its own.

--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -414,3 +414,26 @@
     elsewhere = records.Fault("pause", records.Area.DAEMON, "entry-2", 13.0, 15.9)
     assert _find_crashing(4, paused) == set()
     assert _find_crashing(4, elsewhere) == {"requests that crash targets are stopped"}
+
+
+def _find_limited(*faults):
+    arrivals = [
+        records.Arrival("r1", "desk-1", 1, 10.0 + number * 0.25, 1.0)
+        for number in range(40)
+    ]
+    return _promises(
+        sent_requests=[_SENT], runs=[_RUN], arrivals=arrivals, faults=list(faults)
+    )
+
+
+def test_requests_above_a_targets_limit_are_found():
+    assert _find_limited() == {"limits of targets are kept"}
+
+
+def test_a_host_that_was_paused_or_a_disturbed_link_excuses_them():
+    paused = records.Fault("pause", records.Area.DAEMON, "entry-1", 13.0, 15.9)
+    elsewhere = records.Fault("pause", records.Area.DAEMON, "entry-2", 13.0, 15.9)
+    link = records.Fault("link freeze", records.Area.TARGET, "desk-1", 13.0, 15.9)
+    assert _find_limited(paused) == set()
+    assert _find_limited(link) == set()
+    assert _find_limited(elsewhere) == {"limits of targets are kept"}
--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -33,7 +33,14 @@
 
 def _play(seed, options):
     outcome = asyncio.run(
-        play.play(seed, options.seconds, options.daemons, options.callers, crashes=True)
+        play.play(
+            seed,
+            options.seconds,
+            options.daemons,
+            options.callers,
+            crashes=True,
+            signals=True,
+        )
     )
     journal = outcome.journal
     print(
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -8,6 +8,8 @@
 import itertools
 import re
 
+import limits
+
 from soak import records, targets
 
 # The platform's bounds, as the daemons' settings have them, in seconds: the time in
@@ -88,6 +90,7 @@
     violations += _check_salts(journal.runs)
     violations += _check_recovery(journal)
     violations += _check_crashing(journal)
+    violations += _check_limits(journal)
     violations += [
         Violation("daemons keep running", "", f"{daemon} exited by itself with {code}")
         for daemon, code in journal.exits
@@ -441,6 +444,49 @@
             yield Violation("requests that crash targets are stopped", path, detail)
 
 
+def _check_limits(journal):
+    """Check that hosts keep the limits that targets name.
+
+    A daemon that was stopped, paused or started meanwhile is excused, and so is a
+    target whose link was disturbed: requests that a link held back arrive together.
+    """
+    daemon_by_request = journal.daemon_by_request()
+    by_incarnation = collections.defaultdict(list)
+    for arrival in journal.arrivals:
+        if arrival.request_id in daemon_by_request:
+            by_incarnation[arrival.target, arrival.born].append(arrival)
+
+    def is_excused(daemon, since, until):
+        own = [
+            fault
+            for fault in journal.faults
+            if fault.area is _Area.DAEMON
+            and fault.subject in ("", daemon)
+            and fault.what != "reload"
+        ]
+        return not _is_undisturbed(own, since, until)
+
+    for (target, _), arrivals in by_incarnation.items():
+        if any(
+            fault.subject == target and _affects_store_or_link(fault)
+            for fault in journal.faults
+        ):
+            continue
+        hosts = [daemon_by_request[arrival.request_id] for arrival in arrivals]
+        seen = [
+            limits.Arrival(arrival.at, host)
+            for arrival, host in zip(arrivals, hosts, strict=True)
+        ]
+        answers = [
+            limits.Answer(arrival.at, host, arrival.limit)
+            for arrival, host in zip(arrivals, hosts, strict=True)
+        ]
+        excess = limits.excess(seen, answers, is_excused)
+        if excess > 0:
+            detail = f"{target} got {excess:.1f} requests too many in a window"
+            yield Violation("limits of targets are kept", "", detail)
+
+
 def _faults_affecting(journal, daemon):
     """Return the faults that can keep a daemon from learning of a change."""
     return [
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -130,6 +130,21 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NameLimit:
+    """Targets name a limit on the requests per second from all hosts together.
+
+    Attributes
+    ----------
+    all_targets : bool
+        Whether all targets do, or one.
+    """
+
+    limit: float
+    all_targets: bool
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainTarget:
     """A target is drained and leaves."""
@@ -188,6 +203,12 @@
     return source.choice(makers)()
 
 
+def draw_signal(source):
+    """Return a drawn fault in which targets say something of themselves."""
+    limit = source.choice((0.5, 1.0, 1.7, 6.0))
+    return NameLimit(limit, source.random() < 0.3, source.uniform(4, 9))
+
+
 def _planned_makers(source):
     def stop_in_turn():
         interval, restart_delay = source.uniform(0, 1.5), source.uniform(0, 1)
@@ -289,6 +310,8 @@
                 target.second_answer = answer
                 await asyncio.sleep(fault.seconds)
                 target.second_answer = b""
+        case NameLimit():
+            await _name_limit(fault, target, world)
         case DrainTarget():
             await world.drain_target(target)
         case ChangeConfiguration():
@@ -297,6 +320,19 @@
             await world.announce_weights(world.weights + 1)
 
 
+async def _name_limit(fault, target, world):
+    named = [target]
+    if fault.all_targets:
+        named = list(world.target_by_name.values())
+    subject = "" if fault.all_targets else target.name
+    with _recorded(world, "name limit", _Area.TARGET, subject):
+        for target in named:
+            target.signals = {"Server-Limit": str(fault.limit)}
+        await asyncio.sleep(fault.seconds)
+        for target in named:
+            target.signals = {}
+
+
 async def _pause(world, daemon, seconds):
     with _recorded(world, "pause", _Area.DAEMON, daemon.name):
         daemon.send_signal(signal.SIGSTOP)
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -48,6 +48,9 @@
 # The longest time between two restarts of targets under their own names.
 _RESTART_INTERVAL_SECONDS = 4.0
 
+# The longest time between two spans in which targets say what they need.
+_SIGNAL_INTERVAL_SECONDS = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -66,6 +69,7 @@
     restarts=True,
     announcements=True,
     crashes=False,
+    signals=False,
 ):
     """Run one soak and return its `Outcome`.
 
@@ -88,6 +92,8 @@
         the same reason.
     crashes : bool
         Whether prompts that crash engines are also sent.
+    signals : bool
+        Whether targets also say in their answers what they need.
     """
     async with contextlib.AsyncExitStack() as stack:
         fleet = await stack.enter_async_context(world.World(seed, daemons))
@@ -117,8 +123,13 @@
                 crash_tasks.append(
                     group.create_task(_crash_engines(fleet, seed, seconds))
                 )
+            signal_tasks = []
+            if signals:
+                signal_tasks.append(
+                    group.create_task(_send_signals(fleet, seed, seconds))
+                )
             await _inject_bursts(fleet, seed, seconds)
-            await asyncio.gather(*crash_tasks)
+            await asyncio.gather(*crash_tasks, *signal_tasks)
             if announces_before_faults:
                 await _announce_before_faults(fleet, source)
                 if source.random() < _PAUSES_SHARE:
@@ -179,6 +190,14 @@
                 await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
 
 
+async def _send_signals(fleet, seed, seconds):
+    """Have targets say what they need, at random times, beside all other faults."""
+    source = random.Random(f"signals {seed}")
+    while fleet.now() < seconds:
+        await asyncio.sleep(source.uniform(0, _SIGNAL_INTERVAL_SECONDS))
+        await faults.inject(faults.draw_signal(source), fleet)
+
+
 async def _announce_before_faults(fleet, source):
     """Announce weights just before daemons fail, while store and links work."""
     for _ in range(source.randint(1, _MAX_ANNOUNCEMENTS)):
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -111,6 +111,25 @@
     delay: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request reached a target, which says something of itself in its answer.
+
+    Attributes
+    ----------
+    born : int
+        The incarnation of the target.
+    limit : float
+        The requests per second that the answer names as a limit; infinite for none.
+    """
+
+    request_id: str
+    target: str
+    born: int
+    at: float
+    limit: float
+
+
 class Area(enum.Enum):
     """The part of the fleet that a fault affects."""
 
@@ -183,6 +202,7 @@
     orders: list[Order] = dataclasses.field(default_factory=list)
     faults: list[Fault] = dataclasses.field(default_factory=list)
     changes: list[Change] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     # The daemon that each attempt to crash an engine was sent to, by the attempt's id.
     daemon_by_crash_attempt: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -194,3 +214,8 @@
     ready_at: float = 0.0
     # When the last fault ended.
     recovered_at: float = float("inf")
+
+    def daemon_by_request(self):
+        """Return the daemon that each request was sent to, by the request's id."""
+        by_request = {sent.request_id: sent.daemon for sent in self.sent_requests}
+        return by_request | self.daemon_by_crash_attempt
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -5,6 +5,7 @@
 import json
 import zlib
 
+import limits
 import standins
 
 from soak import records
@@ -120,7 +121,9 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             identity = {"X-Instance-Id": self.name}
             writer.write(standins.make_answer(421, headers, identity))
-        elif path == "/v1/report":
+            return
+        self._note_arrival(headers)
+        if path == "/v1/report":
             writer.write(standins.make_answer(200, headers, {}, self._report()))
         elif path == "/v1/order":
             await self._answer_order(json.loads(self.body), headers, writer)
@@ -129,6 +132,15 @@
         else:
             await self._run_plain(headers, writer)
 
+    def _note_arrival(self, headers):
+        request_id = headers.get("x-attempt-id")
+        if request_id is None:
+            return
+        limit = limits.read(self.signals.get("Server-Limit"))
+        self._journal.arrivals.append(
+            records.Arrival(request_id, self.name, self.born, self._now(), limit)
+        )
+
     def _report(self):
         models = [{"Name": "m", "Version": self.weights}]
         value = {
@@ -209,16 +221,15 @@
             return
         request_id = headers["x-attempt-id"]
         body = b"failed" if is_failing else plain_answer(self.name, request_id)
-        stamp = {"X-Server-Stamp": self.name}
-        answer = standins.make_answer(status, headers, stamp, body)
+        extra = {"X-Server-Stamp": self.name} | self.signals
+        answer = standins.make_answer(status, headers, extra, body)
         writer.write(answer + self.second_answer)
 
     async def _run_prompt(self, headers, writer):
         expected = headers.get("x-expect-version")
         if self._is_loading():
-            writer.write(
-                standins.make_answer(503, headers, {"X-Not-Executed": "loading"})
-            )
+            extra = {"X-Not-Executed": "loading"} | self.signals
+            writer.write(standins.make_answer(503, headers, extra))
             return
         if expected is not None and int(expected) != self.weights:
             identity = {"X-Instance-Id": self.name}
@@ -243,8 +254,9 @@
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"X-Server-Stamp: " + self.name.encode() + b"\r\n"
-            b"X-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n"
-            b"X-Attempt-Id: %s\r\n\r\n" % (self.weights, request_id.encode())
+            b"X-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n%s"
+            b"X-Attempt-Id: %s\r\n\r\n"
+            % (self.weights, self.signal_lines(), request_id.encode())
         )
         for number in range(first, event_count(request_id) + 1):
             await asyncio.sleep(event_seconds(request_id))
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -419,14 +419,16 @@
             return
         writer.close()
 
+    def signal_lines(self):
+        """Return the header lines in which it says something of itself."""
+        lines = (f"{name}: {value}\r\n" for name, value in self.signals.items())
+        return "".join(lines).encode()
+
     async def _stream(self, headers, writer):
-        signals = "".join(
-            f"{name}: {value}\r\n" for name, value in self.signals.items()
-        )
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"X-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n"
-            + signals.encode()
+            + self.signal_lines()
             + b"X-Attempt-Id: "
             + headers["x-attempt-id"].encode()
             + b"\r\n\r\n"
