Log that targets say they leave, or want a rest

Both are read from the headers of a target's answers, with types, and recorded for each incarnation; nothing is decided by it yet. The log tells which answer said so, so that hosts that overlook it can be told from a list that undoes it.

--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -70,6 +70,8 @@
         Selects the engines of prompts.
     target_limits : targetlimits.TargetLimits
         Which targets limit the requests from all hosts together.
+    held_targets : heldtargets.HeldTargets
+        Which targets told this host that they leave, or want a rest.
     found_candidates : candidates.Candidates
         Finds the targets that a request may be sent to.
     """
@@ -84,6 +86,7 @@
         fingerprints,
         prompt_placement,
         target_limits,
+        held_targets,
         found_candidates,
     ):
         self._state = state
@@ -94,6 +97,7 @@
         self._quarantine = quarantine
         self._fingerprints = fingerprints
         self._target_limits = target_limits
+        self._held_targets = held_targets
         self._candidates = found_candidates
         self.configuration = None
         self.flight_by_request = {}
@@ -281,6 +285,7 @@
         self._target_limits.note_answer(
             flight.incarnation, signals, request_id, flight.sent_at, now
         )
+        self._held_targets.note_answer(flight.incarnation, signals, request_id, now)
         row = self._state.target_in(flight.incarnation)
         if row is None:
             return
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -16,6 +16,7 @@
     fingerprints,
     forwarding,
     gossip,
+    heldtargets,
     kvstores,
     lease,
     membership,
@@ -106,6 +107,7 @@
         self.quarantine = quarantine.Quarantine(self.state, self.crashes)
         ranks = senders.SenderRanks(self.state, terms.contact_time)
         self.target_limits = targetlimits.TargetLimits(self.state, ranks)
+        self.held_targets = heldtargets.HeldTargets(self.state)
         prompt_placement = promptplacement.PromptPlacement(
             self.state, self.weights, self.stores
         )
@@ -118,6 +120,7 @@
             fingerprints.Fingerprints(key),
             prompt_placement,
             self.target_limits,
+            self.held_targets,
             candidates.Candidates(
                 self.state,
                 coldtargets.ColdTargets(self.state, self.crashes, ranks),
@@ -259,6 +262,7 @@
         self.crashes.tick(now)
         self.quarantine.tick(now)
         self.target_limits.tick(now)
+        self.held_targets.tick(now)
         self.membership.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
--- a/packages/decide/sesamespindle/decide/targetsignals.py
+++ b/packages/decide/sesamespindle/decide/targetsignals.py
@@ -1,6 +1,7 @@
 """What a target says of itself in the headers of its answers."""
 
 import dataclasses
+import datetime
 import math
 
 
@@ -17,6 +18,11 @@
     limit : float or None
         Requests per second that the target accepts from all hosts together;
         infinite if it names no limit, None if the value can't be read.
+    is_leaving : bool
+        Whether the target leaves.
+    rest : datetime.timedelta or None
+        For how long the target, which turned the request away, wants no request from
+        this host; None if it asks for no rest.
     unreadable : tuple of str
         The headers that can't be read, as ``NAME: VALUE``.
     """
@@ -24,4 +30,6 @@
     load: int | None = None
     weight_version: int | None = None
     limit: float | None = math.inf
+    is_leaving: bool = False
+    rest: datetime.timedelta | None = None
     unreadable: tuple[str, ...] = ()
--- a/tests/platform/test_signalheaders.py
+++ b/tests/platform/test_signalheaders.py
@@ -9,10 +9,9 @@
 from sesamespindle.platform import dialect, signalheaders
 
 
-def read(*headers):
-    return signalheaders.read(
-        multidict.CIMultiDictProxy(multidict.CIMultiDict(headers))
-    )
+def read(*headers, status=200):
+    headers = multidict.CIMultiDictProxy(multidict.CIMultiDict(headers))
+    return signalheaders.read(status, headers)
 
 
 def test_an_answer_without_signals():
@@ -67,6 +66,47 @@
     assert read(("Server-Limit", "9" * 400)).limit == math.inf
 
 
+@pytest.mark.parametrize(("values", "is_leaving"), [("1", True), ("0", False)])
+def test_a_target_that_leaves(values, is_leaving):
+    assert read(("server-leaving", values)).is_leaving == is_leaving
+    assert read(("server-leaving", values), ("server-leaving", values)).is_leaving == (
+        is_leaving
+    )
+
+
+@pytest.mark.parametrize("value", ["", "yes", "01", "1.0", "-1"])
+def test_a_bad_word_of_leaving_is_named_and_means_nothing(value):
+    signals = read(("Server-Leaving", value))
+    assert not signals.is_leaving
+    assert signals.unreadable == (f"Server-Leaving: {value}",)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "seconds"),
+    [
+        (503, "3", 3.0),
+        (429, "0.25", 0.25),
+        (503, "0", None),
+        (200, "3", None),
+        (500, "3", None),
+        # A rest that never ends would lose the target for good.
+        (503, "99999999999999999999", 3600.0),
+    ],
+)
+def test_a_rest(status, value, seconds):
+    rest = read(("Retry-After", value), status=status).rest
+    assert (rest and rest.total_seconds()) == seconds
+
+
+@pytest.mark.parametrize(
+    "value", ["nan", "-3", "1e3", "Thu, 03 Dec 2026 10:00:00 GMT", "3 s", ""]
+)
+def test_a_bad_rest_is_named_and_means_none(value):
+    signals = read(("Retry-After", value), status=503)
+    assert signals.rest is None
+    assert signals.unreadable == (f"Retry-After: {value}",)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "is_heard"),
     [
