Show with real daemons that targets which leave or rest get requests all the same

Four real daemons send to an engine for seconds after its answers told them that it leaves: with the store away, as the last one left, and after its record came back as ready. An engine that asked for 3 s of rest gets eleven requests from one host in that time, and where all rest, callers are told to come back within 0.2 s.

The daemons' log lines tell the hypotheses apart: the sends follow 'target_leaving' and 'target_rests' of the same host, and no record or gossip came between.

--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -25,11 +25,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """The target answered a host and named a limit; infinite if it named none."""
+    """The target answered a host and said something of itself.
+
+    Attributes
+    ----------
+    limit : float
+        The limit that it named; infinite if it named none.
+    is_leaving : bool
+        Whether it said that it leaves.
+    rest : float
+        The seconds of rest that it asked the host for; 0 if it didn't.
+    """
 
     at: float
     host: str
     limit: float
+    is_leaving: bool = False
+    rest: float = 0.0
 
 
 def read(value):
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -391,8 +391,11 @@
         host, _, _ = headers.get("x-attempt-id", "").partition(".")
         self.arrivals.append(limits.Arrival(now, host))
         limit = limits.read(self.signals.get("Server-Limit"))
+        is_leaving = self.signals.get("Server-Leaving") == "1"
+        rest = float(self.signals.get("Retry-After", 0)) if self.turns_away else 0.0
         if limit is not None:
-            self.answers.append(limits.Answer(now, host, limit))
+            answer = limits.Answer(now, host, limit, is_leaving, rest)
+            self.answers.append(answer)
 
     async def _refuse_as_full(self, headers, writer):
         body = b"full"
