Send nothing to a target after its answer said that it leaves

What was seen: while the store was away, requests reached an engine up to 2.9 s after an answer had told the host that sent them that the engine leaves; 2 s are allowed.

Cause: a target's leaving was known from its record and from peers that had read it, and in an outage of the store the record can't change. The header in which the target says the same in its answers was dropped.

Now what the target told this host binds it for that incarnation, kept apart from the target's row, so that a record which goes missing and comes back as ready doesn't undo it. The row is marked as well, which keeps the target from being anybody's preferred engine and tells peers with the next tick's gossip. Runs under way end in peace.

--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -14,6 +14,8 @@
         Which targets are warming up and can serve only a few requests.
     target_limits : targetlimits.TargetLimits
         Which targets limit the requests from all hosts together.
+    held_targets : heldtargets.HeldTargets
+        Which targets told this host that they leave, or want a rest.
     prompt_placement : promptplacement.PromptPlacement
         On which engines a prompt can begin in time.
     quarantine : quarantine.Quarantine
@@ -21,11 +23,18 @@
     """
 
     def __init__(
-        self, state, cold_targets, target_limits, prompt_placement, quarantine
+        self,
+        state,
+        cold_targets,
+        target_limits,
+        held_targets,
+        prompt_placement,
+        quarantine,
     ):
         self._state = state
         self._cold_targets = cold_targets
         self._target_limits = target_limits
+        self._held_targets = held_targets
         self._prompt_placement = prompt_placement
         self._quarantine = quarantine
 
@@ -53,7 +62,8 @@
         -------
         rows : list of world.TargetRow
         """
-        rows = self._target_limits.permitted_targets(self.staying(flight.service), now)
+        rows = self._held_targets.permitted_targets(self.staying(flight.service), now)
+        rows = self._target_limits.permitted_targets(rows, now)
         rows = self._cold_targets.permitted_targets(rows, flight.service, now)
         if flight.is_engine_prompt(service):
             rows = self._prompt_placement.engines_in_time(
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -125,6 +125,7 @@
                 self.state,
                 coldtargets.ColdTargets(self.state, self.crashes, ranks),
                 self.target_limits,
+                self.held_targets,
                 prompt_placement,
                 self.quarantine,
             ),
--- a/packages/decide/sesamespindle/decide/heldtargets.py
+++ b/packages/decide/sesamespindle/decide/heldtargets.py
@@ -30,7 +30,7 @@
 
 
 class HeldTargets:
-    """Records which targets told this host that they leave, or want a rest.
+    """Decides which targets get no requests, by what they told this host.
 
     Parameters
     ----------
@@ -64,12 +64,35 @@
         if signals.is_leaving and not known.is_leaving:
             known.is_leaving = True
             self._note("target_leaving", incarnation, source)
+            self._tell_peers(incarnation)
         if signals.rest:
             until = now + signals.rest
             known.rests_until = max(until, known.rests_until or until)
             seconds = signals.rest.total_seconds()
             self._note("target_rests", incarnation, f"for {seconds:g} s, {source}")
 
+    def permitted_targets(self, rows, now):
+        """Return the targets, out of some, that may get a request from this host now.
+
+        Guards against requests to a target that told this host that it leaves, while
+        the platform's list says otherwise: the target can't report it as long as the
+        platform is unavailable, and a record from before may be listed again.
+
+        Parameters
+        ----------
+        rows : list of world.TargetRow
+            The targets.
+        now : datetime.datetime
+            The current time.
+        """
+        if not self._known_by_incarnation:
+            return rows
+        return [row for row in rows if self._may_send(row, now)]
+
+    def _may_send(self, row, now):
+        known = self._known_by_incarnation.get(row.incarnation)
+        return known is None or not known.is_leaving
+
     def tick(self, now):
         """Forget what is known of targets that are gone."""
         for incarnation, known in list(self._known_by_incarnation.items()):
@@ -77,5 +100,12 @@
             if is_gone and now - known.told_at > _KEPT_FOR:
                 del self._known_by_incarnation[incarnation]
 
+    def _tell_peers(self, incarnation):
+        """Mark the target as leaving, as its record would; peers hear of it soon."""
+        row = self._state.target_in(incarnation)
+        if row is not None:
+            row.leaving = True
+            self._state.must_start_round = True
+
     def _note(self, kind, incarnation, detail):
         self._state.emit(commands.Note(kind, incarnation.name, detail))
