Give a target that turns a request away the rest that it asks for

What was seen: an engine that had answered 503 with Retry-After 3 got six requests from one host in that time, where two are allowed, and callers were refused as both tries of their requests were spent on engines that rest.

Cause: of a 503 only 'not run' was used; a target that turned a request away got nothing for 0.1 s, whatever its answer asked for, and even that gave way where no other target was left.

Now the rest is a bound on that host and incarnation, kept whatever else is left. It ends up to a tenth later than asked, differently on each host, and then the target gets one request every half second until it has taken one: what came meanwhile would make it shed again. Where all targets rest, callers are refused at once as not run with the new code 'resting', and told to come back when the first rest ends, spread over half as long again. A later, shorter rest doesn't end a longer one, nor does an answer to a request from before.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -45,6 +45,7 @@
         "Refused: limited",
         "All targets limit their requests, and this host's part of that was used.",
     ),
+    ("Refused: resting", "All targets turned requests away and asked for a rest."),
     ("Refused: no_target", "The host knew no target that could take the request."),
     (
         "ended: silent",
--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -1,6 +1,6 @@
 """Finds the targets that a request may be sent to."""
 
-from sesamespindle.decide import placement
+from sesamespindle.decide import commands, placement
 
 
 class Candidates:
@@ -80,12 +80,23 @@
         """Return the targets of a service that are listed and don't leave."""
         return [row for row in self._state.targets.where("pool", service) if row.stays]
 
-    def are_limited(self, service):
-        """Return whether a service has targets, and all of them name limits."""
-        rows = self.staying(service)
-        return bool(rows) and all(self._target_limits.is_limited(row) for row in rows)
+    def code_without(self, flight, now):
+        """Return the code of the refusal of a request that no target may get."""
+        rows = self.staying(flight.service)
+        if self._quarantine.possible_crash_count(flight.fingerprint) > 1:
+            return commands.Code.SUSPECTED
+        if self._held_targets.rest_left(rows, now) is not None:
+            return commands.Code.RESTING
+        if rows and all(self._target_limits.is_limited(row) for row in rows):
+            return commands.Code.LIMITED
+        return commands.Code.NO_TARGET
+
+    def rest_left(self, service, now):
+        """Return how long all targets of a service still rest; None if one doesn't."""
+        return self._held_targets.rest_left(self.staying(service), now)
 
     def note_sent(self, row, now):
         """Note that a request was sent to a target, which limits the rate of sends."""
+        self._held_targets.note_sent(row, now)
         self._cold_targets.note_sent(row, now)
         self._target_limits.note_sent(row, now)
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -27,6 +27,7 @@
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
     LIMITED = "limited"
+    RESTING = "resting"
     RETRY_BUDGET = "retry_budget_spent"
     DEADLINE = "deadline_passed"
     PLATFORM_AWAY = "platform_away"
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -282,10 +282,10 @@
         flight = self.flight_by_request.get(request_id)
         if flight is None or flight.sent_at is None:
             return
-        self._target_limits.note_answer(
-            flight.incarnation, signals, request_id, flight.sent_at, now
-        )
-        self._held_targets.note_answer(flight.incarnation, signals, request_id, now)
+        for heard_by in (self._target_limits, self._held_targets):
+            heard_by.note_answer(
+                flight.incarnation, signals, request_id, flight.sent_at, now
+            )
         row = self._state.target_in(flight.incarnation)
         if row is None:
             return
@@ -314,7 +314,7 @@
             flight, service, self._connection_limit(service), now
         )
         if not rows:
-            code = self._code_without_candidates(flight)
+            code = self._candidates.code_without(flight, now)
             return self._final_answer(flight, ending, now, code)
         if not flight.is_engine_prompt(service):
             row = placement.choose_service_target(rows, self._state.me.data_centre, now)
@@ -332,14 +332,6 @@
             return None
         return max(1, service.max_connections // self._count_live_entries())
 
-    def _code_without_candidates(self, flight):
-        """Return the code of the refusal of a request that no target may get."""
-        if self._quarantine.possible_crash_count(flight.fingerprint) > 1:
-            return commands.Code.SUSPECTED
-        if self._candidates.are_limited(flight.service):
-            return commands.Code.LIMITED
-        return commands.Code.NO_TARGET
-
     def _start(self, flight, row, place, now):
         """Record a send at its target, and return it."""
         request = flight.request
@@ -493,8 +485,12 @@
         if ending is sends.Ending.FAILED:
             return sends.PassOn(request.request_id)
         if flight.runs == 0:
-            code = code or commands.Code.OVERLOADED
-            return self._refuse(request, code, self._describe_targets(flight, now))
+            return self._refuse(
+                request,
+                code or commands.Code.OVERLOADED,
+                self._describe_targets(flight, now),
+                earliest=self._candidates.rest_left(flight.service, now),
+            )
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
@@ -506,7 +502,10 @@
     def _describe_targets(self, flight, now):
         rows = list(self._state.targets.where("pool", flight.service))
         limited = sum(self._target_limits.is_limited(row) for row in rows)
-        return sendlog.describe_targets(rows, self._count_live_entries(), limited, now)
+        resting = sum(self._held_targets.is_resting(row, now) for row in rows)
+        return sendlog.describe_targets(
+            rows, self._count_live_entries(), limited, resting, now
+        )
 
     def timed_out(self, request_id, now, sent):
         """Return the final answer of a request whose time limit has passed.
@@ -565,12 +564,16 @@
             retries.with_jitter(_LEAVING_RETRY_AFTER, self._state.random),
         )
 
-    def _refuse(self, request, code, message, outcome=commands.Outcome.NOT_RUN):
+    def _refuse(
+        self, request, code, message, outcome=commands.Outcome.NOT_RUN, earliest=None
+    ):
+        """Return a refusal; if `earliest` is given, a sooner retry is of no use."""
         retry_after = None
         if outcome is commands.Outcome.NOT_RUN:
-            retry_after = retries.with_jitter(
-                self._state.policy.retry_after, self._state.random
+            base = max(
+                self._state.policy.retry_after, earliest or datetime.timedelta(0)
             )
+            retry_after = retries.with_jitter(base, self._state.random)
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
--- a/packages/decide/sesamespindle/decide/sendlog.py
+++ b/packages/decide/sesamespindle/decide/sendlog.py
@@ -50,7 +50,7 @@
     )
 
 
-def describe_targets(rows, entries, limited, now):
+def describe_targets(rows, entries, limited, resting, now):
     """Return a summary of a service's targets, for the message of a refusal.
 
     Parameters
@@ -61,13 +61,16 @@
         The number of live entry hosts.
     limited : int
         How many of the targets name a limit.
+    resting : int
+        How many of them rest.
     now : datetime.datetime
         The current time.
     """
     usable = sum(row.usable(now) for row in rows)
     running = sum(row.running_here for row in rows)
     return (
-        f"Of {len(rows)} targets {usable} may be used, {limited} name a limit; "
+        f"Of {len(rows)} targets {usable} may be used, "
+        f"{limited} name a limit, {resting} rest; "
         f"{running} requests are in flight from here, {entries} entries are live."
     )
 
--- a/packages/decide/sesamespindle/decide/targetsignals.py
+++ b/packages/decide/sesamespindle/decide/targetsignals.py
@@ -20,6 +20,8 @@
         infinite if it names no limit, None if the value can't be read.
     is_leaving : bool
         Whether the target leaves.
+    turned_away : bool
+        Whether the target turned the request away.
     rest : datetime.timedelta or None
         For how long the target, which turned the request away, wants no request from
         this host; None if it asks for no rest.
@@ -31,5 +33,6 @@
     weight_version: int | None = None
     limit: float | None = math.inf
     is_leaving: bool = False
+    turned_away: bool = False
     rest: datetime.timedelta | None = None
     unreadable: tuple[str, ...] = ()
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -92,10 +92,10 @@
     return dataclasses.replace(made, service_by_name=service_by_name)
 
 
-def make_gateway(slack=50.0, me=None):
+def make_gateway(slack=50.0, me=None, seed=7):
     me = me or events.Host("entry-1", "entry", "dc-1", "10.0.0.1:80", "10.0.0.1:81")
     terms = gateway.PlatformLimits(budgets.BudgetRule(0.2, slack))
-    made = gateway.Gateway(me, terms, seed=7)
+    made = gateway.Gateway(me, terms, seed=seed)
     made.step(NOW, [gateway.ConfigurationRead(make_configuration())])
     return made
 
