Have the soak's targets ask for a rest, and leave by their own word alone

The checker judges by what targets see that a host sends nothing later than 2 s after a target told it that it leaves, and at most two requests within a rest that it was asked for.

--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -1,6 +1,7 @@
 """The soak's checker finds each kind of broken promise in constructed records."""
 
 import dataclasses
+import math
 
 import pytest
 from soak import checker, records, targets
@@ -437,3 +438,24 @@
     assert _find_limited(paused) == set()
     assert _find_limited(link) == set()
     assert _find_limited(elsewhere) == {"limits of targets are kept"}
+
+
+def _find_held(since, **said):
+    first = records.Arrival("r1", "desk-1", 1, 10.0, math.inf, **said)
+    later = [
+        records.Arrival("r1", "desk-1", 1, since + number * 0.1, math.inf)
+        for number in range(3)
+    ]
+    return _promises(sent_requests=[_SENT], runs=[_RUN], arrivals=[first, *later])
+
+
+def test_late_requests_to_a_target_that_said_it_leaves_are_found():
+    promise = {"targets that leave get no requests"}
+    assert _find_held(12.1, is_leaving=True) == promise
+    assert _find_held(11.5, is_leaving=True) == set()
+
+
+def test_requests_to_a_target_in_its_rest_are_found():
+    assert _find_held(11.0, rest=3.0) == {"targets get the rest they ask for"}
+    assert _find_held(10.1, rest=3.0) == set()
+    assert _find_held(13.1, rest=3.0) == set()
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -8,6 +8,7 @@
 import itertools
 import re
 
+import held
 import limits
 
 from soak import records, targets
@@ -90,7 +91,7 @@
     violations += _check_salts(journal.runs)
     violations += _check_recovery(journal)
     violations += _check_crashing(journal)
-    violations += _check_limits(journal)
+    violations += _check_signals(journal)
     violations += [
         Violation("daemons keep running", "", f"{daemon} exited by itself with {code}")
         for daemon, code in journal.exits
@@ -444,8 +445,8 @@
             yield Violation("requests that crash targets are stopped", path, detail)
 
 
-def _check_limits(journal):
-    """Check that hosts keep the limits that targets name.
+def _check_signals(journal):
+    """Check that hosts do what targets ask for in their answers.
 
     A daemon that was stopped, paused or started meanwhile is excused, and so is a
     target whose link was disturbed: requests that a link held back arrive together.
@@ -472,19 +473,33 @@
             for fault in journal.faults
         ):
             continue
-        hosts = [daemon_by_request[arrival.request_id] for arrival in arrivals]
-        seen = [
-            limits.Arrival(arrival.at, host)
-            for arrival, host in zip(arrivals, hosts, strict=True)
-        ]
-        answers = [
-            limits.Answer(arrival.at, host, arrival.limit)
-            for arrival, host in zip(arrivals, hosts, strict=True)
-        ]
-        excess = limits.excess(seen, answers, is_excused)
-        if excess > 0:
-            detail = f"{target} got {excess:.1f} requests too many in a window"
-            yield Violation("limits of targets are kept", "", detail)
+        seen, answers = [], []
+        for item in arrivals:
+            host = daemon_by_request[item.request_id]
+            seen.append(limits.Arrival(item.at, host))
+            answers.append(
+                limits.Answer(item.at, host, item.limit, item.is_leaving, item.rest)
+            )
+        yield from _check_target_signals(target, seen, answers, is_excused)
+
+
+def _check_target_signals(target, arrivals, answers, is_excused):
+    excess = limits.excess(arrivals, answers, is_excused)
+    if excess > 0:
+        detail = f"{target} got {excess:.1f} requests too many in a window"
+        yield Violation("limits of targets are kept", "", detail)
+    told_at = min((item.at for item in answers if item.is_leaving), default=0.0)
+    for late in held.late(arrivals, answers):
+        if not is_excused(late.host, told_at, late.at):
+            detail = f"{late} reached {target}, which leaves"
+            yield Violation("targets that leave get no requests", "", detail)
+    for answer in answers:
+        if is_excused(answer.host, answer.at, answer.at + answer.rest):
+            continue
+        count = held.most_in_a_rest(arrivals, [answer])
+        if count > held.MOST_IN_A_REST:
+            detail = f"{target} got {count} requests from {answer.host} in its rest"
+            yield Violation("targets get the rest they ask for", "", detail)
 
 
 def _faults_affecting(journal, daemon):
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -145,6 +145,20 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskForRest:
+    """Targets turn all requests away and ask for a rest, one of them or all."""
+
+    rest: float
+    all_targets: bool
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveUnlisted:
+    """A target leaves and says so in its answers only, not in its record."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainTarget:
     """A target is drained and leaves."""
@@ -206,7 +220,13 @@
 def draw_signal(source):
     """Return a drawn fault in which targets say something of themselves."""
     limit = source.choice((0.5, 1.0, 1.7, 6.0))
-    return NameLimit(limit, source.random() < 0.3, source.uniform(4, 9))
+    all_targets, seconds = source.random() < 0.3, source.uniform(4, 9)
+    makers = (
+        lambda: NameLimit(limit, all_targets, seconds),
+        lambda: AskForRest(source.choice((1.0, 3.0)), all_targets, seconds / 2),
+        LeaveUnlisted,
+    )
+    return source.choice(makers)()
 
 
 def _planned_makers(source):
@@ -311,7 +331,14 @@
                 await asyncio.sleep(fault.seconds)
                 target.second_answer = b""
         case NameLimit():
-            await _name_limit(fault, target, world)
+            signals = {"Server-Limit": str(fault.limit)}
+            await _signal("name limit", fault, signals, target, world)
+        case AskForRest():
+            signals = {"Retry-After": str(fault.rest)}
+            await _signal("ask for rest", fault, signals, target, world)
+        case LeaveUnlisted():
+            with _recorded(world, "leave unlisted", _Area.TARGET, target.name):
+                await world.drain_target(target, is_listed=False)
         case DrainTarget():
             await world.drain_target(target)
         case ChangeConfiguration():
@@ -320,17 +347,20 @@
             await world.announce_weights(world.weights + 1)
 
 
-async def _name_limit(fault, target, world):
-    named = [target]
+async def _signal(what, fault, signals, target, world):
+    """Have one target or all send headers with their answers for a while."""
+    signalling = [target]
     if fault.all_targets:
-        named = list(world.target_by_name.values())
+        signalling = list(world.target_by_name.values())
     subject = "" if fault.all_targets else target.name
-    with _recorded(world, "name limit", _Area.TARGET, subject):
-        for target in named:
-            target.signals = {"Server-Limit": str(fault.limit)}
+    with _recorded(world, what, _Area.TARGET, subject):
+        for target in signalling:
+            target.signals = signals
+            target.turns_away = isinstance(fault, AskForRest)
         await asyncio.sleep(fault.seconds)
-        for target in named:
+        for target in signalling:
             target.signals = {}
+            target.turns_away = False
 
 
 async def _pause(world, daemon, seconds):
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -121,6 +121,10 @@
         The incarnation of the target.
     limit : float
         The requests per second that the answer names as a limit; infinite for none.
+    is_leaving : bool
+        Whether the answer says that the target leaves.
+    rest : float
+        The seconds of rest that the answer asks for; 0 for none.
     """
 
     request_id: str
@@ -128,6 +132,8 @@
     born: int
     at: float
     limit: float
+    is_leaving: bool = False
+    rest: float = 0.0
 
 
 class Area(enum.Enum):
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -127,6 +127,9 @@
             writer.write(standins.make_answer(200, headers, {}, self._report()))
         elif path == "/v1/order":
             await self._answer_order(json.loads(self.body), headers, writer)
+        elif self.turns_away:
+            extra = {"X-Not-Executed": "full"} | self.signals
+            writer.write(standins.make_answer(503, headers, extra))
         elif self.service == "llm":
             await self._run_prompt(headers, writer)
         else:
@@ -136,9 +139,16 @@
         request_id = headers.get("x-attempt-id")
         if request_id is None:
             return
-        limit = limits.read(self.signals.get("Server-Limit"))
         self._journal.arrivals.append(
-            records.Arrival(request_id, self.name, self.born, self._now(), limit)
+            records.Arrival(
+                request_id,
+                self.name,
+                self.born,
+                self._now(),
+                limits.read(self.signals.get("Server-Limit")),
+                "Server-Leaving" in self.signals,
+                float(self.signals.get("Retry-After", 0)),
+            )
         )
 
     def _report(self):
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -214,13 +214,22 @@
         self.target_by_name[target.name] = target
         await self.store.put("servers", target.name, target.entry())
 
-    async def drain_target(self, target):
-        """Start a target of the same service, then drain and remove the given one."""
+    async def drain_target(self, target, is_listed=True):
+        """Start a target of the same service, then drain and remove the given one.
+
+        Parameters
+        ----------
+        is_listed : bool
+            Whether its record says that it leaves; otherwise only its answers do.
+        """
         await self.add_target(target.service)
         if self.target_by_name.pop(target.name, None) is None:
             return
-        await self.store.put("servers", target.name, target.entry("draining"))
-        self._record_change("leaving", subject=target.name)
+        if is_listed:
+            await self.store.put("servers", target.name, target.entry("draining"))
+            self._record_change("leaving", subject=target.name)
+        else:
+            target.signals = {"Server-Leaving": "1"}
         await asyncio.sleep(_LEAVING_SECONDS)
         await self.store.remove("servers", target.name)
         await asyncio.sleep(_LEAVING_SECONDS)
