Have the soak's engines list the weights that they have loaded

Traced: weights were announced twice and loaded, the host was stopped and started again 8 s later, and its list of targets said version 1 for all engines, as the stand-in engines never changed their records. Peers tell of versions for ten rounds only, and so the host took all engines for too old and sent nothing, by which it would have learned better. Engines of the platform list their models with versions, and change their record when that changes; so do the soak's now. A fault of the soak itself, older than its signals: the same happens without them.

--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -80,6 +80,8 @@
         answer.
     order_source : random.Random
         Decides which orders are late, and by how much.
+    on_loaded : callable or None
+        An asynchronous function, called with the target when it runs other weights.
     on_crashing_request : callable
         Called with the target and the request's path when a request crashes it.
     orders_taken : int
@@ -101,6 +103,7 @@
         self._random = source
         self.order_source = source
         self.on_crashing_request = None
+        self.on_loaded = None
 
     def entry(self, state="ready"):
         """Return the record under which the target is listed."""
@@ -182,16 +185,16 @@
         record = records.Order(self.name, self._now(), *lease, delay)
         self._journal.orders.append(record)
         if not delay:
-            status = self._carry_out_order(order)
+            status = await self._carry_out_order(order)
             writer.write(standins.make_answer(status, headers, {}))
             return
         born = self.born
         await asyncio.sleep(delay)
         if self.born == born:
-            self._carry_out_order(order)
+            await self._carry_out_order(order)
         writer.transport.abort()
 
-    def _carry_out_order(self, order):
+    async def _carry_out_order(self, order):
         if (
             self._is_loading()
             or order.get("Expect", self.orders_taken) != self.orders_taken
@@ -202,6 +205,8 @@
         self.orders_taken += 1
         self._loading_until = self._now() + _LOAD_SECONDS
         self.weights = order["Version"]
+        if self.on_loaded is not None:
+            await self.on_loaded(self)
         return 202
 
     def _record(self, headers, status, **more):
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -162,12 +162,18 @@
         target.late_orders_share = self._late_orders_share
         target.order_source = random.Random(f"orders {self._seed} {name}")
         target.on_crashing_request = self._crash_by_request
+        target.on_loaded = self._update_record
         await self._stack.enter_async_context(target)
         self.target_by_name[name] = target
         self.link_by_target[name] = link
         await self.store.put("servers", name, target.entry())
         return target
 
+    async def _update_record(self, target):
+        """List the weights that a target runs, unless it leaves or has crashed."""
+        if target.name in self.target_by_name:
+            await self.store.put("servers", target.name, target.entry())
+
     async def crash_target(self, target, seconds):
         """Crash a target; after some seconds, another target has its address."""
         if self.target_by_name.pop(target.name, None) is None:
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -83,6 +83,10 @@
         """Write an object without a condition, as the operator or a target does."""
         await self._change(kind, name, spec, False)
 
+    def spec(self, kind, name):
+        """Return what an object holds."""
+        return self._objects[kind, name]["Spec"]
+
     async def remove(self, kind, name):
         """Remove an object."""
         spec = self._objects[kind, name]["Spec"]
