Log by which version a request is refused, from where, and how old that is

Nothing told a host that refused rightly from one that was seconds behind. A refusal now names the active configuration, what the kind was read from, the revision up to which it is complete and the age of the last proof; a send tells the same of the list of targets. No decision changes.

tests/platform, tests/decide and tests/cli pass (once, on an otherwise idle machine).

--- a/packages/daemon/sesamespindle/daemon/measures.py
+++ b/packages/daemon/sesamespindle/daemon/measures.py
@@ -13,6 +13,7 @@
     def __init__(self):
         self._refused_by_code = collections.Counter()
         self._first_bytes_by_route = {}
+        self._ages_by_kind = {}
         self._gauges = {}
 
     def refused(self, code):
@@ -29,12 +30,19 @@
         duration : datetime.timedelta
             The time from the request to the first byte.
         """
-        histogram = self._first_bytes_by_route.setdefault(
-            route, [0] * (len(_BOUNDS) + 1)
-        )
-        seconds = duration.total_seconds()
-        bucket = sum(seconds > bound for bound in _BOUNDS)
-        histogram[bucket] += 1
+        _count(self._first_bytes_by_route, route, duration)
+
+    def knowledge_age(self, kind, age):
+        """Record how long ago a kind of object was last proved complete.
+
+        Parameters
+        ----------
+        kind : str
+            The kind of object.
+        age : datetime.timedelta
+            The age of the proof; recorded at each tick of the daemon.
+        """
+        _count(self._ages_by_kind, kind, age)
 
     def gauge(self, name, read):
         """Register a gauge.
@@ -55,18 +63,27 @@
             for code, count in sorted(self._refused_by_code.items())
         ]
         for route, histogram in sorted(self._first_bytes_by_route.items()):
-            lines += _histogram_lines(route, histogram)
+            lines += _histogram_lines("first_byte", "route", route, histogram)
+        for kind, histogram in sorted(self._ages_by_kind.items()):
+            lines += _histogram_lines("knowledge_age", "kind", kind, histogram)
         for name, read in sorted(self._gauges.items()):
             lines.append(f"sesamespindle_{name} {read()}")
         return "\n".join(lines) + "\n"
 
 
-def _histogram_lines(route, histogram):
+def _count(histogram_by_key, key, duration):
+    histogram = histogram_by_key.setdefault(key, [0] * (len(_BOUNDS) + 1))
+    seconds = duration.total_seconds()
+    bucket = sum(seconds > bound for bound in _BOUNDS)
+    histogram[bucket] += 1
+
+
+def _histogram_lines(name, label, value, histogram):
     total = 0
     for bound, count in zip((*_BOUNDS, "+Inf"), histogram, strict=True):
         total += count
         yield (
-            "sesamespindle_first_byte_seconds_bucket"
-            f'{{route="{route}",le="{bound}"}} {total}'
+            f"sesamespindle_{name}_seconds_bucket"
+            f'{{{label}="{value}",le="{bound}"}} {total}'
         )
-    yield f'sesamespindle_first_byte_seconds_count{{route="{route}"}} {total}'
+    yield f'sesamespindle_{name}_seconds_count{{{label}="{value}"}} {total}'
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -193,11 +193,12 @@
         """
         seconds_left = (forward.until - self._clock.now()).total_seconds()
         _log.bind(request=forward.request_id).info(
-            "Sent to target {}, attempt {}, {:.0f} ms left. {}",
+            "Sent to target {}, attempt {}, {:.0f} ms left. {} {}",
             forward.target,
             forward.attempt,
             seconds_left * 1000,
             forward.reason,
+            self._driver.core.describe_targets(self._clock.now()),
         )
         if body.is_consumed:
             # The body was streamed to an earlier target without being buffered, so
@@ -567,10 +568,11 @@
         refusal = self._dialect.refusal(refuse)
         self._measures.refused(refuse.code)
         _log.bind(request=refuse.request_id).info(
-            "Refused: {}, {}. {} It is request number {} on its connection.",
+            "Refused: {}, {}. {} {} It is request number {} on its connection.",
             refuse.code,
             refuse.outcome,
             refuse.message,
+            self._driver.core.describe_configuration(self._clock.now()),
             self._requests_by_connection.get(http.transport, 0),
         )
         response = aiohttp.web.Response(
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -15,6 +15,7 @@
     events,
     fingerprints,
     forwarding,
+    freshness,
     gossip,
     heldtargets,
     kvstores,
@@ -49,12 +50,15 @@
     contact_time : datetime.timedelta
         Grace period after a host's start in which such limits don't apply to it,
         as it has yet to receive the current state.
+    kinds : freshness.Kinds
+        The platform's names for the kinds of object.
     """
 
     budget: budgets.BudgetRule
     lease_time: datetime.timedelta = datetime.timedelta(seconds=3)
     max_superseded_age: datetime.timedelta = datetime.timedelta(seconds=8)
     contact_time: datetime.timedelta = datetime.timedelta(seconds=3)
+    kinds: freshness.Kinds = dataclasses.field(default_factory=freshness.Kinds)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +101,7 @@
         self, me, terms, policy=None, seed=0, seeds=(), started_at=None, key=""
     ):
         self.state = world.World(me, policy, seed, started_at)
+        self._kinds = terms.kinds
         # The URL stays empty until this host can serve; see `_announce_when_ready`.
         self.state.put_entry(catalogue.own_entry_row(dataclasses.replace(me, url="")))
         self.weights = weights.Weights(
@@ -192,6 +197,19 @@
             and not self.state.leaving
         )
 
+    def describe_configuration(self, now):
+        """Return by which configuration this host decides now, for the log."""
+        configuration = self.forwarding.configuration
+        if configuration is None:
+            return "No configuration is active."
+        known = self.state.freshness.describe(self._kinds.configuration, now)
+        return f"Configuration {configuration.version} is active, {known}."
+
+    def describe_targets(self, now):
+        """Return how recent the list of targets is, for the log."""
+        known = self.state.freshness.describe(self._kinds.targets, now)
+        return f"Targets are known {known}."
+
     def addresses(self, data_centre, now):
         """Return the addresses of the entry hosts that a caller should use.
 
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -299,7 +299,7 @@
         show that there was a change.
         """
         for item in seen:
-            if item.revision > self._state.known_revision_by_kind.get(item.kind, 0):
+            if item.revision > self._state.freshness.revision(item.kind):
                 self._state.emit(
                     commands.ReadAgain(item.kind, item.revision, peer_address)
                 )
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -11,6 +11,7 @@
     declared,
     departure,
     events,
+    freshness,
     gossip,
     hashing,
     incarnations,
@@ -334,10 +335,9 @@
         # The revision of a refuted record, and when it was refuted, by incarnation.
         self._refuted_by_incarnation = {}
         self.region_by_data_centre: dict[str, str] = {}
-        # The revision of the latest change seen, and the revision up to which all
-        # changes are known, by kind of platform object.
+        # The revision of the latest change seen, by kind of platform object.
         self.last_change_by_kind: dict[str, int] = {}
-        self.known_revision_by_kind: dict[str, int] = {}
+        self.freshness = freshness.Freshness()
         self.announcements = announcements.Announcements()
         self.pauses = pauses.Pauses(started_at)
         # The latest known release of the lease by its holder.
