Show with nine real daemons that changes are late after store connections fell silent

All open connections to the store fall silent and stay open, new ones work. A route that is added then is refused by all nine hosts for up to 4.5 s, and a target that says that it leaves is sent requests; 2 s are allowed, 3 s after the disturbance at the earliest.

--- a/packages/lab/sesamespindle/lab/proxy.py
+++ b/packages/lab/sesamespindle/lab/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import itertools
 import json
 
 import aiohttp.web
@@ -34,7 +35,8 @@
     Faults: ``mode``, one of `Mode`; ``delay``, seconds before each chunk of bytes;
     ``cut``, which aborts all connections once; ``cut_after_bytes``, which aborts all
     connections as soon as one that was opened since has sent that many bytes to the
-    target.
+    target; ``silence``, which makes all open connections silent for good, without
+    closing them, while new ones work.
     """
 
     def __init__(self, target_host, target_port):
@@ -44,6 +46,9 @@
         self._cut_after_bytes = 0
         self._changed = asyncio.Condition()
         self._writers = set()
+        # Connections with a lower number are silent.
+        self._first_audible = 0
+        self._connections = itertools.count()
         self._port = 0
         self._server = None
 
@@ -101,6 +106,8 @@
         self._cut_after_bytes = faults.get("cut_after_bytes", self._cut_after_bytes)
         if faults.get("cut"):
             self._abort_all()
+        if faults.get("silence"):
+            self._first_audible = next(self._connections)
         if self._mode is Mode.REFUSE:
             await self._stop_listening()
         elif self._server is None:
@@ -113,6 +120,7 @@
             writer.transport.abort()
 
     async def _accept(self, reader, writer):
+        number = next(self._connections)
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
@@ -121,13 +129,13 @@
         self._writers |= {writer, target_writer}
         await asyncio.gather(
             self._forward(
-                reader, target_writer, Mode.DROP_REQUESTS, self._cut_after_bytes
+                number, reader, target_writer, Mode.DROP_REQUESTS, self._cut_after_bytes
             ),
-            self._forward(target_reader, writer, Mode.DROP_ANSWERS, 0),
+            self._forward(number, target_reader, writer, Mode.DROP_ANSWERS, 0),
         )
         self._writers -= {writer, target_writer}
 
-    async def _forward(self, reader, writer, drop_mode, cut_after_bytes):
+    async def _forward(self, number, reader, writer, drop_mode, cut_after_bytes):
         forwarded_bytes = 0
         with contextlib.suppress(OSError):
             while chunk := await reader.read(_CHUNK_BYTES):
@@ -135,7 +143,7 @@
                     await asyncio.sleep(self._delay)
                 async with self._changed:
                     await self._changed.wait_for(lambda: self._mode is not Mode.FREEZE)
-                if self._mode is drop_mode:
+                if self._mode is drop_mode or number < self._first_audible:
                     continue
                 forwarded_bytes += len(chunk)
                 if cut_after_bytes and forwarded_bytes >= cut_after_bytes:
@@ -143,4 +151,5 @@
                     return
                 writer.write(chunk)
                 await writer.drain()
-        writer.close()
+        if number >= self._first_audible:
+            writer.close()
--- /dev/null
+++ b/tests/platform/test_late_changes.py
@@ -0,0 +1,88 @@
+"""Changes must be in force on every host in time, whatever happened to its connections.
+
+Several real daemons; each reaches the stand-in store by a link of its own.
+"""
+
+import asyncio
+import signal
+
+import changefleet
+import pytest
+
+
+async def settled(fleet):
+    """Wait until the hosts have been undisturbed for as long as the limits require."""
+    await asyncio.sleep(changefleet.CONTACT_SECONDS)
+
+
+async def late_route(fleet, hosts=None):
+    acknowledged = await fleet.add_route("/added/")
+    return await fleet.lateness(acknowledged, fleet.is_refused("/added/1"), hosts)
+
+
+@pytest.mark.parametrize("wait", [0.0, 1.0, 2.9])
+def test_a_route_is_served_in_time_after_all_store_connections_fell_silent(play, wait):
+    """Guards against a silent watch that counts as "nothing has changed"."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world) as fleet:
+            await settled(fleet)
+            await fleet.disturb(silence=True)
+            await asyncio.sleep(wait)
+            late = await late_route(fleet)
+        assert max(late.values()) <= 0, late
+
+    play(scenario)
+
+
+def test_a_leaving_target_gets_nothing_after_all_store_connections_fell_silent(play):
+    """Guards against requests to a target that left while a watch was silent."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world) as fleet:
+            await settled(fleet)
+            await fleet.disturb(silence=True)
+            target = world.target_by_name["desk-1"]
+            acknowledged = await fleet.say_leaving(target)
+            late = await fleet.lateness(acknowledged, fleet.reaches(target, "/read/1"))
+        assert max(late.values()) <= 0, late
+
+    play(scenario)
+
+
+def test_a_route_is_served_in_time_after_the_store_was_silent_for_all(play):
+    """Guards against a watch that waited as an outage began and isn't asked again."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world) as fleet:
+            await settled(fleet)
+            await fleet.disturb(mode="drop_answers")
+            await asyncio.sleep(5.0)
+            await fleet.disturb(mode="pass", silence=True)
+            await asyncio.sleep(changefleet.CONTACT_SECONDS)
+            late = await late_route(fleet)
+        assert max(late.values()) <= 0, late
+
+    play(scenario)
+
+
+def test_a_route_is_served_in_time_where_the_announcing_peer_stops(play):
+    """Guards against hosts that wait for a stopped peer instead of asking the store."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world) as fleet:
+            await settled(fleet)
+            first, *others = fleet.hosts
+            await fleet.disturb(others, silence=True)
+            acknowledged = await fleet.add_route("/added/")
+            is_refused = fleet.is_refused("/added/1")
+            while await is_refused(first):
+                await asyncio.sleep(0.01)
+            # The next tick of the first host announces the change to peers.
+            await asyncio.sleep(0.12)
+            first.send_signal(signal.SIGSTOP)
+            late = await fleet.lateness(acknowledged, is_refused, others)
+            first.send_signal(signal.SIGCONT)
+        assert max(late.values()) <= 0, late
+
+    play(scenario)
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -14,6 +14,8 @@
 import aiohttp.web
 import limits
 
+from sesamespindle.lab import proxy
+
 # Waits end when their condition holds; this time-out only ends a test in which that
 # never happens.
 PATIENCE_SECONDS = 15.0
@@ -47,6 +49,8 @@
         The oldest revision from which a watch may start; older ones get status 410.
     waiting_by_kind : collections.Counter
         The number of watches that wait now, by kind of object.
+    reads : int
+        The number of lists and watches that reached it.
     """
 
     def __init__(self, address):
@@ -60,6 +64,7 @@
         self._objects_before = {}
         self.history_from = 0
         self.waiting_by_kind = collections.Counter()
+        self.reads = 0
         self._revision = 1
         self._objects = {}
         self._changes = collections.deque(maxlen=1000)
@@ -121,6 +126,7 @@
             raise aiohttp.web.HTTPOk(text='{"items": 7, "Events": [{}]}')
 
     async def _serve_kind(self, request):
+        self.reads += request.method == "GET"
         await self._delay_or_fail(request)
         kind = request.match_info["kind"]
         if request.method == "POST":
@@ -680,6 +686,11 @@
                 error.add_note(daemon.describe())
         await self._stack.aclose()
 
+    async def add_link(self):
+        """Return a new link to the store, whose connections can be disturbed."""
+        host, port = self.store.address.split(":")
+        return await self._stack.enter_async_context(proxy.Proxy(host, int(port)))
+
     async def add_target(self, name, service="desk", address=None):
         """Start a target and list it in the store."""
         target = Target(name, address or self._address(), service)
@@ -699,17 +710,28 @@
         await self.until(lambda: self.is_ready(daemon))
         return daemon
 
-    async def start_daemon(self, seeds=(), grace=8):
-        """Start a daemon without waiting until it is ready."""
+    async def start_daemon(
+        self, seeds=(), grace=8, store_address=None, data_centres=("dc-1",)
+    ):
+        """Start a daemon without waiting until it is ready.
+
+        Parameters
+        ----------
+        store_address : str, optional
+            Where it reaches the store, if not directly.
+        data_centres : tuple of str
+            All data centres; the daemon's own is the first.
+        """
         self._daemon_count += 1
         ip = f"{self._prefix}.{self._daemon_count}"
         daemon = Daemon(
             f"entry-{self._daemon_count}",
             ip,
             self._ports,
-            self.store.address,
+            store_address or self.store.address,
             seeds,
             grace,
+            data_centres,
         )
         await self._stack.enter_async_context(daemon)
         self.daemons.append(daemon)
