Prove that knowledge of the platform's objects is complete, instead of believing silence

Callers saw routes refused as unknown that had been added seconds before, and targets got requests after they had said that they leave.

Cause: a host took an open watch that says nothing for proof that nothing changed. A connection that falls silent without a reset says nothing for the whole wait, up to 15 s; all hosts are late alike, since nobody else has newer knowledge either. Ruled out as the cause of these: peers that hold up catching up (the test with a stopped peer passed before), and lists that take too long (no such line in the logs of the failing runs).

Now each host keeps for each kind up to which revision it is complete and when that was proved. The store counts all changes by one revision, so one small read proves all kinds. Every host reads as soon as its own proof is 0.6 of the bound old, repeats a lost read on a new connection after an eighth of the bound, and replaces connections that turn out to be dead; so its lateness doesn't depend on peers (arithmetic in storechecks.worst_lateness: 1.75 s of 2 s with one lost try). Peers' answers carry proofs, which count for a host with the same digest, so that few hosts read.

Also, as the fault's other forms: a watch's answer that is older than what is known changes nothing; a list's time limit grows when it isn't kept; a removal that a host learned of by a list is announced too (peers compare digests, not the revision of the latest object); a refused configuration isn't announced as known.

The stand-in store now cancels the handling of a call whose caller has left, as a watch of a host that no longer watches was counted as waiting. The bound of test_named_versions and test_records is as before; their set-up follows the new modules.

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -66,15 +66,23 @@
     return f"{target}.{born}"
 
 
-def make_session():
+def make_session(reuse=True):
     """Return an `aiohttp.ClientSession` for relaying to targets.
 
     It adds no headers or cookies of its own, and leaves compressed bodies as they
     are.
+
+    Parameters
+    ----------
+    reuse : bool
+        Whether connections stay open for further calls.
     """
+    keepalive = {"keepalive_timeout": _IDLE_TIMEOUT_SECONDS}
+    if not reuse:
+        keepalive = {"force_close": True}
     connector = aiohttp.TCPConnector(
         limit=0,
-        keepalive_timeout=_IDLE_TIMEOUT_SECONDS,
+        **keepalive,
         ssl=False,
         family=socket.AF_INET,
         use_dns_cache=False,
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -9,7 +9,14 @@
 import math
 
 from sesamespindle.daemon import crashmessages
-from sesamespindle.decide import announcements, events, gossip, incarnations, kvstores
+from sesamespindle.decide import (
+    announcements,
+    events,
+    freshness,
+    gossip,
+    incarnations,
+    kvstores,
+)
 from sesamespindle.wire import peers_pb2
 
 
@@ -118,6 +125,7 @@
         store_words=[_store_word_to_wire(item, now) for item in message.store_words],
         store_news=[_store_news_to_wire(item) for item in message.store_news],
         target_limits=[_limit_to_wire(item, now) for item in message.target_limits],
+        known=[_known_to_wire(item, now) for item in message.known],
         **crashmessages.to_wire(message.crash_news, now),
     )
 
@@ -192,6 +200,34 @@
         tuple(
             _limit_from_wire(item, sent_after or now) for item in message.target_limits
         ),
+        tuple(_known_from_wire(item, sent_after) for item in message.known),
+    )
+
+
+def _known_to_wire(known, now):
+    """Return what is known of a kind of object, with the age of its proof."""
+    seconds_ago = None
+    if known.proved_at is not None:
+        seconds_ago = (now - known.proved_at).total_seconds()
+    return peers_pb2.KnownKind(
+        kind=known.kind,
+        revision=known.revision,
+        digest=known.digest,
+        seconds_ago=seconds_ago,
+    )
+
+
+def _known_from_wire(message, sent_after):
+    """Return what a peer knows of a kind; its proof only if it is from an answer.
+
+    A request may have waited in a socket while this process was paused, so nobody knows
+    when it was sent, and its proof may be older than it seems.
+    """
+    proved_at = None
+    if sent_after is not None and message.HasField("seconds_ago"):
+        proved_at = sent_after - datetime.timedelta(seconds=message.seconds_ago)
+    return freshness.KnownKind(
+        message.kind, message.revision, message.digest, proved_at
     )
 
 
--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -1,4 +1,9 @@
-"""How recent and how complete a host's knowledge of the platform's objects is."""
+"""How recent and how complete a host's knowledge of the platform's objects is.
+
+Silence proves nothing: a watch that says nothing looks the same whether nothing has
+changed or its connection is dead. So a host keeps for each kind of object up to which
+revision it knows all changes, and when that was last proved to be all that there is.
+"""
 
 import dataclasses
 import datetime
@@ -6,37 +11,85 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kinds:
-    """The platform's names for the kinds of object that decisions depend on."""
+    """The kinds of object that a host follows, by the platform's names for them.
+
+    Attributes
+    ----------
+    bound_by_kind : dict of str to datetime.timedelta
+        How long after its acknowledgement a change of each kind must be in force.
+    configuration, targets : str
+        The kinds that requests depend on.
+    """
 
+    bound_by_kind: dict[str, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
     configuration: str = "configuration"
     targets: str = "targets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Knowledge:
-    """What this host knows of one kind of object.
+    """What a host knows of one kind of object.
 
     Attributes
     ----------
     revision : int
         The platform's revision up to which all changes are known.
+    digest : int
+        A hash of the names and revisions of all objects of the kind.
+    changed_at_revision : int
+        The revision at which a change of the content was last read.
     proved_at : datetime.datetime or None
         The latest time at which the platform is known to have had no later change;
         None if no such time is known.
     source : str
         What the knowledge was last read from, for the log.
+    refused_at_revision : int
+        The revision of a change that was read and refused as invalid, so that the
+        content is older; 0 if there is none.
     """
 
     revision: int
+    digest: int
+    changed_at_revision: int
     proved_at: datetime.datetime | None
     source: str
+    refused_at_revision: int = 0
 
     def describe(self, now):
         """Return the revision, source and age as text, for the log."""
         age = "of unknown age"
         if self.proved_at is not None:
             age = f"{(now - self.proved_at).total_seconds():.2f} s old"
-        return f"from {self.source}, complete up to revision {self.revision}, {age}"
+        refused = ""
+        if self.refused_at_revision:
+            refused = f", an invalid one of {self.refused_at_revision} was refused"
+        return (
+            f"from {self.source}, complete up to revision {self.revision}{refused}, "
+            f"{age}"
+        )
+
+    def for_peers(self, kind):
+        """Return what this host may call itself complete for, as a `KnownKind`.
+
+        Guards against a refused change that seems to be in force everywhere: the host
+        has the content of before the change, so it tells of no later revision, and of
+        no proof.
+        """
+        if self.refused_at_revision:
+            return KnownKind(kind, self.refused_at_revision - 1, self.digest, None)
+        return KnownKind(kind, self.revision, self.digest, self.proved_at)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownKind:
+    """What a host tells its peers of its `Knowledge` of a kind."""
+
+    kind: str
+    revision: int
+    digest: int
+    proved_at: datetime.datetime | None
 
 
 class Freshness:
@@ -50,13 +103,14 @@
 
     def __init__(self):
         self.knowledge_by_kind: dict[str, Knowledge] = {}
+        self._refused_revision_by_kind = {}
 
     def revision(self, kind):
         """Return the revision up to which a kind is known; 0 if it was never read."""
         known = self.knowledge_by_kind.get(kind)
         return known.revision if known is not None else 0
 
-    def note_read(self, kind, revision, proved_at, source):
+    def note_read(self, kind, revision, digest, proved_at, source):
         """Record that a kind was read, from the platform or from a peer.
 
         Parameters
@@ -65,17 +119,91 @@
             The kind of object.
         revision : int
             The revision up to which its changes are now known.
+        digest : int
+            The digest of the content that is now known.
         proved_at : datetime.datetime or None
             A time at which the platform had no later change; None if unknown.
         source : str
             What it was read from.
+
+        Returns
+        -------
+        has_changed : bool
+            Whether the content differs from what was known before.
         """
         known = self.knowledge_by_kind.get(kind)
+        has_changed = known is None or known.digest != digest
+        changed_at = revision if has_changed else known.changed_at_revision
         if known is not None:
             revision = max(revision, known.revision)
-            times = [at for at in (proved_at, known.proved_at) if at is not None]
-            proved_at = max(times, default=None)
-        self.knowledge_by_kind[kind] = Knowledge(revision, proved_at, source)
+            proved_at = _latest(proved_at, known.proved_at)
+        refused_at = self._refused_revision_by_kind.get(kind, 0)
+        if has_changed and refused_at < changed_at:
+            self._refused_revision_by_kind.pop(kind, None)
+            refused_at = 0
+        self.knowledge_by_kind[kind] = Knowledge(
+            revision, digest, changed_at, proved_at, source, refused_at
+        )
+        return has_changed
+
+    def note_refused(self, kind, revision):
+        """Record that a change of a kind was refused as invalid.
+
+        `note_read` must follow, with the digest of the content that stays.
+
+        Parameters
+        ----------
+        kind : str
+            The kind of object.
+        revision : int
+            The revision of the change.
+        """
+        self._refused_revision_by_kind[kind] = revision
+
+    def prove(self, kind, revision, at):
+        """Record that nothing of a kind has changed up to a revision, as of a time."""
+        known = self.knowledge_by_kind[kind]
+        self.knowledge_by_kind[kind] = dataclasses.replace(
+            known,
+            revision=max(revision, known.revision),
+            proved_at=_latest(at, known.proved_at),
+        )
+
+    def merge(self, theirs):
+        """Take over a peer's proof if this host knows the same content.
+
+        Guards against knowledge that seems fresh because a message was late: the time
+        of a peer's proof may count back only from when this host asked for it.
+
+        Parameters
+        ----------
+        theirs : KnownKind
+            What a peer knows, from its answer to this host.
+        """
+        known = self.knowledge_by_kind.get(theirs.kind)
+        if theirs.proved_at is None:
+            return
+        if known is not None and known.digest == theirs.digest:
+            self.prove(theirs.kind, theirs.revision, theirs.proved_at)
+
+    def is_behind(self, theirs):
+        """Return whether a peer knows changes that this host doesn't.
+
+        Parameters
+        ----------
+        theirs : KnownKind
+            What the peer knows.
+        """
+        known = self.knowledge_by_kind.get(theirs.kind)
+        if known is None:
+            return True
+        return known.digest != theirs.digest and known.revision < theirs.revision
+
+    def for_peers(self):
+        """Return a `KnownKind` for each kind that was read."""
+        return tuple(
+            known.for_peers(kind) for kind, known in self.knowledge_by_kind.items()
+        )
 
     def age(self, kind, now):
         """Return how long ago a kind was last proved complete; None if it never was."""
@@ -88,3 +216,7 @@
         """Return what is known of a kind as text, for the log."""
         known = self.knowledge_by_kind.get(kind)
         return known.describe(now) if known is not None else "never read"
+
+
+def _latest(*times):
+    return max((time for time in times if time is not None), default=None)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -26,6 +26,7 @@
     rollout,
     routes,
     senders,
+    storechecks,
     targetlimits,
     targetlist,
     weights,
@@ -135,12 +136,14 @@
                 self.quarantine,
             ),
         )
+        self.store_checks = storechecks.StoreChecks(self.state, terms.kinds)
         self.membership = membership.Membership(
             self.state,
             seeds,
             store_relay=self.stores.relay,
             quarantine=self.quarantine,
             target_limits=self.target_limits,
+            store_checks=self.store_checks,
         )
         self.lease = lease.Lease(
             self.state, terms.lease_time, self.membership.is_reachable
@@ -149,6 +152,7 @@
         self._targets = targetlist.TargetList(self.state)
         self._entries = catalogue.Catalogue(self.state)
         self._components = (
+            self.store_checks,
             self._targets,
             evacuations.Evacuations(self.state),
             self.weights,
@@ -283,6 +287,7 @@
         self.target_limits.tick(now)
         self.held_targets.tick(now)
         self.membership.tick(now)
+        self.store_checks.tick(now)
         self._targets.tick(now)
         self.lease.tick(now)
         self.rollout.tick(now)
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -7,7 +7,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import announcements, events, incarnations
+from sesamespindle.decide import announcements, events, freshness, incarnations
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +72,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenRevision:
-    """The revision of the latest change to a kind of object that the sender saw."""
+    """The revision of the latest change to a kind of object that the sender saw.
+
+    Daemons of earlier releases read it; others use `GossipMessage.known`.
+    """
 
     kind: str
     revision: int
@@ -274,7 +277,10 @@
     revision : int
         The revision of the sender's active configuration.
     brief : bool
-        Whether the message carries only pending work, between two rounds.
+        Whether the message carries only pending work and `known`, between two rounds.
+    known : tuple of freshness.KnownKind
+        Up to which revision, and as of when, the sender knows each kind of platform
+        object. Proofs count only in an answer, as a request may have been delayed.
     """
 
     sender: str
@@ -295,6 +301,7 @@
     store_news: tuple[StoreNews, ...] = ()
     crash_news: CrashNews = CrashNews()
     target_limits: tuple[TargetLimit, ...] = ()
+    known: tuple[freshness.KnownKind, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -79,6 +79,8 @@
         Propagates which requests crash targets.
     target_limits : targetlimits.TargetLimits, optional
         Propagates the limits that targets name.
+    store_checks : storechecks.StoreChecks, optional
+        Says which host to ask for a proof that the platform's objects are complete.
     """
 
     def __init__(
@@ -90,8 +92,10 @@
         store_relay=None,
         quarantine=None,
         target_limits=None,
+        store_checks=None,
     ):
         self._state = state
+        self._store_checks = store_checks
         self._quarantine = quarantine
         self._target_limits = target_limits
         # The incarnation of each peer of this data centre that was last sent all known
@@ -126,6 +130,7 @@
             self.start_round(now)
         elif self._state.must_announce_pending:
             self._send_pending_work()
+        self._ask_for_proof(now)
 
     def gossip_crashes(self, now):
         """Start a gossip round between two ticks if there is a crash to announce.
@@ -167,14 +172,26 @@
         others only after their next gossip round.
         """
         self._state.must_announce_pending = False
-        message = self._pending_work_message()
+        message = self._brief_message()
         for row in self._sample(self._present_peers_inside(), PEERS_INSIDE):
             self._state.emit(commands.GossipTo(row.peer_address, message))
 
-    def _pending_work_message(self):
+    def _ask_for_proof(self, now):
+        """Ask the host that checks the store for others what it knows, if due."""
+        if self._store_checks is None:
+            return
+        source = self._store_checks.proof_source(now)
+        if source is not None:
+            self._state.emit(commands.GossipTo(source, self._brief_message()))
+
+    def _brief_message(self):
         me = self._state.me
         return gossip.GossipMessage(
-            me.name, me.data_centre, pending=self._pending(), brief=True
+            me.name,
+            me.data_centre,
+            pending=self._pending(),
+            brief=True,
+            known=self._state.freshness.for_peers(),
         )
 
     def leave(self, order, now):
@@ -207,16 +224,18 @@
         """Answer a peer's gossip message with the records that the peer lacks."""
         message = event.message
         self._note_heard(message)
+        sender = self._state.entries.get(message.sender)
+        if sender is not None:
+            self._request_rereads(sender.peer_address, message.known)
         if message.brief:
             self._merge_pending(message, now)
-            reply = self._pending_work_message()
+            reply = self._brief_message()
             self._state.emit(commands.GossipReply(event.exchange_id, reply))
             return
         self._merge(message, now)
         sender = self._state.entries.get(message.sender)
         if sender is not None:
             self._fetch_revision(sender.peer_address, message.revision)
-            self._request_rereads(sender.peer_address, message.seen)
         inside = message.data_centre == self._state.me.data_centre
         newer, wanted = self._compare(message)
         reply = self._message(
@@ -227,13 +246,15 @@
     def receive_reply(self, event, now):
         """Merge a peer's reply, and send the peer the records that it asked for."""
         self._note_heard(event.message)
+        for known_kind in event.message.known:
+            self._state.freshness.merge(known_kind)
+        self._request_rereads(event.peer_address, event.message.known)
         if event.message.brief:
             self._merge_pending(event.message, now)
             return
         self._state.knows_entries = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
-        self._request_rereads(event.peer_address, event.message.seen)
         asked_for = [
             self._state.entries.get(name)
             for name in event.message.wanted
@@ -291,15 +312,15 @@
                 commands.FetchDeclarations(peer_address, self._state.revision)
             )
 
-    def _request_rereads(self, peer_address, seen):
-        """Request a new read of each kind that the peer has seen change later.
+    def _request_rereads(self, peer_address, known):
+        """Request a new read of each kind of which the peer knows later changes.
 
         Guards against stale objects where this host's watch has stopped delivering
         changes or the platform refuses this host: only the revisions that peers send
         show that there was a change.
         """
-        for item in seen:
-            if item.revision > self._state.freshness.revision(item.kind):
+        for item in known:
+            if self._state.freshness.is_behind(item):
                 self._state.emit(
                     commands.ReadAgain(item.kind, item.revision, peer_address)
                 )
@@ -457,8 +478,8 @@
             self._leaving_targets(),
             state.revision,
             tuple(
-                gossip.SeenRevision(kind, revision)
-                for kind, revision in state.last_change_by_kind.items()
+                gossip.SeenRevision(kind, known.changed_at_revision)
+                for kind, known in state.freshness.knowledge_by_kind.items()
             ),
             self._target_versions(),
             state.lease_release,
@@ -468,6 +489,7 @@
             store_news=store_news,
             crash_news=crash_news,
             target_limits=target_limits,
+            known=state.freshness.for_peers(),
         )
 
     def _pending(self):
--- a/packages/decide/sesamespindle/decide/readings.py
+++ b/packages/decide/sesamespindle/decide/readings.py
@@ -95,6 +95,18 @@
         self._last_by_kind[kind] = began, revision
         return reading
 
+    def checked(self, kind, revision, began, now):
+        """Return the `Reading` of a check's answer, with arguments as for `listed`."""
+        reading = self._reading(kind, "a check", now)
+        self._last_by_kind[kind] = began, revision
+        return reading
+
+    def proved(self, kind, revision, at):
+        """Note that a kind had no change up to a revision, as of a time."""
+        read_at, _ = self._last_by_kind.get(kind, (None, -1))
+        if read_at is None or at > read_at:
+            self._last_by_kind[kind] = at, revision
+
     def watched(self, kind, revision, began, now):
         """Return the `Reading` of a watch's answer, with arguments as for `listed`."""
         pushed = now - began >= _PUSHED_AFTER and not self._pauses.paused_since(began)
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -335,8 +335,6 @@
         # The revision of a refuted record, and when it was refuted, by incarnation.
         self._refuted_by_incarnation = {}
         self.region_by_data_centre: dict[str, str] = {}
-        # The revision of the latest change seen, by kind of platform object.
-        self.last_change_by_kind: dict[str, int] = {}
         self.freshness = freshness.Freshness()
         self.announcements = announcements.Announcements()
         self.pauses = pauses.Pauses(started_at)
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -290,7 +290,7 @@
     row = world.TargetRow("llm-1", "llm", None, "dc-1", False, "llm-1:80")
     state.targets.add(row)
     sender, _ = with_long_prompt()
-    message = sender._pending_work_message()
+    message = sender._brief_message()
     daemon.receive(gossip.GossipReceived("x", message), NOW)
     (reply,) = state.take_commands()
     assert reply.message == gossip.GossipMessage("entry-1", "dc-1", brief=True)
--- a/tests/platform/test_named_versions.py
+++ b/tests/platform/test_named_versions.py
@@ -8,8 +8,21 @@
 import gateways
 
 from sesamespindle.daemon import driver, eventlog
-from sesamespindle.decide import commands, events, lease, rollout, targetlist
-from sesamespindle.platform import feeds, objects
+from sesamespindle.decide import (
+    commands,
+    events,
+    lease,
+    readings,
+    rollout,
+    targetlist,
+)
+from sesamespindle.platform import (
+    adoption,
+    availability,
+    feeds,
+    objects,
+    storelinks,
+)
 from sesamespindle.wire import clock
 
 SECOND = datetime.timedelta(seconds=1)
@@ -22,7 +35,7 @@
         self.listing = _listing(version, 10)
         self.watches = asyncio.Queue()
 
-    async def list(self, kind):
+    async def list(self, kind, timeout):
         return self.listing
 
     async def watch(self, kind, revision, wait):
@@ -45,7 +58,15 @@
         self.driver = driver.Driver(self.core, self.clock, log)
         for command in (lease.ReadLease, rollout.ReadReport, commands.GossipTo):
             self.driver.on(command, _ignore)
-        self.feeds = feeds.Feeds(self.driver, store, random.Random(1))
+        self.feeds = feeds.Feeds(
+            self.driver,
+            store,
+            storelinks.StoreLinks(),
+            adoption.Adoption(self.driver),
+            availability.Availability(self.driver),
+            readings.Readings(self.core.state.pauses),
+            random.Random(1),
+        )
 
     def pass_time(self, duration):
         """Let time pass, with a tick every tenth of a second."""
@@ -72,7 +93,7 @@
 @contextlib.asynccontextmanager
 async def _following(host):
     """Follow the announced versions; yield the first watch, for the test to answer."""
-    task = asyncio.create_task(host.feeds.watch(feeds.VERSIONS))
+    task = asyncio.create_task(host.feeds.follow(adoption.VERSIONS))
     try:
         yield await host.store.watches.get()
     finally:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -153,6 +153,6 @@
 @given(ANYTHING)
 def test_any_pack_of_a_peer_is_read_or_raises_findings(content):
     try:
-        assert records.read_pack(content).seen is not None
+        assert records.read_pack(content).kinds is not None
     except findings.FindingsError as error:
         assert str(error)
--- a/tests/support/changefleet.py
+++ b/tests/support/changefleet.py
@@ -20,6 +20,8 @@
 EVACUATION_SECONDS = 5.0
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 _PAUSE_SECONDS = 0.05
+# How many daemons start at the same time: each takes a second of a core to start.
+_STARTED_AT_ONCE = 12
 # How many requests each host must handle by the new state after its first such.
 _CONFIRMATIONS = 3
 
@@ -167,14 +169,15 @@
 
 @contextlib.asynccontextmanager
 async def fleet(world, hosts=9, targets=3):
-    """Yield a `Fleet` whose hosts all started at once and are ready."""
+    """Yield a `Fleet` whose hosts are ready."""
     for number in range(targets):
         await world.add_target(f"desk-{number + 1}")
     made = Fleet(world)
-    for _ in range(hosts):
-        await made.start_host()
-    for host in made.hosts:
-        await world.until(lambda host=host: world.is_ready(host))
+    while len(made.hosts) < hosts:
+        count = min(_STARTED_AT_ONCE, hosts - len(made.hosts))
+        started = [await made.start_host() for _ in range(count)]
+        for host in started:
+            await world.until(lambda host=host: world.is_ready(host))
     yield made
 
 
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -75,7 +75,9 @@
         application = aiohttp.web.Application()
         application.router.add_route("*", "/v1/objects/{kind}", self._serve_kind)
         application.router.add_route("*", "/v1/objects/{kind}/{name}", self._serve_one)
-        self._runner = aiohttp.web.AppRunner(application, shutdown_timeout=0.1)
+        self._runner = aiohttp.web.AppRunner(
+            application, shutdown_timeout=0.1, handler_cancellation=True
+        )
         await self._runner.setup()
         host, port = self.address.split(":")
         await aiohttp.web.TCPSite(self._runner, host, int(port)).start()
