Let a call whose channel another call drops fail, not cancel its task

When a call to a peer times out its channel is closed, and the library ends all other calls in flight on it with asyncio.CancelledError. That is no RPC error, so the tasks that waited ended without a line; the revision that one of them was catching up with stayed marked as under way, and no later announcement started it again. The call now counts as failed and is logged, unless the task itself is cancelled.

The test failed before with CancelledError. Ruled out: a call that is begun on a closed channel. A channel leaves the table before it is closed, and finding it and beginning the call are one step without a pause.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -454,7 +454,12 @@
             await self._declarations.adopt_update(answer.head, answer.documents)
 
     async def _call(self, address, method, request, seconds=_RPC_SECONDS):
-        """Call a method of a peer; return its answer, or None if the call failed."""
+        """Call a method of a peer; return its answer, or None if the call failed.
+
+        Guards against a task that ends without a line: when another call drops the
+        channel, the library ends this one by a cancellation, as if this task itself
+        were cancelled.
+        """
         stub = peers_pb2_grpc.PeersStub(self._channel(address))
         try:
             answer = await getattr(stub, method)(
@@ -465,6 +470,11 @@
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 await self._drop_channel(address)
             return None
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            _log.info("Call {} to peer {} ended with its channel.", method, address)
+            return None
         if hasattr(answer, "clock"):
             self._clock.merge(answer.clock)
         return answer
--- a/tests/daemon/test_peering.py
+++ b/tests/daemon/test_peering.py
@@ -7,7 +7,7 @@
 
 from sesamespindle.daemon import driver, eventlog, peering, peermessages
 from sesamespindle.decide import core, events
-from sesamespindle.wire import clock
+from sesamespindle.wire import clock, peers_pb2
 
 
 def test_only_one_process_can_bind_a_peer_port(go):
@@ -81,3 +81,43 @@
         silent.close()
 
     go(run())
+
+
+def test_a_call_on_a_channel_that_is_closed_counts_as_failed(go):
+    """Guards against a task that ends without a line as another one drops its channel.
+
+    The library ends such a call by a cancellation, which is no RPC error.
+    """
+
+    async def run():
+        silent = socket.create_server(("127.0.0.1", 0))
+        host, port = silent.getsockname()
+        address = f"{host}:{port}"
+        async with _Host("entry-1") as first:
+            fetching = asyncio.create_task(first.peering.fetch_from(address))
+            await asyncio.sleep(0.1)
+            await first.peering._drop_channel(address)
+            await fetching
+            assert first.state.adopted == []
+        silent.close()
+
+    go(run())
+
+
+def test_a_fetch_that_is_cancelled_itself_ends(go):
+    async def run():
+        silent = socket.create_server(("127.0.0.1", 0))
+        host, port = silent.getsockname()
+        async with _Host("entry-1") as first:
+            calling = asyncio.create_task(
+                first.peering._call(
+                    f"{host}:{port}", "Gossip", peers_pb2.GossipMessage()
+                )
+            )
+            await asyncio.sleep(0.1)
+            calling.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await calling
+        silent.close()
+
+    go(run())
