Ask the store before a request is refused as unknown by old knowledge

A host that resumed after a pause refused a route with 404 that had been added meanwhile, and a host that can't reach the store denied keys and routes of which it couldn't know. A refusal for an unknown route or key now needs a proof of the configuration that is younger than 0.9 of the bound. Otherwise the request waits for one check, which all waiting requests share, for up to 0.6 s; if there is no answer, or the last check already had none, it is refused with 503 as not run and a spread time to come back.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -27,6 +27,10 @@
         "The API key isn't in the configuration that was active on the host.",
     ),
     ("no_route", "No route of the active configuration matches the host and path."),
+    (
+        "stale_configuration",
+        "The host could not find out whether its configuration was current.",
+    ),
     ("not_ready", "The host had just started and had no configuration yet."),
     (
         "Refused: quarantined",
--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/proofs.py
@@ -0,0 +1,66 @@
+"""Asks the store before a request is refused by knowledge that is too old."""
+
+import asyncio
+import contextlib
+
+from sesamespindle.decide import storechecks
+
+# How long a request waits for a check of the store, which reads it up to twice.
+_PATIENCE_SECONDS = 0.6
+
+
+class Proofs:
+    """Lets requests wait for a proof that the active configuration is current.
+
+    Parameters
+    ----------
+    driver : sesamespindle.daemon.driver.Driver
+        Has the store checked, and tells when a check has ended.
+    """
+
+    def __init__(self, driver):
+        self._driver = driver
+        self._check_ended = asyncio.Event()
+        driver.on(storechecks.CheckSettled, self._wake)
+
+    async def confirm(self, begin):
+        """Return what to do with a new request, by knowledge that is recent enough.
+
+        Guards against a request that is refused since this host has missed the change
+        which allows it, such as a new route or key. All requests that wait share one
+        check. If the store doesn't answer, the caller is told to come back.
+
+        Parameters
+        ----------
+        begin : callable
+            Returns the command for the request by what is known now.
+        """
+        command = begin()
+        if not self._is_doubtful(command):
+            return command
+        if self._checks.is_store_answering():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PATIENCE_SECONDS):
+                    await self._until_proved()
+            command = begin()
+        if self._is_doubtful(command):
+            return self._checks.refuse_unproved(command)
+        return command
+
+    @property
+    def _checks(self):
+        return self._driver.core.store_checks
+
+    def _is_doubtful(self, command):
+        return self._checks.is_doubtful(command, self._driver.clock.now())
+
+    async def _until_proved(self):
+        """Wait until a check has proved that the configuration is current."""
+        while not self._checks.may_refuse(self._driver.clock.now()):
+            ended = self._check_ended
+            self._driver.feed(storechecks.CheckWanted())
+            await ended.wait()
+
+    def _wake(self, command):
+        self._check_ended.set()
+        self._check_ended = asyncio.Event()
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -13,7 +13,7 @@
 import aiohttp.web
 import yarl
 
-from sesamespindle.daemon import connections, logs, relayed
+from sesamespindle.daemon import connections, logs, proofs, relayed
 from sesamespindle.decide import commands, events, routes, sends
 
 _log = logs.part("relay")
@@ -59,6 +59,7 @@
         self._dialect = dialect
         self._session = session
         self._measures = measures
+        self._proofs = proofs.Proofs(driver)
         self._requests_by_connection = weakref.WeakKeyDictionary()
         # The timeouts of all sends in flight.
         self._send_timeouts = set()
@@ -115,7 +116,9 @@
         request = dataclasses.replace(
             request, content=relayed.content_digest(http, body)
         )
-        command = self._call_core(self._forwarding.begin, request)
+        command = await self._proofs.confirm(
+            lambda: self._call_core(self._forwarding.begin, request)
+        )
         answer = relayed.Answer()
         try:
             return await self._execute(http, request, body, command, answer)
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -40,6 +40,7 @@
     NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
+    STALE_CONFIGURATION = "stale_configuration"
     TARGET_FAILED = "target_failed"
     TIMEOUT = "timeout"
     BODY_TOO_LARGE = "body_too_large"
--- a/packages/decide/sesamespindle/decide/storechecks.py
+++ b/packages/decide/sesamespindle/decide/storechecks.py
@@ -45,6 +45,11 @@
 _TRY_SHARE = 0.125
 # Knowledge older than this share of the time can't justify that a request is refused.
 _REFUSAL_SHARE = 0.9
+# The refusals that a later configuration might turn into a service.
+_BY_KNOWLEDGE = frozenset((commands.Code.NO_ROUTE, commands.Code.UNKNOWN_KEY))
+# The shortest time after which a caller is to come back that was refused because the
+# store doesn't answer.
+_UNPROVED_RETRY_AFTER = datetime.timedelta(seconds=1)
 # The longest time between two ticks, and the longest that a healthy store takes to
 # answer a read.
 TICK = datetime.timedelta(seconds=0.1)
@@ -84,6 +89,11 @@
     answered: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckSettled:
+    """A check has ended, and requests that wait for its result may go on."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckWanted:
     """The store must be checked now, as this host may have missed a change.
@@ -91,7 +101,7 @@
     Attributes
     ----------
     kinds : tuple of str
-        The kinds that may have changed; all if empty.
+        The kinds that may have changed; the configuration if empty.
     """
 
     kinds: tuple[str, ...] = ()
@@ -171,7 +181,7 @@
             case CheckEnded():
                 self._end(event, now)
             case CheckWanted():
-                self._wanted |= set(event.kinds or self._kinds.bound_by_kind)
+                self._wanted |= set(event.kinds or (self._kinds.configuration,))
                 self._begin_if_due(now)
             case _:
                 return False
@@ -191,6 +201,22 @@
         age = self._state.freshness.age(kind, now)
         return age is not None and age <= bound * _REFUSAL_SHARE
 
+    def is_doubtful(self, command, now):
+        """Return whether a command refuses a request by knowledge that is too old."""
+        is_refusal = isinstance(command, commands.Refuse)
+        return is_refusal and command.code in _BY_KNOWLEDGE and not self.may_refuse(now)
+
+    def refuse_unproved(self, refuse):
+        """Return the refusal of a request that may be allowed by a later change."""
+        return commands.Refuse(
+            refuse.request_id,
+            commands.Code.STALE_CONFIGURATION,
+            commands.Outcome.NOT_RUN,
+            f"{refuse.message} But this host can't find out whether its configuration "
+            "is current.",
+            retries.with_jitter(_UNPROVED_RETRY_AFTER, self._state.random),
+        )
+
     def is_store_answering(self):
         """Return whether the last check of the store got its answers."""
         return self._failures == 0
@@ -266,6 +292,7 @@
 
     def _end(self, ended, now):
         self._began_at = None
+        self._state.emit(CheckSettled())
         if ended.answered:
             self._failures = 0
             self._not_before = None
--- a/tests/platform/test_late_changes.py
+++ b/tests/platform/test_late_changes.py
@@ -86,3 +86,49 @@
         assert max(late.values()) <= 0, late
 
     play(scenario)
+
+
+def test_a_host_that_resumes_does_not_refuse_what_was_added_meanwhile(play):
+    """Guards against refusals by a configuration from before a pause of the process."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world, hosts=1) as fleet:
+            [host] = fleet.hosts
+            host.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(changefleet.CHANGE_SECONDS)
+            await fleet.add_route("/added/")
+            asking = asyncio.create_task(fleet.ask(host, "/added/1"))
+            await asyncio.sleep(0.1)
+            host.send_signal(signal.SIGCONT)
+            assert await asking == 200
+
+    play(scenario)
+
+
+def test_what_cannot_be_known_is_refused_at_once_as_not_run(play):
+    """Guards against an unknown route or key that is denied by outdated knowledge."""
+
+    async def scenario(world):
+        async with changefleet.fleet(world, hosts=1) as fleet:
+            [host] = fleet.hosts
+            await fleet.disturb(mode="drop_answers")
+
+            async def is_unproved():
+                status, _, body = await world.ask(host, "/unknown/1", "r1")
+                return status == 503 and b"stale_configuration" in body
+
+            await world.until(is_unproved)
+            began = asyncio.get_running_loop().time()
+            status, headers, _ = await world.ask(host, "/unknown/1", "r2")
+            assert asyncio.get_running_loop().time() - began < 0.5
+            assert status == 503
+            assert float(headers["Retry-After"]) >= 1.0
+            assert await fleet.ask(host, "/read/1") == 200
+            await fleet.disturb(mode="pass", silence=True)
+
+            async def is_denied():
+                return await fleet.ask(host, "/unknown/1") == 404
+
+            await world.until(is_denied)
+
+    play(scenario)
