Give a store that is only slow longer to answer a check

With each answer after 0.9 s, a check's reads of 0.7 s never succeeded, and while they fail no host watches: changes would have arrived nowhere. The time limit of a read now doubles with each failed check, up to 2.8 s.

--- a/packages/decide/sesamespindle/decide/storechecks.py
+++ b/packages/decide/sesamespindle/decide/storechecks.py
@@ -54,6 +54,9 @@
 # answer a read.
 TICK = datetime.timedelta(seconds=0.1)
 ANSWER = datetime.timedelta(seconds=0.1)
+# How long a read may take at first, and how often this is doubled at most.
+_ANSWER_TIMEOUT = datetime.timedelta(seconds=0.7)
+_MAX_DOUBLINGS = 2
 # A check that hasn't ended after this long no longer holds up the next one.
 _CHECK_TIMEOUT = datetime.timedelta(seconds=2)
 
@@ -70,10 +73,13 @@
         The kinds whose proof is too old.
     try_timeout : datetime.timedelta
         A read without an answer for this long is repeated on a new connection.
+    answer_timeout : datetime.timedelta
+        A read without an answer for this long is lost.
     """
 
     kinds: tuple[str, ...]
     try_timeout: datetime.timedelta
+    answer_timeout: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,7 +284,9 @@
         self._wanted = frozenset()
         self._began_at = now
         shortest = min(self._kinds.bound_by_kind[kind] for kind in due)
-        self._state.emit(CheckStore(due, try_timeout(shortest)))
+        # A store that is only slow answers if it gets longer after each failure.
+        answer = _ANSWER_TIMEOUT * 2 ** min(self._failures, _MAX_DOUBLINGS)
+        self._state.emit(CheckStore(due, try_timeout(shortest), answer))
 
     def _is_due(self, kind, now):
         """Return whether a kind must be checked; one that was never read is listed."""
--- a/tests/support/changefleet.py
+++ b/tests/support/changefleet.py
@@ -147,6 +147,22 @@
                 await asyncio.sleep(_PAUSE_SECONDS)
         return last
 
+    def is_served(self, path, **headers):
+        """Return a coroutine function for `lateness`: what was removed is served."""
+
+        async def is_old(host):
+            return await self.ask(host, path, **headers) == 200
+
+        return is_old
+
+    def lacks_line(self, text):
+        """Return a coroutine function for `lateness`: a host hasn't logged a text."""
+
+        async def is_old(host):
+            return not any(text in line for line in host.lines())
+
+        return is_old
+
     def is_refused(self, path):
         """Return a coroutine function for `lateness`: a new route isn't served."""
 
