Have the soak silence connections to the store, and judge changes from the store's ack

The soak learns the class of the fault: open connections to the store of one daemon, of a data centre or of all fall silent without a reset, or no daemon gets an answer for some seconds; a change follows within 3.5 s, and all daemons are asked for it.

--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -40,6 +40,7 @@
             options.callers,
             crashes=True,
             signals=True,
+            silences=True,
         )
     )
     journal = outcome.journal
--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -95,6 +95,19 @@
         self._world.journal.sent_requests.append(sent)
         return sent
 
+    async def ask_all_daemons(self, until):
+        """Ask each daemon for the newest configuration's route until a given time."""
+        while self._world.now() < until:
+            async with asyncio.TaskGroup() as asked:
+                for daemon in self._world.daemon_by_name.values():
+                    address = f"{daemon.ip}:{daemon.front_port}"
+                    asked.create_task(self._probe(address))
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _probe(self, address):
+        sent = await self._send_to(records.Kind.PROBE, address, is_newest=True)
+        self._world.journal.sent_requests.append(sent)
+
     async def send_crashing_prompt(self, path):
         """Send a prompt that crashes the engine which runs it, to a given path."""
         address = await self._choose_address()
@@ -166,13 +179,14 @@
                 return addresses
         return None
 
-    async def _send_to(self, kind, address):
+    async def _send_to(self, kind, address, is_newest=False):
         world = self._world
         request_id = next(self._ids)
         key, account = self._random.choice(world.keys)
         version, deadline_ms = 0, self._random.choice(_DEADLINES_MS)
         if kind is records.Kind.PROBE:
-            version = self._random.choice(world.recent_versions())
+            versions = world.recent_versions()
+            version = versions[-1] if is_newest else self._random.choice(versions)
         path = _path(kind, request_id, version)
         if kind is records.Kind.CHAT:
             deadline_ms = _STREAM_DEADLINE_MS
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -253,7 +253,7 @@
         return
     newest = max(due, key=lambda change: change.version)
     faults = _faults_affecting(journal, sent.daemon)
-    if not _is_undisturbed(faults, newest.at, sent.ended_at):
+    if not _is_undisturbed(faults, sent.sent_at, sent.ended_at):
         return
     if sent.version < newest.version and sent.status == 200:
         detail = f"{sent.daemon} serves {sent.version}, {newest.version} is active"
@@ -283,14 +283,18 @@
 
 def _check_leaving(journal):
     """Check that a leaving target gets no request after the time to drain it."""
+    daemon_by_request = journal.daemon_by_request()
     for change in journal.changes:
         if change.what != "leaving":
             continue
+        if not _is_undisturbed(_store_faults(journal), change.at, change.at):
+            continue
         for run in journal.runs:
             late = run.at > change.at + _DRAIN_SECONDS + _CLOCK_SLACK_SECONDS
             if run.target != change.subject or not late:
                 continue
-            if _is_undisturbed(journal.faults, change.at, run.at):
+            daemon = daemon_by_request.get(run.request_id, "")
+            if _is_in_contact(journal.faults, daemon, run):
                 detail = f"{run.target}, leaving for {run.at - change.at:.2f} s"
                 yield Violation(
                     "no requests to leaving targets", run.request_id, detail
@@ -511,6 +515,15 @@
     ]
 
 
+def _store_faults(journal):
+    """Return the faults of the store itself, for all daemons."""
+    return [
+        fault
+        for fault in journal.faults
+        if fault.area is _Area.STORE and not fault.subject
+    ]
+
+
 def _is_undisturbed(faults, began, until):
     """Return whether no fault was active from _CONTACT_SECONDS before to the end."""
     return not any(
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -96,6 +96,26 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilenceLinks:
+    """Open connections to the store fall silent without a reset; new ones work.
+
+    Attributes
+    ----------
+    part : str
+        Whose connections: those of ``one`` daemon, of a ``data centre``, or of ``all``.
+    """
+
+    part: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilenceStore:
+    """No daemon gets an answer for a while; open connections stay silent after it."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DropHistory:
     """The store drops its history of changes, so that watches have to list again."""
@@ -217,6 +237,23 @@
     return source.choice(makers)()
 
 
+def draw_silence(source):
+    """Return a drawn fault after which open connections to the store are silent."""
+    makers = (
+        lambda: SilenceLinks("one"),
+        lambda: SilenceLinks("data centre"),
+        lambda: SilenceLinks("all"),
+        lambda: SilenceLinks("all"),
+        lambda: SilenceStore(source.uniform(1.0, 6.0)),
+    )
+    return source.choice(makers)()
+
+
+def draw_followed_change(source):
+    """Return a drawn change of which daemons learn from the store."""
+    return source.choice((ChangeConfiguration, ChangeConfiguration, DrainTarget))()
+
+
 def draw_signal(source):
     """Return a drawn fault in which targets say something of themselves."""
     limit = source.choice((0.5, 1.0, 1.7, 6.0))
@@ -283,6 +320,10 @@
                 await link.apply({"cut": True})
         case FailStore():
             await _fail_store(fault, world.store, world)
+        case SilenceLinks():
+            await _silence_links(fault, world)
+        case SilenceStore():
+            await _silence_store(fault, world)
         case DropHistory():
             with _recorded(world, "forget history", _Area.STORE):
                 world.store.forget_history()
@@ -395,6 +436,29 @@
         await link.apply({"mode": proxy.Mode.PASS, "delay": 0.0, "cut": True})
 
 
+async def _silence_links(fault, world):
+    daemons = list(world.daemon_by_name.values())
+    chosen = world.random.choice(daemons)
+    if fault.part == "data centre":
+        data_centre = chosen.data_centre
+        daemons = [item for item in daemons if item.data_centre == data_centre]
+    elif fault.part == "one":
+        daemons = [chosen]
+    for daemon in daemons:
+        with _recorded(world, "silent links", _Area.DAEMON, daemon.name):
+            await world.link_by_daemon[daemon.name].apply({"silence": True})
+
+
+async def _silence_store(fault, world):
+    links = list(world.link_by_daemon.values())
+    with _recorded(world, "silent store", _Area.STORE):
+        for link in links:
+            await link.apply({"mode": proxy.Mode.DROP_ANSWERS})
+        await asyncio.sleep(fault.seconds)
+        for link in links:
+            await link.apply({"mode": proxy.Mode.PASS, "silence": True})
+
+
 def _choose_daemon(world):
     return world.random.choice(list(world.daemon_by_name.values()))
 
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -48,6 +48,11 @@
 # The longest time between two restarts of targets under their own names.
 _RESTART_INTERVAL_SECONDS = 4.0
 
+# How often the open connections to the store fall silent, how long after that a change
+# follows at most, and for how long daemons are asked which configuration is active.
+_SILENCES = 4
+_MAX_SECONDS_TO_CHANGE = 3.5
+_ASKED_SECONDS = 5.0
 # The longest time between two spans in which targets say what they need.
 _SIGNAL_INTERVAL_SECONDS = 2.0
 
@@ -70,6 +75,7 @@
     announcements=True,
     crashes=False,
     signals=False,
+    silences=False,
 ):
     """Run one soak and return its `Outcome`.
 
@@ -94,6 +100,9 @@
         Whether prompts that crash engines are also sent.
     signals : bool
         Whether targets also say in their answers what they need.
+    silences : bool
+        Whether, after the bursts of faults, connections to the store also fall silent
+        before changes.
     """
     async with contextlib.AsyncExitStack() as stack:
         fleet = await stack.enter_async_context(world.World(seed, daemons))
@@ -130,6 +139,8 @@
                 )
             await _inject_bursts(fleet, seed, seconds)
             await asyncio.gather(*crash_tasks, *signal_tasks)
+            if silences:
+                await _change_after_silences(fleet, seed)
             if announces_before_faults:
                 await _announce_before_faults(fleet, source)
                 if source.random() < _PAUSES_SHARE:
@@ -198,6 +209,26 @@
         await faults.inject(faults.draw_signal(source), fleet)
 
 
+async def _change_after_silences(fleet, seed):
+    """Let connections to the store fall silent, and change something after each time.
+
+    All daemons are then asked for the newest configuration, as operators do.
+    """
+    source = random.Random(f"silences {seed}")
+    data_centre = world.DATA_CENTRES[0]
+    async with (
+        callers.Caller(fleet, seed * 1000 + 998, False, data_centre) as caller,
+        asyncio.TaskGroup() as changes,
+    ):
+        await asyncio.sleep(_UNDISTURBED_SECONDS)
+        for _ in range(_SILENCES):
+            await faults.inject(faults.draw_silence(source), fleet)
+            await asyncio.sleep(source.uniform(0, _MAX_SECONDS_TO_CHANGE))
+            change = faults.draw_followed_change(source)
+            changes.create_task(faults.inject(change, fleet))
+            await caller.ask_all_daemons(fleet.now() + _ASKED_SECONDS)
+
+
 async def _announce_before_faults(fleet, source):
     """Announce weights just before daemons fail, while store and links work."""
     for _ in range(source.randint(1, _MAX_ANNOUNCEMENTS)):
