--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -5,7 +5,6 @@
 digests differ.
 """
 
-import collections
 import dataclasses
 import datetime
 
@@ -275,28 +274,26 @@
             return True
         return now - heard_at < 2 * self._state.policy.suspect_after
 
-    def is_watcher(self):
+    def is_watcher(self, count=WATCHERS):
         """Return whether this daemon watches the platform for its data centre.
 
-        `WATCHERS` daemons of each data centre do, and the others learn of changes
-        from them, so that the number of watches on the platform grows with the number
-        of data centres and not of hosts. Rendezvous hashing over the live entries
+        A few daemons of each data centre do, and the others learn of changes from
+        them, so that the number of watches on the platform grows with the number of
+        data centres and not of hosts. Rendezvous hashing over the live entries
         chooses them without coordination. A watcher that stops responding is
         suspected and so no longer live, and the next in rank takes its place.
+
+        Parameters
+        ----------
+        count : int
+            The number of daemons of each data centre that watch.
         """
         here = [
             row.name
             for row in self._state.live_entries()
             if row.data_centre == self._state.me.data_centre
         ]
-        return self._state.me.name in hashing.rank("declarations", here)[:WATCHERS]
-
-    def watchers(self):
-        """Return how many daemons watch the platform, over all data centres."""
-        counts = collections.Counter(
-            row.data_centre for row in self._state.live_entries()
-        )
-        return sum(min(WATCHERS, count) for count in counts.values())
+        return self._state.me.name in hashing.rank("declarations", here)[:count]
 
     def request_round(self):
         """Have the next tick start a gossip round, because something has changed."""
