--- /dev/null
+++ b/tests/daemon/test_peermessages.py
@@ -0,0 +1,34 @@
+"""What hosts tell each other of the platform's objects, on the wire."""
+
+import datetime
+
+from sesamespindle.daemon import peermessages
+from sesamespindle.decide import freshness, gossip
+
+NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
+SECOND = datetime.timedelta(seconds=1)
+
+
+def sent(known):
+    message = gossip.GossipMessage("entry-1", "dc-1", known=(known,))
+    return peermessages.gossip_to_wire(message, 1, NOW)
+
+
+def test_a_proof_in_an_answer_counts_back_from_the_start_of_the_exchange():
+    wire = sent(freshness.KnownKind("config", 7, 5, NOW - SECOND))
+    later = NOW + 9 * SECOND
+    [known] = peermessages.gossip_from_wire(wire, later, NOW - SECOND / 2).known
+    assert known == freshness.KnownKind("config", 7, 5, NOW - 1.5 * SECOND)
+
+
+def test_a_proof_in_a_request_does_not_count():
+    """Guards against knowledge that seems fresh, as a request waited in a socket."""
+    wire = sent(freshness.KnownKind("config", 7, 5, NOW))
+    [known] = peermessages.gossip_from_wire(wire, NOW + 9 * SECOND).known
+    assert known == freshness.KnownKind("config", 7, 5, None)
+
+
+def test_knowledge_without_a_proof_is_told_without_a_time():
+    wire = sent(freshness.KnownKind("config", 7, 5, None))
+    [known] = peermessages.gossip_from_wire(wire, NOW, NOW).known
+    assert known.proved_at is None
