--- a/packages/lab/sesamespindle/lab/guards.py
+++ b/packages/lab/sesamespindle/lab/guards.py
@@ -18,6 +18,8 @@
 
 _GUARDS_FILE = pathlib.Path(__file__).with_name("guards.yaml")
 _PACKAGES = pathlib.Path("packages")
+# The package that speaks to the users' platform, outside the folder of the others.
+_PLATFORM = pathlib.Path("platform")
 _PYTEST_EXIT_TESTS_FAILED = 1
 _MOST_SECONDS = 240.0
 
@@ -83,7 +85,7 @@
     """
     with tempfile.TemporaryDirectory() as folder:
         copies = []
-        for package in _PACKAGES.iterdir():
+        for package in (*_PACKAGES.iterdir(), _PLATFORM):
             copy = pathlib.Path(folder) / package.name
             shutil.copytree(package, copy)
             copies.append(str(copy))
--- a/tests/decide/test_storechecks.py
+++ b/tests/decide/test_storechecks.py
@@ -108,3 +108,17 @@
     host = fleet.hosts[0]
     assert host.core.store_checks.may_refuse(fleet.time())
     assert not host.core.store_checks.may_refuse(fleet.time() + BOUND * SECOND)
+
+
+def test_a_slow_store_gets_more_time_after_each_failed_check():
+    """Guards against checks that all fail at a store whose answers take long."""
+    fleet = storefleet.Fleet(1, hosts=1)
+    limits = []
+
+    def fail(host, command):
+        limits.append(command.answer_timeout.total_seconds())
+        fleet.after(0.01, host.feed, storechecks.CheckEnded(False))
+
+    fleet.check = fail
+    fleet.run(6.0)
+    assert limits[:4] == [0.7, 1.4, 2.8, 2.8]
--- a/tests/platform/test_adoption.py
+++ b/tests/platform/test_adoption.py
@@ -149,8 +149,9 @@
                 host.driver._dispatch(
                     commands.ReadAgain(CONFIGURATION, 9, f"10.0.0.{number}:81")
                 )
-                while host.peers._task_by_kind:
-                    await asyncio.sleep(0.01)
+                async with asyncio.timeout(5):
+                    while host.peers._task_by_kind:
+                        await asyncio.sleep(0.01)
 
     go(run())
     assert addresses == ["10.0.0.1:81", "10.0.0.2:81"]
