--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -391,7 +391,7 @@
             As `_exchange` returns it.
         """
         self._first_byte(forward)
-        protocol = _protocol(response)
+        protocol = relayed.protocol_of(response)
         buffered = bytearray()
         try:
             async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
@@ -404,7 +404,7 @@
                     await self._write(answer, bytes(buffered))
         except aiohttp.ClientError:
             return self._ending_of_broken(forward, answer)
-        if not _is_framed(response) and _was_reset(protocol):
+        if not relayed.is_framed(response) and relayed.was_reset(protocol):
             return self._ending_of_broken(forward, answer)
         if answer.response is None:
             answer.response = self._close_if_leaving(
@@ -431,13 +431,15 @@
         failure : aiohttp.web.Response or None
             None if the response is incomplete or too large to buffer.
         """
-        protocol = _protocol(response)
+        protocol = relayed.protocol_of(response)
         try:
             content = await response.content.read(relayed.MAX_BUFFERED_BYTES)
             complete = response.content.at_eof() or not await response.content.read(1)
         except aiohttp.ClientError:
             return None
-        if not complete or (not _is_framed(response) and _was_reset(protocol)):
+        if not complete or (
+            not relayed.is_framed(response) and relayed.was_reset(protocol)
+        ):
             return None
         return self._buffered_response(response, content)
 
@@ -453,7 +455,7 @@
             As `_exchange` returns it.
         """
         is_resumable = forward.repeats is routes.Repeats.RESUMABLE
-        protocol = _protocol(response)
+        protocol = relayed.protocol_of(response)
         answer.event_splitter.discard_partial_event()
         is_first = True
         try:
@@ -470,7 +472,7 @@
                 await self._write(answer, chunk)
         except aiohttp.ClientError:
             return self._ending_of_broken(forward, answer)
-        is_cut_off = not _is_framed(response) and _was_reset(protocol)
+        is_cut_off = not relayed.is_framed(response) and relayed.was_reset(protocol)
         if is_cut_off or answer.event_splitter.has_partial_event():
             return self._ending_of_broken(forward, answer)
         if answer.response is None:
@@ -589,24 +591,6 @@
             http.transport.abort()
 
 
-def _was_reset(protocol):
-    return protocol is not None and protocol.was_reset
-
-
-def _protocol(response):
-    return response.connection.protocol if response.connection else None
-
-
-def _is_framed(response):
-    """Return whether a response has a length or is chunked, which marks its end.
-
-    Otherwise it ends where the connection does, and a reset connection can look
-    like its end.
-    """
-    coding = response.headers.get("Transfer-Encoding", "").lower()
-    return "Content-Length" in response.headers or "chunked" in coding
-
-
 def _refusal_of_reused_id(request):
     """Return the refusal of a request without an id, or with one in use.
 
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -8,14 +8,13 @@
 import dataclasses
 import datetime
 
-import xxhash
-
 from sesamespindle.decide import (
     commands,
     departure,
     events,
     gossip,
     hashing,
+    memberrecords,
     startupprobes,
     world,
 )
@@ -40,15 +39,6 @@
 _DEAD_KEPT_FOR = datetime.timedelta(minutes=10)
 _State = events.HostState
 _GONE = (_State.LEFT, _State.DEAD)
-# The higher rank wins where records differ in nothing but the state. A suspicion isn't
-# gossiped, so a suspect ranks as live.
-_RANK_BY_STATE = {
-    _State.LIVE: 0,
-    _State.SUSPECT: 0,
-    _State.LEAVING: 1,
-    _State.LEFT: 2,
-    _State.DEAD: 3,
-}
 
 
 class Membership:
@@ -260,7 +250,7 @@
             if name in self._state.entries
         ]
         if asked_for:
-            members = [_to_member(row) for row in asked_for]
+            members = [memberrecords.to_member(row) for row in asked_for]
             message = self._message(True, now, members)
             self._state.emit(commands.GossipTo(event.peer_address, message))
 
@@ -530,7 +520,7 @@
         """Return one digest for each data centre, computed once for each table view."""
         if self._digests_view != self._state.view:
             self._digests_view = self._state.view
-            self._digests = _digest_by_data_centre(self._state.entries)
+            self._digests = memberrecords.digest_by_data_centre(self._state.entries)
         pulses = self._pulse_by_data_centre
         return tuple(
             gossip.DataCentreDigest(name, digest, pulses.get(name, 0))
@@ -548,7 +538,7 @@
             theirs = (digest.incarnation, digest.heartbeat)
             ours = (row.incarnation, row.heartbeat) if row else (-1, -1)
             if ours > theirs:
-                newer[digest.name] = _to_member(row)
+                newer[digest.name] = memberrecords.to_member(row)
             elif ours < theirs:
                 wanted.append(digest.name)
         ours_by_name = {item.name: item for item in self._data_centre_digests()}
@@ -559,7 +549,7 @@
                 continue
             for row in self._state.entries.where("data_centre", name):
                 if row.name not in seen_names:
-                    newer[row.name] = _to_member(row)
+                    newer[row.name] = memberrecords.to_member(row)
         return list(newer.values()), wanted
 
     def _merge(self, message, now):
@@ -649,7 +639,9 @@
         row = state.entries.get(member.name)
         if row is None and member.state in _GONE:
             return
-        if row is not None and _precedence(member) <= _precedence(row):
+        if row is not None and memberrecords.precedence(
+            member
+        ) <= memberrecords.precedence(row):
             return
         if row is not None and inside and member.state not in _GONE:
             # Peers of this data centre exchange heartbeats, so the member does
@@ -713,43 +705,3 @@
         older = 0 < member.incarnation < self._state.me.incarnation
         if older and member.state is not _State.LEFT:
             self._state.replaced_at = now
-
-
-def _precedence(record):
-    return (record.incarnation, record.heartbeat, _RANK_BY_STATE[record.state])
-
-
-def _to_member(row):
-    # A suspicion isn't gossiped: peers receive a suspected member as live.
-    announced_state = _State.LIVE if row.state is _State.SUSPECT else row.state
-    return gossip.Member(
-        row.name,
-        row.data_centre,
-        row.url,
-        row.peer_address,
-        row.admin_url,
-        row.incarnation,
-        row.heartbeat,
-        announced_state,
-        row.revision,
-    )
-
-
-def _digest_by_data_centre(entries):
-    names = sorted(entries.keys_of("data_centre"))
-    return {name: _digest(entries.where("data_centre", name)) for name in names}
-
-
-def _digest(rows):
-    """Return a hash of all that other data centres must know of these hosts.
-
-    Guards against a live host that other data centres never give to callers: its
-    record spreads without an address first, and the address follows once the host can
-    serve. The hash covers the address, so the digests differ and the record is sent
-    again.
-    """
-    parts = sorted(
-        f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}/{row.url}"
-        for row in rows
-    )
-    return xxhash.xxh3_64_intdigest("\n".join(parts).encode())
