Check the store again after a failed check, though peers send proofs

A fault of the checks as they were first written, found by reading: a host whose check failed in an outage takes the store for unavailable and doesn't watch. Once a peer's proof arrives no check of its own is due, so it would notice the store's return only when that peer fell silent. Bounds hold meanwhile, but changes come by gossip alone. Now a failed check is repeated, after the pauses for outages, until one succeeds.

The simulated fleet's test failed before: one of six hosts had asked again. The test with real daemons passed before too, as there all hosts ask at the same moment.

--- a/packages/decide/sesamespindle/decide/storechecks.py
+++ b/packages/decide/sesamespindle/decide/storechecks.py
@@ -272,6 +272,11 @@
         self._source = row_by_name[source].peer_address if source else None
 
     def _begin_if_due(self, now):
+        """Begin a check if knowledge is too old, or if the last check has failed.
+
+        Guards against hosts that take the store for unavailable long after an outage,
+        and so don't watch it: with the proofs of peers no check of theirs is due.
+        """
         if self._began_at is not None and now - self._began_at < _CHECK_TIMEOUT:
             return
         if self._not_before is not None and now < self._not_before:
@@ -279,6 +284,8 @@
         due = tuple(
             kind for kind in self._kinds.bound_by_kind if self._is_due(kind, now)
         )
+        if not due and self._failures:
+            due = (self._kinds.configuration,)
         if not due:
             return
         self._wanted = frozenset()
--- a/tests/decide/test_storechecks.py
+++ b/tests/decide/test_storechecks.py
@@ -94,6 +94,27 @@
     assert len(started) >= 3
 
 
+def test_a_host_asks_again_after_a_failed_check_though_peers_send_proofs():
+    """Guards against hosts that take the store for unavailable long after an outage."""
+    fleet = storefleet.Fleet(1, hosts=6)
+    check, failed, asked_again = fleet.check, set(), set()
+
+    def fail_once(host, command):
+        if host.me.name in failed:
+            asked_again.add(host.me.name)
+            check(host, command)
+        else:
+            failed.add(host.me.name)
+            fleet.after(0.01, host.feed, storechecks.CheckEnded(False))
+
+    fleet.check = fail_once
+    for host in fleet.hosts:
+        host.feed(storechecks.CheckWanted((storefleet.CONFIGURATION,)))
+    assert len(failed) == len(fleet.hosts)
+    fleet.run(1.0)
+    assert asked_again == failed
+
+
 def test_a_host_checks_at_once_if_it_may_have_missed_a_change():
     fleet = storefleet.Fleet(1, hosts=1)
     fleet.run(0.7)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -519,6 +519,34 @@
     play(scenario)
 
 
+def test_hosts_watch_again_after_the_store_was_away(play):
+    """Guards against changes that come late for good, as nobody watches any more."""
+
+    async def scenario(world):
+        await world.add_target("desk-1")
+        first = await world.add_daemon()
+        for _ in range(3):
+            await world.add_daemon((first.ip,))
+
+        async def two_hosts_watch():
+            return world.store.waiting_by_kind["config"] == 2
+
+        async def all_have_noticed():
+            lines = [
+                any("does not answer about" in line for line in daemon.lines())
+                for daemon in world.daemons
+            ]
+            return all(lines)
+
+        await world.until(two_hosts_watch)
+        world.store.is_away = True
+        await world.until(all_have_noticed)
+        world.store.is_away = False
+        await world.until(two_hosts_watch)
+
+    play(scenario)
+
+
 async def _refuses_key(world, daemon):
     return (await world.ask(daemon, "/once/1", f"b{daemon.name}"))[0] == 401
 
