Have the build test's daemons write their line at once

These are the pieces of two whole lines 'old old compiled'. Where Python's output is unbuffered, as it is set here, print writes each word by itself, and the daemons that two concurrent builds start append to one file.

The assertion is as before: each line must show one version whole. Nothing of the product's code is concerned.

--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -27,7 +27,9 @@
 sys.dont_write_bytecode = True
 loaded = [importlib.import_module(name) for name in {MODULES}]
 compiled = all(pathlib.Path(module.__cached__).exists() for module in loaded)
-print(*(module.VERSION for module in loaded), "compiled" if compiled else "slow")
+words = [*(module.VERSION for module in loaded), "compiled" if compiled else "slow"]
+# One write: daemons of concurrent builds append to one file.
+sys.stdout.write(" ".join(words) + "\\n")
 """
 # A daemon that prints the version of its first module, and loads the last module only
 # when it gets a line on standard input.
