Prove the declarations only by a read of the active head

A fault of the check as it was first written, found by reading: a stale read that shows an older head proved the active one as current, so an entry that had missed a change could seem fresh for up to 7.8 s more. The test failed before: the proof's age was 0 s after a stale read, where 1 s had passed. The check also calls head.read now, of which it had a copy.

--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -128,15 +128,16 @@
         """
         began = self._driver.clock.now()
         try:
-            found = await self._check_client.get(head.HEAD_KIND, head.HEAD_NAME)
-            if found is not None:
-                await self._adopt_stored(found, self._check_client)
+            stored = await head.read(self._check_client)
+            await self._adopt_stored(stored, self._check_client)
         except (platform.PlatformUnavailableError, findings.FindingsError) as error:
             _log.warning("Failed to check the declarations. {}", error)
             return False
-        self._driver.core.state.freshness.prove(
-            core.DECLARATIONS, self.head.revision, began
-        )
+        # A stale read may show an older head than the active one, and proves nothing.
+        if self.known.is_set() and stored.head.revision == self.head.revision:
+            self._driver.core.state.freshness.prove(
+                core.DECLARATIONS, self.head.revision, began
+            )
         return True
 
     async def _wait_for_change(self, version):
@@ -145,11 +146,10 @@
         )
         if found is None:
             return version
-        return await self._adopt_stored(found, self._client)
+        return await self._adopt_stored(head.stored_head_of(found), self._client)
 
-    async def _adopt_stored(self, found, client):
+    async def _adopt_stored(self, stored, client):
         """Adopt a head that was read, with its documents; return its version."""
-        stored = head.stored_head_of(found)
         missing = self.missing(stored.head)
         await self.adopt(stored.head, await head.read_documents(client, missing))
         return stored.version
