Show with real daemons what a store that comes back older does to hosts

The stand-in store keeps a copy, comes back from it with revisions that count from there again, tells its era in all answers, and what the operator and targets had written is written again half a second later. On the code as it stands, with nine daemons: a route that is added 3.5 s after the return is refused 13.5 to 16.3 s after the limit on all hosts, a leaving target gets requests for as long, and two hosts hold the lease with epoch 2. The logs say why: "What a listing told of config isn't adopted: its revision 14 is before 15".

The stand-in store moves into a module of its own.

--- a/tests/support/changefleet.py
+++ b/tests/support/changefleet.py
@@ -6,8 +6,10 @@
 
 import argparse
 import asyncio
+import collections
 import contextlib
 import itertools
+import re
 
 import standins
 
@@ -22,6 +24,12 @@
 _PAUSE_SECONDS = 0.05
 # How many daemons start at the same time: each takes a second of a core to start.
 _STARTED_AT_ONCE = 12
+# How many changes are lost when the store comes back from an older copy, how long it is
+# away meanwhile, and how soon the operator and targets write again what they wrote.
+LOST_CHANGES = 30
+AWAY_SECONDS = 0.5
+REWRITTEN_SECONDS = 0.5
+_LEASE_TAKEN = re.compile(r"lease_taken (?P<holder>\S+)\. epoch (?P<epoch>\d+)")
 # How many requests each host must handle by the new state after its first such.
 _CONFIRMATIONS = 3
 
@@ -74,6 +82,48 @@
         """Return the hosts of a data centre."""
         return [host for host in self.hosts if host.data_centre == data_centre]
 
+    # The store comes back from an older copy.
+
+    @contextlib.asynccontextmanager
+    async def lost_span(self, changes=LOST_CHANGES, away=AWAY_SECONDS, knows=True):
+        """Restore the store to how it was on entry, and so lose what is written inside.
+
+        Parameters
+        ----------
+        changes : int
+            How many further changes are lost, by which the revision goes back.
+        away : float
+            The seconds for which the store doesn't answer.
+        knows : bool
+            Whether the hosts have time to learn of what will be lost.
+        """
+        store = self.world.store
+        store.keep_copy()
+        yield
+        await store.advance(changes)
+        if knows:
+            await asyncio.sleep(CHANGE_SECONDS)
+        store.is_away = True
+        await asyncio.sleep(away)
+        store.restore()
+        store.is_away = False
+        self.disturbed_until = self._now
+
+    async def write_again(self, after=REWRITTEN_SECONDS):
+        """Have the operator and targets write again what was lost, a moment later."""
+        await asyncio.sleep(after)
+        await self.world.store.write_again()
+
+    def epochs(self):
+        """Return who has taken the lease under each epoch, by the hosts' own logs."""
+        holders_by_epoch = collections.defaultdict(set)
+        for host in self.hosts:
+            for line in host.lines():
+                found = _LEASE_TAKEN.search(line)
+                if found:
+                    holders_by_epoch[int(found["epoch"])].add(found["holder"])
+        return holders_by_epoch
+
     # The operator's changes. Each returns the time of its acknowledgement.
 
     async def change_configuration(self, **changed):
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -89,7 +89,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailStore:
-    """The store fails for all: one attribute of `standins.Store` is set for a while."""
+    """The store fails for all: one of its attributes is set for a while."""
 
     attribute: str
     value: object
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -8,6 +8,7 @@
 import time
 
 import standins
+import standinstore
 
 from sesamespindle.lab import proxy
 from soak import records, targets
@@ -65,7 +66,7 @@
     async def __aenter__(self):
         enter_context = self._stack.enter_async_context
         self.store = await enter_context(
-            standins.Store(f"127.0.0.1:{standins.free_ports(1)[0]}")
+            standinstore.Store(f"127.0.0.1:{standins.free_ports(1)[0]}")
         )
         await self._put_configuration()
         await self.store.put("versions", "m", {"Model": "m", "Version": 1})
--- /dev/null
+++ b/tests/support/standinstore.py
@@ -0,0 +1,284 @@
+"""A stand-in for the platform's object store, which may come back from an old copy."""
+
+import asyncio
+import collections
+import dataclasses
+
+import aiohttp.web
+
+ERA_HEADER = "Store-Era"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Copy:
+    """The content and history of the store at one moment."""
+
+    revision: int
+    objects: dict
+    objects_before: dict
+    changes: tuple
+
+
+@dataclasses.dataclass(frozen=True)
+class _OutsideWrite:
+    """A write by the operator or a target; `spec` is None for a removal."""
+
+    kind: str
+    name: str
+    spec: object
+
+
+class Store:
+    """A stand-in for the platform's object store.
+
+    It serves objects with revisions, lists, watches and conditional writes, and fails
+    as its attributes say.
+
+    Attributes
+    ----------
+    turned_away : set of str
+        IP addresses of clients whose connections it aborts.
+    is_away : bool
+        Whether it aborts the connections of all clients.
+    speaks_nonsense : bool
+        Whether it answers with JSON that isn't of the expected form.
+    loses_answers : bool
+        Whether it carries out writes and then aborts the connection instead of
+        answering.
+    delay_seconds : float
+        How long it waits before it handles a request.
+    is_stale : bool
+        Whether lists of the configuration show it as it was before its last change.
+    history_from : int
+        The oldest revision from which a watch may start; older ones get status 410.
+    waiting_by_kind : collections.Counter
+        The number of watches that wait now, by kind of object.
+    reads : int
+        The number of lists and watches that reached it.
+    era : int
+        How often it has come back from a copy, as all answers tell; they tell nothing
+        if it is 0.
+    page_size : int
+        The most objects in one answer to a list.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.turned_away = set()
+        self.is_away = False
+        self.speaks_nonsense = False
+        self.loses_answers = False
+        self.delay_seconds = 0.0
+        self.is_stale = False
+        self.history_from = 0
+        self.waiting_by_kind = collections.Counter()
+        self.reads = 0
+        self.era = 0
+        self.page_size = 500
+        self._objects_before = {}
+        self._revision = 1
+        self._objects = {}
+        self._changes = collections.deque(maxlen=1000)
+        self._changed = asyncio.Condition()
+        self._copy = None
+        self._written_outside = []
+        self._runner = None
+
+    async def __aenter__(self):
+        application = aiohttp.web.Application()
+        application.on_response_prepare.append(self._tell_era)
+        application.router.add_route("*", "/v1/objects/{kind}", self._serve_kind)
+        application.router.add_route("*", "/v1/objects/{kind}/{name}", self._serve_one)
+        self._runner = aiohttp.web.AppRunner(
+            application, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await self._runner.setup()
+        host, port = self.address.split(":")
+        await aiohttp.web.TCPSite(self._runner, host, int(port)).start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._runner.cleanup()
+
+    async def put(self, kind, name, spec):
+        """Write an object without a condition, as the operator or a target does."""
+        self._written_outside.append(_OutsideWrite(kind, name, spec))
+        await self._change(kind, name, spec, False)
+
+    async def advance(self, changes):
+        """Write an object of the system a number of times; nobody writes it again."""
+        for number in range(changes):
+            await self._change("ballast", "any", {"number": number}, False)
+
+    def spec(self, kind, name):
+        """Return what an object holds."""
+        return self._objects[kind, name]["Spec"]
+
+    def has(self, kind, name):
+        """Return whether an object exists."""
+        return (kind, name) in self._objects
+
+    @property
+    def revision(self):
+        """The number of the last change."""
+        return self._revision
+
+    async def remove(self, kind, name):
+        """Remove an object, as the operator or a target does."""
+        self._written_outside.append(_OutsideWrite(kind, name, None))
+        spec = self._objects[kind, name]["Spec"]
+        await self._change(kind, name, spec, True)
+
+    async def _change(self, kind, name, spec, deleted):
+        self._revision += 1
+        item = {"Metadata": {"Name": name, "Revision": self._revision}, "Spec": spec}
+        before = self._objects.get((kind, name), item)
+        self._objects_before[kind, name] = before
+        if deleted:
+            self._objects.pop((kind, name), None)
+        else:
+            self._objects[kind, name] = item
+        self._changes.append((self._revision, kind, item, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+        return item
+
+    def forget_history(self):
+        """Drop all past changes, so that watches get status 410 and list again."""
+        self._changes.clear()
+        self.history_from = self._revision
+
+    # Coming back from an older copy.
+
+    def keep_copy(self):
+        """Copy everything; what is written from now on is lost by `restore`."""
+        self._copy = _Copy(
+            self._revision,
+            dict(self._objects),
+            dict(self._objects_before),
+            tuple(self._changes),
+        )
+        self._written_outside = []
+
+    def restore(self):
+        """Go back to the copy: revisions are given out again, and the era rises.
+
+        Watches that wait go on waiting, from revisions that may exist no longer.
+        """
+        copy = self._copy
+        self._revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._objects_before = dict(copy.objects_before)
+        self._changes = collections.deque(copy.changes, maxlen=1000)
+        self.era += 1
+
+    async def write_again(self):
+        """Write again what the operator and targets had written since the copy."""
+        lost, self._written_outside = self._written_outside, []
+        for write in lost:
+            if write.spec is not None:
+                await self.put(write.kind, write.name, write.spec)
+            elif self.has(write.kind, write.name):
+                await self.remove(write.kind, write.name)
+
+    # Answers.
+
+    async def _tell_era(self, request, response):
+        if self.era:
+            response.headers[ERA_HEADER] = str(self.era)
+
+    async def _delay_or_fail(self, request):
+        await asyncio.sleep(self.delay_seconds)
+        if self.is_away or request.remote in self.turned_away:
+            if request.transport is not None:
+                request.transport.abort()
+            raise aiohttp.web.HTTPServiceUnavailable
+        if self.speaks_nonsense:
+            raise aiohttp.web.HTTPOk(text='{"items": 7, "Events": [{}]}')
+
+    async def _serve_kind(self, request):
+        self.reads += request.method == "GET"
+        await self._delay_or_fail(request)
+        kind = request.match_info["kind"]
+        if request.method == "POST":
+            body = await request.json()
+            name = body["Metadata"]["Name"]
+            if (kind, name) in self._objects:
+                return _json(self._objects[kind, name], 409)
+            created = await self._change(kind, name, body["Spec"], False)
+            self._abort_if_losing_answers(request)
+            return _json(created, 201)
+        if "Watch" in request.query:
+            return await self._watch(request, kind)
+        return self._list(kind, request.query.get("after", ""))
+
+    def _list(self, kind, after):
+        """Return the page of a list that begins after a name."""
+        objects = self._objects
+        if self.is_stale and kind == "config":
+            objects = self._objects_before
+        found = sorted(
+            (name, item)
+            for (object_kind, name), item in objects.items()
+            if object_kind == kind and name > after
+        )
+        page = [item for _, item in found[: self.page_size]]
+        return _json(
+            {
+                "items": page,
+                "MorePages": len(found) > len(page),
+                "CurrentRev": self._revision,
+            }
+        )
+
+    def _abort_if_losing_answers(self, request):
+        """Abort the connection after a completed write if `loses_answers` is set."""
+        if self.loses_answers and request.transport is not None:
+            request.transport.abort()
+
+    async def _watch(self, request, kind):
+        since = int(request.query["Watch"])
+        if since < self.history_from or since > self._revision:
+            return _json({}, 410)
+
+        def matching_events():
+            return [
+                {"Object": item, "Deleted": deleted}
+                for revision, object_kind, item, deleted in self._changes
+                if revision > since and object_kind == kind
+            ]
+
+        self.waiting_by_kind[kind] += 1
+        try:
+            async with (
+                asyncio.timeout(int(request.query["WaitMs"]) / 1000),
+                self._changed,
+            ):
+                await self._changed.wait_for(matching_events)
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting_by_kind[kind] -= 1
+        await self._delay_or_fail(request)
+        return _json({"Events": matching_events(), "CurrentRev": self._revision})
+
+    async def _serve_one(self, request):
+        await self._delay_or_fail(request)
+        key = request.match_info["kind"], request.match_info["name"]
+        current = self._objects.get(key)
+        if current is None:
+            return _json({}, 404)
+        if request.method == "PUT":
+            body = await request.json()
+            expected = body["Metadata"].get("Revision")
+            if expected is not None and expected != current["Metadata"]["Revision"]:
+                return _json(current, 409)
+            current = await self._change(*key, body["Spec"], False)
+            self._abort_if_losing_answers(request)
+        elif request.method == "DELETE":
+            await self._change(*key, current["Spec"], True)
+        return _json(current)
+
+
+def _json(value, status=200):
+    return aiohttp.web.json_response(value, status=status)
