--- a/packages/daemon/sesamespindle/daemon/crashmessages.py
+++ b/packages/daemon/sesamespindle/daemon/crashmessages.py
@@ -5,7 +5,7 @@
 
 import datetime
 
-from sesamespindle.decide import gossip, incarnations
+from sesamespindle.decide import gossip, incarnations, revisions
 from sesamespindle.wire import peers_pb2
 
 
@@ -38,7 +38,8 @@
                 seconds_ago=_age_seconds(item.decided_at, now),
                 crashes=item.crashes,
                 tries=item.tries,
-                revision=item.revision,
+                revision=item.revision.number,
+                era=item.revision.era,
             )
             for item in news.quarantined
         ],
@@ -71,7 +72,7 @@
                 _time_of(sent_at, item),
                 item.crashes,
                 item.tries,
-                item.revision,
+                revisions.Revision(item.era, item.revision),
             )
             for item in message.quarantined
         ),
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -16,6 +16,7 @@
     gossip,
     incarnations,
     kvstores,
+    revisions,
 )
 from sesamespindle.wire import peers_pb2
 
@@ -106,7 +107,8 @@
                 model=item.model,
                 version=item.version,
                 born=item.incarnation.born,
-                revision=item.revision,
+                revision=item.revision.number,
+                era=item.revision.era,
             )
             for item in message.target_versions
         ],
@@ -126,6 +128,7 @@
         store_news=[_store_news_to_wire(item) for item in message.store_news],
         target_limits=[_limit_to_wire(item, now) for item in message.target_limits],
         known=[_known_to_wire(item, now) for item in message.known],
+        store_era=message.store_era,
         **crashmessages.to_wire(message.crash_news, now),
     )
 
@@ -176,7 +179,7 @@
                 incarnations.TargetIncarnation(item.target, item.born),
                 item.model,
                 item.version,
-                item.revision,
+                revisions.Revision(item.era, item.revision),
             )
             for item in message.target_versions
         ),
@@ -201,6 +204,7 @@
             _limit_from_wire(item, sent_after or now) for item in message.target_limits
         ),
         tuple(_known_from_wire(item, sent_after) for item in message.known),
+        message.store_era,
     )
 
 
@@ -211,7 +215,8 @@
         seconds_ago = (now - known.proved_at).total_seconds()
     return peers_pb2.KnownKind(
         kind=known.kind,
-        revision=known.revision,
+        revision=known.revision.number,
+        era=known.revision.era,
         digest=known.digest,
         seconds_ago=seconds_ago,
     )
@@ -226,9 +231,8 @@
     proved_at = None
     if sent_after is not None and message.HasField("seconds_ago"):
         proved_at = sent_after - datetime.timedelta(seconds=message.seconds_ago)
-    return freshness.KnownKind(
-        message.kind, message.revision, message.digest, proved_at
-    )
+    revision = revisions.Revision(message.era, message.revision)
+    return freshness.KnownKind(message.kind, revision, message.digest, proved_at)
 
 
 def _lease_release_to_wire(release, now):
--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -12,6 +12,7 @@
     declared,
     events,
     retries,
+    revisions,
     storechecks,
 )
 from sesamespindle.declare import documents, findings
@@ -136,7 +137,7 @@
         # A stale read may show an older head than the active one, and proves nothing.
         if self.known.is_set() and stored.head.revision == self.head.revision:
             self._driver.core.state.freshness.prove(
-                core.DECLARATIONS, self.head.revision, began
+                core.DECLARATIONS, revisions.Revision(0, self.head.revision), began
             )
         return True
 
@@ -247,7 +248,11 @@
 
     def _activate(self, revision, declarations):
         self._driver.core.state.freshness.note_read(
-            core.DECLARATIONS, revision, revision, None, "declarations"
+            core.DECLARATIONS,
+            revisions.Revision(0, revision),
+            revision,
+            None,
+            "declarations",
         )
         self._driver.feed(events.DeclarationsAdopted(revision, declarations))
         self._keyring.replace(declarations.contracts)
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -4,7 +4,7 @@
 import datetime
 import enum
 
-from sesamespindle.decide import events, gossip
+from sesamespindle.decide import events, gossip, revisions
 
 
 class Outcome(enum.StrEnum):
@@ -215,7 +215,7 @@
     """Read a kind of platform object again, as a peer has seen a later change of it."""
 
     kind: str
-    revision: int
+    revision: revisions.Revision
     peer_address: str
 
 
--- a/packages/decide/sesamespindle/decide/evacuations.py
+++ b/packages/decide/sesamespindle/decide/evacuations.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from sesamespindle.decide import commands
+from sesamespindle.decide import commands, revisions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,12 +16,12 @@
     ----------
     data_centres : frozenset of str
         Their names.
-    revision : int
+    revision : revisions.Revision
         The platform's revision of the list.
     """
 
     data_centres: frozenset[str]
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +32,12 @@
     ----------
     data_centre : str
         Its name.
-    revision : int
+    revision : revisions.Revision
         The platform's revision of this change.
     """
 
     data_centre: str
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,12 +48,12 @@
     ----------
     data_centre : str
         Its name.
-    revision : int
+    revision : revisions.Revision
         The platform's revision of this change.
     """
 
     data_centre: str
-    revision: int
+    revision: revisions.Revision
 
 
 class Evacuations:
@@ -98,7 +98,7 @@
         that arrives late, from a peer that is behind. Such an event has a lower
         revision than the latest known one.
         """
-        if revision < self._revision_by_data_centre.get(data_centre, 0):
+        if revision < self._revision_by_data_centre.get(data_centre, revisions.NEVER):
             return
         self._revision_by_data_centre[data_centre] = revision
         known = self._state.evacuated_data_centres
--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -8,6 +8,8 @@
 import dataclasses
 import datetime
 
+from sesamespindle.decide import eras, revisions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kinds:
@@ -34,28 +36,32 @@
 
     Attributes
     ----------
-    revision : int
+    revision : revisions.Revision
         The platform's revision up to which all changes are known.
     digest : int
         A hash of the names and revisions of all objects of the kind.
-    changed_at_revision : int
+    changed_at_revision : revisions.Revision
         The revision at which a change of the content was last read.
     proved_at : datetime.datetime or None
         The latest time at which the platform is known to have had no later change;
         None if no such time is known.
     source : str
         What the knowledge was last read from, for the log.
-    refused_at_revision : int
+    refused_at_revision : revisions.Revision
         The revision of a change that was read and refused as invalid, so that the
-        content is older; 0 if there is none.
+        content is older; `revisions.NEVER` if there is none.
+    lapsed_at : datetime.datetime or None
+        The time of the last proof of an earlier era, which proves nothing any more;
+        None if there is a later proof, or if there was none.
     """
 
-    revision: int
+    revision: revisions.Revision
     digest: int
-    changed_at_revision: int
+    changed_at_revision: revisions.Revision
     proved_at: datetime.datetime | None
     source: str
-    refused_at_revision: int = 0
+    refused_at_revision: revisions.Revision = revisions.NEVER
+    lapsed_at: datetime.datetime | None = None
 
     def describe(self, now):
         """Return the revision, source and age as text, for the log."""
@@ -63,7 +69,7 @@
         if self.proved_at is not None:
             age = f"{(now - self.proved_at).total_seconds():.2f} s old"
         refused = ""
-        if self.refused_at_revision:
+        if self.refused_at_revision != revisions.NEVER:
             refused = f", an invalid one of {self.refused_at_revision} was refused"
         return (
             f"from {self.source}, complete up to revision {self.revision}{refused}, "
@@ -77,8 +83,9 @@
         has the content of before the change, so it tells of no later revision, and of
         no proof.
         """
-        if self.refused_at_revision:
-            return KnownKind(kind, self.refused_at_revision - 1, self.digest, None)
+        if self.refused_at_revision != revisions.NEVER:
+            complete = self.refused_at_revision.before()
+            return KnownKind(kind, complete, self.digest, None)
         return KnownKind(kind, self.revision, self.digest, self.proved_at)
 
 
@@ -87,7 +94,7 @@
     """What a host tells its peers of its `Knowledge` of a kind."""
 
     kind: str
-    revision: int
+    revision: revisions.Revision
     digest: int
     proved_at: datetime.datetime | None
 
@@ -95,20 +102,29 @@
 class Freshness:
     """Records up to which revision, and as of when, each kind of object is known.
 
+    Parameters
+    ----------
+    store_eras : eras.Eras, optional
+        The era that the platform's store is in; it never changes if left out.
+
     Attributes
     ----------
     knowledge_by_kind : dict of str to Knowledge
         A kind that was never read has no entry.
     """
 
-    def __init__(self):
+    def __init__(self, store_eras=None):
+        self._eras = store_eras or eras.Eras()
         self.knowledge_by_kind: dict[str, Knowledge] = {}
         self._refused_revision_by_kind = {}
 
     def revision(self, kind):
-        """Return the revision up to which a kind is known; 0 if it was never read."""
+        """Return the revision up to which a kind is known.
+
+        It is `revisions.NEVER` if the kind was never read.
+        """
         known = self.knowledge_by_kind.get(kind)
-        return known.revision if known is not None else 0
+        return known.revision if known is not None else revisions.NEVER
 
     def note_read(self, kind, revision, digest, proved_at, source):
         """Record that a kind was read, from the platform or from a peer.
@@ -117,7 +133,7 @@
         ----------
         kind : str
             The kind of object.
-        revision : int
+        revision : revisions.Revision
             The revision up to which its changes are now known.
         digest : int
             The digest of the content that is now known.
@@ -137,12 +153,13 @@
         if known is not None:
             revision = max(revision, known.revision)
             proved_at = _latest(proved_at, known.proved_at)
-        refused_at = self._refused_revision_by_kind.get(kind, 0)
+        refused_at = self._refused_revision_by_kind.get(kind, revisions.NEVER)
         if has_changed and refused_at < changed_at:
             self._refused_revision_by_kind.pop(kind, None)
-            refused_at = 0
+            refused_at = revisions.NEVER
+        lapsed_at = known.lapsed_at if known is not None and proved_at is None else None
         self.knowledge_by_kind[kind] = Knowledge(
-            revision, digest, changed_at, proved_at, source, refused_at
+            revision, digest, changed_at, proved_at, source, refused_at, lapsed_at
         )
         return has_changed
 
@@ -155,7 +172,7 @@
         ----------
         kind : str
             The kind of object.
-        revision : int
+        revision : revisions.Revision
             The revision of the change.
         """
         self._refused_revision_by_kind[kind] = revision
@@ -167,8 +184,22 @@
             known,
             revision=max(revision, known.revision),
             proved_at=_latest(at, known.proved_at),
+            lapsed_at=None,
         )
 
+    def void_proofs(self):
+        """Note that the store has come back older: no proof counts, content stays.
+
+        Guards against a store whose revisions have gone back, so that what it no longer
+        has seems to be proved by its lower revisions.
+        """
+        for kind, known in self.knowledge_by_kind.items():
+            self.knowledge_by_kind[kind] = dataclasses.replace(
+                known,
+                proved_at=None,
+                lapsed_at=_latest(known.proved_at, known.lapsed_at),
+            )
+
     def merge(self, theirs):
         """Take over a peer's proof if this host knows the same content.
 
@@ -181,7 +212,7 @@
             What a peer knows, from its answer to this host.
         """
         known = self.knowledge_by_kind.get(theirs.kind)
-        if theirs.proved_at is None:
+        if theirs.proved_at is None or theirs.revision.era < self._eras.current:
             return
         if known is not None and known.digest == theirs.digest:
             self.prove(theirs.kind, theirs.revision, theirs.proved_at)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -11,6 +11,7 @@
     commands,
     crashes,
     directory,
+    eras,
     evacuations,
     events,
     fingerprints,
@@ -238,10 +239,14 @@
                 self._activate(event.configuration, now)
             case events.HostsListed():
                 self._entries.list_entries(event.hosts, now)
+            case eras.EraSeen():
+                self._note_era(event.era, now)
             case gossip.GossipReceived():
+                self._note_era(event.message.store_era, now)
                 self.weights.merge(event.message.named, now)
                 self.membership.receive(event, now)
             case gossip.GossipAnswered():
+                self._note_era(event.message.store_era, now)
                 self.weights.merge(event.message.named, now)
                 self.membership.receive_reply(event, now)
             case events.LeaveRequested():
@@ -259,6 +264,29 @@
                         f"No component of the gateway handles the event {event!r}."
                     )
 
+    def _note_era(self, era, now):
+        """Have everything read again if the store has come back from an older copy.
+
+        Guards against knowledge that a store with older content seems to prove, and
+        against changes that seem to be late since their revisions count lower.
+        """
+        before = self.state.eras.current
+        if not self.state.eras.note(era, now):
+            return
+        self.state.emit(eras.EraRaised(era))
+        if not self.state.freshness.knowledge_by_kind:
+            return
+        self.state.eras.note_restored(now)
+        self.state.freshness.void_proofs()
+        restored = eras.StoreRestored(era)
+        for component in self._components:
+            component.handle(restored, now)
+        self.state.emit(
+            commands.Note("store_restored", f"era {era}", f"after era {before}")
+        )
+        self.state.emit(restored)
+        self.membership.request_round()
+
     def _activate(self, configuration, now):
         """Make a configuration the active one, unless its version is not higher.
 
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -7,7 +7,13 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import announcements, events, freshness, incarnations
+from sesamespindle.decide import (
+    announcements,
+    events,
+    freshness,
+    incarnations,
+    revisions,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +80,8 @@
 class SeenRevision:
     """The revision of the latest change to a kind of object that the sender saw.
 
-    Daemons of earlier releases read it; others use `GossipMessage.known`.
+    Daemons of earlier releases read it; others use `GossipMessage.known`. They know
+    of no eras, so it is the number of the revision alone.
     """
 
     kind: str
@@ -87,7 +94,7 @@
 
     Attributes
     ----------
-    revision : int
+    revision : revisions.Revision
         The platform's revision at the last change of the target's record that the
         sender knew.
     """
@@ -95,7 +102,7 @@
     incarnation: incarnations.TargetIncarnation
     model: str
     version: int
-    revision: int = 0
+    revision: revisions.Revision = revisions.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,15 +253,16 @@
         The number of targets that it had crashed then.
     tries : int
         How often it was let through since then, to see whether the fault is fixed.
-    revision : int
-        The revision of its record on the platform; 0 while none is known there.
+    revision : revisions.Revision
+        The revision of its record on the platform; `revisions.NEVER` while none is
+        known there.
     """
 
     fingerprint: str
     decided_at: datetime.datetime
     crashes: int
     tries: int = 0
-    revision: int = 0
+    revision: revisions.Revision = revisions.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -281,6 +289,8 @@
     known : tuple of freshness.KnownKind
         Up to which revision, and as of when, the sender knows each kind of platform
         object. Proofs count only in an answer, as a request may have been delayed.
+    store_era : int
+        The highest era of the platform's store that the sender knows of.
     """
 
     sender: str
@@ -302,6 +312,7 @@
     crash_news: CrashNews = CrashNews()
     target_limits: tuple[TargetLimit, ...] = ()
     known: tuple[freshness.KnownKind, ...] = ()
+    store_era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/lease.py
+++ b/packages/decide/sesamespindle/decide/lease.py
@@ -7,7 +7,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, gossip, hashing
+from sesamespindle.decide import commands, gossip, hashing, revisions
 
 # The holder may act for this share of the lease's duration after its last renewal,
 # counted from when the renewal was sent. It renews three times as often.
@@ -69,11 +69,11 @@
 class WriteLease:
     """Command: write the lease if the store still has revision `replaces`.
 
-    A `replaces` of 0 creates the lease.
+    A `replaces` of `revisions.NEVER` creates the lease.
     """
 
     record: LeaseRecord
-    replaces: int
+    replaces: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,7 +84,7 @@
     """
 
     record: LeaseRecord | None
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +92,7 @@
     """Event: a write of this host took effect."""
 
     record: LeaseRecord
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +140,7 @@
         me = state.me
         self._holder_id = f"{me.name}/{me.incarnation}/{me.peer_address}"
         self._record = None
-        self._revision = 0
+        self._revision = revisions.NEVER
         self._seen_at = None
         self._held_from = None
         self._sent_at = None
@@ -344,9 +344,9 @@
         return self._held_from is not None
 
     def _note_found(self, record, revision, now):
-        if 0 < revision < self._revision:
+        if revisions.NEVER < revision < self._revision:
             # A late answer that is older than the known revision. Revisions rise even
-            # if the object is removed and created again.
+            # if the object is removed and created again, and across eras.
             return
         if revision == self._revision and self._seen_at is not None:
             self._note_wait(now)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -181,6 +181,7 @@
             pending=self._pending(),
             brief=True,
             known=self._state.freshness.for_peers(),
+            store_era=self._state.eras.current,
         )
 
     def leave(self, order, now):
@@ -465,7 +466,7 @@
             self._leaving_targets(),
             state.revision,
             tuple(
-                gossip.SeenRevision(kind, known.changed_at_revision)
+                gossip.SeenRevision(kind, known.changed_at_revision.number)
                 for kind, known in state.freshness.knowledge_by_kind.items()
             ),
             self._target_versions(),
@@ -477,6 +478,7 @@
             crash_news=crash_news,
             target_limits=target_limits,
             known=state.freshness.for_peers(),
+            store_era=state.eras.current,
         )
 
     def _pending(self):
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -11,7 +11,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, gossip, hashing, retries
+from sesamespindle.decide import commands, gossip, hashing, retries, revisions
 
 # The number of crashes under one request from which it is refused.
 _QUARANTINED_FROM = 3
@@ -109,7 +109,7 @@
     """All records that the platform has as of a revision."""
 
     records: tuple[gossip.QuarantinedRequest, ...]
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +183,7 @@
         if not self._platform_stores:
             return
         for record in self.records():
-            if record.revision:
+            if record.revision != revisions.NEVER:
                 self._start_trial(record, now)
             else:
                 self._write(record, now)
@@ -411,7 +411,7 @@
         if known is not None and _version_of(known) >= _version_of(record):
             return
         self.record_by_fingerprint[fingerprint] = record
-        if record.revision:
+        if record.revision != revisions.NEVER:
             self._learned_at_by_fingerprint.pop(fingerprint, None)
         else:
             self._learned_at_by_fingerprint.setdefault(fingerprint, now)
@@ -432,7 +432,7 @@
         fingerprints = {record.fingerprint for record in listed.records}
         for record in self.records():
             is_removed = record.fingerprint not in fingerprints
-            if is_removed and 0 < record.revision <= listed.revision:
+            if is_removed and revisions.NEVER < record.revision <= listed.revision:
                 self._lift(record.fingerprint, now)
         for record in listed.records:
             self._adopt(record, now, "listed")
@@ -507,7 +507,9 @@
 
     def written(self):
         """Return the records that the platform is known to have stored."""
-        return [record for record in self.records() if record.revision]
+        return [
+            record for record in self.records() if record.revision != revisions.NEVER
+        ]
 
     # Gossip with peers.
 
--- a/packages/decide/sesamespindle/decide/readings.py
+++ b/packages/decide/sesamespindle/decide/readings.py
@@ -8,7 +8,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import weights
+from sesamespindle.decide import revisions, weights
 
 # If a watch is answered only after this long, there was no change when it began, so
 # the change in its answer has just happened. Changes from before the watch are answered
@@ -28,8 +28,9 @@
     ----------
     source : str
         The kind of answer, for the log.
-    above : int
-        The revision up to which all objects were known before; -1 if none were.
+    above : revisions.Revision
+        The revision up to which all objects were known before; `revisions.NEVER` if
+        none were.
     not_there_at : datetime.datetime or None
         The latest time at which the new objects are known not to have existed; None
         if they may be of any age.
@@ -38,7 +39,7 @@
     """
 
     source: str
-    above: int = -1
+    above: revisions.Revision = revisions.NEVER
     not_there_at: datetime.datetime | None = None
     is_just_now: bool = False
 
@@ -84,7 +85,7 @@
         ----------
         kind : str
             The kind of object.
-        revision : int
+        revision : revisions.Revision
             The platform's revision of the list.
         began : datetime.datetime
             When the list was requested.
@@ -103,7 +104,7 @@
 
     def proved(self, kind, revision, at):
         """Note that a kind had no change up to a revision, as of a time."""
-        read_at, _ = self._last_by_kind.get(kind, (None, -1))
+        read_at, _ = self._last_by_kind.get(kind, (None, revisions.NEVER))
         if read_at is None or at > read_at:
             self._last_by_kind[kind] = at, revision
 
@@ -117,6 +118,6 @@
         return reading
 
     def _reading(self, kind, source, now):
-        read_at, above = self._last_by_kind.get(kind, (None, -1))
+        read_at, above = self._last_by_kind.get(kind, (None, revisions.NEVER))
         is_just_now = read_at is not None and now - read_at < _NEW_WITHIN
         return Reading(source, above, read_at, is_just_now)
--- a/packages/decide/sesamespindle/decide/storechecks.py
+++ b/packages/decide/sesamespindle/decide/storechecks.py
@@ -39,6 +39,9 @@
     Role.FIRST_OF_DATA_CENTRE: 0.3,
     Role.OTHER: 0.4,
 }
+# The hosts that read everything again as soon as the store has come back from an older
+# copy. The others get it from them, or read it when a check is due all the same.
+_FIRST_AFTER_RESTORE = frozenset((Role.FIRST, Role.FIRST_OF_DATA_CENTRE))
 # The shortest time between two such requests.
 _ASK_INTERVAL = datetime.timedelta(seconds=0.2)
 # A read without an answer for this share of the time is repeated on a new connection.
@@ -139,7 +142,9 @@
     Each try whose answer is lost costs another 0.125 bound. Then the store answers with
     its revision, and once more with the changes. For a bound of 2 s and one lost try:
     1.2 + 0.1 + 0.25 + 0.1 + 0.1 = 1.75 s. It doesn't depend on the number of hosts, on
-    peers, or on what other hosts do.
+    peers, or on what other hosts do. Nor does a store that comes back from an older
+    copy make it later: the time of a proof that lapses by that still counts for when
+    the next check begins, and the answer that tells of the new era is one of it.
 
     Parameters
     ----------
@@ -242,12 +247,25 @@
         if self._asked_at is not None and now - self._asked_at < _ASK_INTERVAL:
             return None
         for kind, bound in self._kinds.bound_by_kind.items():
-            age = self._state.freshness.age(kind, now)
-            if age is not None and age >= bound * share:
+            proved_at = self._last_proof(kind)
+            if proved_at is not None and now - proved_at >= bound * share:
                 self._asked_at = now
                 return self._source
         return None
 
+    def _last_proof(self, kind):
+        """Return when a kind was last proved complete, in this era or an earlier one.
+
+        Returns
+        -------
+        proved_at : datetime.datetime or None
+            None if it never was.
+        """
+        known = self._state.freshness.knowledge_by_kind.get(kind)
+        if known is None:
+            return None
+        return known.proved_at or known.lapsed_at
+
     def _choose_role(self):
         """Choose this host's role, and the host that it asks for proofs."""
         me = self._state.me
@@ -300,10 +318,13 @@
         known = self._state.freshness.knowledge_by_kind.get(kind)
         if known is None:
             return False
-        if kind in self._wanted or known.proved_at is None:
+        proved_at = self._last_proof(kind)
+        if kind in self._wanted or proved_at is None:
+            return True
+        if known.proved_at is None and self.role() in _FIRST_AFTER_RESTORE:
             return True
         bound = self._kinds.bound_by_kind[kind]
-        return now - known.proved_at >= check_after(bound, self.role())
+        return now - proved_at >= check_after(bound, self.role())
 
     def _end(self, ended, now):
         self._began_at = None
@@ -319,8 +340,8 @@
     def _log_stale(self, now):
         """Log once when knowledge becomes too old, and when it is recent again."""
         for kind, bound in self._kinds.bound_by_kind.items():
-            age = self._state.freshness.age(kind, now)
-            is_stale = age is not None and age > bound
+            proved_at = self._last_proof(kind)
+            is_stale = proved_at is not None and now - proved_at > bound
             if is_stale and kind not in self._stale:
                 self._stale.add(kind)
                 detail = self._state.freshness.describe(kind, now)
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -8,7 +8,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, declared, incarnations, world
+from sesamespindle.decide import commands, declared, incarnations, revisions, world
 
 # A target that has disappeared from the list stays in the table for this long, and is
 # used if no listed one is left. This is half of the shortest time that users allow
@@ -26,7 +26,7 @@
 
     Attributes
     ----------
-    revision : int
+    revision : revisions.Revision
         The platform's revision at the last change of this record.
     born : int or None
         Start time, in milliseconds since the epoch; None where the record has none.
@@ -42,7 +42,7 @@
     slots: int
     leaving: bool
     version_by_model: dict[str, int]
-    revision: int
+    revision: revisions.Revision
     born: int | None = None
     cold_for: datetime.timedelta | None = datetime.timedelta(0)
 
@@ -89,12 +89,13 @@
 
     Attributes
     ----------
-    revision : int
-        The platform's revision at that change; 0 where it can't be read either.
+    revision : revisions.Revision
+        The platform's revision at that change; `revisions.NEVER` where it can't be read
+        either.
     """
 
     name: str
-    revision: int = 0
+    revision: revisions.Revision = revisions.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,7 +220,7 @@
         Does nothing if a later record of the target is already known.
         """
         row = self._state.targets.get(name)
-        if row is None or not row.listed or 0 < revision < row.revision:
+        if row is None or not row.listed or revisions.NEVER < revision < row.revision:
             return
         row.listed = False
         self._state.emit(
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -10,6 +10,7 @@
     commands,
     declared,
     departure,
+    eras,
     events,
     freshness,
     gossip,
@@ -17,6 +18,7 @@
     incarnations,
     pauses,
     retries,
+    revisions,
     routes,
     tables,
 )
@@ -152,17 +154,17 @@
     # `born` is the start time of the incarnation, in milliseconds since the epoch.
     born: int = 0
     slots: int = 1
-    revision: int = 0
+    revision: revisions.Revision = revisions.NEVER
     # The latest revision of the target's record that listed an older weight version
     # than the revision before it.
-    fell_at_revision: int = 0
+    fell_at_revision: revisions.Revision = revisions.NEVER
     missing_since: datetime.datetime | None = None
     # Whether its data centre is evacuated.
     evacuated: bool = False
     # Until when the target warms up and gets few requests, the revision of its record
     # that said so, and when this host last sent it a request during the warm-up.
     cold_until: datetime.datetime | None = None
-    cold_revision: int = 0
+    cold_revision: revisions.Revision = revisions.NEVER
     cold_sent_at: datetime.datetime | None = None
     # When a connection to its address was last refused.
     refused_at: datetime.datetime | None = None
@@ -211,7 +213,7 @@
         ----------
         version_by_model : dict of str to int
             The weight version of each model that the record lists.
-        revision : int
+        revision : revisions.Revision
             The revision of the record.
         """
         before = self.listed_version_by_model
@@ -335,7 +337,8 @@
         # The revision of a refuted record, and when it was refuted, by incarnation.
         self._refuted_by_incarnation = {}
         self.region_by_data_centre: dict[str, str] = {}
-        self.freshness = freshness.Freshness()
+        self.eras = eras.Eras()
+        self.freshness = freshness.Freshness(self.eras)
         self.announcements = announcements.Announcements()
         self.pauses = pauses.Pauses(started_at)
         # The latest known release of the lease by its holder.
@@ -389,7 +392,8 @@
         listed for some heartbeats and would add the target back. A record of a later
         revision or incarnation isn't refuted.
         """
-        refuted_revision, at = self._refuted_by_incarnation.get(incarnation, (0, now))
+        never = revisions.NEVER, now
+        refuted_revision, at = self._refuted_by_incarnation.get(incarnation, never)
         return now - at <= _REFUTED_FOR and revision <= refuted_revision
 
     @property
--- a/tests/daemon/test_crashmessages.py
+++ b/tests/daemon/test_crashmessages.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import places
+
 from sesamespindle.daemon import peermessages
 from sesamespindle.decide import gossip, incarnations
 
@@ -19,7 +21,7 @@
         ),
     ),
     (gossip.ClearedRequest(FINGERPRINT, NOW - SECOND),),
-    (gossip.QuarantinedRequest(FINGERPRINT, NOW - 3 * SECOND, 4, 1, 99),),
+    (gossip.QuarantinedRequest(FINGERPRINT, NOW - 3 * SECOND, 4, 1, places.at(99, 2)),),
 )
 
 
--- a/tests/daemon/test_peermessages.py
+++ b/tests/daemon/test_peermessages.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import places
+
 from sesamespindle.daemon import peermessages
 from sesamespindle.decide import freshness, gossip
 
@@ -15,20 +17,22 @@
 
 
 def test_a_proof_in_an_answer_counts_back_from_the_start_of_the_exchange():
-    wire = sent(freshness.KnownKind("config", 7, 5, NOW - SECOND))
+    wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, NOW - SECOND))
     later = NOW + 9 * SECOND
     [known] = peermessages.gossip_from_wire(wire, later, NOW - SECOND / 2).known
-    assert known == freshness.KnownKind("config", 7, 5, NOW - 1.5 * SECOND)
+    assert known == freshness.KnownKind(
+        "config", places.at(7, 2), 5, NOW - 1.5 * SECOND
+    )
 
 
 def test_a_proof_in_a_request_does_not_count():
     """Guards against knowledge that seems fresh, as a request waited in a socket."""
-    wire = sent(freshness.KnownKind("config", 7, 5, NOW))
+    wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, NOW))
     [known] = peermessages.gossip_from_wire(wire, NOW + 9 * SECOND).known
-    assert known == freshness.KnownKind("config", 7, 5, None)
+    assert known == freshness.KnownKind("config", places.at(7, 2), 5, None)
 
 
 def test_knowledge_without_a_proof_is_told_without_a_time():
-    wire = sent(freshness.KnownKind("config", 7, 5, None))
+    wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, None))
     [known] = peermessages.gossip_from_wire(wire, NOW, NOW).known
     assert known.proved_at is None
--- a/tests/decide/test_evacuations.py
+++ b/tests/decide/test_evacuations.py
@@ -1,6 +1,7 @@
 """Evacuated data centres, whose targets get no requests."""
 
 import gateways
+import places
 import pytest
 from gateways import NOW, SECOND
 
@@ -28,15 +29,15 @@
 def test_targets_of_an_evacuated_data_centre_get_nothing_until_it_is_lifted():
     core = make_core()
     assert sent_to(core) == {"desk-1", "desk-2"}
-    core.step(NOW, [evacuations.Evacuated("dc-2", 10)])
+    core.step(NOW, [evacuations.Evacuated("dc-2", places.at(10))])
     assert sent_to(core, NOW + SECOND) == {"desk-1"}
-    core.step(NOW, [evacuations.EvacuationLifted("dc-2", 20)])
+    core.step(NOW, [evacuations.EvacuationLifted("dc-2", places.at(20))])
     assert "desk-2" in sent_to(core, NOW + 2 * SECOND)
 
 
 def test_a_target_that_is_listed_during_the_evacuation_gets_nothing():
     core = make_core(("desk-1",))
-    core.step(NOW, [evacuations.EvacuationsListed(frozenset({"dc-2"}), 10)])
+    core.step(NOW, [evacuations.EvacuationsListed(frozenset({"dc-2"}), places.at(10))])
     new = gateways.make_target("desk-2", data_centre="dc-2", revision=11)
     core.step(NOW, [targetlist.TargetChanged(new)])
     assert sent_to(core) == {"desk-1"}
@@ -44,7 +45,7 @@
 
 def test_requests_that_nobody_may_run_are_refused_as_not_run():
     core = make_core(("desk-1",))
-    core.step(NOW, [evacuations.Evacuated("dc-1", 10)])
+    core.step(NOW, [evacuations.Evacuated("dc-1", places.at(10))])
     refused = gateways.begin(core, "/once/1")
     assert isinstance(refused, commands.Refuse)
     assert refused.outcome is commands.Outcome.NOT_RUN
@@ -54,15 +55,15 @@
 @pytest.mark.parametrize(
     "late",
     [
-        evacuations.EvacuationsListed(frozenset({"dc-2"}), 10),
-        evacuations.Evacuated("dc-2", 10),
+        evacuations.EvacuationsListed(frozenset({"dc-2"}), places.at(10)),
+        evacuations.Evacuated("dc-2", places.at(10)),
     ],
 )
 def test_late_news_of_an_evacuation_that_is_over_changes_nothing(late):
     """A peer that is behind sends an evacuation that has been lifted already."""
     core = make_core()
-    core.step(NOW, [evacuations.Evacuated("dc-2", 10)])
-    core.step(NOW, [evacuations.EvacuationsListed(frozenset(), 20), late])
+    core.step(NOW, [evacuations.Evacuated("dc-2", places.at(10))])
+    core.step(NOW, [evacuations.EvacuationsListed(frozenset(), places.at(20)), late])
     assert sent_to(core) == {"desk-1", "desk-2"}
 
 
@@ -77,8 +78,8 @@
     configuration = gateways.make_cold_configuration()
     later = gateways.dataclasses.replace(configuration, version=2)
     core.step(NOW, [gateway.ConfigurationRead(later)])
-    core.step(NOW, [evacuations.Evacuated("dc-2", 10)])
-    core.step(NOW, [evacuations.EvacuationLifted("dc-2", 20)])
+    core.step(NOW, [evacuations.Evacuated("dc-2", places.at(10))])
+    core.step(NOW, [evacuations.EvacuationLifted("dc-2", places.at(20))])
     row = core.state.targets.get("desk-2")
     assert row.cold_until == NOW + 3 * SECOND
     before = gateways.make_target("desk-2", data_centre="dc-2", revision=15)
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -3,6 +3,7 @@
 import datetime
 
 import gateways
+import places
 import pytest
 
 from sesamespindle.decide import (
@@ -314,9 +315,9 @@
         for command in core.step(now, [events.Tick()]):
             match command:
                 case lease.ReadLease():
-                    core.step(now, [lease.LeaseFound(None, 0)])
+                    core.step(now, [lease.LeaseFound(None, places.at(0))])
                 case lease.WriteLease():
-                    core.step(now, [lease.LeaseWritten(command.record, 1)])
+                    core.step(now, [lease.LeaseWritten(command.record, places.at(1))])
         held = held or core.lease.is_held(now)
     assert not core.membership.is_reachable("dc-2", now)
     assert held
--- a/tests/decide/test_incarnations.py
+++ b/tests/decide/test_incarnations.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import gateways
+import places
 import pytest
 
 from sesamespindle.decide import (
@@ -112,7 +113,7 @@
     gossip_of(
         core,
         leaving_targets=(gossip.LeavingTarget(old, row.url),),
-        target_versions=(gossip.TargetVersion(old, "m", 7, 1),),
+        target_versions=(gossip.TargetVersion(old, "m", 7, places.at(1)),),
         pending=(gossip.PendingWork(old, 5000, 5000),),
     )
     assert not row.leaving
@@ -156,12 +157,12 @@
     change(core, born=BORN_AGAIN, revision=3, version=2)
     assert row_of(core).version_by_model == {"m": 2}
     late = gossip.TargetVersion(
-        incarnations.TargetIncarnation("llm-3", BORN_AGAIN), "m", 3, 2
+        incarnations.TargetIncarnation("llm-3", BORN_AGAIN), "m", 3, places.at(2)
     )
     gossip_of(core, target_versions=(late,))
     assert row_of(core).version_by_model == {"m": 2}
     current = gossip.TargetVersion(
-        incarnations.TargetIncarnation("llm-3", BORN_AGAIN), "m", 4, 3
+        incarnations.TargetIncarnation("llm-3", BORN_AGAIN), "m", 4, places.at(3)
     )
     gossip_of(core, target_versions=(current,))
     assert row_of(core).version_by_model == {"m": 4}
@@ -275,9 +276,9 @@
     afterwards, from its own watch.
     """
     change(core, "desk-1", revision=6)
-    core.step(NOW, [targetlist.TargetUnreadable("desk-1", 5)])
+    core.step(NOW, [targetlist.TargetUnreadable("desk-1", places.at(5))])
     assert row_of(core, "desk-1").usable(NOW)
-    core.step(NOW, [targetlist.TargetUnreadable("desk-1", 7)])
+    core.step(NOW, [targetlist.TargetUnreadable("desk-1", places.at(7))])
     assert not row_of(core, "desk-1").usable(NOW)
 
 
--- a/tests/decide/test_lease.py
+++ b/tests/decide/test_lease.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import places
 import pytest
 
 from sesamespindle.decide import commands, events, hashing, lease, world
@@ -72,14 +73,14 @@
                 record, revision = self.store
                 if revision != command.replaces:
                     return lease.LeaseFound(record, revision)
-                self.store[:] = [command.record, revision + 1]
-                return lease.LeaseWritten(command.record, revision + 1)
+                self.store[:] = [command.record, places.after(revision)]
+                return lease.LeaseWritten(command.record, places.after(revision))
 
 
 @pytest.fixture
 def hosts():
     """Return two hosts at one store, the first of which holds the lease."""
-    store = [None, 0]
+    store = [None, places.at(0)]
     two_hosts = [Host("entry-1", store), Host("entry-2", store)]
     for step in range(3):
         two_hosts[0].tick(NOW + seconds(0.1 * step))
@@ -169,7 +170,7 @@
     hosts[0].lease.tick(late)
     hosts[0].state.take_commands()
     record, revision = hosts[0].store
-    hosts[0].lease.handle(lease.LeaseWritten(record, revision + 1), late)
+    hosts[0].lease.handle(lease.LeaseWritten(record, places.after(revision)), late)
     assert not hosts[0].lease.is_held(late)
 
 
@@ -187,7 +188,7 @@
     while not (writes := holder.sent(NOW + seconds(sent_at))):
         sent_at += 0.1
     _, revision = holder.store
-    holder.store[:] = [writes[0].record, revision + 1]
+    holder.store[:] = [writes[0].record, places.after(revision)]
     late = NOW + seconds(sent_at + 0.7)
     holder.lease.handle(lease.LeaseUnknown(), late)
     holder.lease.handle(lease.LeaseFound(*holder.store), late)
@@ -202,7 +203,7 @@
     write takes effect, and without a release others would wait for a holder that never
     acts.
     """
-    store = [None, 0]
+    store = [None, places.at(0)]
     leaving, following = Host("entry-1", store), Host("entry-2", store)
     taking = None
     at = 0.0
@@ -219,8 +220,8 @@
         assert at < 3
     now = NOW + seconds(at)
     leaving.lease.release_for_good(now)
-    store[:] = [taking, 1]
-    leaving.lease.handle(lease.LeaseWritten(taking, 1), now)
+    store[:] = [taking, places.at(1)]
+    leaving.lease.handle(lease.LeaseWritten(taking, places.at(1)), now)
     assert not leaving.lease.is_held(now)
     following.state.lease_release = leaving.state.lease_release
     held = run([leaving, following], at + 3, start=at)
@@ -265,7 +266,7 @@
     A record of an earlier release contains no address, so it may belong to another host
     with the same name.
     """
-    store = [lease.LeaseRecord("entry-1/1", 7, 3), 9]
+    store = [lease.LeaseRecord("entry-1/1", 7, 3), places.at(9)]
     host = Host("entry-1", store, incarnation=2)
     held = run([host], 12, start=0)
     assert held["entry-1"][0] >= 1.5 * DURATION.total_seconds()
@@ -280,7 +281,7 @@
     own lease at once but doesn't read it.
     """
     names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
-    store = [None, 0]
+    store = [None, places.at(0)]
     run([Host(names[-1], store)], 3, start=0)
     assert store[0] is not None
     again = Host(names[-1], store, incarnation=2, others=names[:-1])
@@ -289,7 +290,7 @@
 
 def test_a_host_of_low_rank_that_never_held_the_lease_reads_it_once():
     names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
-    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), 9]
+    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), places.at(9)]
     host = Host(names[-1], store, others=names[:-1])
     asked = 0
     for step in range(100):
@@ -310,7 +311,7 @@
     holder, only for as long as that can save a wait. Refused calls are charged too.
     """
     names = hashing.rank("lease", [f"entry-{number}" for number in range(6)])
-    host = Host(names[-1], [None, 0], others=names[:-1])
+    host = Host(names[-1], [None, places.at(0)], others=names[:-1])
     asked_at = []
     for step in range(200):
         now = NOW + seconds(0.1 * step)
@@ -330,7 +331,7 @@
     acted last. Its earlier incarnation may have acted just before it ended, which the
     new one can't know.
     """
-    store = [None, 0]
+    store = [None, places.at(0)]
     run([Host("entry-1", store)], 3, start=0, ordering=True)
     again = Host("entry-1", store, incarnation=2)
     taken_at = run([again], 4, start=3.2)["entry-1"][0]
@@ -352,7 +353,7 @@
 
 def idle_holder():
     """Return a host whose lease is idle, and the time in seconds."""
-    host = Host("entry-1", [None, 0])
+    host = Host("entry-1", [None, places.at(0)])
     run([host], 5, start=0)
     assert host.store[0].idle
     return host, 5.0
@@ -364,7 +365,7 @@
     All hosts are killed at once, and the holder of an idle lease is lost for good. The
     others needn't wait for the full time, and new weight versions needn't either.
     """
-    store = [record(), 9]
+    store = [record(), places.at(9)]
     held = run([Host("entry-1", store), Host("entry-2", store)], 6, start=0)
     (times,) = held.values()
     assert 1.0 <= times[0] <= 1.5
@@ -372,7 +373,7 @@
 
 
 def test_a_lease_that_is_not_idle_is_waited_for_in_full():
-    store = [record(idle=False), 9]
+    store = [record(idle=False), places.at(9)]
     held = run([Host("entry-1", store)], 6, start=0)
     assert held["entry-1"][0] >= 1.5 * DURATION.total_seconds()
 
@@ -385,14 +386,14 @@
 
 def test_an_idle_lease_is_renewed_no_more_often_than_an_active_one(hosts):
     def writes(ordering):
-        before = hosts[0].store[1]
+        before = hosts[0].store[1].number
         run(hosts, 20, start=0.3, ordering=ordering)
-        return hosts[0].store[1] - before
+        return hosts[0].store[1].number - before
 
     idle = writes(False)
-    other = Host("entry-1", [None, 0])
+    other = Host("entry-1", [None, places.at(0)])
     run([other], 20, start=0.3, ordering=True)
-    assert idle <= other.store[1]
+    assert idle <= other.store[1].number
 
 
 def test_a_lease_becomes_idle_a_lease_duration_after_the_last_act(hosts):
@@ -419,7 +420,9 @@
     assert not write.record.idle
     assert host.lease.is_held(now)
     assert not host.lease.may_act(now)
-    host.lease.handle(lease.LeaseWritten(write.record, write.replaces + 1), now)
+    host.lease.handle(
+        lease.LeaseWritten(write.record, places.after(write.replaces)), now
+    )
     assert host.lease.may_act(now)
 
 
@@ -430,7 +433,7 @@
     version is announced meanwhile. The stored record isn't idle yet, but the write in
     flight may change that.
     """
-    host = Host("entry-1", [None, 0])
+    host = Host("entry-1", [None, places.at(0)])
     run([host], 0.3, start=0)
     at = 0.3
     while not (writes := host.sent(NOW + seconds(at))):
@@ -445,13 +448,15 @@
     assert not host.lease.may_act(now)
     host.lease.request_act(now)
     (active,) = (c for c in host.state.take_commands() if hasattr(c, "replaces"))
-    host.store[:] = [idle.record, idle.replaces + 1]
+    host.store[:] = [idle.record, places.after(idle.replaces)]
     host.lease.handle(lease.LeaseFound(*host.store), now)
     assert not host.lease.may_act(now)
     again = written(host, now + seconds(0.1))
-    assert again.replaces == idle.replaces + 1
+    assert again.replaces == places.after(idle.replaces)
     assert not again.record.idle
-    host.lease.handle(lease.LeaseWritten(again.record, again.replaces + 1), now)
+    host.lease.handle(
+        lease.LeaseWritten(again.record, places.after(again.replaces)), now
+    )
     assert host.lease.may_act(now)
     assert active.replaces == idle.replaces
 
@@ -463,7 +468,7 @@
     """
     host, at = idle_holder()
     taken = record(idle=False, epoch=host.store[0].epoch + 1)
-    host.store[:] = [taken, host.store[1] + 1]
+    host.store[:] = [taken, places.after(host.store[1])]
     host.has_orders = True
     host.tick(NOW + seconds(at))
     assert not host.lease.may_act(NOW + seconds(at))
@@ -491,12 +496,12 @@
     was paused. Others may have seen the first write since it took effect, so the host
     must not count from the second.
     """
-    host = Host("entry-1", [None, 0])
+    host = Host("entry-1", [None, places.at(0)])
     run([host], 0.05, start=0)
     first = written(host, NOW + seconds(0.1))
     second = written(host, NOW + seconds(3.2))
     late = NOW + seconds(3.3)
-    host.lease.handle(lease.LeaseWritten(first.record, 1), late)
+    host.lease.handle(lease.LeaseWritten(first.record, places.at(1)), late)
     assert second.record != first.record
     assert not host.lease.is_held(late)
 
@@ -508,11 +513,11 @@
     lease under a higher epoch, and only then gets the old answer with the lower epoch.
     """
     old = lease.LeaseRecord("entry-1/1/entry-1:81", 6, 3)
-    store = [old, 9]
+    store = [old, places.at(9)]
     host = Host("entry-1", store, incarnation=2)
     run([host], 0.3, start=0)
     assert host.lease.epoch == 7
-    host.lease.handle(lease.LeaseFound(old, 9), NOW + seconds(0.3))
+    host.lease.handle(lease.LeaseFound(old, places.at(9)), NOW + seconds(0.3))
     assert host.lease.epoch == 7
     assert host.lease.may_act(NOW + seconds(0.3))
 
@@ -541,7 +546,7 @@
 
     def __init__(self, seed):
         self.random = random.Random(seed)
-        self.store = [None, 0]
+        self.store = [None, places.at(0)]
         self.hosts = [Host(f"entry-{number}", self.store) for number in range(3)]
         self.paused_until = [0.0] * 3
         self.incarnations = [1] * 3
@@ -640,8 +645,8 @@
         record, revision = self.store
         if revision != command.replaces:
             return lease.LeaseFound(record, revision)
-        self.store[:] = [command.record, revision + 1]
-        return lease.LeaseWritten(command.record, revision + 1)
+        self.store[:] = [command.record, places.after(revision)]
+        return lease.LeaseWritten(command.record, places.after(revision))
 
     def _inject_fault(self, number):
         drawn = self.random.random()
@@ -685,7 +690,7 @@
 
 
 def test_a_wait_for_the_lease_is_noted_once():
-    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), 9]
+    store = [lease.LeaseRecord("entry-9/1/entry-9:81", 7, 3), places.at(9)]
     host = Host("entry-1", store)
     run([host], 4.5, start=0)
     (note,) = host.notes_of("lease_waits")
@@ -699,7 +704,7 @@
 
 def make_fleet(count):
     """Return hosts that all know each other and share one store, in order of rank."""
-    store = [None, 0]
+    store = [None, places.at(0)]
     names = hashing.rank("lease", [f"entry-{number}" for number in range(count)])
     return [
         Host(name, store, others=[other for other in names if other != name])
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import places
 import pytest
 from gateways import (
     NOW,
@@ -258,11 +259,13 @@
     _, found = crash_thrice(core)
     written = [item.record for item in writes(found)]
     assert [item.fingerprint for item in written] == [BAD]
-    made = gossip.QuarantinedRequest(BAD, written[0].decided_at, 3, revision=9)
+    made = gossip.QuarantinedRequest(
+        BAD, written[0].decided_at, 3, revision=places.at(9)
+    )
     core.step(NOW + 2.6 * SECOND, [quarantine.QuarantineWritten(made)])
     assert writes(judge(core, 9.0)[1]) == []
     started = make_core()
-    started.step(NOW, [quarantine.QuarantinesListed((made,), 20)])
+    started.step(NOW, [quarantine.QuarantinesListed((made,), places.at(20))])
     assert code_of(started) is commands.Code.QUARANTINED
 
 
@@ -288,7 +291,9 @@
 
 
 def quarantined(core, tries=0, decided_at=NOW):
-    record = gossip.QuarantinedRequest(BAD, decided_at, 3, tries, revision=9 + tries)
+    record = gossip.QuarantinedRequest(
+        BAD, decided_at, 3, tries, revision=places.at(9 + tries)
+    )
     core.step(NOW, [quarantine.QuarantineRead(record)])
     return record
 
@@ -304,13 +309,13 @@
 
 def test_a_record_that_the_list_lacks_is_lifted(core):
     quarantined(core)
-    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), 20)])
+    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), places.at(20))])
     assert code_of(core) is None
 
 
 def test_an_older_list_lifts_nothing(core):
     quarantined(core)
-    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), 8)])
+    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), places.at(8))])
     assert code_of(core) is commands.Code.QUARANTINED
 
 
@@ -320,7 +325,7 @@
     assert writes(judge(core, 9 * 60)[1]) == []
     (wanted,) = writes(judge(core, 11 * 60)[1])
     assert wanted.is_trial
-    tried = gossip.QuarantinedRequest(BAD, NOW, 3, 1, revision=10)
+    tried = gossip.QuarantinedRequest(BAD, NOW, 3, 1, revision=places.at(10))
     core.step(NOW + 11 * MINUTE, [quarantine.QuarantineWritten(tried, True)])
     assert code_of(core, after=11 * 60) is None
     assert code_of(core, after=11 * 60) is commands.Code.QUARANTINED
@@ -334,7 +339,9 @@
 def test_trials_and_late_crashes_are_three_runs_at_most(core, crashes, tries):
     """A request that is quarantined only at its fifth crash must get no trial run."""
     for tried in range(3):
-        record = gossip.QuarantinedRequest(BAD, NOW, crashes, tried, revision=9 + tried)
+        record = gossip.QuarantinedRequest(
+            BAD, NOW, crashes, tried, revision=places.at(9 + tried)
+        )
         core.step(NOW, [quarantine.QuarantineRead(record)])
         wanted = writes(judge(core, (tried + 1) * 24 * 60 * 60)[1])
         assert len(wanted) == (tried < tries)
@@ -351,7 +358,10 @@
 def test_records_of_crashes_and_quarantines_are_bounded(core):
     for number in range(2000):
         record = gossip.QuarantinedRequest(
-            f"{number:032x}", NOW + datetime.timedelta(seconds=number), 3, revision=9
+            f"{number:032x}",
+            NOW + datetime.timedelta(seconds=number),
+            3,
+            revision=places.at(9),
         )
         core.quarantine.handle(quarantine.QuarantineRead(record), NOW)
     assert len(core.quarantine.record_by_fingerprint) == 1024
--- a/tests/decide/test_rollout.py
+++ b/tests/decide/test_rollout.py
@@ -4,6 +4,7 @@
 import datetime
 import itertools
 
+import places
 import pytest
 
 from sesamespindle.decide import (
@@ -31,16 +32,23 @@
     made = gateway.Gateway(me, gateway.PlatformLimits(budgets.BudgetRule()))
     targets = tuple(
         targetlist.ListedTarget(
-            f"llm-{number}", "llm", f"a:{number}", "dc-1", 8, False, {"m": 1}, 1
+            f"llm-{number}",
+            "llm",
+            f"a:{number}",
+            "dc-1",
+            8,
+            False,
+            {"m": 1},
+            places.at(1),
         )
         for number in range(ENGINES)
     )
     before = NOW - seconds(2)
     made.step(before, [targetlist.TargetsListed(targets), events.Tick()])
-    made.step(before, [lease.LeaseFound(None, 0)])
+    made.step(before, [lease.LeaseFound(None, places.at(0))])
     commands = made.step(NOW, [events.Tick()])
     write = next(item for item in commands if isinstance(item, lease.WriteLease))
-    made.step(NOW, [lease.LeaseWritten(write.record, 1)])
+    made.step(NOW, [lease.LeaseWritten(write.record, places.at(1))])
     return made
 
 
@@ -121,14 +129,14 @@
     now = NOW + seconds(0.6)
     (idle,) = writes(core.step(now, [events.Tick()]))
     assert idle.record.idle
-    core.step(now, [lease.LeaseWritten(idle.record, 2)])
+    core.step(now, [lease.LeaseWritten(idle.record, places.at(2))])
     now += seconds(0.1)
     commands = core.step(now, [weights.VersionAnnounced("m", 2), events.Tick()])
     name = report_requests(commands)[0]
     (active,) = writes(commands)
     assert not active.record.idle
     assert orders(core.step(now, [report(name, count=3)])) == []
-    core.step(now, [lease.LeaseWritten(active.record, 3)])
+    core.step(now, [lease.LeaseWritten(active.record, places.at(3))])
     (order,) = orders(core.step(now + seconds(0.1), [events.Tick()]))
     assert (order.target, order.expected_orders) == (name, 3)
 
@@ -138,7 +146,7 @@
         now = NOW + seconds(0.1 * step)
         for write in writes(core.step(now, [events.Tick()])):
             assert not write.record.idle
-            core.step(now, [lease.LeaseWritten(write.record, 2 + step)])
+            core.step(now, [lease.LeaseWritten(write.record, places.at(2 + step))])
     assert core.lease.may_act(now)
 
 
@@ -183,7 +191,7 @@
                 case commands.Note():
                     self.notes.append((command.kind, command.subject))
                 case lease.WriteLease():
-                    revision = command.replaces + 1
+                    revision = places.after(command.replaces)
                     self.step(lease.LeaseWritten(command.record, revision))
                 case rollout.ReadReport():
                     self.reads.append(command.target)
@@ -367,14 +375,14 @@
     """
     core = make_core()
     one = targetlist.ListedTarget(
-        "llm-0", "llm", "a:0", "dc-1", 8, False, {"m": 1}, 5, born=1000
+        "llm-0", "llm", "a:0", "dc-1", 8, False, {"m": 1}, places.at(5), born=1000
     )
     core.step(NOW, [targetlist.TargetsListed((one,))])
     core.step(NOW, [weights.VersionAnnounced("m", 2)])
     (name,) = report_requests(core.step(NOW, [events.Tick()]))
     before = rollout.Reported(name, 4, False, {"m": 1}, 1000)
     assert orders(core.step(NOW, [before]))
-    again = dataclasses.replace(one, revision=6, born=2000)
+    again = dataclasses.replace(one, revision=places.at(6), born=2000)
     core.step(NOW, [targetlist.TargetChanged(again)])
     now = NOW + seconds(0.1)
     assert report_requests(core.step(now, [events.Tick()])) == [name]
@@ -416,7 +424,7 @@
     core = make_core()
     now = NOW + seconds(0.6)
     (idle,) = writes(core.step(now, [events.Tick()]))
-    core.step(now, [lease.LeaseWritten(idle.record, 2)])
+    core.step(now, [lease.LeaseWritten(idle.record, places.at(2))])
     core.step(now, [weights.VersionAnnounced("m", 2)])
     names = report_requests(core.step(now, [events.Tick()]))
     core.step(now, [report(name) for name in names])
--- a/tests/platform/test_adoption.py
+++ b/tests/platform/test_adoption.py
@@ -4,6 +4,7 @@
 import json
 
 import gateways
+import places
 import standins
 
 from sesamespindle.daemon import driver, eventlog
@@ -37,7 +38,7 @@
         return self.driver.core.forwarding.configuration.version
 
     def change(self, revision, item):
-        listing = objects.Listing((item,), revision)
+        listing = objects.Listing((item,), places.at(revision))
         self.adopted.adopt_changes(CONFIGURATION, listing, READING, gateways.NOW)
 
     def update_for(self, peer):
@@ -46,19 +47,21 @@
 
 def configuration(version, revision, **changed):
     spec = standins.make_manifest(version, **changed)
-    return objects.StoredObject("main", revision, spec)
+    return objects.StoredObject("main", places.at(revision), spec)
 
 
 def test_a_late_answer_of_an_earlier_revision_changes_nothing():
     """Guards against a change that an older answer of a watch takes back."""
     host = Host()
-    target = objects.StoredObject("desk-1", 9, standins.Target("desk-1", "1:1").entry())
+    target = objects.StoredObject(
+        "desk-1", places.at(9), standins.Target("desk-1", "1:1").entry()
+    )
     host.adopted.adopt_list(
-        adoption.TARGETS, objects.Listing((), 10), READING, gateways.NOW
+        adoption.TARGETS, objects.Listing((), places.at(10)), READING, gateways.NOW
     )
-    late = objects.Listing((target,), 9)
+    late = objects.Listing((target,), places.at(9))
     host.adopted.adopt_changes(adoption.TARGETS, late, READING, gateways.NOW)
-    assert host.known.revision(adoption.TARGETS) == 10
+    assert host.known.revision(adoption.TARGETS) == places.at(10)
     assert host.adopted.replica_by_kind[adoption.TARGETS].object_by_name == {}
 
 
@@ -66,7 +69,7 @@
     by_watch, by_list = Host(), Host()
     by_watch.change(10, configuration(2, 10))
     by_watch.change(12, configuration(3, 12))
-    whole = objects.Listing((configuration(3, 12),), 12)
+    whole = objects.Listing((configuration(3, 12),), places.at(12))
     by_list.adopted.adopt_list(CONFIGURATION, whole, READING)
     assert by_watch.known.for_peers()[0].digest == by_list.known.for_peers()[0].digest
 
@@ -74,12 +77,14 @@
 def test_a_removal_that_only_a_list_shows_differs_from_what_peers_know():
     """Guards against hosts that count as complete but still have what was removed."""
     by_list, behind = Host(), Host()
-    item = objects.StoredObject("dc-9", 5, {})
+    item = objects.StoredObject("dc-9", places.at(5), {})
     for host in (by_list, behind):
         host.adopted.adopt_list(
-            adoption.EVACUATIONS, objects.Listing((item,), 5), READING
+            adoption.EVACUATIONS, objects.Listing((item,), places.at(5)), READING
         )
-    by_list.adopted.adopt_list(adoption.EVACUATIONS, objects.Listing((), 8), READING)
+    by_list.adopted.adopt_list(
+        adoption.EVACUATIONS, objects.Listing((), places.at(8)), READING
+    )
     [theirs] = by_list.known.for_peers()
     assert behind.known.is_behind(theirs)
 
@@ -102,7 +107,7 @@
     host.change(10, configuration(2, 10))
     go(peer.peers.adopt_update(host.update_for(peer), {}))
     assert peer.version == 2
-    host.known.prove(CONFIGURATION, 15, gateways.NOW)
+    host.known.prove(CONFIGURATION, places.at(15), gateways.NOW)
     assert json.loads(host.update_for(peer))["kinds"] == {}
 
 
@@ -125,7 +130,9 @@
     async def run():
         host.peers.set_peer_fetcher(silent)
         async with host.peers:
-            host.driver._dispatch(commands.ReadAgain(CONFIGURATION, 9, "10.0.0.2:81"))
+            host.driver._dispatch(
+                commands.ReadAgain(CONFIGURATION, places.at(9), "10.0.0.2:81")
+            )
             async with asyncio.timeout(5):
                 while not checked:
                     await asyncio.sleep(0.01)
@@ -147,7 +154,9 @@
         async with host.peers:
             for number in (1, 2):
                 host.driver._dispatch(
-                    commands.ReadAgain(CONFIGURATION, 9, f"10.0.0.{number}:81")
+                    commands.ReadAgain(
+                        CONFIGURATION, places.at(9), f"10.0.0.{number}:81"
+                    )
                 )
                 async with asyncio.timeout(5):
                     while host.peers._task_by_kind:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -3,10 +3,11 @@
 import dataclasses
 import random
 
+import places
 import pytest
 
 from sesamespindle.daemon import driver, eventlog
-from sesamespindle.decide import events
+from sesamespindle.decide import events, revisions
 from sesamespindle.platform import entries, objects
 from sesamespindle.wire import clock, platform
 
@@ -41,18 +42,18 @@
     async def list(self, kind, allow_stale=False):
         self._call("old list" if allow_stale else "list")
         items = [
-            objects.StoredObject(name, 1, spec)
+            objects.StoredObject(name, places.at(1), spec)
             for name, spec in self.spec_by_name.items()
         ]
-        return objects.Listing(tuple(items), 1)
+        return objects.Listing(tuple(items), places.at(1))
 
     async def get(self, kind, name):
         self._call("get")
-        return objects.StoredObject(name, 1, self.spec_by_name[name])
+        return objects.StoredObject(name, places.at(1), self.spec_by_name[name])
 
     async def write(self, kind, name, spec, replaces):
-        self._call("replace" if replaces else "create")
-        if name in self.spec_by_name and not replaces:
+        self._call("create" if replaces == revisions.NEVER else "replace")
+        if name in self.spec_by_name and replaces == revisions.NEVER:
             raise platform.ConflictError(None)
         self.spec_by_name[name] = spec
         return 2
--- a/tests/platform/test_lease_record.py
+++ b/tests/platform/test_lease_record.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import places
 import pytest
 
 from sesamespindle.decide import lease
@@ -17,7 +18,7 @@
     async def write(self, kind, name, spec, replaces):
         """Keep the content of an object; return its new revision."""
         self.spec = spec
-        return replaces + 1
+        return places.after(replaces)
 
 
 class Driver:
@@ -37,7 +38,7 @@
 
 
 def read(spec):
-    return records.read_lease(objects.StoredObject("rollout", 7, spec))
+    return records.read_lease(objects.StoredObject("rollout", places.at(7), spec))
 
 
 @pytest.mark.parametrize("idle", [True, False])
@@ -46,9 +47,9 @@
         driver, store = Driver(), Store()
         orders.Orders(driver, store, None)
         record = lease.LeaseRecord("entry-1/5/10.0.0.1:70", 4, 9, idle)
-        command = lease.WriteLease(record, 6)
+        command = lease.WriteLease(record, places.at(6))
         driver.handler_by_command[lease.WriteLease](command)
-        assert await driver.fed.get() == lease.LeaseWritten(record, 7)
+        assert await driver.fed.get() == lease.LeaseWritten(record, places.at(7))
         assert read(store.spec) == record
 
     asyncio.run(play())
--- a/tests/platform/test_named_versions.py
+++ b/tests/platform/test_named_versions.py
@@ -6,6 +6,7 @@
 import random
 
 import gateways
+import places
 
 from sesamespindle.daemon import driver, eventlog
 from sesamespindle.decide import (
@@ -43,6 +44,9 @@
         await self.watches.put(answer)
         return await answer
 
+    async def until_era_raised(self):
+        await asyncio.get_running_loop().create_future()
+
 
 class _Host:
     """A host's decision logic, fed from a store, with a clock moved by hand."""
@@ -87,7 +91,8 @@
 
 def _listing(version, revision):
     spec = {"Model": "m", "Version": version}
-    return objects.Listing((objects.StoredObject("m", revision, spec),), revision)
+    place = places.at(revision)
+    return objects.Listing((objects.StoredObject("m", place, spec),), place)
 
 
 @contextlib.asynccontextmanager
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -2,6 +2,7 @@
 
 import json
 
+import places
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -35,7 +36,7 @@
 
 
 def record(spec, name="desk-1", revision=5):
-    return objects.StoredObject(name, revision, spec)
+    return objects.StoredObject(name, places.at(revision), spec)
 
 
 def read_or_none(spec, name="desk-1"):
@@ -115,11 +116,11 @@
     """
     items = [*beside[:place], stored(GOOD), *beside[place:]]
     raw = json.dumps({"items": items, "CurrentRev": 9}).encode()
-    page = objects._decode_page(pages.load(raw))
+    page = objects._decode_page(pages.load(raw), 0)
     assert record(GOOD, revision=7) in page.objects
     changes = [{"Object": item, "Deleted": False} for item in items]
     raw = json.dumps({"Events": [*beside, *changes], "CurrentRev": 9}).encode()
-    listing = objects._decode_changes(pages.load(raw))
+    listing = objects._decode_changes(pages.load(raw), 0)
     assert record(GOOD, revision=7) in listing.objects
 
 
@@ -145,8 +146,8 @@
 @pytest.mark.parametrize("revision", [None, -1, 1.5, True, "7", [], 2**80])
 def test_an_object_with_an_invalid_revision_has_no_content(revision):
     item = {"Metadata": {"Name": "desk-1", "Revision": revision}, "Spec": GOOD}
-    (read,) = objects._decode_page({"items": [item], "CurrentRev": 9}).objects
-    assert read_or_none(read.spec) is None or read.revision == revision
+    (read,) = objects._decode_page({"items": [item], "CurrentRev": 9}, 0).objects
+    assert read_or_none(read.spec) is None or read.revision.number == revision
 
 
 @MANY_EXAMPLES
--- a/tests/support/crashfleet.py
+++ b/tests/support/crashfleet.py
@@ -9,6 +9,7 @@
 import random
 
 import gateways
+import places
 import simulation
 
 from sesamespindle.decide import (
@@ -19,6 +20,7 @@
     gateway,
     gossip,
     quarantine,
+    revisions,
     sends,
     targetlist,
 )
@@ -110,7 +112,7 @@
         self._feed(name, targetlist.TargetsListed(self._listed_targets()))
         if not self.platform_is_away:
             records = tuple(self._quarantined.values())
-            self._feed(name, quarantine.QuarantinesListed(records, 10**6))
+            self._feed(name, quarantine.QuarantinesListed(records, places.at(10**6)))
 
     def _names(self):
         return list(self.core_by_name)
@@ -178,10 +180,10 @@
         known = self._quarantined.get(record.fingerprint)
         if self.platform_is_away:
             self._feed(name, quarantine.QuarantineWriteFailed(record.fingerprint))
-        elif (known.revision if known else 0) != record.revision:
+        elif (known.revision if known else revisions.NEVER) != record.revision:
             self._feed(name, quarantine.QuarantineRead(known))
         else:
-            made = dataclasses.replace(record, revision=next(self._revision))
+            made = dataclasses.replace(record, revision=places.at(next(self._revision)))
             self._quarantined[record.fingerprint] = made
             self._feed(name, quarantine.QuarantineWritten(made, command.is_trial))
             self._announce_change(quarantine.QuarantineRead(made))
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -3,6 +3,8 @@
 import dataclasses
 import datetime
 
+import places
+
 from sesamespindle.decide import (
     budgets,
     events,
@@ -59,6 +61,7 @@
     service="desk",
     leaving=False,
     revision=1,
+    era=0,
     versions=None,
     born=None,
     cold_for=0 * SECOND,
@@ -72,7 +75,7 @@
         8,
         leaving,
         versions or {},
-        revision,
+        places.at(revision),
         born,
         cold_for,
     )
--- a/tests/support/relays.py
+++ b/tests/support/relays.py
@@ -13,12 +13,22 @@
     relay,
     targetprobe,
 )
-from sesamespindle.decide import events, gateway, kvstores, lease, quarantine, rollout
+from sesamespindle.decide import (
+    eras,
+    events,
+    gateway,
+    kvstores,
+    lease,
+    quarantine,
+    rollout,
+)
 from sesamespindle.platform import dialect
 
 # Commands that need the platform's store or peers. This relay has neither, so it
 # ignores them.
 _IGNORED_COMMANDS = (
+    eras.EraRaised,
+    eras.StoreRestored,
     gateway.BecameReady,
     kvstores.StoresConfigured,
     lease.ReadLease,
--- a/tests/support/standinstore.py
+++ b/tests/support/standinstore.py
@@ -60,6 +60,8 @@
         if it is 0.
     page_size : int
         The most objects in one answer to a list.
+    on_list : callable
+        Called with each page of a list before it is sent, its era already chosen.
     """
 
     def __init__(self, address):
@@ -75,6 +77,7 @@
         self.reads = 0
         self.era = 0
         self.page_size = 500
+        self.on_list = lambda response: None
         self._objects_before = {}
         self._revision = 1
         self._objects = {}
@@ -184,6 +187,10 @@
     # Answers.
 
     async def _tell_era(self, request, response):
+        if ERA_HEADER not in response.headers:
+            self._put_era(response)
+
+    def _put_era(self, response):
         if self.era:
             response.headers[ERA_HEADER] = str(self.era)
 
@@ -210,7 +217,10 @@
             return _json(created, 201)
         if "Watch" in request.query:
             return await self._watch(request, kind)
-        return self._list(kind, request.query.get("after", ""))
+        listed = self._list(kind, request.query.get("after", ""))
+        self._put_era(listed)
+        self.on_list(listed)
+        return listed
 
     def _list(self, kind, after):
         """Return the page of a list that begins after a name."""
--- a/tests/support/storefleet.py
+++ b/tests/support/storefleet.py
@@ -9,6 +9,7 @@
 import random
 
 import gateways
+import places
 import simulation
 
 from sesamespindle.decide import (
@@ -32,17 +33,28 @@
 _READ_SECONDS = (0.004, 0.03)
 
 
+def digest_of(revision):
+    """Return the digest of a kind that was changed last at a revision; it rises."""
+    return (revision.era << 32) + revision.number
+
+
 class Store:
     """The store's revision, and that of the last change of each kind."""
 
     def __init__(self):
-        self.revision = 1
-        self.changed_by_kind = dict.fromkeys(KINDS.bound_by_kind, 1)
+        self.era = 0
+        self.number = 1
+        self.changed_by_kind = dict.fromkeys(KINDS.bound_by_kind, self.revision)
         self.reads = 0
 
+    @property
+    def revision(self):
+        """The place of the last change of any kind."""
+        return places.at(self.number, self.era)
+
     def change(self, kind):
         """Change an object of a kind."""
-        self.revision += 1
+        self.number += 1
         self.changed_by_kind[kind] = self.revision
 
 
@@ -70,7 +82,7 @@
 
     def read(self, kind, revision, proved_at):
         """Read a kind up to a revision; its digest is that of the last change."""
-        changed = self.fleet.store.changed_by_kind[kind]
+        changed = digest_of(self.fleet.store.changed_by_kind[kind])
         if self.known.note_read(kind, revision, changed, proved_at, "a check"):
             self.core.membership.request_round()
 
@@ -148,7 +160,7 @@
                 host.core.state.put_entry(row)
         host.core.state.knows_entries = True
         for kind in KINDS.bound_by_kind:
-            host.read(kind, 1, self.time())
+            host.read(kind, self.store.revision, self.time())
 
     def _tick(self, host):
         host.feed(events.Tick())
@@ -252,7 +264,7 @@
             host
             for host in self.hosts
             if not host.is_stopped
-            and host.known.knowledge_by_kind[kind].digest < revision
+            and host.known.knowledge_by_kind[kind].digest < digest_of(revision)
         ]
         if late:
             self.after(0.01, self._measure, kind, revision, began)
