Keep what is known of a target's life when the store lists it as it was

A store that came back older lists targets as ready that have left or were removed, with older weights, as warm though they have turned cold, or lacks targets that live. With eras ordered, such a record counts as the newest. Callers would see requests to targets that have left or ended, and a rush on cold ones.

What was seen of one incarnation stays: leaving for good; removed or replaced until everyone has had time to write again (5 s), after which the store is believed; weights and cold times don't fall by the first record of an era.

--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -8,7 +8,14 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, declared, incarnations, revisions, world
+from sesamespindle.decide import (
+    commands,
+    declared,
+    eras,
+    incarnations,
+    revisions,
+    world,
+)
 
 # A target that has disappeared from the list stays in the table for this long, and is
 # used if no listed one is left. This is half of the shortest time that users allow
@@ -18,6 +25,9 @@
 # is available again, as the platform states. The other 0.5 s are for reading them.
 _EXPIRED_KEPT_FOR = datetime.timedelta(seconds=2.5)
 _NOT_COLD = datetime.timedelta(0)
+# How long an incarnation that has ended is remembered: far longer than the age of any
+# copy that the platform's store comes back from.
+_ENDED_KEPT_FOR = datetime.timedelta(minutes=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +113,25 @@
     """The platform is available again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ended:
+    """An incarnation that is no longer in the table of targets.
+
+    Attributes
+    ----------
+    revision : revisions.Revision
+        That of the last record that was known of it.
+    was_leaving : bool
+        Whether it was known to be leaving.
+    at : datetime.datetime
+        When it was removed from the table.
+    """
+
+    revision: revisions.Revision
+    was_leaving: bool
+    at: datetime.datetime
+
+
 class TargetList:
     """Keeps the table of targets equal to the platform's list.
 
@@ -118,6 +147,9 @@
     def __init__(self, state):
         self._state = state
         self._platform_back_at = None
+        self._ended_by_incarnation = {}
+        # Records that may be from before what is known of their targets, by name.
+        self._doubtful_by_name = {}
 
     def handle(self, event, now):
         """Handle one of this module's events; return whether it was one."""
@@ -131,7 +163,7 @@
                 self._remove(event, now)
             case TargetUnreadable():
                 self._set_aside(event.name, event.revision)
-            case PlatformAvailable():
+            case PlatformAvailable() | eras.StoreRestored():
                 self._platform_back_at = now
             case _:
                 return False
@@ -141,8 +173,54 @@
         """Remove targets that have been missing from the list for long enough."""
         for row in list(self._state.targets):
             if row.missing_since is not None and now >= self._kept_until(row):
-                self._state.drop_target(row.name)
+                self._drop(row, now)
                 self._state.emit(commands.Note("target_forgotten", row.name))
+        if self._doubtful_by_name and self._state.eras.has_settled(now):
+            self._adopt_doubtful(now)
+
+    def _drop(self, row, now):
+        """Remove a target from the table, and remember that it has ended."""
+        self._state.drop_target(row.name)
+        self._ended_by_incarnation = {
+            incarnation: ended
+            for incarnation, ended in self._ended_by_incarnation.items()
+            if now - ended.at <= _ENDED_KEPT_FOR
+        }
+        ended = _Ended(row.revision, row.leaving, now)
+        self._ended_by_incarnation[row.incarnation] = ended
+
+    def _is_doubtful(self, target, now):
+        """Return whether a record may be from before the target's known end.
+
+        Guards against requests to a target that has left, was removed or was replaced:
+        a store that comes back from an older copy lists it as ready, until it has been
+        removed again.
+        """
+        if not self._state.eras.is_settling(now):
+            return False
+        ended = self._ended_by_incarnation.get(target.incarnation)
+        if ended is not None and target.revision.era > ended.revision.era:
+            return True
+        return self._state.was_refuted_before(target.incarnation, target.revision, now)
+
+    def _has_left(self, target):
+        """Return whether a target is known to have left in this incarnation.
+
+        The copy that a store comes back from may list it as ready. Where the platform
+        tells no start times, another incarnation may bear the same name.
+        """
+        ended = self._ended_by_incarnation.get(target.incarnation)
+        if ended is None or not ended.was_leaving or not target.born:
+            return False
+        return target.revision.era > ended.revision.era
+
+    def _adopt_doubtful(self, now):
+        """Adopt the records that the store still has after everyone wrote again."""
+        doubtful = tuple(self._doubtful_by_name.values())
+        self._doubtful_by_name.clear()
+        for target in doubtful:
+            known = self._state.targets.where("pool", target.service)
+            self._adopt(target, _have_start_times(known), now)
 
     def _kept_until(self, row):
         """Return until when a missing target is kept.
@@ -164,6 +242,7 @@
         return until
 
     def _adopt_all(self, listed_targets, now):
+        self._doubtful_by_name.clear()
         listed_names = {target.name for target in listed_targets}
         targets_by_service = collections.defaultdict(list)
         for target in listed_targets:
@@ -183,10 +262,11 @@
         row.missing_since = now
         self._state.emit(commands.Note("target_missing", name))
         if row.leaving:
-            self._state.drop_target(name)
+            self._drop(row, now)
 
     def _remove(self, removed, now):
         """Mark a target as missing, unless an earlier incarnation was removed."""
+        self._doubtful_by_name.pop(removed.name, None)
         row = self._state.targets.get(removed.name)
         if row is not None and (removed.born is None or removed.born >= row.born):
             self._mark_missing(removed.name, now)
@@ -207,6 +287,9 @@
         for row in self._state.targets:
             if row.name == successor.name or row.url != successor.url:
                 continue
+            if revision.era > row.revision.era and successor.born < row.born:
+                # An older copy of the store lists the earlier of the two.
+                continue
             if row.listed and row.revision < revision:
                 row.listed = False
                 row.superseded_by = successor.name
@@ -252,6 +335,11 @@
         if row is None:
             if self._state.is_refuted(target.incarnation, target.revision, now):
                 return
+            if self._has_left(target):
+                return
+            if self._is_doubtful(target, now):
+                self._doubtful_by_name[target.name] = target
+                return
             row = world.TargetRow(
                 target.name,
                 target.service,
@@ -272,21 +360,28 @@
             row.listed, row.superseded_by = True, ""
         if target.revision > max(row.revision, row.cold_revision):
             self._adopt_cold_time(row, target, now)
+        row.adopt_versions(target.version_by_model, target.revision)
         row.revision = target.revision
         row.slots = target.slots
-        row.adopt_versions(target.version_by_model, target.revision)
         if target.leaving and not row.leaving:
             row.leaving = True
             self._state.emit(commands.Note("target_leaving", row.name, "listed"))
 
     def _adopt_cold_time(self, row, target, now):
-        """Set until when a target is cold, from a record newer than the known one."""
+        """Set until when a target is cold, from a record newer than the known one.
+
+        The first record of an era may be an older one, from before the target turned
+        cold; it doesn't make the cold time shorter.
+        """
         cold_for = target.cold_for
         if cold_for is None:
             cold_start = self._state.cold_start_by_service.get(row.pool)
             cold_for = cold_start.lasts if cold_start is not None else _NOT_COLD
         before = row.cold_until
         row.cold_until = now + cold_for if cold_for > _NOT_COLD else None
+        known_era = max(row.revision, row.cold_revision).era
+        if before is not None and target.revision.era > known_era:
+            row.cold_until = max(before, row.cold_until or before)
         row.cold_revision = target.revision
         row.refused_at = None
         _note_if_cold(self._state, row, before, now)
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -207,7 +207,8 @@
         up to date for good. This happens if the engine carries out a load order late
         that was given before its restart: its count of orders matches again, and only
         a later record of the engine shows the older weights. So the versions of its
-        record may fall, unlike those that hosts observe.
+        record may fall, unlike those that hosts observe. They don't fall by the first
+        record of an era, as the store may have come back with an older one.
 
         Parameters
         ----------
@@ -217,6 +218,11 @@
             The revision of the record.
         """
         before = self.listed_version_by_model
+        if revision.era > self.revision.era:
+            version_by_model = {
+                model: max(version, before.get(model, 0))
+                for model, version in version_by_model.items()
+            }
         self.listed_version_by_model = version_by_model
         for model, version in version_by_model.items():
             if version < before.get(model, 0):
@@ -396,6 +402,17 @@
         refuted_revision, at = self._refuted_by_incarnation.get(incarnation, never)
         return now - at <= _REFUTED_FOR and revision <= refuted_revision
 
+    def was_refuted_before(self, incarnation, revision, now):
+        """Return whether a target's record was refuted recently, in an earlier era."""
+        never = revisions.NEVER, now
+        refuted_revision, at = self._refuted_by_incarnation.get(incarnation, never)
+        is_earlier = revisions.NEVER != refuted_revision < revision
+        return (
+            is_earlier
+            and refuted_revision.era < revision.era
+            and now - at <= _REFUTED_FOR
+        )
+
     @property
     def leaving(self):
         """Whether this host is leaving."""
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -75,7 +75,7 @@
         8,
         leaving,
         versions or {},
-        places.at(revision),
+        places.at(revision, era),
         born,
         cold_for,
     )
