Keep evacuations, and what is lifted, while the store shows an older copy

A list of a store that came back older counts as the newest: an evacuation that was lost with the copy would end, and a lifted one begin again, until the operator has written them again. Callers would see requests to a data centre that is evacuated.

--- a/packages/decide/sesamespindle/decide/evacuations.py
+++ b/packages/decide/sesamespindle/decide/evacuations.py
@@ -71,6 +71,16 @@
         self._state = state
         # The revision of the latest change or list that covers each data centre.
         self._revision_by_data_centre = {}
+        # What a list says otherwise than is known, but may say from before that; by
+        # data centre, as in `_adopt`.
+        self._doubtful_by_data_centre = {}
+
+    def tick(self, now):
+        """Believe what the store still lists after everyone has written again."""
+        if not self._doubtful_by_data_centre or not self._state.eras.has_settled(now):
+            return
+        for data_centre, said in list(self._doubtful_by_data_centre.items()):
+            self._adopt(data_centre, *said, now)
 
     def handle(self, event, now):
         """Process an event of this module; return False for any other event."""
@@ -89,7 +99,24 @@
         known = self._state.evacuated_data_centres
         for data_centre in sorted(known | listed.data_centres):
             is_listed = data_centre in listed.data_centres
-            self._adopt(data_centre, is_listed, listed.revision, now)
+            if self._is_doubtful(data_centre, is_listed, listed.revision, now):
+                said = is_listed, listed.revision
+                self._doubtful_by_data_centre[data_centre] = said
+            else:
+                self._adopt(data_centre, is_listed, listed.revision, now)
+
+    def _is_doubtful(self, data_centre, is_evacuated, revision, now):
+        """Return whether a list may be from before the latest known change.
+
+        Guards against an evacuation that ends, or one that was lifted and begins again,
+        for as long as the operator needs to write again what an older copy of the store
+        lacks. Only what was known in an earlier era is kept that long.
+        """
+        known = self._revision_by_data_centre.get(data_centre)
+        if known is None or known.era == revision.era:
+            return False
+        is_other = (data_centre in self._state.evacuated_data_centres) != is_evacuated
+        return is_other and self._state.eras.is_settling(now)
 
     def _adopt(self, data_centre, is_evacuated, revision, now):
         """Set whether a data centre is evacuated, unless a later change is known.
@@ -101,6 +128,7 @@
         if revision < self._revision_by_data_centre.get(data_centre, revisions.NEVER):
             return
         self._revision_by_data_centre[data_centre] = revision
+        self._doubtful_by_data_centre.pop(data_centre, None)
         known = self._state.evacuated_data_centres
         if (data_centre in known) == is_evacuated:
             return
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -151,11 +151,12 @@
         )
         self.rollout = rollout.Rollout(self.state, self.weights, self.lease)
         self._targets = targetlist.TargetList(self.state)
+        self._evacuations = evacuations.Evacuations(self.state)
         self._entries = catalogue.Catalogue(self.state)
         self._components = (
             self.store_checks,
             self._targets,
-            evacuations.Evacuations(self.state),
+            self._evacuations,
             self.weights,
             self.stores,
             self.lease,
@@ -317,6 +318,7 @@
         self.membership.tick(now)
         self.store_checks.tick(now)
         self._targets.tick(now)
+        self._evacuations.tick(now)
         self.lease.tick(now)
         self.rollout.tick(now)
         self.forwarding.tick(now)
