Write a lost quarantine again, by one host, and remove a lifted one again

A quarantine record is the system's own: a store that comes back older has lost it, or has one that was lifted, and nobody else writes either again. A record that a list of the new era lacked was even taken for lifted, so the request would crash targets again.

A record that was read in an earlier era counts as unwritten: it stays, and hosts write it again in their turns by rank. Its count of trial runs doesn't fall.

--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -404,10 +404,13 @@
     def _adopt(self, record, now, reason):
         """Store a record, unless its request was cleared after `decided_at`."""
         fingerprint = record.fingerprint
-        cleared_at = self._crashes.cleared_at(fingerprint, None)
-        if cleared_at is not None and cleared_at >= record.decided_at:
+        if self._was_cleared(record):
             return
+        record = self._in_present_era(record)
         known = self.record_by_fingerprint.get(fingerprint)
+        if known is not None and known.tries > record.tries:
+            # The platform may have lost the count of trial runs with its content.
+            record = dataclasses.replace(record, tries=known.tries)
         if known is not None and _version_of(known) >= _version_of(record):
             return
         self.record_by_fingerprint[fingerprint] = record
@@ -420,6 +423,20 @@
             self._state.emit(commands.Note("request_quarantined", fingerprint, reason))
             self._drop_oldest()
 
+    def _was_cleared(self, record):
+        cleared_at = self._crashes.cleared_at(record.fingerprint, None)
+        return cleared_at is not None and cleared_at >= record.decided_at
+
+    def _in_present_era(self, record):
+        """Return a record as one that no platform is known to have, if it's of old.
+
+        Guards against a quarantine that is lost for good: the platform has come back
+        from an older copy without the record, and nobody else writes it again.
+        """
+        if record.revision.era == self._state.eras.current:
+            return record
+        return dataclasses.replace(record, revision=revisions.NEVER)
+
     def _drop_oldest(self):
         while len(self.record_by_fingerprint) > _MAX_RECORDS:
             oldest = min(
@@ -428,14 +445,40 @@
             self._forget(oldest.fingerprint)
 
     def _adopt_all(self, listed, now):
-        """Adopt all records of the platform, and lift those that it has no more."""
+        """Adopt all records of the platform, and lift those that it has no more.
+
+        A record that was read in an earlier era may be missing since the platform has
+        come back from an older copy. It stays, and is written again.
+        """
         fingerprints = {record.fingerprint for record in listed.records}
         for record in self.records():
-            is_removed = record.fingerprint not in fingerprints
-            if is_removed and revisions.NEVER < record.revision <= listed.revision:
+            if record.fingerprint in fingerprints or record.revision == revisions.NEVER:
+                continue
+            if record.revision.era < listed.revision.era:
+                self._forget_revision(record, now)
+            elif record.revision <= listed.revision:
                 self._lift(record.fingerprint, now)
         for record in listed.records:
             self._adopt(record, now, "listed")
+            self._remove_if_lifted(record)
+
+    def _forget_revision(self, record, now):
+        """Note that the platform doesn't have a record, so that it is written again."""
+        fingerprint = record.fingerprint
+        unwritten = dataclasses.replace(record, revision=revisions.NEVER)
+        self.record_by_fingerprint[fingerprint] = unwritten
+        self._learned_at_by_fingerprint[fingerprint] = now
+
+    def _remove_if_lifted(self, record):
+        """Remove a lifted quarantine's record again, if it's this host's turn.
+
+        Guards against hosts that start later and refuse a request whose quarantine was
+        lifted: the platform has come back from a copy that still has its record.
+        """
+        if self._state.eras.restored_at is None or not self._was_cleared(record):
+            return
+        if self._rank(record.fingerprint) == 0:
+            self._state.emit(RemoveQuarantine(record.fingerprint))
 
     def _lift(self, fingerprint, now):
         """End the quarantine of a request and clear its earlier crashes."""
