Keep the highest version of the configuration in the whole fleet, also where hosts start

A store that came back older shows an older configuration until the operator has written the lost one again. A host that runs keeps its version, but one that starts just then read the older one, served dropped routes and revoked keys, and took its peers' proofs of the store's content for proofs of its own.

Hosts tell the highest version that they have read beside what they know of the store's objects, and give it to peers that lack it; a proof counts only from a peer that has read no higher one.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -217,6 +217,7 @@
         kind=known.kind,
         revision=known.revision.number,
         era=known.revision.era,
+        version=known.version,
         digest=known.digest,
         seconds_ago=seconds_ago,
     )
@@ -232,7 +233,9 @@
     if sent_after is not None and message.HasField("seconds_ago"):
         proved_at = sent_after - datetime.timedelta(seconds=message.seconds_ago)
     revision = revisions.Revision(message.era, message.revision)
-    return freshness.KnownKind(message.kind, revision, message.digest, proved_at)
+    return freshness.KnownKind(
+        message.kind, revision, message.digest, proved_at, message.version
+    )
 
 
 def _lease_release_to_wire(release, now):
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -217,6 +217,7 @@
     kind: str
     revision: revisions.Revision
     peer_address: str
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -91,12 +91,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownKind:
-    """What a host tells its peers of its `Knowledge` of a kind."""
+    """What a host tells its peers of its `Knowledge` of a kind.
+
+    Attributes
+    ----------
+    version : int
+        The highest version of the content that was ever read; 0 for a kind whose
+        content has none.
+    """
 
     kind: str
     revision: revisions.Revision
     digest: int
     proved_at: datetime.datetime | None
+    version: int = 0
 
 
 class Freshness:
@@ -117,6 +125,9 @@
         self._eras = store_eras or eras.Eras()
         self.knowledge_by_kind: dict[str, Knowledge] = {}
         self._refused_revision_by_kind = {}
+        self._version_by_kind = {}
+        # The highest version that a peer has told.
+        self._told_version_by_kind = {}
 
     def revision(self, kind):
         """Return the revision up to which a kind is known.
@@ -214,9 +225,27 @@
         known = self.knowledge_by_kind.get(theirs.kind)
         if theirs.proved_at is None or theirs.revision.era < self._eras.current:
             return
+        if theirs.version > self.version(theirs.kind):
+            return
         if known is not None and known.digest == theirs.digest:
             self.prove(theirs.kind, theirs.revision, theirs.proved_at)
 
+    def version(self, kind):
+        """Return the highest version of a kind that was read; 0 if it has none."""
+        return self._version_by_kind.get(kind, 0)
+
+    def note_version(self, kind, version):
+        """Record the version of a kind's content; a lower one changes nothing.
+
+        Guards against content that comes back older with the platform's store. Hosts
+        that have read the higher version keep it, and tell it to those that haven't.
+        """
+        self._version_by_kind[kind] = max(version, self.version(kind))
+
+    def has_told_version(self, kind):
+        """Return whether this host has read the highest version that peers told."""
+        return self._told_version_by_kind.get(kind, 0) <= self.version(kind)
+
     def is_behind(self, theirs):
         """Return whether a peer knows changes that this host doesn't.
 
@@ -225,15 +254,19 @@
         theirs : KnownKind
             What the peer knows.
         """
-        known = self.knowledge_by_kind.get(theirs.kind)
-        if known is None:
+        kind = theirs.kind
+        told = self._told_version_by_kind.get(kind, 0)
+        self._told_version_by_kind[kind] = max(told, theirs.version)
+        known = self.knowledge_by_kind.get(kind)
+        if known is None or theirs.version > self.version(kind):
             return True
         return known.digest != theirs.digest and known.revision < theirs.revision
 
     def for_peers(self):
         """Return a `KnownKind` for each kind that was read."""
         return tuple(
-            known.for_peers(kind) for kind, known in self.knowledge_by_kind.items()
+            dataclasses.replace(known.for_peers(kind), version=self.version(kind))
+            for kind, known in self.knowledge_by_kind.items()
         )
 
     def age(self, kind, now):
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -34,6 +34,10 @@
     world,
 )
 
+# How long a host that starts keeps its first configuration back until a peer has told
+# which version is the latest. A peer that lives answers within some milliseconds.
+_PEERS_ASKED_FOR = datetime.timedelta(seconds=1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformLimits:
@@ -104,6 +108,10 @@
     ):
         self.state = world.World(me, policy, seed, started_at)
         self._kinds = terms.kinds
+        self._has_seeds = bool(seeds)
+        # The first configuration until peers were asked, and since when it is known.
+        self._first_configuration = None
+        self._first_read_at = None
         # The URL stays empty until this host can serve; see `_announce_when_ready`.
         self.state.put_entry(catalogue.own_entry_row(dataclasses.replace(me, url="")))
         self.weights = weights.Weights(
@@ -189,6 +197,7 @@
         for event in happened:
             self._handle(event, now)
         self.membership.gossip_crashes(now)
+        self._activate_first(now)
         self._announce_when_ready(now)
         return self.state.take_commands()
 
@@ -237,7 +246,7 @@
             case events.Tick():
                 self._tick(now)
             case ConfigurationRead():
-                self._activate(event.configuration, now)
+                self._read_configuration(event.configuration, now)
             case events.HostsListed():
                 self._entries.list_entries(event.hosts, now)
             case eras.EraSeen():
@@ -288,6 +297,39 @@
         self.state.emit(restored)
         self.membership.request_round()
 
+    def _read_configuration(self, configuration, now):
+        """Activate a configuration; keep the first one back until peers were asked.
+
+        Guards against a host that starts just after the platform's store has come back
+        from an older copy, and routes by a version that its peers have replaced.
+        """
+        if self.forwarding.configuration is not None:
+            self._activate(configuration, now)
+            return
+        first = self._first_configuration
+        if first is None:
+            self._first_read_at = now
+            self.membership.start_round(now)
+        if first is None or configuration.version > first.version:
+            self._first_configuration = configuration
+
+    def _activate_first(self, now):
+        first = self._first_configuration
+        if first is not None and self._may_activate_first(now):
+            self._first_configuration = None
+            self._activate(first, now)
+
+    def _may_activate_first(self, now):
+        """Return whether no peer can have a higher version, as far as can be known."""
+        if self.state.eras.current == 0:
+            return True
+        if now - self._first_read_at >= _PEERS_ASKED_FOR:
+            return True
+        if self.state.has_heard_peer:
+            return self.state.freshness.has_told_version(self._kinds.configuration)
+        is_alone = self.state.knows_entries and len(self.state.entries) == 1
+        return is_alone and not self._has_seeds
+
     def _activate(self, configuration, now):
         """Make a configuration the active one, unless its version is not higher.
 
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -242,7 +242,7 @@
         if event.message.brief:
             self._merge_pending(event.message, now)
             return
-        self._state.knows_entries = True
+        self._state.knows_entries = self._state.has_heard_peer = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
         asked_for = [
@@ -309,9 +309,10 @@
         """
         for item in known:
             if self._state.freshness.is_behind(item):
-                self._state.emit(
-                    commands.ReadAgain(item.kind, item.revision, peer_address)
+                again = commands.ReadAgain(
+                    item.kind, item.revision, peer_address, item.version
                 )
+                self._state.emit(again)
 
     def _check_responses(self, now):
         """Mark members of this data centre that don't respond as suspect, then as dead.
