--- a/packages/decide/sesamespindle/decide/readings.py
+++ b/packages/decide/sesamespindle/decide/readings.py
@@ -8,7 +8,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import revisions, weights
+from sesamespindle.decide import eras, revisions, weights
 
 # If a watch is answered only after this long, there was no change when it began, so
 # the change in its answer has just happened. Changes from before the watch are answered
@@ -72,10 +72,13 @@
     ----------
     pauses : sesamespindle.decide.pauses.Pauses
         When this process didn't run.
+    store_eras : eras.Eras, optional
+        The era that the platform's store is in; it never changes if left out.
     """
 
-    def __init__(self, pauses):
+    def __init__(self, pauses, store_eras=None):
         self._pauses = pauses
+        self._eras = store_eras or eras.Eras()
         self._last_by_kind = {}
 
     def listed(self, kind, revision, began, now):
@@ -93,30 +96,40 @@
             When it arrived.
         """
         reading = self._reading(kind, "a listing", now)
-        self._last_by_kind[kind] = began, revision
+        self._note(kind, began, revision, now)
         return reading
 
     def checked(self, kind, revision, began, now):
         """Return the `Reading` of a check's answer, with arguments as for `listed`."""
         reading = self._reading(kind, "a check", now)
-        self._last_by_kind[kind] = began, revision
+        self._note(kind, began, revision, now)
         return reading
 
     def proved(self, kind, revision, at):
         """Note that a kind had no change up to a revision, as of a time."""
         read_at, _ = self._last_by_kind.get(kind, (None, revisions.NEVER))
         if read_at is None or at > read_at:
-            self._last_by_kind[kind] = at, revision
+            self._note(kind, at, revision, at)
 
     def watched(self, kind, revision, began, now):
         """Return the `Reading` of a watch's answer, with arguments as for `listed`."""
         pushed = now - began >= _PUSHED_AFTER and not self._pauses.paused_since(began)
         reading = self._reading(kind, "a watch", now)
-        if pushed:
+        if pushed and not self._eras.is_settling(now):
             reading = dataclasses.replace(reading, not_there_at=now, is_just_now=True)
-        self._last_by_kind[kind] = now if pushed else began, revision
+        self._note(kind, now if pushed else began, revision, now)
         return reading
 
+    def _note(self, kind, at, revision, now):
+        """Note that a kind was read, unless the store may lack what it had.
+
+        Guards against an object that counts as created when it is only written again:
+        a store that came back from an older copy doesn't have it for a while, though
+        it existed.
+        """
+        if kind not in self._last_by_kind or not self._eras.is_settling(now):
+            self._last_by_kind[kind] = at, revision
+
     def _reading(self, kind, source, now):
         read_at, above = self._last_by_kind.get(kind, (None, revisions.NEVER))
         is_just_now = read_at is not None and now - read_at < _NEW_WITHIN
--- a/tests/decide/test_readings.py
+++ b/tests/decide/test_readings.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamespindle.decide import pauses, readings, weights
+from sesamespindle.decide import eras, pauses, readings, weights
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 SECOND = datetime.timedelta(seconds=1)
@@ -74,3 +74,32 @@
 def test_an_answer_of_a_peer_gives_no_age():
     found = readings.FROM_PEER.event_of("m", 2)
     assert found == weights.VersionFound("m", 2, None)
+
+
+def restored_at(at):
+    """Return the eras of a host that learns of a restore at a time."""
+    made = eras.Eras()
+    made.note(1, NOW)
+    made.note(2, at)
+    made.note_restored(at)
+    return made
+
+
+def test_what_is_written_again_after_a_restore_is_not_taken_for_new(running):
+    """Guards against weights that seem announced now, as the store had lost them."""
+    read = readings.Readings(running, restored_at(NOW + 3 * SECOND))
+    run(running, NOW, NOW + 4 * SECOND)
+    read.listed(KIND, 10, NOW, NOW)
+    read.listed(KIND, 6, NOW + 3 * SECOND, NOW + 3 * SECOND)
+    reading = read.watched(KIND, 9, NOW + 3 * SECOND, NOW + 4 * SECOND)
+    assert reading.event_of("m", 2) == weights.VersionFound("m", 2, NOW)
+
+
+def test_what_is_written_long_after_a_restore_is_new(running):
+    read = readings.Readings(running, restored_at(NOW + 3 * SECOND))
+    read.listed(KIND, 10, NOW, NOW)
+    later = NOW + 9 * SECOND
+    run(running, NOW, later + SECOND)
+    read.listed(KIND, 6, later, later)
+    reading = read.watched(KIND, 9, later, later + SECOND)
+    assert reading.event_of("m", 2) == weights.VersionAnnounced("m", 2)
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import types
 
 import places
 import pytest
@@ -17,8 +18,9 @@
 class _Core:
     """Decision logic that records the names in each list of hosts that it gets."""
 
-    def __init__(self):
+    def __init__(self, is_leaving=False):
         self.listed_names = []
+        self.state = types.SimpleNamespace(leaving=is_leaving)
 
     def step(self, now, happened):
         self.listed_names += [[host.name for host in item.hosts] for item in happened]
@@ -49,6 +51,8 @@
 
     async def get(self, kind, name):
         self._call("get")
+        if name not in self.spec_by_name:
+            return None
         return objects.StoredObject(name, places.at(1), self.spec_by_name[name])
 
     async def write(self, kind, name, spec, replaces):
@@ -71,13 +75,17 @@
 OTHER = dataclasses.replace(ME, name="entry-2", url="10.1.0.2:80")
 
 
-def run(go, client):
-    """Have a host announce itself; return its decision logic."""
-    core, now = _Core(), clock.SystemClock()
+def make_record(client, core):
+    now = clock.SystemClock()
     log = eventlog.EventLog(ME.name, eventlog.HybridClock(now), 1)
     feeding_driver = driver.Driver(core, now, log)
-    record = entries.EntryRecord(feeding_driver, client, ME, random.Random(1))
-    go(record.announce())
+    return entries.EntryRecord(feeding_driver, client, ME, random.Random(1))
+
+
+def run(go, client):
+    """Have a host announce itself; return its decision logic."""
+    core = _Core()
+    go(make_record(client, core).announce())
     return core
 
 
@@ -120,3 +128,23 @@
     client.failures = failures
     run(go, client)
     assert client.calls == ["old list"] * (1 + failures) + ["create", "list"]
+
+
+def test_a_record_that_the_store_has_lost_is_written_again(go):
+    """Guards against hosts that start after a restore and don't find this one."""
+    client = _Client(OTHER)
+    go(make_record(client, _Core()).restore(1))
+    assert client.calls == ["get", "create"]
+    assert client.spec_by_name["entry-1"] == _spec(ME)
+
+
+def test_a_record_that_the_store_still_has_stays(go):
+    client = _Client(ME)
+    go(make_record(client, _Core()).restore(1))
+    assert client.calls == ["get"]
+
+
+def test_a_host_that_leaves_does_not_write_its_record_again(go):
+    client = _Client(OTHER)
+    go(make_record(client, _Core(is_leaving=True)).restore(1))
+    assert client.calls == ["get"]
