Have the soak bring the store back from older copies, beside other faults

Up to two changes and some of our own writes are lost with the copy and, but for ours, written again up to a second later, while daemons are killed, stopped, paused or cut off from the store. All daemons are then asked for the newest configuration. The soak's store tells its era from the start.

--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -41,6 +41,7 @@
             crashes=True,
             signals=True,
             silences=True,
+            restores=True,
         )
     )
     journal = outcome.journal
--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -121,6 +121,28 @@
     """The store drops its history of changes, so that watches have to list again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """The store comes back from an older copy, without what was written since.
+
+    Attributes
+    ----------
+    changes : tuple
+        Changes by the operator or targets that are lost and written again.
+    own_changes : int
+        By how much the store's revision goes back beside those.
+    age, away, again_after : float
+        Seconds: how old the copy is after the last change, how long the store doesn't
+        answer, and how soon after that the lost changes are written again.
+    """
+
+    changes: tuple
+    own_changes: int
+    age: float
+    away: float
+    again_after: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashTarget:
     """A target crashes, and later a different target has its address."""
@@ -249,6 +271,31 @@
     return source.choice(makers)()
 
 
+def draw_restore(source):
+    """Return a drawn fault in which the store loses what it acknowledged lately."""
+    changes = tuple(draw_followed_change(source) for _ in range(source.randint(0, 2)))
+    return RestoreStore(
+        changes,
+        source.choice((0, 3, 30)),
+        source.uniform(0.0, 3.0),
+        source.uniform(0.1, 2.0),
+        source.uniform(0.1, 1.0),
+    )
+
+
+def draw_beside_restore(source):
+    """Return a drawn fault of daemons that overlaps with a restore; None for none."""
+    makers = (
+        lambda: None,
+        lambda: EndDaemon(signal.SIGKILL, source.uniform(0, 3)),
+        lambda: EndDaemon(signal.SIGTERM, source.uniform(0, 1)),
+        lambda: PauseDaemon(source.uniform(1, 5)),
+        lambda: KillAllDaemons(source.uniform(0, 2)),
+        lambda: DisturbLink(_Area.STORE, proxy.Mode.DROP_ANSWERS, 0.0, 4.0),
+    )
+    return source.choice(makers)()
+
+
 def draw_followed_change(source):
     """Return a drawn change of which daemons learn from the store."""
     return source.choice((ChangeConfiguration, ChangeConfiguration, DrainTarget))()
@@ -324,6 +371,8 @@
             await _silence_links(fault, world)
         case SilenceStore():
             await _silence_store(fault, world)
+        case RestoreStore():
+            await _restore_store(fault, world)
         case DropHistory():
             with _recorded(world, "forget history", _Area.STORE):
                 world.store.forget_history()
@@ -459,6 +508,24 @@
             await link.apply({"mode": proxy.Mode.PASS, "silence": True})
 
 
+async def _restore_store(fault, world):
+    """Lose what is written from now on, and have it written again at the end."""
+    store = world.store
+    store.keep_copy()
+    async with asyncio.TaskGroup() as changes:
+        for change in fault.changes:
+            changes.create_task(inject(change, world))
+        await store.advance(fault.own_changes)
+        await asyncio.sleep(fault.age)
+        with _recorded(world, "restored store", _Area.STORE):
+            store.is_away = True
+            await asyncio.sleep(fault.away)
+            store.restore()
+            store.is_away = False
+        await asyncio.sleep(fault.again_after)
+        await store.write_again()
+
+
 def _choose_daemon(world):
     return world.random.choice(list(world.daemon_by_name.values()))
 
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -53,6 +53,8 @@
 _SILENCES = 4
 _MAX_SECONDS_TO_CHANGE = 3.5
 _ASKED_SECONDS = 5.0
+# How often the store comes back from an older copy.
+_RESTORES = 4
 # The longest time between two spans in which targets say what they need.
 _SIGNAL_INTERVAL_SECONDS = 2.0
 
@@ -76,6 +78,7 @@
     crashes=False,
     signals=False,
     silences=False,
+    restores=False,
 ):
     """Run one soak and return its `Outcome`.
 
@@ -103,6 +106,8 @@
     silences : bool
         Whether, after the bursts of faults, connections to the store also fall silent
         before changes.
+    restores : bool
+        Whether, after all of these, the store also comes back from older copies.
     """
     async with contextlib.AsyncExitStack() as stack:
         fleet = await stack.enter_async_context(world.World(seed, daemons))
@@ -141,6 +146,8 @@
             await asyncio.gather(*crash_tasks, *signal_tasks)
             if silences:
                 await _change_after_silences(fleet, seed)
+            if restores:
+                await _change_after_restores(fleet, seed)
             if announces_before_faults:
                 await _announce_before_faults(fleet, source)
                 if source.random() < _PAUSES_SHARE:
@@ -229,6 +236,33 @@
             await caller.ask_all_daemons(fleet.now() + _ASKED_SECONDS)
 
 
+async def _change_after_restores(fleet, seed):
+    """Let the store come back older, beside faults of daemons, and change something.
+
+    All daemons are then asked for the newest configuration, as operators do.
+    """
+    source = random.Random(f"restores {seed}")
+    data_centre = world.DATA_CENTRES[0]
+    async with (
+        callers.Caller(fleet, seed * 1000 + 997, False, data_centre) as caller,
+        asyncio.TaskGroup() as changes,
+    ):
+        await asyncio.sleep(_UNDISTURBED_SECONDS)
+        for _ in range(_RESTORES):
+            beside = faults.draw_beside_restore(source)
+            restore = asyncio.create_task(
+                faults.inject(faults.draw_restore(source), fleet)
+            )
+            await asyncio.sleep(source.uniform(0, _MAX_INTERVAL_SECONDS))
+            if beside is not None:
+                changes.create_task(faults.inject(beside, fleet))
+            await restore
+            await asyncio.sleep(source.uniform(0, _MAX_SECONDS_TO_CHANGE))
+            change = faults.draw_followed_change(source)
+            changes.create_task(faults.inject(change, fleet))
+            await caller.ask_all_daemons(fleet.now() + _ASKED_SECONDS)
+
+
 async def _announce_before_faults(fleet, source):
     """Announce weights just before daemons fail, while store and links work."""
     for _ in range(source.randint(1, _MAX_ANNOUNCEMENTS)):
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -69,6 +69,7 @@
             standinstore.Store(f"127.0.0.1:{standins.free_ports(1)[0]}")
         )
         await self._put_configuration()
+        self.store.era = 1
         await self.store.put("versions", "m", {"Model": "m", "Version": 1})
         for service in (_PLAIN, _PLAIN, _ENGINE, _ENGINE, _ENGINE):
             await self.add_target(service)
--- a/tests/support/standinstore.py
+++ b/tests/support/standinstore.py
@@ -129,8 +129,8 @@
     async def remove(self, kind, name):
         """Remove an object, as the operator or a target does."""
         self._written_outside.append(_OutsideWrite(kind, name, None))
-        spec = self._objects[kind, name]["Spec"]
-        await self._change(kind, name, spec, True)
+        if self.has(kind, name):
+            await self._change(kind, name, self.spec(kind, name), True)
 
     async def _change(self, kind, name, spec, deleted):
         self._revision += 1
@@ -181,7 +181,7 @@
         for write in lost:
             if write.spec is not None:
                 await self.put(write.kind, write.name, write.spec)
-            elif self.has(write.kind, write.name):
+            else:
                 await self.remove(write.kind, write.name)
 
     # Answers.
