--- a/tests/decide/test_storechecks.py
+++ b/tests/decide/test_storechecks.py
@@ -143,3 +143,36 @@
     fleet.check = fail
     fleet.run(6.0)
     assert limits[:4] == [0.7, 1.4, 2.8, 2.8]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_changes_are_known_in_time_though_the_store_comes_back_older(seed):
+    """Guards against lower revisions that are late on hosts or prove old knowledge."""
+    source = random.Random(seed)
+    fleet = storefleet.Fleet(seed, hosts=9, lost_tries=source.choice((0.0, 0.5, 1.0)))
+    fleet.run(1.0)
+    for host in source.sample(fleet.hosts, 3):
+        host.is_cut_off = True
+    until = fleet.now + 8.0
+    while fleet.now < until:
+        fleet.run(source.uniform(0.05, 1.5))
+        if source.random() < 0.4:
+            fleet.restore(source.randrange(40))
+        fleet.change(source.choice(KINDS))
+    fleet.run(BOUND + 0.1)
+    assert fleet.store.era > 0
+    assert max(fleet.lateness) <= worst_seconds(1)
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), [(9, 3), (40, 5)])
+def test_few_hosts_read_everything_again_as_the_store_comes_back(hosts, data_centres):
+    """Guards against all hosts of a fleet listing everything at one moment."""
+    fleet = storefleet.Fleet(3, hosts, data_centres)
+    fleet.run(2.0)
+    before = fleet.store.reads
+    fleet.restore()
+    fleet.run(BOUND)
+    steady = 2.0 * data_centres
+    kinds = len(KINDS)
+    assert fleet.store.reads - before <= steady + (1 + kinds) * 2 * (1 + data_centres)
+    assert {host.known.revision(KINDS[0]).era for host in fleet.hosts} == {1}
--- a/tests/support/storefleet.py
+++ b/tests/support/storefleet.py
@@ -15,6 +15,7 @@
 from sesamespindle.decide import (
     budgets,
     commands,
+    eras,
     events,
     freshness,
     gateway,
@@ -47,6 +48,16 @@
         self.changed_by_kind = dict.fromkeys(KINDS.bound_by_kind, self.revision)
         self.reads = 0
 
+    def restore(self, lost):
+        """Come back from a copy that lacks the last changes, in the next era.
+
+        What was lost is written again at once, so that each kind has changed.
+        """
+        self.era += 1
+        self.number = max(1, self.number - lost)
+        for kind in self.changed_by_kind:
+            self.change(kind)
+
     @property
     def revision(self):
         """The place of the last change of any kind."""
@@ -180,6 +191,7 @@
         self.store.reads += 1
         if host.is_stopped:
             return
+        host.feed(eras.EraSeen(self.store.era))
         behind = []
         for kind in KINDS.bound_by_kind:
             if host.known.revision(kind) >= self.store.revision:
@@ -254,6 +266,13 @@
 
     # What a test sees.
 
+    def restore(self, lost=30):
+        """Bring the store back older now, and measure when each host knows of it."""
+        self.store.restore(lost)
+        self._measure(
+            CONFIGURATION, self.store.changed_by_kind[CONFIGURATION], self.now
+        )
+
     def change(self, kind):
         """Change a kind now, and measure how late each host knows of it."""
         self.store.change(kind)
