--- a/tests/platform/test_relay_end.py
+++ b/tests/platform/test_relay_end.py
@@ -3,6 +3,7 @@
 import datetime
 
 import aiohttp
+import places
 import pytest
 import relays
 import standins
@@ -38,7 +39,7 @@
         needs_keys=False,
     )
     listed = targetlist.ListedTarget(
-        target.name, "desk", target.address, "dc-1", 8, False, {}, 1
+        target.name, "desk", target.address, "dc-1", 8, False, {}, places.at(1)
     )
     core.step(
         now,
--- a/tests/platform/test_withdrawal.py
+++ b/tests/platform/test_withdrawal.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import gateways
+import places
 import pytest
 import relays
 import standins
@@ -81,7 +82,14 @@
     )
     listed = tuple(
         targetlist.ListedTarget(
-            engine.name, "llm", engine.address, "dc-1", 8, engine is new, {"m": 1}, 1
+            engine.name,
+            "llm",
+            engine.address,
+            "dc-1",
+            8,
+            engine is new,
+            {"m": 1},
+            places.at(1),
         )
         for engine in (old, new)
     )
