--- a/tests/support/soak/faults.py
+++ b/tests/support/soak/faults.py
@@ -273,9 +273,12 @@
 
 def draw_restore(source):
     """Return a drawn fault in which the store loses what it acknowledged lately."""
-    changes = tuple(draw_followed_change(source) for _ in range(source.randint(0, 2)))
+    changes = [draw_followed_change(source) for _ in range(source.randint(0, 2))]
+    if source.random() < 0.5:
+        # The lease's holder orders engines to load these while its lease is lost.
+        changes.append(AnnounceWeights())
     return RestoreStore(
-        changes,
+        tuple(changes),
         source.choice((0, 3, 30)),
         source.uniform(0.0, 3.0),
         source.uniform(0.1, 2.0),
