Let only peers that work by a configuration confirm that of a host that starts

Its log: it read version 1 at .531, a peer that had started 80 ms before answered at .624, having no version at all, and that was taken for "none higher"; version 2 came from another peer at .742. Two hosts that start together could even confirm each other.

Hosts now tell the version that they work by, not the one that they have read, and only a told one confirms the first configuration. Where all hosts have lost power nobody has one, and each waits the whole second.

--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -96,8 +96,8 @@
     Attributes
     ----------
     version : int
-        The highest version of the content that was ever read; 0 for a kind whose
-        content has none.
+        The version of the content that is in force, the highest that was ever read; 0
+        if none is, or for a kind whose content has none.
     """
 
     kind: str
@@ -126,6 +126,7 @@
         self.knowledge_by_kind: dict[str, Knowledge] = {}
         self._refused_revision_by_kind = {}
         self._version_by_kind = {}
+        self._version_in_force_by_kind = {}
         # The highest version that a peer has told.
         self._told_version_by_kind = {}
 
@@ -242,9 +243,13 @@
         """
         self._version_by_kind[kind] = max(version, self.version(kind))
 
-    def has_told_version(self, kind):
-        """Return whether this host has read the highest version that peers told."""
-        return self._told_version_by_kind.get(kind, 0) <= self.version(kind)
+    def note_in_force(self, kind, version):
+        """Record the version of a kind that this host works by, to tell it to peers."""
+        self._version_in_force_by_kind[kind] = version
+
+    def told_version(self, kind):
+        """Return the highest version that a peer works by; 0 if none has told any."""
+        return self._told_version_by_kind.get(kind, 0)
 
     def is_behind(self, theirs):
         """Return whether a peer knows changes that this host doesn't.
@@ -255,8 +260,8 @@
             What the peer knows.
         """
         kind = theirs.kind
-        told = self._told_version_by_kind.get(kind, 0)
-        self._told_version_by_kind[kind] = max(told, theirs.version)
+        told = max(self.told_version(kind), theirs.version)
+        self._told_version_by_kind[kind] = told
         known = self.knowledge_by_kind.get(kind)
         if known is None or theirs.version > self.version(kind):
             return True
@@ -265,7 +270,10 @@
     def for_peers(self):
         """Return a `KnownKind` for each kind that was read."""
         return tuple(
-            dataclasses.replace(known.for_peers(kind), version=self.version(kind))
+            dataclasses.replace(
+                known.for_peers(kind),
+                version=self._version_in_force_by_kind.get(kind, 0),
+            )
             for kind, known in self.knowledge_by_kind.items()
         )
 
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -320,13 +320,18 @@
             self._activate(first, now)
 
     def _may_activate_first(self, now):
-        """Return whether no peer can have a higher version, as far as can be known."""
+        """Return whether no peer can have a higher version, as far as can be known.
+
+        A peer that has just started too knows no more than the store, so only those
+        that already work by a version count.
+        """
         if self.state.eras.current == 0:
             return True
         if now - self._first_read_at >= _PEERS_ASKED_FOR:
             return True
-        if self.state.has_heard_peer:
-            return self.state.freshness.has_told_version(self._kinds.configuration)
+        told = self.state.freshness.told_version(self._kinds.configuration)
+        if told:
+            return self._first_configuration.version >= told
         is_alone = self.state.knows_entries and len(self.state.entries) == 1
         return is_alone and not self._has_seeds
 
@@ -341,6 +346,9 @@
         if current is not None and configuration.version <= current.version:
             return
         self.forwarding.configuration = configuration
+        self.state.freshness.note_in_force(
+            self._kinds.configuration, configuration.version
+        )
         self.state.service_names = frozenset(configuration.service_by_name)
         self.state.cold_start_by_service = configuration.cold_start_by_service
         self.stores.adopt(configuration)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -242,7 +242,7 @@
         if event.message.brief:
             self._merge_pending(event.message, now)
             return
-        self._state.knows_entries = self._state.has_heard_peer = True
+        self._state.knows_entries = True
         self._merge(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
         asked_for = [
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -326,8 +326,6 @@
         self.departure: departure.Departure | None = None
         # Whether the other entries are known, from the platform's list or from a peer.
         self.knows_entries = False
-        # Whether a peer has answered a gossip message.
-        self.has_heard_peer = False
         # When an entry was last seen to have been replaced by a new incarnation.
         self.replaced_at = None
         self.accounts: tables.Table[AccountRow] = tables.Table("name")
--- a/tests/decide/test_restored_configuration.py
+++ b/tests/decide/test_restored_configuration.py
@@ -70,7 +70,21 @@
     assert version_of(core) == 21
 
 
-@pytest.mark.parametrize("told", [None, 23])
+def test_peers_that_start_too_do_not_confirm_each_other():
+    """Guards against hosts that start together and all take the older version."""
+    core = make_core()
+    answer(core, NOW + 0.02 * SECOND, 0)
+    assert version_of(core) is None
+    [told] = core.state.freshness.for_peers()
+    assert told.version == 0
+    answer(core, NOW + 0.04 * SECOND, 23)
+    read(core, NOW + 0.06 * SECOND, 23)
+    assert version_of(core) == 23
+    [told] = core.state.freshness.for_peers()
+    assert told.version == 23
+
+
+@pytest.mark.parametrize("told", [None, 0, 23])
 def test_a_host_that_starts_waits_no_longer_than_a_second(told):
     """Guards against a host that serves nobody, since no peer answers or can tell."""
     core = make_core()
