Read every target's answer in one place, and log how it ended

No behaviour changes. The relay judged a plain answer, a failure and a stream each by itself; nothing told afterwards what marked an answer's end. wire/answers now reads them; broken answers, and whole ones that only the end of the connection shows to be whole, are logged, and counted by framing (answers_total).

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import datetime
-import functools
 import math
 import socket
 import struct
 
 import aiohttp
-import aiohttp.client_proto
+
+from sesamespindle.wire import answers
 
 # A healthy host accepts a connection within a few ms. The timeout bounds the delay
 # that an unreachable target adds to a request; the callers' latency goals are 150 ms
@@ -33,25 +33,15 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class TargetConnection(aiohttp.client_proto.ResponseHandler):
-    """An aiohttp response handler for a connection to a target.
-
-    Guards against truncated answers that look complete. An answer without a length
-    ends where its connection does, and aiohttp accepts a reset as such an end too.
-    With `was_reset` the relay can tell a reset from an orderly close.
-
-    Also guards against requests that arrive after they were given up. The system
-    goes on sending what an orderly closed connection has not delivered. As a path is
-    restored, all that was given up meanwhile would arrive at once. A request without a
-    byte of its answer is therefore given up by a reset, after which nothing is sent.
+class TargetConnection(answers.Connection):
+    """A connection to a target.
 
-    Attributes
-    ----------
-    was_reset : bool
-        Whether the connection ended with an error.
+    Guards against requests that arrive after they were given up. The system goes on
+    sending what an orderly closed connection has not delivered. As a path is restored,
+    all that was given up meanwhile would arrive at once. A request without a byte of
+    its answer is therefore given up by a reset, after which nothing is sent.
     """
 
-    was_reset = False
     _awaits_answer = False
 
     def set_response_params(self, **params):
@@ -71,11 +61,6 @@
             connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         super().close()
 
-    def connection_lost(self, exc):
-        """Record whether the connection ended with an error."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
 
 def connection_key(target, born):
     """Return the name that keeps apart connections to each incarnation of a target.
@@ -122,7 +107,7 @@
         socket_factory=_make_socket,
         local_addr=(own_ip, 0) if own_ip else None,
     )
-    connector._factory = functools.partial(TargetConnection, loop=connector._loop)
+    answers.use_connections(connector, TargetConnection)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/packages/daemon/sesamespindle/daemon/measures.py
+++ b/packages/daemon/sesamespindle/daemon/measures.py
@@ -12,6 +12,7 @@
 
     def __init__(self):
         self._refused_by_code = collections.Counter()
+        self._answers_by_end = collections.Counter()
         self._first_bytes_by_route = {}
         self._ages_by_kind = {}
         self._gauges = {}
@@ -20,6 +21,18 @@
         """Count a refused request under its error code."""
         self._refused_by_code[str(code)] += 1
 
+    def answered(self, framing, is_whole):
+        """Count a target's answer by what marks its end and whether it was whole.
+
+        Parameters
+        ----------
+        framing : sesamespindle.wire.answers.Framing
+            What marks the end of the answer.
+        is_whole : bool
+            Whether all of it was received.
+        """
+        self._answers_by_end[framing, "whole" if is_whole else "broken"] += 1
+
     def first_byte(self, route, duration):
         """Record the time to the first byte of an answer.
 
@@ -62,6 +75,10 @@
             f'sesamespindle_refused_total{{code="{code}"}} {count}'
             for code, count in sorted(self._refused_by_code.items())
         ]
+        lines += [
+            f'sesamespindle_answers_total{{framing="{framing}",end="{end}"}} {count}'
+            for (framing, end), count in sorted(self._answers_by_end.items())
+        ]
         for route, histogram in sorted(self._first_bytes_by_route.items()):
             lines += _histogram_lines("first_byte", "route", route, histogram)
         for kind, histogram in sorted(self._ages_by_kind.items()):
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -22,9 +22,9 @@
     silences,
 )
 from sesamespindle.decide import carriers, commands, events, routes, sends
+from sesamespindle.wire import answers
 
 _log = logs.part("relay")
-_CHUNK_BYTES = 64 * 1024
 # A connection is closed after its answer if the target keeps idle connections
 # open for less than this. The connection pool reuses them for up to 4 s, so a
 # request could be sent just as the target closes the connection.
@@ -406,7 +406,7 @@
             self._prevent_withdrawal(forward)
         try:
             if ending is sends.Ending.FAILED:
-                answer.failure = await self._read_failure(response)
+                answer.failure = await self._read_failure(forward, response)
                 return ending if answer.failure is not None else sends.Ending.LOST
             if ending is not None:
                 if ending is not sends.Ending.LOST:
@@ -431,10 +431,9 @@
             As `_exchange` returns it.
         """
         self._first_byte(forward)
-        protocol = relayed.protocol_of(response)
         buffered = bytearray()
         try:
-            async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
+            async for chunk in answers.chunks(response):
                 if answer.response is not None:
                     await self._write(answer, chunk)
                     continue
@@ -442,10 +441,9 @@
                 if len(buffered) > relayed.MAX_BUFFERED_BYTES:
                     await self._start_response(http, response, answer)
                     await self._write(answer, bytes(buffered))
-        except aiohttp.ClientError:
-            return self._ending_of_broken(forward, answer)
-        if not relayed.is_framed(response) and relayed.was_reset(protocol):
-            return self._ending_of_broken(forward, answer)
+        except aiohttp.ClientError as error:
+            return self._ending_of_broken(forward, response, answer, error)
+        self._note_whole(forward, response)
         if answer.response is None:
             answer.response = self._close_if_leaving(
                 self._buffered_response(response, bytes(buffered))
@@ -463,7 +461,7 @@
             body=content,
         )
 
-    async def _read_failure(self, response):
+    async def _read_failure(self, forward, response):
         """Return a target's failure response for the caller.
 
         Returns
@@ -471,17 +469,16 @@
         failure : aiohttp.web.Response or None
             None if the response is incomplete or too large to buffer.
         """
-        protocol = relayed.protocol_of(response)
+        content = bytearray()
         try:
-            content = await response.content.read(relayed.MAX_BUFFERED_BYTES)
-            complete = response.content.at_eof() or not await response.content.read(1)
-        except aiohttp.ClientError:
+            async for chunk in answers.chunks(response):
+                content += chunk
+                if len(content) > relayed.MAX_BUFFERED_BYTES:
+                    return None
+        except aiohttp.ClientError as error:
+            self._note_broken(forward, response, error)
             return None
-        if not complete or (
-            not relayed.is_framed(response) and relayed.was_reset(protocol)
-        ):
-            return None
-        return self._buffered_response(response, content)
+        return self._buffered_response(response, bytes(content))
 
     async def _relay_stream(self, http, forward, response, answer):
         """Relay a stream of server-sent events as they arrive.
@@ -495,11 +492,10 @@
             As `_exchange` returns it.
         """
         is_resumable = forward.repeats is routes.Repeats.RESUMABLE
-        protocol = relayed.protocol_of(response)
         answer.event_splitter.discard_partial_event()
         is_first = True
         try:
-            async for chunk in response.content.iter_any():
+            async for chunk in answers.chunks(response):
                 self._forwarding.heard(forward.request_id, self._clock.now())
                 if is_first:
                     is_first = False
@@ -511,11 +507,11 @@
                 if answer.response is None:
                     await self._start_response(http, response, answer)
                 await self._write(answer, chunk)
-        except aiohttp.ClientError:
-            return self._ending_of_broken(forward, answer)
-        is_cut_off = not relayed.is_framed(response) and relayed.was_reset(protocol)
-        if is_cut_off or answer.event_splitter.has_partial_event():
-            return self._ending_of_broken(forward, answer)
+            if answer.event_splitter.has_partial_event():
+                raise answers.BrokenAnswerError("The stream ended inside an event.")
+        except aiohttp.ClientError as error:
+            return self._ending_of_broken(forward, response, answer, error)
+        self._note_whole(forward, response)
         if answer.response is None:
             await self._start_response(http, response, answer)
         await answer.response.write_eof()
@@ -542,7 +538,30 @@
         answer.relayed_bytes += len(chunk)
         answer.last_relayed_at = self._clock.now()
 
-    def _ending_of_broken(self, forward, answer):
+    def _note_whole(self, forward, response):
+        """Log an answer that only the end of its connection shows to be whole."""
+        framing = answers.framing_of(response)
+        self._measures.answered(framing, is_whole=True)
+        if framing is answers.Framing.CLOSE:
+            _log.bind(request=forward.request_id).info(
+                "The answer of {} {} ended in order with its connection.",
+                _kind_of(forward),
+                forward.target,
+            )
+
+    def _note_broken(self, forward, response, error):
+        """Log why an answer isn't whole."""
+        framing = answers.framing_of(response)
+        self._measures.answered(framing, is_whole=False)
+        _log.bind(request=forward.request_id).info(
+            "The answer of {} {} broke off; its end is marked by {}. {}",
+            _kind_of(forward),
+            forward.target,
+            framing,
+            error,
+        )
+
+    def _ending_of_broken(self, forward, response, answer, error):
         """Return the ending of a send whose answer broke off.
 
         Raises
@@ -550,6 +569,7 @@
         _CutOffError
             If the caller has part of the answer and no target can continue it.
         """
+        self._note_broken(forward, response, error)
         is_resumable = forward.repeats is routes.Repeats.RESUMABLE
         if answer.response is not None and not is_resumable:
             self._call_core(self._forwarding.answer_broken, forward.request_id)
--- a/packages/daemon/sesamespindle/daemon/relayed.py
+++ b/packages/daemon/sesamespindle/daemon/relayed.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from sesamespindle.daemon import eventstream
 from sesamespindle.decide import fingerprints
+from sesamespindle.wire import eventstream
 
 # Request bodies and answers up to this size are buffered whole, so that a body can
 # be sent again, and an answer is known to be complete before the caller gets it.
@@ -176,23 +176,3 @@
         if self.withdrawal_reason and not self._timeout.expired():
             self._timeout.reschedule(self._ends_at)
             self.withdrawal_reason = ""
-
-
-def was_reset(protocol):
-    """Return whether the connection of an aiohttp protocol ended with an error."""
-    return protocol is not None and protocol.was_reset
-
-
-def protocol_of(response):
-    """Return the aiohttp protocol of a response's connection; None if it has none."""
-    return response.connection.protocol if response.connection else None
-
-
-def is_framed(response):
-    """Return whether a response has a length or is chunked, which marks its end.
-
-    Otherwise it ends where the connection does, and a reset connection can look
-    like its end.
-    """
-    coding = response.headers.get("Transfer-Encoding", "").lower()
-    return "Content-Length" in response.headers or "chunked" in coding
--- /dev/null
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -0,0 +1,82 @@
+"""Whether an answer that was read from a connection is whole.
+
+Every path that reads an answer reads it here. A length or chunks mark the end of an
+answer, and the HTTP library raises an error if the connection ends before it. Without
+them an answer ends where its connection does: a reset is never its end, and an orderly
+close can't be told from its end, except that a stream never ends inside an event.
+"""
+
+import enum
+import functools
+
+import aiohttp
+import aiohttp.client_proto
+
+
+class BrokenAnswerError(aiohttp.ClientPayloadError):
+    """An answer ended before all of it was received."""
+
+
+class Framing(enum.StrEnum):
+    """What marks the end of an answer."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+class Connection(aiohttp.client_proto.ResponseHandler):
+    """A connection that records whether it was reset.
+
+    Guards against truncated answers that look complete. An answer without a length
+    ends where its connection does, and aiohttp accepts a reset as such an end too.
+
+    Attributes
+    ----------
+    was_reset : bool
+        Whether the connection ended with an error.
+    """
+
+    was_reset = False
+
+    def connection_lost(self, exc):
+        """Record whether the connection ended with an error."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+def use_connections(connector, connection_class=Connection):
+    """Make a connector of aiohttp open connections of a class; return the connector."""
+    connector._factory = functools.partial(connection_class, loop=connector._loop)
+    return connector
+
+
+def framing_of(response):
+    """Return the `Framing` of an `aiohttp.ClientResponse`."""
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in response.headers:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
+async def chunks(response):
+    """Yield the bytes of an answer as they arrive.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; its session must use `Connection`.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        After the last bytes, if the answer isn't whole.
+    """
+    protocol = response.connection.protocol if response.connection else None
+    async for chunk in response.content.iter_any():
+        yield chunk
+    if framing_of(response) is not Framing.CLOSE:
+        return
+    if protocol is not None and protocol.was_reset:
+        raise BrokenAnswerError("The connection was reset, which ends no answer.")
