Take a stream that ends inside an event for broken off, on every route

Callers got answers that had broken off at the engine as if they were complete, on routes whose streams may not be resumed. Cause: a stream without length or chunks ends with its connection, and only on routes that may be resumed did the relay look whether it ended inside an event; on the others it wrote the end of its own chunks. All streams are now read by answers.events, which gives whole events only and raises an error if one is left over, so there is no path that can forget to ask.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -483,32 +483,27 @@
     async def _relay_stream(self, http, forward, response, answer):
         """Relay a stream of server-sent events as they arrive.
 
-        On a route whose streams can be resumed, only whole events are relayed, so
-        that another target can continue after the last one.
+        Only whole events are relayed, so that another target can continue a stream
+        that may be resumed, and a caller never takes part of an event for all of it.
 
         Returns
         -------
         ending : sends.Ending or None
             As `_exchange` returns it.
         """
-        is_resumable = forward.repeats is routes.Repeats.RESUMABLE
         answer.event_splitter.discard_partial_event()
         is_first = True
         try:
-            async for chunk in answers.chunks(response):
+            async for whole_events in answers.events(response, answer.event_splitter):
                 self._forwarding.heard(forward.request_id, self._clock.now())
                 if is_first:
                     is_first = False
                     self._first_byte(forward)
-                if is_resumable:
-                    chunk = answer.event_splitter.feed(chunk)
-                if not chunk:
+                if not whole_events:
                     continue
                 if answer.response is None:
                     await self._start_response(http, response, answer)
-                await self._write(answer, chunk)
-            if answer.event_splitter.has_partial_event():
-                raise answers.BrokenAnswerError("The stream ended inside an event.")
+                await self._write(answer, whole_events)
         except aiohttp.ClientError as error:
             return self._ending_of_broken(forward, response, answer, error)
         self._note_whole(forward, response)
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -80,3 +80,29 @@
         return
     if protocol is not None and protocol.was_reset:
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
+
+
+async def events(response, splitter):
+    """Yield the whole events of a stream as they arrive.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; its session must use `Connection`.
+    splitter : eventstream.EventSplitter
+        Collects the bytes of events that aren't whole yet.
+
+    Yields
+    ------
+    whole_events : bytes
+        Empty if the bytes that arrived complete no event.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        After the last whole event, if the stream isn't whole.
+    """
+    async for chunk in chunks(response):
+        yield splitter.feed(chunk)
+    if splitter.has_partial_event():
+        raise BrokenAnswerError("The stream ended inside an event.")
