Take a stream without a single event for no answer

Nothing has been sent to the caller by then, so the send counts as lost: another engine may serve a stream that may be resumed, and others get 502, as the request may have run. Only the rest of a stream may have no event, if its end is marked. Comments before the first event come with it, and what follows the last event reaches the caller instead of being dropped.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -491,10 +491,12 @@
         ending : sends.Ending or None
             As `_exchange` returns it.
         """
-        answer.event_splitter.discard_partial_event()
+        splitter = answer.event_splitter
+        splitter.discard_partial_event()
+        continues = "Last-Event-Id" in http.headers
         is_first = True
         try:
-            async for whole_events in answers.events(response, answer.event_splitter):
+            async for whole_events in answers.events(response, splitter, continues):
                 self._forwarding.heard(forward.request_id, self._clock.now())
                 if is_first:
                     is_first = False
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -82,15 +82,21 @@
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
-async def events(response, splitter):
+async def events(response, splitter, continues):
     """Yield the whole events of a stream as they arrive.
 
+    Guards against a success without content: an engine that ends right after its
+    headers sends a stream without an event, which would look complete. Only a stream
+    that continues another may have none left, and then its end must be marked.
+
     Parameters
     ----------
     response : aiohttp.ClientResponse
         The answer; its session must use `Connection`.
     splitter : eventstream.EventSplitter
         Collects the bytes of events that aren't whole yet.
+    continues : bool
+        Whether the request asks for the rest of a stream.
 
     Yields
     ------
@@ -106,3 +112,8 @@
         yield splitter.feed(chunk)
     if splitter.has_partial_event():
         raise BrokenAnswerError("The stream ended inside an event.")
+    may_be_empty = continues and framing_of(response) is not Framing.CLOSE
+    if not splitter.has_events and not may_be_empty:
+        raise BrokenAnswerError("The stream ended before its first event.")
+    if splitter.rest:
+        yield splitter.rest
--- a/packages/wire/sesamespindle/wire/eventstream.py
+++ b/packages/wire/sesamespindle/wire/eventstream.py
@@ -1,7 +1,12 @@
 """Splitting of a byte stream of server-sent events into whole events."""
 
+import re
+
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
+# A line that is neither blank nor a comment begins like this.
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
+_LINE_ENDS = (b"\n", b"\r")
 
 
 class EventSplitter:
@@ -16,11 +21,17 @@
     last_event_id : str or None
         The id of the last whole event that had one, from which another engine can
         continue; None if there was none.
+    has_events : bool
+        Whether there was a whole event. Comments are none; those before the first
+        event come with it.
+    rest : bytes
+        What has followed the last whole event so far.
     """
 
     def __init__(self):
-        self._partial_event = b""
+        self.rest = b""
         self.last_event_id = None
+        self.has_events = False
 
     def feed(self, chunk):
         """Add bytes to the stream, and return the events that they complete.
@@ -35,23 +46,32 @@
         whole_events : bytes
             One or more whole events; empty if the chunk completes none.
         """
-        data = self._partial_event + chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._partial_event = data
+        data = self.rest + chunk
+        end = data.rfind(_EVENT_END) + len(_EVENT_END)
+        if end < len(_EVENT_END) or not self._has_events_in(data, end):
+            self.rest = data
             return b""
-        end += len(_EVENT_END)
-        whole_events, self._partial_event = data[:end], data[end:]
+        whole_events, self.rest = data[:end], data[end:]
         self._record_last_id(whole_events)
         return whole_events
 
     def has_partial_event(self):
-        """Return whether the stream has stopped in the middle of an event."""
-        return bool(self._partial_event.strip())
+        """Return whether the stream has stopped in the middle of an event.
+
+        Whole comments and blank lines may follow the last event.
+        """
+        if not self.rest:
+            return False
+        return not self.rest.endswith(_LINE_ENDS) or bool(_FIELD.search(self.rest))
 
     def discard_partial_event(self):
         """Discard the incomplete event, as another engine sends a new stream."""
-        self._partial_event = b""
+        self.rest = b""
+
+    def _has_events_in(self, data, end):
+        if not self.has_events:
+            self.has_events = _FIELD.search(data, 0, end) is not None
+        return self.has_events
 
     def _record_last_id(self, whole_events):
         """Record the id of the last event that has one.
--- /dev/null
+++ b/tests/wire/test_eventstream.py
@@ -0,0 +1,65 @@
+"""Splitting of streams into whole events."""
+
+import pytest
+
+from sesamespindle.wire import eventstream
+
+STREAMS = {
+    "usual": b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    "no-colon": b"id: 1\ndata\n\nid: 2\ndata: a\ndata\n\n",
+    "comments": b": hello\n\nid: 1\ndata: a\n\n: ping\n",
+    "blank-lines": b"id: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n\n",
+    "version-line": b"x-weight-versions: 2\nid: 1\ndata: id: 7\n\n",
+}
+
+
+def events_and_rest(stream, cut):
+    """Return what a splitter gives for a stream that comes in two pieces."""
+    splitter = eventstream.EventSplitter()
+    given = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
+    return splitter, given
+
+
+@pytest.mark.parametrize("name", STREAMS)
+def test_a_whole_stream_is_whole_wherever_it_is_divided(name):
+    """Guards against whole streams that are taken for broken ones."""
+    stream = STREAMS[name]
+    for cut in range(len(stream) + 1):
+        splitter, given = events_and_rest(stream, cut)
+        assert given + splitter.rest == stream
+        assert splitter.has_events
+        assert not splitter.has_partial_event()
+
+
+@pytest.mark.parametrize("name", STREAMS)
+def test_a_stream_cut_inside_an_event_is_partial(name):
+    """Guards against short streams that are taken for whole ones."""
+    stream = STREAMS[name]
+    for end in range(1, len(stream)):
+        splitter, given = events_and_rest(stream[:end], end // 2)
+        assert given + splitter.rest == stream[:end]
+        is_between_events = not is_inside_an_event(stream[:end])
+        assert splitter.has_partial_event() == (not is_between_events), end
+
+
+def is_inside_an_event(cut_stream):
+    """Return whether a line is cut, or a field has no blank line after it yet."""
+    *lines, last = cut_stream.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
+    if last:
+        return True
+    open_fields = 0
+    for line in lines:
+        if not line:
+            open_fields = 0
+        elif not line.startswith(b":"):
+            open_fields += 1
+    return open_fields > 0
+
+
+def test_comments_alone_are_no_event():
+    """Guards against a success without content."""
+    splitter = eventstream.EventSplitter()
+    assert splitter.feed(b": ping\n\n") == b""
+    assert not splitter.has_events
+    assert splitter.feed(b"data: a\n\n") == b": ping\n\ndata: a\n\n"
+    assert splitter.has_events
