Reset the connection of a caller of HTTP/1.0 whose answer broke off

Such a caller gets no chunks: to it the close of the connection is the end of the answer, and an aborted transport closes in order if nothing unread was left. So half an answer looked complete. Cause: the relay aborted every caller's connection alike. Callers of HTTP/1.1 miss the last chunk, also beside Connection: close, and keep the orderly close, which loses nothing that was written.

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -57,11 +57,16 @@
     def close(self):
         """Close the connection, by a reset if its request has no byte of an answer."""
         if self._awaits_answer and self.transport is not None:
-            connected = self.transport.get_extra_info("socket")
-            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self.transport)
         super().close()
 
 
+def reset_on_close(transport):
+    """Make a connection end with a reset as soon as it is closed."""
+    connected = transport.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def connection_key(target, born):
     """Return the name that keeps apart connections to each incarnation of a target.
 
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -652,9 +652,16 @@
         return self._close_if_leaving(response)
 
     def _abort_connection(self, http):
-        """Abort the caller's connection, so that its answer can't look complete."""
-        if http.transport is not None:
-            http.transport.abort()
+        """Abort the caller's connection, so that its answer can't look complete.
+
+        Guards against callers of HTTP/1.0 that take half an answer for all of it: they
+        get no chunks, so to them an orderly close is the end of the answer.
+        """
+        if http.transport is None:
+            return
+        if http.version < aiohttp.HttpVersion11:
+            connections.reset_on_close(http.transport)
+        http.transport.abort()
 
 
 def _ending_of_misfit(forward, status):
