Take a reset for a broken answer in calls to plain services too

The product's own calls read their answers without asking how the connection ended, so an answer without a length that was reset was stored under the call's key as complete. The new test failed before. They now read through wire/answers, like the relay.

--- a/packages/wire/sesamespindle/wire/service.py
+++ b/packages/wire/sesamespindle/wire/service.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from sesamespindle.decide import events
-from sesamespindle.wire import engine
+from sesamespindle.wire import answers, engine
 
 _CONNECT_SECONDS = 2.0
 MAX_ANSWER_BYTES = 700_000
@@ -53,7 +53,9 @@
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(_record_connection)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            connector=answers.use_connections(
+                aiohttp.TCPConnector(force_close=True, limit=0)
+            ),
             trace_configs=[tracing],
         )
 
@@ -103,12 +105,14 @@
                 total=timeout.total_seconds(), sock_connect=_CONNECT_SECONDS
             ),
         ) as response:
-            body = await response.content.read(MAX_ANSWER_BYTES + 1)
-            while len(body) <= MAX_ANSWER_BYTES and not response.content.at_eof():
-                body += await response.content.read(MAX_ANSWER_BYTES + 1 - len(body))
-            if len(body) > MAX_ANSWER_BYTES:
-                raise aiohttp.ClientPayloadError("The answer exceeds the size limit.")
-            return events.StoredAnswer(response.status, response.content_type, body)
+            body = bytearray()
+            async for chunk in answers.chunks(response):
+                body += chunk
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise answers.BrokenAnswerError("It exceeds the size limit.")
+            return events.StoredAnswer(
+                response.status, response.content_type, bytes(body)
+            )
 
 
 async def _record_connection(session, context, params):
