Know the ends of events in all three line ends, and bound an event

An event also ends with CR LF CR LF or CR CR. The splitter knew LF LF alone, so a whole stream with other line ends counted as broken off, since all streams are split. An event that exceeds 1 MiB breaks the stream off instead of filling memory.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -12,6 +12,9 @@
 import aiohttp
 import aiohttp.client_proto
 
+# Events of tokens have some hundred bytes; a larger one is a stream without an end.
+MAX_EVENT_BYTES = 1024 * 1024
+
 
 class BrokenAnswerError(aiohttp.ClientPayloadError):
     """An answer ended before all of it was received."""
@@ -110,6 +113,8 @@
     """
     async for chunk in chunks(response):
         yield splitter.feed(chunk)
+        if len(splitter.rest) > MAX_EVENT_BYTES:
+            raise BrokenAnswerError(f"An event exceeds {MAX_EVENT_BYTES} bytes.")
     if splitter.has_partial_event():
         raise BrokenAnswerError("The stream ended inside an event.")
     may_be_empty = continues and framing_of(response) is not Framing.CLOSE
--- a/packages/wire/sesamespindle/wire/eventstream.py
+++ b/packages/wire/sesamespindle/wire/eventstream.py
@@ -2,8 +2,11 @@
 
 import re
 
-_EVENT_END = b"\n\n"
-_ID_FIELD = b"id:"
+_USUAL_EVENT_END = b"\n\n"
+# Lines end with LF, CR LF or CR, and a blank line ends an event.
+_EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+# The text "id:" inside data doesn't count.
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # A line that is neither blank nor a comment begins like this.
 _FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 _LINE_ENDS = (b"\n", b"\r")
@@ -47,8 +50,8 @@
             One or more whole events; empty if the chunk completes none.
         """
         data = self.rest + chunk
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
-        if end < len(_EVENT_END) or not self._has_events_in(data, end):
+        end = _last_event_end(data)
+        if not end or not self._has_events_in(data, end):
             self.rest = data
             return b""
         whole_events, self.rest = data[:end], data[end:]
@@ -74,13 +77,17 @@
         return self.has_events
 
     def _record_last_id(self, whole_events):
-        """Record the id of the last event that has one.
-
-        Only a line that starts with ``id:`` counts, not that text inside data.
-        """
-        start = whole_events.rfind(_ID_FIELD)
-        while start > 0 and whole_events[start - 1] != ord("\n"):
-            start = whole_events.rfind(_ID_FIELD, 0, start)
-        if start >= 0:
-            line = whole_events[start + len(_ID_FIELD) :].partition(b"\n")[0]
-            self.last_event_id = line.strip().decode("ascii", "replace")
+        """Record the id of the last event that has one."""
+        ids = _ID_LINE.findall(whole_events)
+        if ids:
+            self.last_event_id = ids[-1].strip().decode("ascii", "replace")
+
+
+def _last_event_end(data):
+    """Return the position after the last whole event; 0 if there is none."""
+    if data.endswith(_USUAL_EVENT_END):
+        return len(data)
+    end = 0
+    for found in _EVENT_END.finditer(data):
+        end = found.end()
+    return end
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -10,6 +10,8 @@
 import pytest
 import standins
 
+from sesamespindle.wire import answers
+
 CLOSE = brokenanswers.Framing.CLOSE
 RESET = brokenanswers.End.RESET
 STREAM = brokenanswers.STREAM
@@ -141,6 +143,17 @@
     answer(scripts, ROUTES[route], judge)
 
 
+def test_an_event_without_end_is_broken_off(answer):
+    """Guards against a host whose memory one endless event fills."""
+
+    def judge(script, received):
+        assert received.status == 502, received.status
+
+    body = b"data: " + b"x" * answers.MAX_EVENT_BYTES + b"\n\n"
+    script = brokenanswers.Script(brokenanswers.Framing.LENGTH, body, len(body))
+    answer([script], ROUTES["not-resumable"], judge)
+
+
 @pytest.mark.parametrize("status", [200, 500])
 def test_a_plain_answer_that_is_cut_is_not_complete(answer, status):
     """Guards against half a booking that its caller takes for the whole."""
--- a/tests/wire/test_eventstream.py
+++ b/tests/wire/test_eventstream.py
@@ -9,6 +9,9 @@
     "no-colon": b"id: 1\ndata\n\nid: 2\ndata: a\ndata\n\n",
     "comments": b": hello\n\nid: 1\ndata: a\n\n: ping\n",
     "blank-lines": b"id: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n\n",
+    "crlf": b"id: 1\r\ndata: a\r\n\r\n: x\r\nid: 2\r\ndata: b\r\n\r\n",
+    "cr": b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+    "mixed": b"id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\n",
     "version-line": b"x-weight-versions: 2\nid: 1\ndata: id: 7\n\n",
 }
 
@@ -44,6 +47,8 @@
 
 def is_inside_an_event(cut_stream):
     """Return whether a line is cut, or a field has no blank line after it yet."""
+    if cut_stream.endswith(b"\n\r"):
+        return True
     *lines, last = cut_stream.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
     if last:
         return True
@@ -56,6 +61,14 @@
     return open_fields > 0
 
 
+@pytest.mark.parametrize("name", ["usual", "crlf", "cr", "mixed"])
+def test_the_last_id_is_known_wherever_a_stream_is_divided(name):
+    """Guards against events that come twice or not at all as a stream is continued."""
+    stream = STREAMS[name]
+    for cut in range(len(stream) + 1):
+        assert events_and_rest(stream, cut)[0].last_event_id == "2"
+
+
 def test_comments_alone_are_no_event():
     """Guards against a success without content."""
     splitter = eventstream.EventSplitter()
