--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -149,7 +149,7 @@
     def judge(script, received):
         assert received.status == 502, received.status
 
-    body = b"data: " + b"x" * answers.MAX_EVENT_BYTES + b"\n\n"
+    body = b"data: " + b"x" * 3 * answers.MAX_EVENT_BYTES + b"\n\n"
     script = brokenanswers.Script(brokenanswers.Framing.LENGTH, body, len(body))
     answer([script], ROUTES["not-resumable"], judge)
 
