Know of a new software version from its first record on

Whether a service has several versions was found by a look at its targets, at each stream and tick. It is now noted as the records are read, so that no stream begins at a version in the half second before the next look, and asking costs nothing. Two callers that take the same stream up at one host at once each get the answer of their own question: the first one's end had dropped the other's.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -1,6 +1,7 @@
 """Asks peers which software version began a stream that a caller takes up again."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 
@@ -54,7 +55,7 @@
         self._driver = driver
         self._measures = measures
         self._peers = None
-        self._question_by_key = {}
+        self._questions_by_key = collections.defaultdict(list)
 
     def use_peers(self, peers):
         """Exchange datagrams with peers, by a `sesamespindle.daemon.peering.Peering`.
@@ -78,7 +79,7 @@
             return request
         services, account = taken_up
         now = self._driver.clock.now()
-        if not core.origins.matters(services, now):
+        if not core.origins.matters(services):
             self._measures.taken_up("one_version")
             return request
         key = streamorigins.key_of(account, request.resumes)
@@ -101,9 +102,8 @@
         addresses = self._driver.core.origins.addresses_to_ask(key)
         if not addresses:
             return None
-        question = self._question_by_key.get(key)
-        if question is None:
-            question = self._question_by_key[key] = _Question(addresses)
+        question = _Question(addresses)
+        self._questions_by_key[key].append(question)
         try:
             async with asyncio.timeout(_PATIENCE_SECONDS):
                 return await self._ask_repeatedly(key, question)
@@ -115,7 +115,9 @@
             )
             return None
         finally:
-            self._question_by_key.pop(key, None)
+            self._questions_by_key[key].remove(question)
+            if not self._questions_by_key[key]:
+                del self._questions_by_key[key]
 
     async def _ask_repeatedly(self, key, question):
         while True:
@@ -138,8 +140,7 @@
                 known = self._driver.core.origins.known(key, self._driver.clock.now())
                 self._peers.send_origin("answered", key, known, address)
             case "answered":
-                question = self._question_by_key.get(key)
-                if question is not None:
+                for question in self._questions_by_key.get(key, ()):
                     question.note_answer(address, origin)
             case _:
                 _log.debug("A message about an origin is unknown: {}.", kind)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -194,6 +194,7 @@
         self._entries = catalogue.Catalogue(self.state)
         self._components = (
             self.store_checks,
+            self.stream_versions,
             self._targets,
             self._evacuations,
             self.weights,
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -91,7 +91,7 @@
             The requests in flight.
         """
         services = {flight.service for flight in flights}
-        mixed = {name for name in services if self._versions.is_mixed(name, now)}
+        mixed = {name for name in services if self._versions.is_mixed(name)}
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
         for flight in flights:
@@ -104,7 +104,7 @@
             return
         if flight.request.passport is not None:
             return
-        if not self._versions.is_mixed(flight.service, now):
+        if not self._versions.is_mixed(flight.service):
             return
         account = flight.account.name if flight.account is not None else ""
         key = key_of(account, flight.request.request_id)
@@ -118,15 +118,15 @@
         kept = self._kept_by_key.get(key)
         return kept[0] if kept is not None and now <= kept[1] else None
 
-    def matters(self, services, now):
+    def matters(self, services):
         """Return whether a stream of these services must go on where it began."""
-        return any(self._versions.is_mixed(service, now) for service in services)
+        return any(self._versions.is_mixed(service) for service in services)
 
     def may_go_on(self, request, services, now):
         """Return whether enough is known to continue a caller's stream."""
         if request.origin is not None:
             return True
-        return self._versions.is_informed(now) and not self.matters(services, now)
+        return self._versions.is_informed(now) and not self.matters(services)
 
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -9,7 +9,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import gossip, routes
+from sesamespindle.decide import gossip, routes, targetlist
 
 # How long after its last target was seen a version still counts: the longest time in
 # which a caller comes back for the rest of a stream.
@@ -48,6 +48,23 @@
         self._first_tick_at = self._looked_at = None
         self._has_heard_peers = False
 
+    def handle(self, event, now):
+        """Note the versions of listed targets; leave the event to `TargetList`.
+
+        Guards against streams that begin at a new version before it counts as one.
+        """
+        match event:
+            case targetlist.TargetsListed():
+                listed = event.targets
+            case targetlist.TargetChanged():
+                listed = (event.target,)
+            case _:
+                listed = ()
+        for target in listed:
+            if target.software:
+                self._note(target.service, target.software, now, now)
+        return False
+
     def tick(self, now):
         """Look at the table of targets, and forget versions that are long gone."""
         self._first_tick_at = self._first_tick_at or now
@@ -63,13 +80,9 @@
             ]:
                 del seen[software]
 
-    def is_mixed(self, service, now):
+    def is_mixed(self, service):
         """Return whether a service has, or had lately, several software versions."""
-        seen = self._seen_by_service.get(service, {})
-        if len(seen) > 1:
-            return True
-        rows = self._state.targets.where("pool", service)
-        return len(seen.keys() | {row.software for row in rows if row.software}) > 1
+        return len(self._seen_by_service.get(service, ())) > 1
 
     def is_informed(self, now):
         """Return whether this host would know of an earlier version.
@@ -95,7 +108,7 @@
             return [row for row in rows if row.software == flight.software]
         if flight.route.repeats is not routes.Repeats.RESUMABLE:
             return rows
-        if not self.is_mixed(flight.service, now):
+        if not self.is_mixed(flight.service):
             return rows
         return [row for row in rows if self._is_spread(row, now)] or rows
 
