--- /dev/null
+++ b/tests/decide/test_streamversions.py
@@ -0,0 +1,285 @@
+"""Tests of which software versions may serve a stream, and who knows of them."""
+
+import dataclasses
+import datetime
+
+import gateways
+import pytest
+from gateways import NOW, SECOND, make_gateway
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesamespindle.decide import (
+    commands,
+    events,
+    gossip,
+    sends,
+    streamorigins,
+    streamversions,
+    targetlist,
+)
+
+_LONG = streamversions.SEEN_FOR + SECOND
+_PEERS = ("entry-2", "entry-3", "entry-4", "entry-5")
+
+
+def make_engine(name, software, **changed):
+    listed = gateways.make_target(name, "llm", versions={"m": 1}, **changed)
+    return dataclasses.replace(listed, software=software)
+
+
+def list_engines(core, *versions, at=NOW, revision=1):
+    engines = tuple(
+        make_engine(f"llm-{number + 1}", software, revision=revision)
+        for number, software in enumerate(versions)
+    )
+    core.step(at, [targetlist.TargetsListed(engines)])
+
+
+def tick(core, at):
+    core.step(at, [events.Tick()])
+
+
+def add_peers(core, names=_PEERS):
+    for number, name in enumerate(names):
+        data_centre = "dc-1" if number % 2 else "dc-2"
+        core.state.put_entry(gateways.make_entry(name, data_centre))
+
+
+@pytest.fixture
+def core():
+    """Return a host that has known two versions for a while, and heard its peers."""
+    made = make_gateway()
+    list_engines(made, "v1", "v2")
+    add_peers(made)
+    made.stream_versions.merge((), NOW)
+    for seconds in range(4):
+        tick(made, NOW + seconds * SECOND)
+    return made
+
+
+def begin(core, at=NOW + 4 * SECOND, **changed):
+    fields = {"model": "m", "deadline": at + 20 * SECOND} | changed
+    return gateways.begin(core, "/chat/1", at, **fields)
+
+
+def software_of(core, command):
+    assert isinstance(command, sends.Forward), command
+    return core.state.targets.get(command.target).software
+
+
+def take_up(core, origin, at=NOW + 4 * SECOND, **changed):
+    fields = {"resumes": "a0", "last_event_id": "3", "origin": origin} | changed
+    return begin(core, at, **fields)
+
+
+@pytest.mark.parametrize("software", ["v1", "v2"])
+def test_a_stream_goes_on_at_the_version_that_began_it(core, software):
+    """Guards against streams that hold events of two versions."""
+    origin = streamorigins.Origin("llm", software)
+    for number in range(20):
+        command = take_up(core, origin, request_id=f"r{number}")
+        assert software_of(core, command) == software
+
+
+@pytest.mark.parametrize(
+    "changed", [{}, {"resumes": ""}, {"last_event_id": ""}, {"resumes": "\0" * 3000}]
+)
+def test_a_stream_of_unknown_origin_is_refused_as_not_run(core, changed):
+    """Guards against a guess where a wrong one mixes two versions."""
+    command = take_up(core, None, **changed)
+    assert command.code is commands.Code.ORIGIN_UNKNOWN
+    assert command.outcome is commands.Outcome.NOT_RUN
+    assert command.retry_after is not None
+
+
+def test_a_stream_whose_version_is_gone_is_refused_as_not_run(core):
+    """Guards against callers that wait for targets which can't come back."""
+    command = take_up(core, streamorigins.Origin("llm", "v0"))
+    assert command.code is commands.Code.VERSION_GONE
+    assert command.outcome is commands.Outcome.NOT_RUN
+
+
+def test_a_fleet_of_one_version_tells_and_asks_nothing():
+    """Guards against a price where nothing can be mixed."""
+    core = make_gateway()
+    add_peers(core)
+    core.stream_versions.merge((), NOW)
+    list_engines(core, "v1", "v1")
+    tick(core, NOW)
+    assert not core.stream_versions.records_to_announce(NOW)
+    assert not core.origins.matters(("llm",))
+    assert isinstance(take_up(core, None, at=NOW), sends.Forward)
+    told = serve(core, "r1", at=NOW)
+    assert not told
+
+
+def serve(core, request_id, at=NOW + 4 * SECOND):
+    """Let a stream's first event reach its caller; return what keepers are told."""
+    core.forwarding.stream_begun(request_id, now=at)
+    return [
+        command
+        for command in core.step(at, [])
+        if isinstance(command, streamorigins.TellOrigin)
+    ]
+
+
+def test_the_first_event_of_a_stream_is_told_to_keepers_in_two_data_centres(core):
+    """Guards against streams of which nobody knows once their host is gone."""
+    command = begin(core)
+    (told,) = serve(core, "r1")
+    assert told.origin.software == software_of(core, command)
+    centres = {
+        row.data_centre
+        for row in core.state.live_entries()
+        if row.peer_address in told.addresses
+    }
+    assert len(told.addresses) == 2
+    assert centres == {"dc-1", "dc-2"}
+    assert set(told.addresses) <= set(core.origins.addresses_to_ask(told.key))
+    assert core.origins.known(told.key, NOW + 5 * SECOND) == told.origin
+
+
+def test_a_stream_that_was_taken_up_may_be_named_itself(core):
+    """Guards against a caller that names its latest attempt, not its first."""
+    take_up(core, streamorigins.Origin("llm", "v2"), request_id="r2")
+    (told,) = serve(core, "r2")
+    assert told.key == streamorigins.key_of("acme", "r2")
+    assert told.origin.software == "v2"
+
+
+def test_another_accounts_attempt_is_unknown(core):
+    begin(core)
+    serve(core, "r1")
+    later = NOW + 5 * SECOND
+    assert core.origins.known(streamorigins.key_of("acme", "r1"), later)
+    assert core.origins.known(streamorigins.key_of("other", "r1"), later) is None
+
+
+def test_streams_under_way_are_told_as_a_second_version_appears():
+    """Guards against streams that began while the service had one version."""
+    core = make_gateway()
+    add_peers(core)
+    list_engines(core, "v1")
+    tick(core, NOW)
+    begin(core, NOW)
+    assert not serve(core, "r1", NOW)
+    list_engines(core, "v1", "v2", at=NOW + SECOND, revision=2)
+    told = [
+        command
+        for command in core.step(NOW + SECOND, [events.Tick()])
+        if isinstance(command, streamorigins.TellOrigin)
+    ]
+    assert [command.origin.software for command in told] == ["v1"]
+
+
+def test_a_new_version_begins_no_streams_until_all_hosts_can_know_of_it():
+    """Guards against streams whose next host knows of one version alone."""
+    core = make_gateway()
+    list_engines(core, "v1")
+    for seconds in range(4):
+        tick(core, NOW + seconds * SECOND)
+    at = NOW + 4 * SECOND
+    list_engines(core, "v1", "v2", at=at, revision=2)
+    early = {software_of(core, begin(core, at, request_id=f"a{n}")) for n in range(20)}
+    assert early == {"v1"}
+    tick(core, at + 3 * SECOND)
+    late = {
+        software_of(core, begin(core, at + 3 * SECOND, request_id=f"b{n}"))
+        for n in range(40)
+    }
+    assert late == {"v1", "v2"}
+
+
+def test_a_new_version_begins_streams_at_once_if_no_other_is_left():
+    core = make_gateway()
+    list_engines(core, "v1")
+    tick(core, NOW)
+    core.step(NOW, [targetlist.TargetsListed((make_engine("llm-9", "v2"),))])
+    for row in list(core.state.targets):
+        if row.name != "llm-9":
+            core.state.drop_target(row.name)
+    assert software_of(core, begin(core, NOW)) == "v2"
+
+
+def test_a_host_that_has_heard_no_peer_yet_continues_no_stream():
+    """Guards against a host that has just started, where a version was replaced."""
+    core = make_gateway()
+    list_engines(core, "v2")
+    add_peers(core)
+    tick(core, NOW)
+    assert take_up(core, None, at=NOW).code is commands.Code.ORIGIN_UNKNOWN
+    record = gossip.SoftwareSeen("llm", "v1", NOW - 30 * SECOND)
+    core.stream_versions.merge((record,), NOW)
+    assert core.origins.matters(("llm",))
+    assert take_up(core, None, at=NOW).code is commands.Code.ORIGIN_UNKNOWN
+
+
+def test_a_replaced_version_is_forgotten_and_not_kept_alive_by_echoes():
+    """Guards against a fleet that goes on paying for a version long gone."""
+    core = make_gateway()
+    list_engines(core, "v1", "v2")
+    tick(core, NOW)
+    core.state.drop_target("llm-1")
+    at = NOW
+    while at - NOW < _LONG:
+        at += 5 * SECOND
+        echoed = core.stream_versions.records_to_announce(at)
+        core.stream_versions.merge(echoed, at)
+        tick(core, at)
+    assert not core.stream_versions.is_mixed("llm")
+    assert not core.stream_versions.records_to_announce(at)
+
+
+def test_memory_of_origins_is_bounded_by_time_and_count(core, monkeypatch):
+    """Guards against a flood of attempts that fills memory or pushes others out."""
+    monkeypatch.setattr(streamorigins, "_MOST_KEPT", 10)
+    origin = streamorigins.Origin("llm", "v1")
+    keys = [streamorigins.key_of("acme", f"r{number}") for number in range(30)]
+    for key in keys:
+        core.step(NOW, [streamorigins.OriginTold(key, origin)])
+    assert [core.origins.known(key, NOW) for key in keys[:10]] == [origin] * 10
+    assert core.origins.known(keys[-1], NOW) is None
+    assert core.origins.known(keys[0], NOW + _LONG) is None
+    core.step(NOW + _LONG, [streamorigins.OriginTold(keys[-1], origin)])
+    assert core.origins.known(keys[-1], NOW + _LONG) == origin
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["v1", "v2", "v3"]),
+            st.integers(0, 30),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=30,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_no_schedule_of_versions_sends_a_stream_to_another_one(schedule, chance):
+    """Guards against any order of changes, streams and returns that mixes two."""
+    core = make_gateway(slack=1000.0, seed=chance.randrange(1000))
+    core.stream_versions.merge((), NOW)
+    at, began_by_request = NOW, {}
+    for number, (software, milliseconds, returns) in enumerate(schedule):
+        at += datetime.timedelta(milliseconds=100 * milliseconds)
+        engines = [make_engine(f"llm-{number}", software, revision=number + 1)]
+        core.step(at, [targetlist.TargetChanged(engines[0]), events.Tick()])
+        request_id = f"r{number}"
+        command = begin(core, at, request_id=request_id)
+        if isinstance(command, sends.Forward):
+            core.forwarding.stream_begun(request_id, now=at)
+            began_by_request[request_id] = software_of(core, command)
+            core.forwarding.close(request_id, now=at)
+        if not returns or not began_by_request:
+            continue
+        resumed = chance.choice(sorted(began_by_request))
+        origin = core.origins.known(streamorigins.key_of("acme", resumed), at)
+        again = take_up(
+            core, origin, at, resumes=resumed, request_id=f"{request_id}.again"
+        )
+        if isinstance(again, sends.Forward):
+            assert software_of(core, again) == began_by_request[resumed]
+        core.forwarding.close(f"{request_id}.again", now=at)
