Soak: engines of several versions, streams that end with their connection, and returns

After all other faults two versions join, engines break streams off inside events in order, with chunks or without, daemons are killed and an engine comes back as another version; callers lose their connection and come again with Resumes at any daemon. The checker finds streams of two versions, and streams that are mostly refused.

--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -44,6 +44,7 @@
             restores=True,
             cuts=True,
             frailties=True,
+            versions=True,
         )
     )
     journal = outcome.journal
--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -29,6 +29,11 @@
 }
 # The number of different contexts (prompt prefixes) that streams share.
 _CONTEXTS = 12
+# Callers that come again for a stream do so this often at most, at once or later.
+_TIMES_TAKEN_UP = 3
+_LATE_SECONDS = 0.5
+# After how many events callers lose their connection; 0 for not at all.
+_LEAVING_AFTER = (0, 0, 1, 2)
 
 
 class Caller:
@@ -93,8 +98,27 @@
         if sent.status is None:
             self._address = None
         self._world.journal.sent_requests.append(sent)
+        if kind is records.Kind.CHAT and self._world.takes_up:
+            await self._take_up(sent)
         return sent
 
+    async def _take_up(self, sent):
+        """Come again for the rest of a stream that broke off, at any host."""
+        for _ in range(_TIMES_TAKEN_UP):
+            last_event = sent.last_event + sent.body.count(b"\n\n")
+            if sent.status == 200 or not last_event:
+                return
+            if self._random.random() < 0.5:
+                await asyncio.sleep(_LATE_SECONDS)
+            daemon = self._random.choice(list(self._world.daemon_by_name.values()))
+            sent = await self._send_to(
+                records.Kind.CHAT,
+                f"{daemon.ip}:{daemon.front_port}",
+                taken_up=sent,
+                last_event=last_event,
+            )
+            self._world.journal.sent_requests.append(sent)
+
     async def ask_all_daemons(self, until):
         """Ask each daemon for the newest configuration's route until a given time."""
         while self._world.now() < until:
@@ -179,10 +203,16 @@
                 return addresses
         return None
 
-    async def _send_to(self, kind, address, is_newest=False):
+    async def _send_to(
+        self, kind, address, is_newest=False, taken_up=None, last_event=0
+    ):
         world = self._world
         request_id = next(self._ids)
         key, account = self._random.choice(world.keys)
+        stream = ""
+        if taken_up is not None:
+            stream, account = taken_up.stream, taken_up.account
+            key = next(known for known, name in world.keys if name == account)
         version, deadline_ms = 0, self._random.choice(_DEADLINES_MS)
         if kind is records.Kind.PROBE:
             versions = world.recent_versions()
@@ -203,10 +233,20 @@
                 "X-Token-Count": "120,40",
                 "X-Prompt-Prefix": f"c{context}:100,{request_id}:20",
             }
+        if stream:
+            headers |= {"Resumes": stream, "Last-Event-Id": str(last_event)}
+        leaves_after = 0
+        if kind is records.Kind.CHAT and world.takes_up and not stream:
+            leaves_after = self._random.choice(_LEAVING_AFTER)
         daemon = world.daemon_at(address)
         incarnation, sent_at = world.incarnation_by_daemon[daemon.name], world.now()
         status, body, stamp = await self._exchange(
-            kind, address, path, headers, deadline_ms / 1000
+            kind,
+            address,
+            path,
+            headers,
+            deadline_ms / 1000,
+            leaves_after=leaves_after,
         )
         return records.SentRequest(
             request_id,
@@ -222,11 +262,24 @@
             body,
             stamp,
             version,
+            stream,
+            last_event,
         )
 
-    async def _exchange(self, kind, address, path, headers, seconds, content=b"body"):
+    async def _exchange(
+        self,
+        kind,
+        address,
+        path,
+        headers,
+        seconds,
+        content=b"body",
+        leaves_after=0,
+    ):
         """Send a request; return status, body and stamp of its answer.
 
+        If `leaves_after` is set, the caller loses its connection after so many events.
+
         Without a complete answer, status and stamp are None, and the body is what
         had arrived.
         """
@@ -246,6 +299,9 @@
                 stamp = response.headers.get("X-Server-Stamp")
                 async for chunk in response.content.iter_any():
                     body += chunk
+                    if leaves_after and body.count(b"\n\n") >= leaves_after:
+                        response.close()
+                        return None, body, None
                 return response.status, body, stamp
         except (TimeoutError, aiohttp.ClientError):
             return None, body, None
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -68,6 +68,10 @@
 _Kind = records.Kind
 
 
+# Streams that are taken up again, of which at least half must go on.
+_FEWEST_TAKEN_UP = 12
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Violation:
     """A broken promise, the id of the request concerned, and the evidence."""
@@ -102,6 +106,8 @@
     violations += _check_cuts(journal)
     violations += _check_falls(journal)
     violations += _check_silences(journal)
+    violations += _check_software(journal)
+    violations += _check_taken_up(journal)
     violations += [
         Violation("daemons keep running", "", f"{daemon} exited by itself with {code}")
         for daemon, code in journal.exits
@@ -128,13 +134,42 @@
         if sent.body != targets.plain_answer(sent.stamp, sent.request_id):
             yield _violation("complete answer", sent, repr(sent.body))
     else:
-        count = targets.event_count(sent.request_id)
-        if sent.body != _events(sent.request_id, count):
+        if sent.body != _events(sent):
             yield _violation("complete stream", sent, repr(sent.body))
 
 
-def _events(request_id, count):
-    return b"".join(targets.event(request_id, number + 1) for number in range(count))
+def _events(sent):
+    """Return all events of a stream that its caller has yet to get."""
+    numbers = range(sent.last_event, targets.event_count(sent.stream))
+    return b"".join(targets.event(sent.stream, number + 1) for number in numbers)
+
+
+def _check_software(journal):
+    """Check that a stream goes on only at the software version that began it."""
+    stream_by_request = {sent.request_id: sent.stream for sent in journal.sent_requests}
+    runs_by_stream = collections.defaultdict(list)
+    for run in journal.runs:
+        if run.service == "llm":
+            stream = stream_by_request.get(run.request_id, run.request_id)
+            runs_by_stream[stream].append(run)
+    for stream, runs in runs_by_stream.items():
+        runs.sort(key=lambda run: run.at)
+        for place, run in enumerate(runs):
+            earlier = [
+                item for item in runs[:place] if item.first_event < run.first_event
+            ]
+            if earlier and earlier[-1].software != run.software:
+                detail = f"{earlier[-1].software}, then {run.software}"
+                yield Violation("one version a stream", stream, detail)
+
+
+def _check_taken_up(journal):
+    """Check that most streams that are taken up go on."""
+    taken_up = [sent for sent in journal.sent_requests if sent.resumes]
+    refused = [sent for sent in taken_up if sent.status in _NOT_RUN]
+    if len(taken_up) >= _FEWEST_TAKEN_UP and 2 * len(refused) > len(taken_up):
+        detail = f"{len(refused)} of {len(taken_up)} refused"
+        yield Violation("streams go on", "", detail)
 
 
 def _check_whether_run(sent, runs):
@@ -149,8 +184,8 @@
     if sent.kind is _Kind.CHAT and sent.status is None:
         received = _EVENT.findall(sent.body)
         expected = [
-            (str(number + 1).encode(), f"{sent.request_id}/{number + 1}".encode())
-            for number in range(len(received))
+            (str(number + 1).encode(), f"{sent.stream}/{number + 1}".encode())
+            for number in range(sent.last_event, sent.last_event + len(received))
         ]
         if received != expected:
             yield _violation("events in order", sent, repr(sent.body))
@@ -209,9 +244,7 @@
     """Return whether a stream was sent in time and still ran as its host exited."""
     if sent.kind is not _Kind.CHAT or not runs:
         return False
-    seconds = targets.event_count(sent.request_id) * targets.event_seconds(
-        sent.request_id
-    )
+    seconds = targets.event_count(sent.stream) * targets.event_seconds(sent.stream)
     sent_in_time = sent.sent_at <= stopped_at + _UNAWARE_CALLERS_SECONDS
     cut_at = min(sent.ended_at, runs[0].at + seconds)
     return sent_in_time and cut_at >= stopped_at + _LAST_SIXTH_SECONDS
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+import signal
 
 import standins
 
@@ -60,6 +61,13 @@
 _FRAILTIES = 4
 # The share of these beside which daemons are also cut.
 _CUT_BESIDE_SHARE = 0.3
+# Versions of engines that join, how long each serves beside the others, the share of
+# the events inside which their streams break off, and that of versions beside which a
+# daemon or an engine ends.
+_VERSIONS = 2
+_SIDE_BY_SIDE_SECONDS = 3.0
+_BREAKING_SHARE = 0.03
+_ENDING_SHARE = 0.6
 # The longest time between two spans in which targets say what they need.
 _SIGNAL_INTERVAL_SECONDS = 2.0
 
@@ -86,6 +94,7 @@
     restores=False,
     cuts=False,
     frailties=False,
+    versions=False,
 ):
     """Run one soak and return its `Outcome`.
 
@@ -120,6 +129,9 @@
     frailties : bool
         Whether, after all of these, targets are also brittle or silent for a second,
         and daemons are cut meanwhile if `cuts` is set.
+    versions : bool
+        Whether, after all of these, engines of several software versions serve, their
+        streams break off in each framing, and callers take them up again.
     """
     async with contextlib.AsyncExitStack() as stack:
         fleet = await stack.enter_async_context(world.World(seed, daemons))
@@ -164,6 +176,8 @@
                 await _cut_from_targets(fleet, seed)
             if frailties:
                 await _be_frail(fleet, seed, cuts)
+            if versions:
+                await _mix_versions(fleet, seed)
             if announces_before_faults:
                 await _announce_before_faults(fleet, source)
                 if source.random() < _PAUSES_SHARE:
@@ -310,6 +324,36 @@
         await asyncio.sleep(source.uniform(0, _UNDISTURBED_SECONDS))
 
 
+async def _mix_versions(fleet, seed):
+    """Start engines of further versions while streams break off and daemons end."""
+    source = random.Random(f"versions {seed}")
+    await asyncio.sleep(_UNDISTURBED_SECONDS)
+    fleet.takes_up = True
+    for number in range(_VERSIONS):
+        fleet.software = f"v{number + 2}"
+        await asyncio.gather(*(fleet.add_target("llm") for _ in range(2)))
+        engines = [item for item in fleet.target_by_name.values() if item.is_engine]
+        for place, engine in enumerate(engines):
+            engine.breaking_share = _BREAKING_SHARE
+            engine.is_unframed = place % 2 == 0
+        await asyncio.sleep(_SIDE_BY_SIDE_SECONDS)
+        if source.random() < _ENDING_SHARE:
+            await faults.inject(faults.EndDaemon(signal.SIGKILL, 1.0), fleet)
+        if source.random() < _ENDING_SHARE:
+            # An engine comes back under its name with another version. Its broken
+            # streams have chunks, as their end couldn't be told from a whole one's.
+            engine = source.choice(engines)
+            engine.is_unframed = False
+            await asyncio.sleep(_SIDE_BY_SIDE_SECONDS)
+            engine.software = fleet.software
+            await fleet.restart_target(engine, 1.0)
+        await asyncio.sleep(_SIDE_BY_SIDE_SECONDS)
+    fleet.takes_up = False
+    for engine in fleet.target_by_name.values():
+        engine.breaking_share, engine.is_unframed = 0.0, False
+    await asyncio.sleep(_UNDISTURBED_SECONDS)
+
+
 async def _announce_before_faults(fleet, source):
     """Announce weights just before daemons fail, while store and links work."""
     for _ in range(source.randint(1, _MAX_ANNOUNCEMENTS)):
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -32,6 +32,8 @@
         The API key that the target received, which must be None.
     salt : str
         The cache salt that the target received.
+    software : str
+        The version of the target's software.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     first_event: int = 1
     weights: int = 0
     salt: str = ""
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +67,11 @@
         The number of the daemon's incarnation that it was sent to, from 1.
     version : int
         For a PROBE, the version of the configuration that has its route; else 0.
+    resumes : str
+        The id of the request that brought the first event of the stream that this one
+        takes up; empty if it begins one.
+    last_event : int
+        The number of the last event that the caller had before.
     """
 
     request_id: str
@@ -79,6 +87,13 @@
     body: bytes = b""
     stamp: str | None = None
     version: int = 0
+    resumes: str = ""
+    last_event: int = 0
+
+    @property
+    def stream(self):
+        """The id of the request that began the stream."""
+        return self.resumes or self.request_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -86,6 +86,12 @@
         Called with the target and the request's path when a request crashes it.
     brittle : brittle.Rejections or None
         What the target turns away, while it is brittle.
+    software : str
+        The version of its software.
+    breaking_share : float
+        The share of the events inside which it ends the connection in order.
+    is_unframed : bool
+        Whether its streams have neither length nor chunks and end with the connection.
     on_fall : callable
         Called with the target when it turned away too many requests.
     orders_taken : int
@@ -99,6 +105,9 @@
         self.weights = 1
         self.failing_share = 0.05
         self.answers_lost_share = 0.0
+        self.software = "v1"
+        self.breaking_share = 0.0
+        self.is_unframed = False
         self.late_orders_share = 0.0
         self.orders_taken = 0
         self._loading_until = 0.0
@@ -112,11 +121,17 @@
         self.brittle = None
         self._present = 0
 
+    @property
+    def is_engine(self):
+        """Whether it runs prompts."""
+        return self.service == "llm"
+
     def entry(self, state="ready"):
         """Return the record under which the target is listed."""
         models = [{"Name": "m", "Version": self.weights}]
         return super().entry(state) | {
             "Address": self.listed_address,
+            "Version": self.software,
             "Models": models if self.service == "llm" else [],
         }
 
@@ -246,6 +261,7 @@
                 headers.get("x-tenant", ""),
                 headers.get("x-api-key"),
                 int(deadline) if deadline else None,
+                software=self.software,
                 **more,
             )
         )
@@ -290,16 +306,29 @@
 
     async def _stream_events(self, headers, writer, first):
         request_id = headers["x-attempt-id"]
+        stream = headers.get("resumes", request_id)
+        is_unframed = self.is_unframed
+        framing = b"Connection: close" if is_unframed else b"Transfer-Encoding: chunked"
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"X-Server-Stamp: " + self.name.encode() + b"\r\n"
-            b"X-Weight-Versions: %d\r\nTransfer-Encoding: chunked\r\n%s"
+            b"X-Weight-Versions: %d\r\n%s\r\n%s"
             b"X-Attempt-Id: %s\r\n\r\n"
-            % (self.weights, self.signal_lines(), request_id.encode())
+            % (self.weights, framing, self.signal_lines(), request_id.encode())
         )
-        for number in range(first, event_count(request_id) + 1):
-            await asyncio.sleep(event_seconds(request_id))
-            text = event(request_id, number)
+        for number in range(first, event_count(stream) + 1):
+            await asyncio.sleep(event_seconds(stream))
+            text = event(stream, number)
+            if self.breaking_share and self._random.random() < self.breaking_share:
+                half = text[: self._random.randrange(len(text))]
+                if number == first or half:
+                    writer.write(half if is_unframed else _chunk(half))
+                    writer.close()
+                    return
+            if is_unframed:
+                writer.write(text)
+                await writer.drain()
+                continue
             if self._random.random() < self.answers_lost_share:
                 # The connection breaks in the middle of an event. The daemon must not
                 # pass the incomplete event on.
@@ -311,5 +340,12 @@
                 return
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
+        if is_unframed:
+            writer.close()
+            return
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+
+
+def _chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
--- a/tests/support/soak/world.py
+++ b/tests/support/soak/world.py
@@ -37,6 +37,10 @@
 
     def __init__(self, seed, daemons):
         self.journal = records.Journal()
+        # Whether callers come again for streams that broke off, and the version of the
+        # software of engines that start.
+        self.takes_up = False
+        self.software = "v1"
         self.random = random.Random(seed)
         self._seed = seed
         self.daemon_by_name = {}
@@ -181,6 +185,7 @@
         # A new engine starts with the newest weights, a replacement with the weights of
         # the engine that crashed.
         target.weights = weights or self.weights
+        target.software = self.software
         target.late_orders_share = self._late_orders_share
         target.order_source = random.Random(f"orders {self._seed} {name}")
         target.on_crashing_request = self._crash_by_request
