--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -10,6 +10,7 @@
 _CONTEXT_WINDOW = datetime.timedelta(seconds=3)
 # The parts of the daemon whose lines are shown so.
 _CONTEXT_PARTS = ("decide", "platform", "daemon")
+_TAKEN_UP = re.compile(r"Takes up the stream begun as (\S+),")
 _FINGERPRINT = re.compile(r"\b[0-9a-f]{32}\b")
 # Pairs of a text in log messages and the cause that it indicates. The first match
 # wins, so the texts that indicate a cause most strongly come first.
@@ -124,6 +125,8 @@
     crashes : tuple of Line
         Lines of any host about target crashes with this request in flight, in any
         of its attempts.
+    began_as : tuple of Line
+        The lines of the attempt that began the stream which this request takes up.
     """
 
     request: str
@@ -131,12 +134,16 @@
     nearby: tuple[Line, ...]
     cause: str
     crashes: tuple[Line, ...] = ()
+    began_as: tuple[Line, ...] = ()
 
     def __str__(self):
         if not self.decisions:
             return f"No line of any log names request {self.request}."
         lines = [f"Request {self.request}:"]
         lines += [f"  {line}" for line in self.decisions]
+        if self.began_as:
+            lines.append("The attempt that began the stream:")
+            lines += [f"  {line}" for line in self.began_as]
         if self.nearby:
             lines.append("On the same hosts, at about that time:")
             lines += [f"  {line}" for line in self.nearby]
@@ -196,11 +203,20 @@
         and first <= line.at <= last
     )
     crashes = _crash_lines(lines, decisions)
+    began_as = _lines_of_first_attempt(lines, decisions)
     return Explanation(
-        decisions[0].request, decisions, nearby, _cause(decisions), crashes
+        decisions[0].request, decisions, nearby, _cause(decisions), crashes, began_as
     )
 
 
+def _lines_of_first_attempt(lines, decisions):
+    """Return the lines of the attempt whose stream a request takes up."""
+    attempts = {
+        found for line in decisions for found in _TAKEN_UP.findall(line.message)
+    }
+    return tuple(line for line in lines if line.request in attempts - {"-"})
+
+
 def _crash_lines(lines, decisions):
     """Return the lines about crashes with this request in flight.
 
--- a/packages/decide/sesamespindle/decide/hashing.py
+++ b/packages/decide/sesamespindle/decide/hashing.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import heapq
 
 import xxhash
 
@@ -28,6 +29,12 @@
     return sorted(names, key=lambda name: _weight(name, seed), reverse=True)
 
 
+def top(key, names, count):
+    """Return the names with the highest rendezvous weights for a key, highest first."""
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+    return heapq.nlargest(count, names, key=lambda name: _weight(name, seed))
+
+
 def first(key, names):
     """Return the name with the highest rendezvous weight for a key, or None."""
     seed = xxhash.xxh3_64_intdigest(key.encode())
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -16,6 +16,8 @@
 # Hosts that are asked at once: the keepers, and those that took their place while hosts
 # came and went.
 _ASKED = 6
+# Hosts among which the second keeper is sought in another data centre.
+_COMPARED = 8
 # Bounds the memory, 3 MB. A host keeps 2,500 at 7,600 streams a second of 370 hosts.
 _MOST_KEPT = 20_000
 
@@ -74,6 +76,8 @@
         # (origin, until when it is kept), oldest first.
         self._kept_by_key = {}
         self._mixed_services = set()
+        self._peer_by_name = {}
+        self._peers_of_view = None
 
     def handle(self, event, now):
         """Handle one of this module's events; return whether it was one."""
@@ -110,7 +114,7 @@
         key = key_of(account, flight.request.request_id)
         origin = Origin(flight.service, flight.software)
         self._keep(key, origin, now)
-        addresses = self._addresses(self._keepers(key))
+        addresses = _addresses(self._ordered(key)[:_KEEPERS])
         self._state.emit(TellOrigin(key, origin, addresses))
 
     def known(self, key, now):
@@ -130,9 +134,7 @@
 
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
-        keepers = self._keepers(key)
-        others = [row for row in self._ranked(key) if row not in keepers]
-        return self._addresses((*keepers, *others)[:_ASKED])
+        return _addresses(self._ordered(key)[:_ASKED])
 
     def _keep(self, key, origin, now):
         for oldest, (_, until) in list(self._kept_by_key.items())[:2]:
@@ -142,24 +144,32 @@
             until = now + streamversions.SEEN_FOR
             self._kept_by_key.setdefault(key, (origin, until))
 
-    def _keepers(self, key):
-        """Return the rows of an attempt's keepers, in two data centres if possible."""
-        ranked = self._ranked(key)
-        first = ranked[:1]
-        elsewhere = [row for row in ranked if row.data_centre != first[0].data_centre][
-            :1
-        ]
-        rest = [row for row in ranked[1:] if row not in elsewhere]
-        return (*first, *elsewhere, *rest)[:_KEEPERS]
-
-    def _ranked(self, key):
-        """Return the other live hosts in an attempt's rendezvous order."""
-        row_by_name = {
-            row.name: row
-            for row in self._state.live_entries()
-            if row.name != self._state.me.name and row.peer_address
-        }
-        return [row_by_name[name] for name in hashing.rank(key.hex(), row_by_name)]
-
-    def _addresses(self, rows):
-        return tuple(row.peer_address for row in rows)
+    def _ordered(self, key):
+        """Return the peers that may remember an attempt, its keepers first.
+
+        The keepers are the first two in the attempt's rendezvous order, the second of
+        them in another data centre if one of the next few is.
+        """
+        row_by_name = self._peers()
+        names = hashing.top(key.hex(), row_by_name, _COMPARED)
+        rows = [row_by_name[name] for name in names]
+        for place, row in enumerate(rows):
+            if row.data_centre != rows[0].data_centre:
+                rows.insert(1, rows.pop(place))
+                break
+        return rows
+
+    def _peers(self):
+        """Return the rows of the other live hosts by name, made anew on a change."""
+        if self._peers_of_view != self._state.view:
+            self._peers_of_view = self._state.view
+            self._peer_by_name = {
+                row.name: row
+                for row in self._state.live_entries()
+                if row.name != self._state.me.name and row.peer_address
+            }
+        return self._peer_by_name
+
+
+def _addresses(rows):
+    return tuple(row.peer_address for row in rows)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -108,3 +108,21 @@
     path.write_text(line(1, "entry-1", "abc123", ended))
     found = explain.explain(explain.read([path]), "abc123")
     assert "too old" in found.cause
+
+
+def test_a_taken_up_stream_leads_back_to_the_attempt_that_began_it(tmp_path):
+    """Guards against a cause that stands in the log of another attempt alone."""
+    path = tmp_path / "one.log"
+    taken_up = "Takes up the stream begun as abc123, at software version v1 (asked)."
+    path.write_text(
+        "\n".join(
+            (
+                line(1, "entry-1", "abc123", "Sent to target llm-1, attempt 1."),
+                line(2, "entry-2", "def456", taken_up),
+                line(3, "entry-2", "def456", "Refused: version_gone, not_run. x"),
+            )
+        )
+    )
+    found = explain.explain(explain.read([path]), "def456")
+    assert "Sent to target llm-1" in str(found)
+    assert "No target is left" in found.cause
