Move what streams' origins and answers' ends need out of forwarding and relay

No behaviour changes. Who takes which stream up, and whether that must be refused, stands with the origins; the log and counters of answers' ends are a module of their own.

--- /dev/null
+++ b/packages/daemon/sesamespindle/daemon/answerends.py
@@ -0,0 +1,55 @@
+"""Logs and counts how the answers of targets ended."""
+
+from sesamespindle.daemon import logs
+from sesamespindle.wire import answers
+
+_log = logs.part("relay")
+
+
+class AnswerEnds:
+    """Records what marks the end of each answer, and whether it was whole.
+
+    Parameters
+    ----------
+    measures : sesamespindle.daemon.measures.Measures
+        Receives the counters.
+    """
+
+    def __init__(self, measures):
+        self._measures = measures
+
+    def note_whole(self, forward, response):
+        """Count a whole answer; log it if only its connection's end shows that.
+
+        Parameters
+        ----------
+        forward : sends.Forward
+            The send.
+        response : aiohttp.ClientResponse
+            The answer.
+        """
+        framing = answers.framing_of(response)
+        self._measures.answered(framing, is_whole=True)
+        if framing is answers.Framing.CLOSE:
+            _log.bind(request=forward.request_id).info(
+                "The answer of {} {} ended in order with its connection.",
+                kind_of(forward),
+                forward.target,
+            )
+
+    def note_broken(self, forward, response, error):
+        """Count an answer that isn't whole, and log why."""
+        framing = answers.framing_of(response)
+        self._measures.answered(framing, is_whole=False)
+        _log.bind(request=forward.request_id).info(
+            "The answer of {} {} broke off; its end is marked by {}. {}",
+            kind_of(forward),
+            forward.target,
+            framing,
+            error,
+        )
+
+
+def kind_of(forward):
+    """Return what a send goes to, for the log."""
+    return "target" if forward.passport is None else "peer"
--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -72,12 +72,10 @@
         Nothing is asked while the stream's services have one software version.
         """
         core = self._driver.core
-        if not request.takes_up or request.passport is not None:
+        stream = streamorigins.taken_up(core.forwarding.configuration, request)
+        if stream is None:
             return request
-        taken_up = core.forwarding.stream_to_take_up(request)
-        if taken_up is None:
-            return request
-        services, account = taken_up
+        services, account = stream
         now = self._driver.clock.now()
         if not core.origins.matters(services):
             self._measures.taken_up("one_version")
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -14,6 +14,7 @@
 import yarl
 
 from sesamespindle.daemon import (
+    answerends,
     connections,
     logs,
     proofs,
@@ -80,6 +81,7 @@
         self._peer_session = peer_session
         self._origin_lookup = origin_lookup
         self._measures = measures
+        self._answer_ends = answerends.AnswerEnds(measures)
         self._proofs = proofs.Proofs(driver)
         self._reach_check = reachcheck.ReachCheck(driver)
         self._requests_by_connection = weakref.WeakKeyDictionary()
@@ -242,7 +244,7 @@
         seconds_left = (forward.until - self._clock.now()).total_seconds()
         _log.bind(request=forward.request_id).info(
             "Sent to {} {}, attempt {}, {:.0f} ms left. {} {}",
-            _kind_of(forward),
+            answerends.kind_of(forward),
             forward.target,
             forward.attempt,
             seconds_left * 1000,
@@ -322,7 +324,7 @@
         """Log how a send ended, and what follows it."""
         _log.bind(request=forward.request_id).info(
             "The send to {} {} ended: {}. Next: {}.",
-            _kind_of(forward),
+            answerends.kind_of(forward),
             forward.target,
             ending,
             type(command).__name__
@@ -459,7 +461,7 @@
                     await self._write(answer, bytes(buffered))
         except aiohttp.ClientError as error:
             return self._ending_of_broken(forward, response, answer, error)
-        self._note_whole(forward, response)
+        self._answer_ends.note_whole(forward, response)
         if answer.response is None:
             answer.response = self._close_if_leaving(
                 self._buffered_response(response, bytes(buffered))
@@ -492,7 +494,7 @@
                 if len(content) > relayed.MAX_BUFFERED_BYTES:
                     return None
         except aiohttp.ClientError as error:
-            self._note_broken(forward, response, error)
+            self._answer_ends.note_broken(forward, response, error)
             return None
         return self._buffered_response(response, bytes(content))
 
@@ -524,7 +526,7 @@
                 await self._write(answer, whole_events)
         except aiohttp.ClientError as error:
             return self._ending_of_broken(forward, response, answer, error)
-        self._note_whole(forward, response)
+        self._answer_ends.note_whole(forward, response)
         if answer.response is None:
             await self._start_stream(http, forward, response, answer)
         await answer.response.write_eof()
@@ -551,29 +553,6 @@
         answer.relayed_bytes += len(chunk)
         answer.last_relayed_at = self._clock.now()
 
-    def _note_whole(self, forward, response):
-        """Log an answer that only the end of its connection shows to be whole."""
-        framing = answers.framing_of(response)
-        self._measures.answered(framing, is_whole=True)
-        if framing is answers.Framing.CLOSE:
-            _log.bind(request=forward.request_id).info(
-                "The answer of {} {} ended in order with its connection.",
-                _kind_of(forward),
-                forward.target,
-            )
-
-    def _note_broken(self, forward, response, error):
-        """Log why an answer isn't whole."""
-        framing = answers.framing_of(response)
-        self._measures.answered(framing, is_whole=False)
-        _log.bind(request=forward.request_id).info(
-            "The answer of {} {} broke off; its end is marked by {}. {}",
-            _kind_of(forward),
-            forward.target,
-            framing,
-            error,
-        )
-
     def _ending_of_broken(self, forward, response, answer, error):
         """Return the ending of a send whose answer broke off.
 
@@ -582,7 +561,7 @@
         _CutOffError
             If the caller has part of the answer and no target can continue it.
         """
-        self._note_broken(forward, response, error)
+        self._answer_ends.note_broken(forward, response, error)
         is_resumable = forward.repeats is routes.Repeats.RESUMABLE
         if answer.response is not None and not is_resumable:
             self._call_core(self._forwarding.answer_broken, forward.request_id)
@@ -637,7 +616,7 @@
             self._measures.first_byte(flight.route.name, waited)
             _log.bind(request=forward.request_id).info(
                 "First byte from {} {} after {:.0f} ms.",
-                _kind_of(forward),
+                answerends.kind_of(forward),
                 forward.target,
                 waited.total_seconds() * 1000,
             )
@@ -700,11 +679,6 @@
     return sends.Ending.LOST
 
 
-def _kind_of(forward):
-    """Return what a send goes to, for the log."""
-    return "target" if forward.passport is None else "peer"
-
-
 def _refusal_of_reused_id(request):
     """Return the refusal of a request without an id, or with one in use.
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -187,7 +187,7 @@
                 f"{refusal.message} Its fingerprint is {fingerprint}.",
                 refusal.retry_after,
             )
-        if self._lacks_origin(request, route, now):
+        if self._origins.must_refuse(request, route, now):
             return self._refuse(
                 request,
                 commands.Code.ORIGIN_UNKNOWN,
@@ -350,29 +350,6 @@
             return ()
         return tuple(share.service for share in route.shares)
 
-    def stream_to_take_up(self, request):
-        """Return the services and the account of a stream that a caller takes up.
-
-        Returns
-        -------
-        services : tuple of str
-        account : str
-            Empty if the route needs none.
-
-        None without a route whose streams may be resumed, or if the key is unknown.
-        """
-        configuration = self.configuration
-        if configuration is None:
-            return None
-        route = configuration.match(request.host, request.path)
-        if route is None or route.repeats is not routes.Repeats.RESUMABLE:
-            return None
-        services = tuple(share.service for share in route.shares)
-        if not configuration.needs_keys or route.public:
-            return services, ""
-        account = configuration.account_by_key.get(request.key or "")
-        return (services, account.name) if account is not None else None
-
     def _replacement(self, flight):
         """Return what superseded the weights of a send in flight, or None.
 
@@ -443,15 +420,6 @@
         """Return the number of live entry hosts, at least 1."""
         return max(len(self._state.live_entries()), 1)
 
-    def _lacks_origin(self, request, route, now):
-        """Return whether a caller's stream can't go on for lack of knowledge."""
-        if not request.takes_up or request.passport is not None:
-            return False
-        if route.repeats is not routes.Repeats.RESUMABLE:
-            return False
-        services = [share.service for share in route.shares]
-        return not self._origins.may_go_on(request, services, now)
-
     def _choose_service(self, route, origin=None):
         """Return the name of a service of a route, drawn by weight.
 
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -59,6 +59,36 @@
     return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
 
 
+def taken_up(configuration, request):
+    """Return the services and the account of a stream that a caller takes up.
+
+    Parameters
+    ----------
+    configuration : routes.Configuration or None
+        The active configuration.
+    request : flights.Request
+        The caller's request.
+
+    Returns
+    -------
+    services : tuple of str
+    account : str
+        Empty if the route needs none.
+
+    None if the request takes up no stream, or its route or key is unknown.
+    """
+    if not request.takes_up or request.passport is not None or configuration is None:
+        return None
+    route = configuration.match(request.host, request.path)
+    if route is None or route.repeats is not routes.Repeats.RESUMABLE:
+        return None
+    services = tuple(share.service for share in route.shares)
+    if not configuration.needs_keys or route.public:
+        return services, ""
+    account = configuration.account_by_key.get(request.key or "")
+    return (services, account.name) if account is not None else None
+
+
 class StreamOrigins:
     """Remembers where streams began, and knows who else does.
 
@@ -126,11 +156,16 @@
         """Return whether a stream of these services must go on where it began."""
         return any(self._versions.is_mixed(service) for service in services)
 
-    def may_go_on(self, request, services, now):
-        """Return whether enough is known to continue a caller's stream."""
-        if request.origin is not None:
-            return True
-        return self._versions.is_informed(now) and not self.matters(services)
+    def must_refuse(self, request, route, now):
+        """Return whether a caller's stream can't go on for lack of knowledge."""
+        if not request.takes_up or request.origin is not None:
+            return False
+        if request.passport is not None:
+            return False
+        if route.repeats is not routes.Repeats.RESUMABLE:
+            return False
+        services = [share.service for share in route.shares]
+        return not self._versions.is_informed(now) or self.matters(services)
 
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
