Ask a stream that goes on for events of its own before it counts as complete

An engine that is sent the rest of a broken stream and ends its connection right after its headers, in order, completed the stream at the caller: the events of the first engine counted as the second one's. Each send now has to bring an event, unless its end is marked.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -510,8 +510,8 @@
             As `_exchange` returns it.
         """
         splitter = answer.event_splitter
-        splitter.discard_partial_event()
-        continues = "Last-Event-Id" in http.headers
+        splitter.begin_anew()
+        continues = answer.response is not None or "Last-Event-Id" in http.headers
         is_first = True
         try:
             async for whole_events in answers.events(response, splitter, continues):
--- a/packages/wire/sesamespindle/wire/eventstream.py
+++ b/packages/wire/sesamespindle/wire/eventstream.py
@@ -25,8 +25,8 @@
         The id of the last whole event that had one, from which another engine can
         continue; None if there was none.
     has_events : bool
-        Whether there was a whole event. Comments are none; those before the first
-        event come with it.
+        Whether there was a whole event since the stream began, or began anew. Comments
+        are none; those before the first event come with it.
     rest : bytes
         What has followed the last whole event so far.
     """
@@ -67,9 +67,10 @@
             return False
         return not self.rest.endswith(_LINE_ENDS) or bool(_FIELD.search(self.rest))
 
-    def discard_partial_event(self):
-        """Discard the incomplete event, as another engine sends a new stream."""
+    def begin_anew(self):
+        """Discard the incomplete event, as another engine sends the rest."""
         self.rest = b""
+        self.has_events = False
 
     def _has_events_in(self, data, end):
         if not self.has_events:
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -141,6 +141,27 @@
     play(scenario)
 
 
+def test_streams_are_taken_up_at_hosts_that_reach_no_engine(play):
+    """Guards against a hop that loses the version of a stream taken up."""
+
+    async def scenario(world):
+        fleet = versionfleet.Fleet(world, breaks=False)
+        engines = [
+            await fleet.add_engine(software)
+            for software in ("v1.1", "v1.2", "v1.1", "v1.2")
+        ]
+        async with cutfleet.fleet(world, 4, 0, 0, started=engines) as cut_fleet:
+            await cut_fleet.cut(cut_fleet.hosts[:2], cutfleet.Form.RESET)
+            await asyncio.sleep(1.5)
+            fleet.serving = cut_fleet.hosts
+            async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+                await asyncio.sleep(4)
+            assert any("Carried" in line for line in cut_fleet.hosts[0].lines())
+        assert_kept_apart(clients)
+
+    play(scenario)
+
+
 def test_streams_of_a_version_that_is_gone_are_refused_at_once(play):
     """Guards against callers that wait for engines which can't come back."""
 
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -143,6 +143,29 @@
     answer(scripts, ROUTES[route], judge)
 
 
+@pytest.mark.parametrize("framing", brokenanswers.Framing)
+def test_a_stream_is_not_complete_if_its_rest_never_came(play, framing):
+    """Guards against a second target that ends before the rest of a broken stream."""
+
+    async def scenario(world):
+        await world.store.put("config", "main", brokenanswers.make_manifest())
+        address = f"127.0.0.1:{standins.free_ports(1)[0]}"
+        target = brokenanswers.ScriptedTarget("t-1", address, "llm")
+        await world.list_target(target)
+        daemon = await world.add_daemon()
+        target.script_by_attempt["r1"] = brokenanswers.Script(
+            framing, STREAM, FIRST_EVENT, RESET, is_paused=True
+        )
+        target.rest_by_attempt["r1"] = brokenanswers.Script(
+            framing, STREAM, 0, is_paused=True
+        )
+        received = await ask(world, daemon, ROUTES["resumable"], "r1")
+        assert received.body == STREAM[:FIRST_EVENT]
+        assert not received.is_complete
+
+    play(scenario)
+
+
 def test_an_event_without_end_is_broken_off(answer):
     """Guards against a host whose memory one endless event fills."""
 
--- a/tests/support/brokenanswers.py
+++ b/tests/support/brokenanswers.py
@@ -70,19 +70,26 @@
     ----------
     script_by_attempt : dict of str to Script
         The answers by the id of the attempt.
+    rest_by_attempt : dict of str to Script
+        The answers to requests for the rest of a stream; none of them is continued
+        otherwise.
     """
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
         self.script_by_attempt = {}
+        self.rest_by_attempt = {}
 
     async def _answer(self, headers, writer):
         self.runs.append(headers)
+        script_by_attempt = self.script_by_attempt
         if "last-event-id" in headers:
+            script_by_attempt = self.rest_by_attempt
+        if headers["x-attempt-id"] not in script_by_attempt:
             stamp = {"X-Server-Stamp": "s"}
             writer.write(standins.make_answer(400, headers, stamp, b"refused"))
             return
-        script = self.script_by_attempt[headers["x-attempt-id"]]
+        script = script_by_attempt[headers["x-attempt-id"]]
         writer.write(_head(script, headers["x-attempt-id"]) + _framed(script))
         await writer.drain()
         if script.is_paused:
