Forget origins in the tick, and look at streams under way only as a service turns mixed

Each attempt that was kept copied the whole table to find its oldest, 20,000 entries at most; origins stayed after a service had one version again, as nothing more was kept; and a service without a request at one tick counted as newly mixed at the next. The oldest are dropped in the tick, 200 at a time.

--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import hashlib
+import itertools
 
 from sesamespindle.decide import hashing, routes, streamversions
 
@@ -20,6 +21,8 @@
 _COMPARED = 8
 # Bounds the memory, 3 MB. A host keeps 2,500 at 7,600 streams a second of 370 hosts.
 _MOST_KEPT = 20_000
+# Attempts that are dropped in one tick at most.
+_FORGOTTEN_AT_ONCE = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,10 +127,12 @@
         flights : iterable of flights.Flight
             The requests in flight.
         """
-        services = {flight.service for flight in flights}
-        mixed = {name for name in services if self._versions.is_mixed(name)}
+        self._forget(now)
+        mixed = self._versions.mixed_services()
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
+        if not newly_mixed:
+            return
         for flight in flights:
             if flight.service in newly_mixed:
                 self.begun(flight, now)
@@ -172,13 +177,16 @@
         return _addresses(self._ordered(key)[:_ASKED])
 
     def _keep(self, key, origin, now):
-        for oldest, (_, until) in list(self._kept_by_key.items())[:2]:
-            if until < now:
-                del self._kept_by_key[oldest]
         if len(self._kept_by_key) < _MOST_KEPT:
             until = now + streamversions.SEEN_FOR
             self._kept_by_key.setdefault(key, (origin, until))
 
+    def _forget(self, now):
+        """Drop the oldest attempts, some at a time, once their time is over."""
+        oldest = itertools.islice(self._kept_by_key.items(), _FORGOTTEN_AT_ONCE)
+        for key in [key for key, (_, until) in oldest if until < now]:
+            del self._kept_by_key[key]
+
     def _ordered(self, key):
         """Return the peers that may remember an attempt, its keepers first.
 
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -84,6 +84,10 @@
         """Return whether a service has, or had lately, several software versions."""
         return len(self._seen_by_service.get(service, ())) > 1
 
+    def mixed_services(self):
+        """Return the names of all services that are mixed."""
+        return {name for name, seen in self._seen_by_service.items() if len(seen) > 1}
+
     def is_informed(self, now):
         """Return whether this host would know of an earlier version.
 
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -241,6 +241,7 @@
     assert [core.origins.known(key, NOW) for key in keys[:10]] == [origin] * 10
     assert core.origins.known(keys[-1], NOW) is None
     assert core.origins.known(keys[0], NOW + _LONG) is None
+    tick(core, NOW + _LONG)
     core.step(NOW + _LONG, [streamorigins.OriginTold(keys[-1], origin)])
     assert core.origins.known(keys[-1], NOW + _LONG) == origin
 
