Soak: let streams without an end mark finish before their engine is restarted

Traced in one of them: its engine was restarted 3.3 s after the stream began, by a cut that closes in order between two events, which can't be told from the stream's end. The play waited 3 s for such streams to end; they last up to 5.4 s. It now waits for 6 s; no check is changed.

--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -66,6 +66,7 @@
 # daemon or an engine ends.
 _VERSIONS = 2
 _SIDE_BY_SIDE_SECONDS = 3.0
+_LONGEST_STREAM_SECONDS = 6.0
 _BREAKING_SHARE = 0.03
 _ENDING_SHARE = 0.6
 # The longest time between two spans in which targets say what they need.
@@ -344,7 +345,7 @@
             # streams have chunks, as their end couldn't be told from a whole one's.
             engine = source.choice(engines)
             engine.is_unframed = False
-            await asyncio.sleep(_SIDE_BY_SIDE_SECONDS)
+            await asyncio.sleep(_LONGEST_STREAM_SECONDS)
             engine.software = fleet.software
             await fleet.restart_target(engine, 1.0)
         await asyncio.sleep(_SIDE_BY_SIDE_SECONDS)
