--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -32,6 +32,8 @@
 # Callers that come again for a stream do so this often at most, at once or later.
 _TIMES_TAKEN_UP = 3
 _LATE_SECONDS = 0.5
+# The share of these tries that don't name the attempt which began the stream.
+_NAMELESS_SHARE = 0.15
 # After how many events callers lose their connection; 0 for not at all.
 _LEAVING_AFTER = (0, 0, 1, 2)
 
@@ -234,7 +236,9 @@
                 "X-Prompt-Prefix": f"c{context}:100,{request_id}:20",
             }
         if stream:
-            headers |= {"Resumes": stream, "Last-Event-Id": str(last_event)}
+            headers |= {"X-Soak-Stream": stream, "Last-Event-Id": str(last_event)}
+            if self._random.random() >= _NAMELESS_SHARE:
+                headers["Resumes"] = stream
         leaves_after = 0
         if kind is records.Kind.CHAT and world.takes_up and not stream:
             leaves_after = self._random.choice(_LEAVING_AFTER)
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -306,7 +306,7 @@
 
     async def _stream_events(self, headers, writer, first):
         request_id = headers["x-attempt-id"]
-        stream = headers.get("resumes", request_id)
+        stream = headers.get("x-soak-stream", request_id)
         is_unframed = self.is_unframed
         framing = b"Connection: close" if is_unframed else b"Transfer-Encoding: chunked"
         writer.write(
@@ -320,11 +320,13 @@
             await asyncio.sleep(event_seconds(stream))
             text = event(stream, number)
             if self.breaking_share and self._random.random() < self.breaking_share:
-                half = text[: self._random.randrange(len(text))]
-                if number == first or half:
-                    writer.write(half if is_unframed else _chunk(half))
-                    writer.close()
-                    return
+                # A stream that ends in order between two events can't be told from a
+                # whole one, but one that never begins can.
+                fewest = 0 if number == first else 1
+                half = text[: self._random.choice((fewest, len(text) // 2))]
+                writer.write(half if is_unframed else _chunk(half))
+                writer.close()
+                return
             if is_unframed:
                 writer.write(text)
                 await writer.drain()
