--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -2,8 +2,9 @@
 
 Answers that are relayed or stored for callers are read here. A length or chunks mark
 the end of an answer, and the HTTP library raises an error if the connection ends before
-it. Without them an answer ends where its connection does: a reset is never its end, and an orderly
-close can't be told from its end, except that a stream never ends inside an event.
+it. Without them an answer ends where its connection does: a reset is never its end, and
+an orderly close can't be told from its end, except that a stream never ends inside an
+event.
 """
 
 import enum
