A caller that leaves no longer counts against its target or peer

What callers saw: a host that is cut from its targets has a peer carry its requests. One caller left just as its first event arrived, and for a second the host refused other callers' requests ("overloaded", not run) instead of having the peer carry them.

Evidence, the host's log there: "The answer of peer entry-2 broke off; its end is marked by chunks. Cannot write to closing transport", "The send to peer entry-2 ended: lost", then four sends of k.1 to a target that it can't reach. The transport was the caller's: the peer's answer was sound.

Cause: aiohttp raises the same error for a broken connection to the caller as for one to the target. `write` kept the two apart, but the start of a response and its end did not. Between the end of the caller's connection and the cancellation of its handler there is one turn of the event loop; a first event or an end that falls into it was a lost send. It counted against the target's failure rate, as a possible crash under the request's fingerprint, against the paths of the host and against its peer, and the request went on to another target.

Ruled out: the answer's reader (all chunks had arrived in order) and the test (nothing in it breaks the peer before k.1).

Why it works: every step of an answer to a caller goes through one context that turns its errors into one of their own, which nothing counts as an end of a send. Such requests are no longer counted as "cut_off" refusals either: the log says that the caller has left.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -38,6 +38,10 @@
     code = "cut_off"
 
 
+class _CallerLeftError(Exception):
+    """The caller's connection is broken, so that it gets nothing more."""
+
+
 class Relay:
     """Relays callers' requests to targets, and the targets' answers to callers.
 
@@ -178,6 +182,9 @@
             self._measures.refused("cut_off")
             self._abort_connection(http)
             return answer.response
+        except _CallerLeftError:
+            self._log_incomplete(request, answer, "The caller has left")
+            return answer.response
         except asyncio.CancelledError:
             self._log_incomplete(request, answer, "The caller has left")
             raise
@@ -467,7 +474,7 @@
                 self._buffered_response(response, bytes(buffered))
             )
         else:
-            await answer.response.write_eof()
+            await self._end_response(answer)
         return None
 
     def _buffered_response(self, response, content):
@@ -529,27 +536,19 @@
         self._answer_ends.note_whole(forward, response)
         if answer.response is None:
             await self._start_stream(http, forward, response, answer)
-        await answer.response.write_eof()
+        await self._end_response(answer)
         return None
 
     async def _write(self, answer, chunk):
         """Write to the caller.
 
-        Guards against retries of a request whose caller left in the middle of a
-        stream. aiohttp raises the same kind of error for a broken connection to
-        the caller as for one to the target, so another target would run the
-        request although no one receives the answer. The conversion to
-        `_CutOffError` keeps the two apart.
-
         Raises
         ------
-        _CutOffError
+        _CallerLeftError
             If the caller's connection is broken.
         """
-        try:
+        with _sending_to_caller():
             await answer.response.write(chunk)
-        except (aiohttp.ClientError, ConnectionError) as error:
-            raise _CutOffError from error
         answer.relayed_bytes += len(chunk)
         answer.last_relayed_at = self._clock.now()
 
@@ -589,7 +588,13 @@
         length = response.headers.get("Content-Length")
         if length is not None and not self._is_stream(response):
             answer.response.content_length = int(length)
-        await self._close_if_leaving(answer.response).prepare(http)
+        with _sending_to_caller():
+            await self._close_if_leaving(answer.response).prepare(http)
+
+    async def _end_response(self, answer):
+        """Tell the caller that its answer is complete."""
+        with _sending_to_caller():
+            await answer.response.write_eof()
 
     def _close_if_leaving(self, response):
         """Close the caller's connection after this response if the host is leaving.
@@ -667,6 +672,20 @@
         http.transport.abort()
 
 
+@contextlib.contextmanager
+def _sending_to_caller():
+    """Raise `_CallerLeftError` for a broken connection to the caller.
+
+    Guards against retries of a request whose caller has left, and against a sound
+    target or peer that is avoided for it. aiohttp raises the same kind of error for a
+    broken connection to the caller as for one to the target.
+    """
+    try:
+        yield
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise _CallerLeftError from error
+
+
 def _ending_of_misfit(forward, status):
     """Return the ending of a response that can't continue a stream; None if it can.
 
