Stand-ins take ports that the kernel gives to nobody else

Cause: a free port was one that the kernel had just given out and taken back. Until the stand-in is bound, and while it is down between two starts, the kernel may give it to any connection or listener.

The new test failed before: the kernel's own ports are in its range.

Ruled out: two stand-ins of one process; each gets its port once.

--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -1,7 +1,11 @@
 """The stand-ins that the tests of the platform use."""
 
+import pathlib
+
 import standins
 
+RANGE_OF_CONNECTIONS = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+
 
 def test_all_ports_of_a_daemon_differ():
     """Two of the four ports of a daemon are the same.
@@ -13,3 +17,9 @@
     for _ in range(5000):
         ports = standins.free_ports(4)
         assert len(set(ports)) == 4
+
+
+def test_ports_of_stand_ins_are_not_given_to_connections():
+    """Guards against a stand-in whose port a connection takes before it starts."""
+    lowest, _ = RANGE_OF_CONNECTIONS.read_text().split()
+    assert max(standins.free_ports(100)) < int(lowest)
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -23,6 +25,8 @@
 # One port each for callers, readiness probes, the directory, peers, and requests that
 # peers carry.
 DAEMON_PORTS = 5
+# Linux gives out higher ones to connections and to listeners that name none.
+_PORTS = range(16_384, 32_768)
 KEY = "key-of-acme"
 
 
@@ -648,19 +652,32 @@
         return f"127.0.0.1:{free_ports(1)[0]}"
 
 
+# Each test process has an order of its own, and repeats a port as late as it can.
+_next_ports = itertools.cycle(random.SystemRandom().sample(_PORTS, len(_PORTS)))
+
+
 def free_ports(count):
     """Return distinct free ports of the loopback device.
 
     Guards against a daemon that gets the same port for two purposes and exits at its
-    start: ports that are reserved one at a time repeat in 1 of 1,000 sets of four.
-    The guard holds because all ports are open at once here before any is closed.
+    start, and against a stand-in whose port is taken between this call and its start,
+    or while it is down: the kernel gives none of these ports to connections, and no
+    other process is likely to choose the same one meanwhile.
     """
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [opened.getsockname()[1] for opened in sockets]
+    ports = []
+    while len(ports) < count:
+        port = next(_next_ports)
+        if _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port):
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 async def until(condition):
