Ask one module whether an answer is whole, for every reader

What users would see: nothing known yet. The store's client, the reports and orders of targets, the clients of engines and of the platform, and the command line each read their answers by themselves, so that a reset, or the end inside a line, could be an answer's end.

Cause: the class of the first matter. aiohttp takes the reset of a connection for the end of an answer without length or chunks.

Why it works: `answers.read`, `read_json` and `lines` go through `chunks`, and all sessions use the connections that know of a reset. A test searches the source for readers beside them. An answer that should be JSON and isn't counts as broken: the command line says "No answer" as before.

--- a/packages/cli/sesamespindle/cli/context.py
+++ b/packages/cli/sesamespindle/cli/context.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from sesamespindle.cli import outcomes
-from sesamespindle.wire import platform
+from sesamespindle.wire import answers, platform
 
 PLATFORM_VARIABLE = "SESAMESPINDLE_PLATFORM"
 ADMIN_KEY_VARIABLE = "SESAMESPINDLE_ADMIN_KEY"
@@ -76,10 +76,10 @@
     async def ask_daemons(self, path):
         """Return the JSON answers of all daemons that respond, by admin URL."""
         urls = await self.admin_urls()
-        answers = await asyncio.gather(*(self.ask_daemon(url, path) for url in urls))
+        received = await asyncio.gather(*(self.ask_daemon(url, path) for url in urls))
         return {
             url: answer
-            for url, answer in zip(urls, answers, strict=True)
+            for url, answer in zip(urls, received, strict=True)
             if answer is not None
         }
 
@@ -105,7 +105,9 @@
                         f"The daemon at {url} rejects the operators' key.",
                         outcomes.Exit.USAGE,
                     )
-                return await response.json() if response.status == 200 else None
+                if response.status != 200:
+                    return None
+                return await answers.read_json(response)
         except (TimeoutError, aiohttp.ClientError, ValueError):
             return None
 
@@ -121,5 +123,6 @@
 @contextlib.asynccontextmanager
 async def open_context():
     """Yield a `Context` for one command; close its session at the end."""
-    async with aiohttp.ClientSession() as session:
+    connector = answers.use_connections(aiohttp.TCPConnector())
+    async with aiohttp.ClientSession(connector=connector) as session:
         yield Context(session, os.environ)
--- a/packages/cli/sesamespindle/cli/main.py
+++ b/packages/cli/sesamespindle/cli/main.py
@@ -12,7 +12,7 @@
 from sesamespindle.cli import changes, context, explain, outcomes, sending, timeline
 from sesamespindle.declare import documents, findings
 from sesamespindle.platform import check
-from sesamespindle.wire import head, platform
+from sesamespindle.wire import answers, head, platform
 
 Json = typing.Annotated[
     bool, cyclopts.Parameter(name="--json", help="Print JSON.", negative="")
@@ -104,7 +104,7 @@
 @app.command
 def status(as_json: Json = False):
     """Show every daemon: its state, revision and requests in flight."""
-    answers = _run(lambda ctx: ctx.ask_daemons("/status"))
+    answer_by_url = _run(lambda ctx: ctx.ask_daemons("/status"))
     rows = [
         (
             item["name"],
@@ -114,11 +114,11 @@
             item["in_flight"],
             sum(target["usable"] for target in item["targets"]),
         )
-        for item in sorted(answers.values(), key=lambda item: item["name"])
+        for item in sorted(answer_by_url.values(), key=lambda item: item["name"])
     ]
     headings = ("ENTRY", "DATA CENTRE", "STATE", "REVISION", "IN FLIGHT", "TARGETS")
     outcomes.print_result(
-        list(answers.values()), as_json, outcomes.table(headings, rows)
+        list(answer_by_url.values()), as_json, outcomes.table(headings, rows)
     )
 
 
@@ -132,7 +132,7 @@
         async with ctx.session.get(
             f"{urls[0]}/v1/entries", headers=headers
         ) as response:
-            return await response.json()
+            return await answers.read_json(response)
 
     value = _run(run)
     if "error" in value:
@@ -149,10 +149,10 @@
 @app.command
 def contracts(as_json: Json = False):
     """Show every active contract and the requests that its account runs now."""
-    answers = _run(lambda ctx: ctx.ask_daemons("/status"))
+    answer_by_url = _run(lambda ctx: ctx.ask_daemons("/status"))
     running = {}
     row_by_name = {}
-    for answer in answers.values():
+    for answer in answer_by_url.values():
         for account in answer["accounts"]:
             row_by_name[account["name"]] = account
             used = running.setdefault(account["name"], [0, 0])
@@ -180,12 +180,12 @@
     """Take a target or an entry out of service; requests in flight are completed."""
 
     async def run(ctx):
-        answers = await ctx.ask_daemons("/status")
-        for url, answer in answers.items():
+        answer_by_url = await ctx.ask_daemons("/status")
+        for url, answer in answer_by_url.items():
             if answer["name"] == name:
                 return await ctx.ask_daemon(url, "/drain", method="POST")
         path = f"/targets/{name}/drain"
-        for url in answers:
+        for url in answer_by_url:
             drained = await ctx.ask_daemon(url, path, method="POST")
             if drained:
                 return drained
@@ -234,8 +234,8 @@
     page
         Write the timeline as an HTML page to this file.
     """
-    answers = _run(lambda ctx: ctx.ask_daemons("/timeline"))
-    merged = timeline.merge(answer["events"] for answer in answers.values())
+    answer_by_url = _run(lambda ctx: ctx.ask_daemons("/timeline"))
+    merged = timeline.merge(answer["events"] for answer in answer_by_url.values())
     if page is not None:
         page.write_text(timeline.as_page(merged), "utf-8")
         return
@@ -256,13 +256,13 @@
 
 async def _is_active(ctx, revision):
     """Return whether all live daemons themselves report at least a revision."""
-    answers = await ctx.ask_daemons("/status")
+    answer_by_url = await ctx.ask_daemons("/status")
     active_revision_by_name = {
-        item["name"]: item["revision"] for item in answers.values()
+        item["name"]: item["revision"] for item in answer_by_url.values()
     }
     live = {
         row["name"]
-        for item in answers.values()
+        for item in answer_by_url.values()
         for row in item["entries"]
         if row["state"] == "live"
     }
--- a/packages/cli/sesamespindle/cli/sending.py
+++ b/packages/cli/sesamespindle/cli/sending.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from sesamespindle.cli import outcomes
+from sesamespindle.wire import answers
 
 _DATA_PREFIX = "data: "
 _ID_PREFIX = "id: "
@@ -58,7 +59,7 @@
             async with session.get(
                 f"{url}/v1/entries", headers=_headers(api_key)
             ) as response:
-                value = await response.json()
+                value = await answers.read_json(response)
                 if response.status != 200:
                     raise _refusal_error(value)
                 return value["entries"][0]
@@ -88,9 +89,9 @@
         f"{entry['url']}/v1/chat/completions", json=body, headers=_headers(api_key)
     ) as response:
         if response.status != 200:
-            raise _refusal_error(await response.json())
+            raise _refusal_error(await answers.read_json(response))
         sent.target = response.headers.get("X-Sesamespindle-Target", "")
-        async for line in response.content:
+        async for line in answers.lines(response):
             _add_line(sent, line.decode().strip(), sent_at)
     return sent
 
@@ -121,7 +122,7 @@
     async with session.post(
         f"{entry['url']}/v1/services/{pool}/{path}", json=body, headers=headers
     ) as response:
-        value = await response.json()
+        value = await answers.read_json(response)
         if "error" in value:
             raise _refusal_error(value)
         return value, response.headers.get("Idempotent-Replayed") == "true"
@@ -138,7 +139,7 @@
     async with session.post(
         f"{entry['url']}/v1/tickets", headers=_headers(api_key)
     ) as response:
-        value = await response.json()
+        value = await answers.read_json(response)
         if response.status != 201:
             raise _refusal_error(value)
         return value["ticket"]
--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -26,7 +26,7 @@
     watchers,
 )
 from sesamespindle.decide import core, events, world
-from sesamespindle.wire import clock, engine, platform
+from sesamespindle.wire import answers, clock, engine, platform
 
 _log = logs.part("daemon")
 # A leaving daemon keeps serving until it has been idle for this long, so that callers
@@ -120,16 +120,12 @@
             _url(admin_socket),
             int(self._clock.now().timestamp() * 1000),
         )
-        session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        )
+        session = await self._stack.enter_async_context(_open_session())
         client = platform.PlatformClient(
             session, str(settings.platform_url), settings.platform_timeout
         )
         unshared = await self._stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True)
-            )
+            _open_session(force_close=True)
         )
         check_client = platform.PlatformClient(
             unshared, str(settings.platform_url), settings.platform_timeout
@@ -291,6 +287,12 @@
     )
 
 
+def _open_session(**kwargs):
+    """Return an HTTP session; the arguments are those of `aiohttp.TCPConnector`."""
+    connector = aiohttp.TCPConnector(limit=0, **kwargs)
+    return aiohttp.ClientSession(connector=answers.use_connections(connector))
+
+
 def _listen(address):
     return socket.create_server(
         (str(address.host), address.port), backlog=_BACKLOG, reuse_port=False
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -435,7 +435,7 @@
                 return ending if answer.failure is not None else sends.Ending.LOST
             if ending is not None:
                 if ending is not sends.Ending.LOST:
-                    await response.read()
+                    await answers.read(response)
                 return ending
             if forward.streaming and response.status == 200:
                 return await self._relay_stream(http, forward, response, answer)
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -1,14 +1,15 @@
 """Whether an answer that was read from a connection is whole.
 
-Answers that are relayed or stored for callers are read here. A length or chunks mark
-the end of an answer, and the HTTP library raises an error if the connection ends before
-it. Without them an answer ends where its connection does: a reset is never its end, and
-an orderly close can't be told from its end, except that a stream never ends inside an
-event.
+All answers are read here, those that are relayed and those to our own calls. A length
+or chunks mark the end of an answer, and the HTTP library raises an error if the
+connection ends before it. Without them an answer ends where its connection does: a
+reset is never its end, and an orderly close can't be told from its end, except that a
+stream never ends inside an event.
 """
 
 import enum
 import functools
+import json
 
 import aiohttp
 import aiohttp.client_proto
@@ -86,6 +87,57 @@
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
+async def read(response):
+    """Return the body of an answer.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; its session must use `Connection`.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the answer isn't whole.
+    """
+    body = bytearray()
+    async for chunk in chunks(response):
+        body += chunk
+    return bytes(body)
+
+
+async def read_json(response):
+    """Return the body of an answer as JSON values.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the answer isn't whole, or isn't JSON.
+    """
+    body = await read(response)
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise BrokenAnswerError("The answer isn't JSON.") from error
+
+
+async def lines(response):
+    """Yield the lines of an answer as they arrive, with their ends.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        After the last line, if the answer isn't whole, or ends inside a line.
+    """
+    rest = b""
+    async for chunk in chunks(response):
+        *ended, rest = (rest + chunk).split(b"\n")
+        for line in ended:
+            yield line + b"\n"
+    if rest:
+        raise BrokenAnswerError("The answer ended inside a line.")
+
+
 async def events(response, splitter, continues):
     """Yield the whole events of a stream as they arrive.
 
--- a/packages/wire/sesamespindle/wire/engine.py
+++ b/packages/wire/sesamespindle/wire/engine.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from sesamespindle.decide import streams
+from sesamespindle.wire import answers
 
 _CONNECT_SECONDS = 2.0
 _DATA_PREFIX = b"data: "
@@ -174,7 +175,9 @@
             async with self._session.get(
                 f"{url}/load", timeout=aiohttp.ClientTimeout(total=_CONNECT_SECONDS)
             ) as response:
-                return await response.json() if response.status == 200 else None
+                if response.status != 200:
+                    return None
+                return await answers.read_json(response)
         except (TimeoutError, aiohttp.ClientError, ValueError):
             return None
 
@@ -188,7 +191,7 @@
             ) as response:
                 if response.status != 200:
                     raise _error_of(response)
-                async for line in response.content:
+                async for line in answers.lines(response):
                     if line.startswith(_DATA_PREFIX):
                         yield _parse_event(json.loads(line[len(_DATA_PREFIX) :]))
         except (
--- a/packages/wire/sesamespindle/wire/platform.py
+++ b/packages/wire/sesamespindle/wire/platform.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from sesamespindle.decide import events
+from sesamespindle.wire import answers
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -204,12 +205,12 @@
 async def _parse_response(response):
     match response.status:
         case 200:
-            body = await response.json()
+            body = await answers.read_json(response)
             return Object(body["version"], body.get("value"))
         case 304 | 404:
             return None
         case 412:
-            body = await response.json()
+            body = await answers.read_json(response)
             found = Object(body["version"], body["value"]) if body["version"] else None
             raise ConflictError(found)
         case status:
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -3,14 +3,28 @@
 import asyncio
 import contextlib
 import datetime
+import json
+import pathlib
+import re
 import socket
 import struct
 
+import aiohttp
 import pytest
 
-from sesamespindle.wire import engine, service
+from sesamespindle import wire
+from sesamespindle.daemon import connections
+from sesamespindle.decide import rollout
+from sesamespindle.platform import objects, servers, storelinks
+from sesamespindle.wire import answers, engine, service
 
+ROOT = pathlib.Path(wire.__file__).parents[4]
 SECOND = datetime.timedelta(seconds=1)
+LOST = (
+    answers.BrokenAnswerError,
+    engine.ConnectionLostError,
+    objects.LostAnswerError,
+)
 
 
 @contextlib.asynccontextmanager
@@ -63,3 +77,78 @@
             assert (await call(url)).body == b"whole"
 
     go(scenario())
+
+
+async def list_store(url):
+    async with storelinks.StoreLinks() as links:
+        await objects.ObjectClient(links, url).list("config")
+
+
+async def report_load(url):
+    connector = answers.use_connections(aiohttp.TCPConnector())
+    async with aiohttp.ClientSession(connector=connector) as session:
+        if await engine.EngineClient(session, 5 * SECOND).load(url) is None:
+            raise answers.BrokenAnswerError("It has no report.")
+
+
+async def report_orders(url):
+    async with connections.make_session() as session:
+        client = servers.ServerClient(session, "entry-1")
+        found = await client.report("t-1", url.removeprefix("http://"))
+        if isinstance(found, rollout.ReportMissing):
+            raise answers.BrokenAnswerError("It has no report.")
+
+
+async def read_stream(url):
+    connector = answers.use_connections(aiohttp.TCPConnector())
+    async with aiohttp.ClientSession(connector=connector) as session:
+        client = engine.EngineClient(session, 5 * SECOND)
+        return [event async for event in client.resume(url, "s1", 0)]
+
+
+@pytest.mark.parametrize(
+    ("read", "body"),
+    [
+        (list_store, b'{"items": [], "CurrentRev": 5}'),
+        (report_load, b'{"free": 1}'),
+        (report_orders, b'{"Seq": 1, "Busy": false, "Models": []}'),
+        (read_stream, b""),
+    ],
+    ids=["store", "load", "orders", "stream"],
+)
+def test_an_answer_to_us_that_was_reset_is_lost(go, read, body):
+    """Guards against readers that take a reset for an answer's end."""
+
+    async def scenario():
+        async with serve_bytes(body, resets=True) as url:
+            with pytest.raises(LOST):
+                await read(url)
+
+    go(scenario())
+
+
+def test_a_stream_of_an_engine_that_ends_inside_a_line_is_lost(go):
+    """Guards against half a piece that is taken for a whole one."""
+    piece = {"stream": "s1", "sequence": 1, "text": "a", "last": True}
+    line = b"data: " + json.dumps(piece | {"finish_reason": "stop"}).encode()
+
+    async def scenario():
+        async with serve_bytes(line, resets=False) as url:
+            with pytest.raises(engine.ConnectionLostError):
+                await read_stream(url)
+
+    go(scenario())
+
+
+def test_answers_are_read_in_one_place():
+    """Guards against a reader with its own idea of when an answer is whole."""
+    read_elsewhere = re.compile(r"response\.(json|read|text)\(|response\.content\b")
+    found = [
+        f"{path.name}: {line.strip()}"
+        for folder in (ROOT / "packages", ROOT / "platform")
+        for path in folder.rglob("*.py")
+        if path.name != "answers.py" and "lab" not in path.parts
+        for line in path.read_text().splitlines()
+        if read_elsewhere.search(line)
+    ]
+    assert not found
