Believe a target that says "not run", whatever becomes of the rest

What callers saw: a call that may run once was answered with 502, "may have run", although its target had said in its headers that it hadn't run it, if the body behind them broke off; if the body hung, they heard so only at their deadline.

Cause: the rest of such a response is read so that its connection can be used again, and an error of that read became the end of the send.

Why it works: nothing behind the headers changes the ending. The rest has 0.2 s (chosen: a new connection costs less than a caller's wait) and is not kept in memory; if it breaks or is late, the connection is closed, which is logged and counted like any broken answer.

--- a/packages/daemon/sesamespindle/daemon/answerends.py
+++ b/packages/daemon/sesamespindle/daemon/answerends.py
@@ -38,7 +38,13 @@
             )
 
     def note_broken(self, forward, response, error):
-        """Count an answer that isn't whole, and log why."""
+        """Count an answer that isn't whole, and log why.
+
+        Parameters
+        ----------
+        error : Exception or str
+            The reason.
+        """
         framing = answers.framing_of(response)
         self._measures.answered(framing, is_whole=False)
         _log.bind(request=forward.request_id).info(
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -30,6 +30,8 @@
 # open for less than this. The connection pool reuses them for up to 4 s, so a
 # request could be sent just as the target closes the connection.
 _MIN_IDLE_SECONDS = 5
+# How long the rest of a response may take that is read only to reuse its connection.
+_DISCARD_SECONDS = 0.2
 
 
 class _CutOffError(Exception):
@@ -435,7 +437,7 @@
                 return ending if answer.failure is not None else sends.Ending.LOST
             if ending is not None:
                 if ending is not sends.Ending.LOST:
-                    await answers.read(response)
+                    await self._discard(forward, response)
                 return ending
             if forward.streaming and response.status == 200:
                 return await self._relay_stream(http, forward, response, answer)
@@ -444,6 +446,22 @@
             if not is_reusable or ending is sends.Ending.LOST:
                 response.close()
 
+    async def _discard(self, forward, response):
+        """Read the rest of a response, so that its connection can be used again.
+
+        Guards against a request that counts as one that may have run, although its
+        target said otherwise, because the rest breaks off or never comes.
+        """
+        try:
+            async with asyncio.timeout(_DISCARD_SECONDS):
+                async for _ in answers.chunks(response):
+                    pass
+        except TimeoutError:
+            response.close()
+            self._answer_ends.note_broken(forward, response, "The rest is late.")
+        except aiohttp.ClientError as error:
+            self._answer_ends.note_broken(forward, response, error)
+
     async def _relay_plain(self, http, forward, response, answer):
         """Relay an answer that is not a stream of events.
 
--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -200,6 +200,36 @@
     answer(scripts, "/once/1", judge, service="desk")
 
 
+@pytest.mark.parametrize("framing", brokenanswers.Framing)
+@pytest.mark.parametrize("end", brokenanswers.End)
+def test_a_target_that_says_not_run_is_believed_if_its_answer_breaks(
+    answer, framing, end
+):
+    """Guards against callers who hear that a booking may have run, though it hasn't."""
+
+    def judge(script, received):
+        assert received.status == 503, (script, received)
+
+    script = brokenanswers.Script(
+        framing, BODY, 5, end, status=503, is_paused=True, says_not_run=True
+    )
+    answer([script], "/once/1", judge, service="desk")
+
+
+def test_a_target_that_says_not_run_is_believed_if_its_answer_hangs(play):
+    """Guards against callers who hear at their deadline that a call may have run."""
+
+    async def scenario(world):
+        target = await world.add_target("desk-1")
+        target.turns_away = True
+        target.release.clear()
+        daemon = await world.add_daemon()
+        received = await ask(world, daemon, "/once/1", "r1")
+        assert received.status == 503
+
+    play(scenario)
+
+
 def test_a_caller_whose_answer_ends_with_its_connection_sees_a_reset(play):
     """Guards against callers of HTTP/1.0, to whom an orderly close means complete."""
 
--- a/tests/support/brokenanswers.py
+++ b/tests/support/brokenanswers.py
@@ -43,6 +43,8 @@
     is_paused : bool
         Whether the target waits a moment before its connection ends, so that the
         reader has read all bytes by then.
+    says_not_run : bool
+        Whether its headers say that the request wasn't run.
     """
 
     framing: Framing
@@ -52,6 +54,7 @@
     status: int = 200
     is_paused: bool = False
     content_type: str = "text/event-stream"
+    says_not_run: bool = False
 
     @property
     def is_whole(self):
@@ -109,10 +112,11 @@
         Framing.CHUNKS: "Transfer-Encoding: chunked\r\n",
         Framing.CLOSE: "",
     }[script.framing]
+    not_run = "X-Not-Executed: 1\r\n" if script.says_not_run else ""
     return (
         f"HTTP/1.1 {script.status} X\r\nContent-Type: {script.content_type}\r\n"
         f"X-Server-Stamp: s\r\nX-Attempt-Id: {attempt}\r\nConnection: close\r\n"
-        f"{framing}\r\n"
+        f"{not_run}{framing}\r\n"
     ).encode()
 
 
