A peer that answers is not avoided for what its targets lose

What callers saw: at a host that is cut from its targets, each stream that broke off at an engine made the host avoid the peer that had carried it for a second.

Cause: the hop ends the same way whether the peer or its engine has failed, and any end without a whole answer counted against the peer.

Evidence: test_a_peer_carries_on_after_a_stream_broke_off_at_an_engine, real daemons, a booking right after a broken stream: 503 before, 200 now. A first try, "not avoided if an answer has begun", still gave 503: the next try of the same stream gets the peer's refusal, which can't be passed on behind events.

Why it works: a peer that has sent headers is there, and chooses among its own targets by itself. One that has not is avoided as before, and so is one that declines. A peer that dies in the middle refuses the next connection, which costs nothing, and is avoided by that.

--- a/packages/decide/sesamespindle/decide/carriers.py
+++ b/packages/decide/sesamespindle/decide/carriers.py
@@ -83,6 +83,7 @@
         flight.sent_software = ""
         flight.has_begun = False
         flight.carrier = peer.name
+        flight.has_carrier_answered = False
         flight.sends += 1
         self._in_flight_by_peer[peer.name] = self._count(peer) + 1
         request = flight.request
@@ -104,10 +105,17 @@
             software=flight.software,
         )
 
-    def note_end(self, flight, now):
-        """Record that a carried send ended without an answer to relay."""
-        if flight.carrier:
-            self._avoided_until_by_peer[flight.carrier] = now + _AVOIDED_FOR
+    def note_end(self, flight, ending, now):
+        """Record that a carried send ended without a whole answer to relay.
+
+        Guards against callers who are refused for lack of peers because streams break
+        off at engines: a peer that answers isn't avoided, unless it declines.
+        """
+        if not flight.carrier:
+            return
+        if flight.has_carrier_answered and ending is not sends.Ending.DECLINED:
+            return
+        self._avoided_until_by_peer[flight.carrier] = now + _AVOIDED_FOR
 
     def release(self, flight):
         """Stop counting a carried request against its peer."""
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -116,6 +116,8 @@
         Whether an answer to its last send has begun to arrive.
     carrier : str
         The name of the peer that carries it now; empty if none does.
+    has_carrier_answered : bool
+        Whether that peer has begun to answer, be it with a refusal.
     failed_from : datetime.datetime or None
         When its first send began that reached no target or got no answer.
     software : str
@@ -142,6 +144,7 @@
     version: int | None = None
     has_begun: bool = False
     carrier: str = ""
+    has_carrier_answered: bool = False
     failed_from: datetime.datetime | None = None
     is_retry_paid: bool = False
     software: str = ""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -227,7 +227,7 @@
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.incarnation)
         self._report_to_crashes(flight, ending, now)
-        self._carriers.note_end(flight, now)
+        self._carriers.note_end(flight, ending, now)
         self._note_ending(flight, row, ending, now)
         self._release(flight)
         maybe_ran = ending in sends.MAYBE_RAN
@@ -260,6 +260,7 @@
         if row is not None and flight.sent_at is not None:
             self._reach.note_heard(row, now)
         elif flight is not None and flight.carrier:
+            flight.has_carrier_answered = True
             self._reach.note_carried(flight.service, now)
 
     def first_byte(self, request_id, now):
--- a/tests/decide/test_carriers.py
+++ b/tests/decide/test_carriers.py
@@ -60,11 +60,24 @@
 def test_a_peer_that_declined_is_not_asked_again_for_a_second(core):
     cut(core)
     first = begin(core)
+    core.forwarding.heard("r1", NOW)
     second = core.forwarding.ended("r1", sends.Ending.DECLINED, now=NOW)
     assert second.target != first.target
     assert second.passport.runs == 0
 
 
+@pytest.mark.parametrize("answers", [False, True])
+def test_a_peer_is_avoided_only_if_it_does_not_answer(core, answers):
+    """Guards against callers who are refused because streams break at engines."""
+    cut(core)
+    first = begin(core)
+    if answers:
+        core.forwarding.heard("r1", NOW)
+    core.forwarding.ended("r1", sends.Ending.LOST, now=NOW)
+    chosen = {begin(core, number).target for number in range(2, 10)}
+    assert (first.target in chosen) == answers
+
+
 def test_a_carried_request_is_not_carried_on(core):
     """Guards against requests that go round between hosts that are cut."""
     cut(core)
--- a/tests/platform/test_carried.py
+++ b/tests/platform/test_carried.py
@@ -192,6 +192,21 @@
     )
 
 
+async def _has_begun(fleet, request_id):
+    """Return whether the cut host has the first byte of an answer."""
+    return _logs_at_cut_host(fleet, request_id, "First byte from peer")
+
+
+async def _has_broken(fleet, request_id):
+    """Return whether an answer broke off for the cut host."""
+    return _logs_at_cut_host(fleet, request_id, "broke off")
+
+
+def _logs_at_cut_host(fleet, request_id, text):
+    lines = fleet.hosts[0].lines()
+    return any(f'"{request_id}"' in line and text in line for line in lines)
+
+
 async def _held_at_target(fleet, path, request_id):
     """Return the task of a request that was carried, and waits at the plain target."""
     target = fleet.targets[0]
@@ -246,6 +261,29 @@
     play(scenario)
 
 
+def test_a_peer_carries_on_after_a_stream_broke_off_at_an_engine(play):
+    """Guards against callers of a cut host who are refused because an engine failed."""
+
+    async def scenario(world):
+        async with _one_peer_carries(world) as fleet:
+            engine = fleet.targets[1]
+            engine.release.clear()
+            headers = cutfleet.PROMPT | {"X-Prompt-Prefix": "c1:100"}
+            asked = asyncio.create_task(
+                world.ask(fleet.hosts[0], "/chat/1", "s.1", **headers)
+            )
+            await engine.began.wait()
+            await world.until(lambda: _has_begun(fleet, "s.1"))
+            engine.crash()
+            await world.until(lambda: _has_broken(fleet, "s.1"))
+            status, _, _ = await world.ask(fleet.hosts[0], "/once/1", "o.1")
+            assert status == 200
+            with pytest.raises(aiohttp.ClientError):
+                await asked
+
+    play(scenario)
+
+
 def test_a_stream_whose_peer_is_lost_on_the_hop_ends(play):
     """Guards against a caller that waits for a stream that no host carries."""
 
