Make all sessions of our own calls in one place

The same construct stood in the daemon, the command line and the tests; the lab's fleet, whose session the command line's functions use, had a plain one, on which the end of an answer without length or chunks could not have been judged.

--- a/packages/cli/sesamespindle/cli/context.py
+++ b/packages/cli/sesamespindle/cli/context.py
@@ -123,6 +123,5 @@
 @contextlib.asynccontextmanager
 async def open_context():
     """Yield a `Context` for one command; close its session at the end."""
-    connector = answers.use_connections(aiohttp.TCPConnector())
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with answers.make_session() as session:
         yield Context(session, os.environ)
--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -120,12 +120,12 @@
             _url(admin_socket),
             int(self._clock.now().timestamp() * 1000),
         )
-        session = await self._stack.enter_async_context(_open_session())
+        session = await self._stack.enter_async_context(answers.make_session(limit=0))
         client = platform.PlatformClient(
             session, str(settings.platform_url), settings.platform_timeout
         )
         unshared = await self._stack.enter_async_context(
-            _open_session(force_close=True)
+            answers.make_session(limit=0, force_close=True)
         )
         check_client = platform.PlatformClient(
             unshared, str(settings.platform_url), settings.platform_timeout
@@ -287,12 +287,6 @@
     )
 
 
-def _open_session(**kwargs):
-    """Return an HTTP session; the arguments are those of `aiohttp.TCPConnector`."""
-    connector = aiohttp.TCPConnector(limit=0, **kwargs)
-    return aiohttp.ClientSession(connector=answers.use_connections(connector))
-
-
 def _listen(address):
     return socket.create_server(
         (str(address.host), address.port), backlog=_BACKLOG, reuse_port=False
--- a/packages/lab/sesamespindle/lab/fleet.py
+++ b/packages/lab/sesamespindle/lab/fleet.py
@@ -12,11 +12,11 @@
 import pathlib
 import shutil
 
-import aiohttp
 import yaml
 
 from sesamespindle.declare import documents, settings
 from sesamespindle.lab import processes
+from sesamespindle.wire import answers
 
 TOKEN_KEY = "lab-token-key-not-for-real-use"
 ADMIN_KEY = "lab-admin-key-not-for-real-use"
@@ -124,7 +124,7 @@
         shutil.rmtree(self.plan.folder, ignore_errors=True)
         self.plan.folder.mkdir(parents=True)
         self.session = await self._exit_stack.enter_async_context(
-            aiohttp.ClientSession()
+            answers.make_session()
         )
         try:
             await self._start_all()
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -56,6 +56,18 @@
     return connector
 
 
+def make_session(**options):
+    """Return an `aiohttp.ClientSession` that uses `Connection`.
+
+    Parameters
+    ----------
+    **options
+        Those of `aiohttp.TCPConnector`.
+    """
+    connector = use_connections(aiohttp.TCPConnector(**options))
+    return aiohttp.ClientSession(connector=connector)
+
+
 def framing_of(response):
     """Return the `Framing` of an `aiohttp.ClientResponse`."""
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -9,7 +9,6 @@
 import socket
 import struct
 
-import aiohttp
 import pytest
 
 from sesamespindle import wire
@@ -85,8 +84,7 @@
 
 
 async def report_load(url):
-    connector = answers.use_connections(aiohttp.TCPConnector())
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with answers.make_session() as session:
         if await engine.EngineClient(session, 5 * SECOND).load(url) is None:
             raise answers.BrokenAnswerError("It has no report.")
 
@@ -100,8 +98,7 @@
 
 
 async def read_stream(url):
-    connector = answers.use_connections(aiohttp.TCPConnector())
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with answers.make_session() as session:
         client = engine.EngineClient(session, 5 * SECOND)
         return [event async for event in client.resume(url, "s1", 0)]
 
