Ask for the last line of a prompt's answer on the command line

What callers would see: the command line printed half a text as the whole answer, and exited with 0, if the connection ended in order before the last line. No report of it; found as the readers were gone through.

Cause: the last line was skipped like any other that has no token. The test failed before (no error for half an answer). Entries frame their streams with chunks, so that only something between them and the command line could do this.

--- a/packages/cli/sesamespindle/cli/sending.py
+++ b/packages/cli/sesamespindle/cli/sending.py
@@ -15,6 +15,7 @@
 
 _DATA_PREFIX = "data: "
 _ID_PREFIX = "id: "
+_LAST_LINE = "data: [DONE]"
 
 
 @dataclasses.dataclass
@@ -75,6 +76,8 @@
     ------
     outcomes.CommandError
         If the prompt is refused, or its answer ends with an error.
+    aiohttp.ClientPayloadError
+        If its answer isn't whole.
     """
     sent = Sent(entry["name"])
     body = {
@@ -92,8 +95,11 @@
             raise _refusal_error(await answers.read_json(response))
         sent.target = response.headers.get("X-Sesamespindle-Target", "")
         async for line in answers.lines(response):
-            _add_line(sent, line.decode().strip(), sent_at)
-    return sent
+            text = line.decode().strip()
+            if text == _LAST_LINE:
+                return sent
+            _add_line(sent, text, sent_at)
+    raise answers.BrokenAnswerError("The answer ended before its last line.")
 
 
 async def send_call(session, entry, api_key, pool, path, body, key):
@@ -146,7 +152,7 @@
 
 
 def _add_line(sent, line, sent_at):
-    if not line.startswith(_DATA_PREFIX) or line == "data: [DONE]":
+    if not line.startswith(_DATA_PREFIX):
         return
     value = json.loads(line[len(_DATA_PREFIX) :])
     if "error" in value:
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -12,6 +12,7 @@
 import pytest
 
 from sesamespindle import wire
+from sesamespindle.cli import sending
 from sesamespindle.daemon import connections
 from sesamespindle.decide import rollout
 from sesamespindle.platform import objects, servers, storelinks
@@ -124,6 +125,26 @@
     go(scenario())
 
 
+def test_a_prompt_of_the_command_line_needs_the_last_line_of_its_answer(go):
+    """Guards against half a text that is printed as the whole answer."""
+    value = {"choices": [{"delta": {"content": "half"}}]}
+    line = f"data: {json.dumps(value)}\n\n".encode()
+
+    async def ask(url):
+        entry = {"name": "entry-1", "url": url}
+        async with answers.make_session() as session:
+            return await sending.send_prompt(session, entry, "key", "m", "hi", 5)
+
+    async def scenario():
+        async with serve_bytes(line, resets=False) as url:
+            with pytest.raises(answers.BrokenAnswerError):
+                await ask(url)
+        async with serve_bytes(line + b"data: [DONE]\n\n", resets=False) as url:
+            assert (await ask(url)).text == "half"
+
+    go(scenario())
+
+
 def test_a_stream_of_an_engine_that_ends_inside_a_line_is_lost(go):
     """Guards against half a piece that is taken for a whole one."""
     piece = {"stream": "s1", "sequence": 1, "text": "a", "last": True}
