The stand-in store turns away the daemons that a test names

Four tests (a revoked key, an evacuation, a quarantine, limits) have the store turn one host away by its IP address. It never did: connections to the loopback device all come from 127.0.0.1, as a look at the addresses that the store saw showed, so the hosts kept their store and the tests proved less than they say.

Each daemon now reaches the store at an address of its own, by which the store knows it.

--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -610,7 +610,7 @@
             f"entry-{self._daemon_count}",
             ip,
             self._ports,
-            store_address or self.store.address,
+            store_address or await self.store.add_door(ip),
             seeds,
             grace,
             data_centres,
--- a/tests/support/standinstore.py
+++ b/tests/support/standinstore.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import socket
 
 import aiohttp.web
 
@@ -37,7 +38,7 @@
     Attributes
     ----------
     turned_away : set of str
-        IP addresses of clients whose connections it aborts.
+        IP addresses of the daemons whose connections it aborts.
     is_away : bool
         Whether it aborts the connections of all clients.
     speaks_nonsense : bool
@@ -86,6 +87,7 @@
         self._copy = None
         self._written_outside = []
         self._runner = None
+        self._daemon_by_port = {}
 
     async def __aenter__(self):
         application = aiohttp.web.Application()
@@ -103,6 +105,18 @@
     async def __aexit__(self, *exc_info):
         await self._runner.cleanup()
 
+    async def add_door(self, ip):
+        """Return an address of the store for one daemon, by its IP address.
+
+        Guards against a daemon that is turned away in name only: connections to the
+        loopback device all come from the same address.
+        """
+        listener = socket.create_server(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        self._daemon_by_port[port] = ip
+        await aiohttp.web.SockSite(self._runner, listener).start()
+        return f"{host}:{port}"
+
     async def put(self, kind, name, spec):
         """Write an object without a condition, as the operator or a target does."""
         self._written_outside.append(_OutsideWrite(kind, name, spec))
@@ -196,13 +210,19 @@
 
     async def _delay_or_fail(self, request):
         await asyncio.sleep(self.delay_seconds)
-        if self.is_away or request.remote in self.turned_away:
+        if self.is_away or self._turns_away(request):
             if request.transport is not None:
                 request.transport.abort()
             raise aiohttp.web.HTTPServiceUnavailable
         if self.speaks_nonsense:
             raise aiohttp.web.HTTPOk(text='{"items": 7, "Events": [{}]}')
 
+    def _turns_away(self, request):
+        if request.transport is None:
+            return False
+        _, port = request.transport.get_extra_info("sockname")
+        return self._daemon_by_port.get(port) in self.turned_away
+
     async def _serve_kind(self, request):
         self.reads += request.method == "GET"
         await self._delay_or_fail(request)
