A host out of touch continues no stream whose version it can't know

What callers would see: a stream of two software versions, if a host hears neither the store nor its peers, but reaches engines and callers. It knows of one version, so it asks nobody, and continues there what the others began at a new one. The rule holds for hosts out of touch too.

Cause: a host was informed once it had ever heard a peer.

Ruled out: the answer alone, and the hop; both carry the version. Refusing wherever the store is away: it would price fleets of one version, so most hosts of the data centre and most data centres that are heard are enough then (test_streams_go_on_while_the_store_is_away, at least 95% of the share of new streams).

Why it works: a new version begins streams 2 s after it was seen. A host whose last proof of the list of targets is younger than that has seen it; one that has none, and hears less than most of the fleet, says "not run". Not covered: most hosts cut from the store and from a part that still has it.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -11,6 +11,7 @@
     catalogue,
     coldtargets,
     commands,
+    contact,
     crashes,
     directory,
     eras,
@@ -143,7 +144,11 @@
         )
         self.reach = reach.Reach(self.state)
         self.brittle = brittle.BrittleTargets(self.state)
-        self.stream_versions = streamversions.StreamVersions(self.state, bool(seeds))
+        self.stream_versions = streamversions.StreamVersions(
+            self.state,
+            bool(seeds),
+            contact.Contact(self.state, terms.kinds.targets, self._is_reachable),
+        )
         self.origins = streamorigins.StreamOrigins(self.state, self.stream_versions)
         self.carriers = carriers.Carriers(
             self.state, self.reach, self.brittle, self._is_reachable, carry_port
@@ -277,8 +282,8 @@
             self.state, data_centre, reachable, self.reach.is_isolated
         )
 
-    def _is_reachable(self, data_centre, now):
-        return self.membership.is_reachable(data_centre, now)
+    def _is_reachable(self, data_centre, now, span=None):
+        return self.membership.is_reachable(data_centre, now, span)
 
     def _handle(self, event, now):
         match event:
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -263,15 +263,15 @@
             message = self._message(True, now, members)
             self._state.emit(commands.GossipTo(event.peer_address, message))
 
-    def is_reachable(self, data_centre, now):
-        """Return whether a data centre's pulse has risen lately.
+    def is_reachable(self, data_centre, now, span=None):
+        """Return whether a data centre's pulse has risen lately, or within a time span.
 
         This data centre, and one that no pulse is known of, count as reachable.
         """
         heard_at = self._pulse_heard_at.get(data_centre)
         if data_centre == self._state.me.data_centre or heard_at is None:
             return True
-        return now - heard_at < 2 * self._state.policy.suspect_after
+        return now - heard_at < (span or 2 * self._state.policy.suspect_after)
 
     def is_watcher(self, count=WATCHERS):
         """Return whether this daemon watches the platform for its data centre.
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -39,11 +39,14 @@
         The shared tables.
     has_seeds : bool
         Whether the host is configured to have peers.
+    contact : contact.Contact
+        Whether this host would have heard of a new version.
     """
 
-    def __init__(self, state, has_seeds):
+    def __init__(self, state, has_seeds, contact):
         self._state = state
         self._has_seeds = has_seeds
+        self._contact = contact
         self._seen_by_service = {}
         self._first_tick_at = self._looked_at = None
         self._has_heard_peers = False
@@ -89,11 +92,14 @@
         return {name for name, seen in self._seen_by_service.items() if len(seen) > 1}
 
     def is_informed(self, now):
-        """Return whether this host would know of an earlier version.
+        """Return whether this host would know of another version.
 
         Guards against streams that go on anywhere at a host that has just started,
-        while its peers remember that a version was replaced.
+        while its peers remember that a version was replaced, or at one out of touch,
+        while the others have begun them at a new version.
         """
+        if not self._contact.is_kept(_SPREAD_FOR, now):
+            return False
         if self._has_heard_peers:
             return True
         is_alone = len(self._state.entries) <= 1 and not self._has_seeds
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -162,6 +162,47 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("isolated", [1, 3])
+def test_hosts_out_of_touch_mix_no_versions(play, isolated):
+    """Guards against hosts that know of one version while the others serve two."""
+
+    async def scenario(world):
+        fleet = versionfleet.Fleet(world, breaks=False)
+        engines = [await fleet.add_engine("v1.1") for _ in range(2)]
+        async with cutfleet.fleet(world, 6, 0, 0, started=engines) as cut_fleet:
+            cut_fleet.isolate(cut_fleet.hosts[:isolated])
+            # A watch that is under way brings this one, and the hosts no later one.
+            await fleet.add_engine("v1.1")
+            await asyncio.sleep(1.0)
+            for _ in range(2):
+                await fleet.add_engine("v1.2")
+            fleet.serving = cut_fleet.hosts
+            async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+                await asyncio.sleep(8)
+        assert not clients.mixed, clients.summary()
+        versions = {x for stream in clients.streams for x in stream.versions}
+        assert versions == {"v1.1", "v1.2"}
+
+    play(scenario)
+
+
+def test_streams_go_on_while_the_store_is_away(play):
+    """Guards against hosts that refuse what they know as only the store is silent."""
+
+    async def scenario(world):
+        fleet = versionfleet.Fleet(world)
+        engines = [await fleet.add_engine("v1.1") for _ in range(4)]
+        async with cutfleet.fleet(world, 4, 0, 0, started=engines) as cut_fleet:
+            fleet.serving = cut_fleet.hosts
+            world.store.is_away = True
+            await asyncio.sleep(3)
+            async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+                await asyncio.sleep(5)
+        assert_kept_apart(clients, least_share=0.95)
+
+    play(scenario)
+
+
 def test_streams_of_a_version_that_is_gone_are_refused_at_once(play):
     """Guards against callers that wait for engines which can't come back."""
 
--- a/tests/support/cutfleet.py
+++ b/tests/support/cutfleet.py
@@ -10,6 +10,8 @@
 import socket
 import tempfile
 
+import detourlaunch
+
 from sesamespindle.lab import proxy
 
 # From this long after a cut began its hosts must serve their callers like the others.
@@ -148,9 +150,15 @@
                     self._led_by_address[address] = self._refused_address
         self._write()
 
+    def lose_datagrams(self):
+        """Lose all datagrams of the host, in both directions."""
+        self._led_by_address[detourlaunch.DATAGRAMS] = ""
+        self._write()
+
     async def heal(self):
         """Restore all paths."""
         self._form = None
+        self._led_by_address.clear()
         for address, link in self._link_by_address.items():
             self._led_by_address[address] = link.address
             await link.apply({"mode": proxy.Mode.PASS})
@@ -220,6 +228,12 @@
         for host in hosts:
             await self.paths_by_host[host.name].cut(form, addresses)
 
+    def isolate(self, hosts):
+        """Cut hosts from the store and their peers, and leave them their targets."""
+        for host in hosts:
+            self.world.store.turned_away.add(host.ip)
+            self.paths_by_host[host.name].lose_datagrams()
+
     async def heal(self, hosts):
         """Restore all paths of hosts."""
         for host in hosts:
