A host that has just started begins no streams at a newer version

What callers would see: a stream of two versions.

Cause: a version begins streams 2 s after it was first seen, or if none has been seen for that long, at once. A host that has started less than 2 s ago has seen none for that long, so a version that appeared a second later counted like the old one.

Why it works: where none is spread, the one seen earliest begins streams. Not covered: a host whose first list holds both, the newer one just added; both are as old to it, and refusing one would halve a fleet that starts as a whole.

--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -120,11 +120,17 @@
             return rows
         if not self.is_mixed(flight.service):
             return rows
-        return [row for row in rows if self._is_spread(row, now)] or rows
-
-    def _is_spread(self, row, now):
+        spread = [row for row in rows if now - self._first_at(row, now) >= _SPREAD_FOR]
+        if spread:
+            return spread
+        # A host that has just started knows none for long.
+        earliest = min((self._first_at(row, now) for row in rows), default=now)
+        return [row for row in rows if self._first_at(row, now) == earliest]
+
+    def _first_at(self, row, now):
+        """Return when a target's version was first seen here."""
         when = self._seen_by_service.get(row.pool, {}).get(row.software)
-        return when is not None and now - when.first_at >= _SPREAD_FOR
+        return when.first_at if when is not None else now
 
     def records_to_announce(self, now):
         """Return the `gossip.SoftwareSeen` of all services with several versions."""
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -191,6 +191,17 @@
     assert late == {"v1", "v2"}
 
 
+def test_a_host_that_has_just_started_begins_no_streams_at_a_newer_version():
+    """Guards against streams of a version that appears a second after a host starts."""
+    core = make_gateway()
+    list_engines(core, "v1")
+    tick(core, NOW)
+    list_engines(core, "v1", "v2", "v2", "v2", at=NOW + SECOND, revision=2)
+    for number in range(10):
+        command = begin(core, NOW + 1.5 * SECOND, request_id=f"r{number}")
+        assert software_of(core, command) == "v1"
+
+
 def test_a_new_version_begins_streams_at_once_if_no_other_is_left():
     core = make_gateway()
     list_engines(core, "v1")
