--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -186,6 +186,28 @@
     play(scenario)
 
 
+def test_streams_go_on_after_the_hosts_of_a_data_centre_are_lost(play):
+    """Guards against keepers that are lost with the host that told them."""
+
+    async def scenario(world):
+        fleet = versionfleet.Fleet(world)
+        engines = [
+            await fleet.add_engine(software)
+            for software in ("v1.1", "v1.2", "v1.1", "v1.2", "v1.1", "v1.2")
+        ]
+        async with cutfleet.fleet(world, 6, 0, 0, started=engines) as cut_fleet:
+            fleet.serving = list(cut_fleet.hosts)
+            async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+                await asyncio.sleep(3)
+                for lost in (cut_fleet.hosts[0], cut_fleet.hosts[3]):
+                    fleet.serving.remove(lost)
+                    lost.send_signal(signal.SIGKILL)
+                await asyncio.sleep(4)
+        assert_kept_apart(clients)
+
+    play(scenario)
+
+
 def test_streams_go_on_while_the_store_is_away(play):
     """Guards against hosts that refuse what they know as only the store is silent."""
 
