Count streams that a host out of touch refuses by that; write both down

They were counted as those of one version, although they are refused. The test of hosts out of touch asks for the metric; it failed before for lack of it.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -78,7 +78,8 @@
         services, account = stream
         now = self._driver.clock.now()
         if not core.origins.matters(services):
-            self._measures.taken_up("one_version")
+            is_informed = core.origins.is_informed(now)
+            self._measures.taken_up("one_version" if is_informed else "out_of_touch")
             return request
         key = streamorigins.key_of(account, request.resumes)
         origin, source = core.origins.known(key, now), "remembered"
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -191,7 +191,8 @@
             return self._refuse(
                 request,
                 commands.Code.ORIGIN_UNKNOWN,
-                "It isn't known which software version began the stream.",
+                "It isn't known which software version began the stream, or whether "
+                "there are several.",
             )
         service = self._choose_service(route, request.origin)
         flight = flights.Flight(
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -161,6 +161,10 @@
         """Return whether a stream of these services must go on where it began."""
         return any(self._versions.is_mixed(service) for service in services)
 
+    def is_informed(self, now):
+        """Return whether this host would know of another software version."""
+        return self._versions.is_informed(now)
+
     def must_refuse(self, request, route, now):
         """Return whether a caller's stream can't go on for lack of knowledge."""
         if not request.takes_up or request.origin is not None:
@@ -170,7 +174,7 @@
         if route.repeats is not routes.Repeats.RESUMABLE:
             return False
         services = [share.service for share in route.shares]
-        return not self._versions.is_informed(now) or self.matters(services)
+        return not self.is_informed(now) or self.matters(services)
 
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -179,6 +179,10 @@
             fleet.serving = cut_fleet.hosts
             async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
                 await asyncio.sleep(8)
+            url = f"http://{cut_fleet.hosts[0].ip}:9105/metrics"
+            async with world.session.get(url) as response:
+                metrics = await response.text()
+        assert 'taken_up_total{known="out_of_touch"}' in metrics
         assert not clients.mixed, clients.summary()
         versions = {x for stream in clients.streams for x in stream.versions}
         assert versions == {"v1.1", "v1.2"}
