Abort the connection of a caller that is taken to have left

Without it, a response whose connection were still open would be ended in order, and half an answer would look complete. No case is known; the connection was closing in all that were seen.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -186,6 +186,7 @@
             return answer.response
         except _CallerLeftError:
             self._log_incomplete(request, answer, "The caller has left")
+            self._abort_connection(http)
             return answer.response
         except asyncio.CancelledError:
             self._log_incomplete(request, answer, "The caller has left")
