--- a/tests/platform/test_whole_answers.py
+++ b/tests/platform/test_whole_answers.py
@@ -36,11 +36,7 @@
 
     def run(scripts, path, judge, service="llm"):
         async def scenario(world):
-            await world.store.put("config", "main", brokenanswers.make_manifest())
-            address = f"127.0.0.1:{standins.free_ports(1)[0]}"
-            target = brokenanswers.ScriptedTarget("t-1", address, service)
-            await world.list_target(target)
-            daemon = await world.add_daemon()
+            target, daemon = await start(world, service)
             for number, script in enumerate(scripts):
                 attempt = f"r{number}"
                 target.script_by_attempt[attempt] = script
@@ -51,6 +47,15 @@
     return run
 
 
+async def start(world, service):
+    """Start a target that plays scripts, and a daemon; return both."""
+    await world.store.put("config", "main", brokenanswers.make_manifest())
+    address = f"127.0.0.1:{standins.free_ports(1)[0]}"
+    target = brokenanswers.ScriptedTarget("t-1", address, service)
+    await world.list_target(target)
+    return target, await world.add_daemon()
+
+
 async def ask(world, daemon, path, attempt):
     headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Api-Key": standins.KEY}
     headers["X-Deadline-Ms"] = "9000"
@@ -148,11 +153,7 @@
     """Guards against a second target that ends before the rest of a broken stream."""
 
     async def scenario(world):
-        await world.store.put("config", "main", brokenanswers.make_manifest())
-        address = f"127.0.0.1:{standins.free_ports(1)[0]}"
-        target = brokenanswers.ScriptedTarget("t-1", address, "llm")
-        await world.list_target(target)
-        daemon = await world.add_daemon()
+        target, daemon = await start(world, "llm")
         target.script_by_attempt["r1"] = brokenanswers.Script(
             framing, STREAM, FIRST_EVENT, RESET, is_paused=True
         )
@@ -234,11 +235,7 @@
     """Guards against callers of HTTP/1.0, to whom an orderly close means complete."""
 
     async def scenario(world):
-        await world.store.put("config", "main", brokenanswers.make_manifest())
-        address = f"127.0.0.1:{standins.free_ports(1)[0]}"
-        target = brokenanswers.ScriptedTarget("t-1", address, "llm")
-        await world.list_target(target)
-        daemon = await world.add_daemon()
+        target, daemon = await start(world, "llm")
         target.script_by_attempt["r1"] = brokenanswers.Script(
             CLOSE, STREAM, FIRST_EVENT + 7, is_paused=True
         )
