--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -99,22 +99,26 @@
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
-async def read(response):
+async def read(response, max_bytes=None):
     """Return the body of an answer.
 
     Parameters
     ----------
     response : aiohttp.ClientResponse
         The answer; its session must use `Connection`.
+    max_bytes : int, optional
+        The longest body to read; any if left out.
 
     Raises
     ------
     aiohttp.ClientPayloadError
-        If the answer isn't whole.
+        If the answer isn't whole, or is longer.
     """
     body = bytearray()
     async for chunk in chunks(response):
         body += chunk
+        if max_bytes is not None and len(body) > max_bytes:
+            raise BrokenAnswerError("It exceeds the size limit.")
     return bytes(body)
 
 
--- a/packages/wire/sesamespindle/wire/service.py
+++ b/packages/wire/sesamespindle/wire/service.py
@@ -105,14 +105,8 @@
                 total=timeout.total_seconds(), sock_connect=_CONNECT_SECONDS
             ),
         ) as response:
-            body = bytearray()
-            async for chunk in answers.chunks(response):
-                body += chunk
-                if len(body) > MAX_ANSWER_BYTES:
-                    raise answers.BrokenAnswerError("It exceeds the size limit.")
-            return events.StoredAnswer(
-                response.status, response.content_type, bytes(body)
-            )
+            body = await answers.read(response, MAX_ANSWER_BYTES)
+            return events.StoredAnswer(response.status, response.content_type, body)
 
 
 async def _record_connection(session, context, params):
