--- a/packages/decide/sesamespindle/decide/contact.py
+++ b/packages/decide/sesamespindle/decide/contact.py
@@ -48,7 +48,7 @@
         here = self._state.entries.where("data_centre", self._state.me.data_centre)
         present = [row for row in here if row.state is not events.HostState.LEFT]
         heard = [row for row in present if self._is_heard(row, span, now)]
-        return 2 * len(heard) >= len(present) + 1
+        return 2 * len(heard) > len(present)
 
     def _is_heard(self, row, span, now):
         if row.name == self._state.me.name:
@@ -60,4 +60,4 @@
     def _hears_most_data_centres(self, span, now):
         names = list(self._state.entries.keys_of("data_centre"))
         heard = [name for name in names if self._is_reachable(name, now, span)]
-        return 2 * len(heard) >= len(names) + 1
+        return 2 * len(heard) > len(names)
