--- a/tests/platform/test_carried.py
+++ b/tests/platform/test_carried.py
@@ -207,6 +207,14 @@
     return any(f'"{request_id}"' in line and text in line for line in lines)
 
 
+def _ask_for_stream(fleet, request_id):
+    """Return the task of a request for a stream at the cut host."""
+    headers = cutfleet.PROMPT | {"X-Prompt-Prefix": "c1:100"}
+    return asyncio.create_task(
+        fleet.world.ask(fleet.hosts[0], "/chat/1", request_id, **headers)
+    )
+
+
 async def _held_at_target(fleet, path, request_id):
     """Return the task of a request that was carried, and waits at the plain target."""
     target = fleet.targets[0]
@@ -268,10 +276,7 @@
         async with _one_peer_carries(world) as fleet:
             engine = fleet.targets[1]
             engine.release.clear()
-            headers = cutfleet.PROMPT | {"X-Prompt-Prefix": "c1:100"}
-            asked = asyncio.create_task(
-                world.ask(fleet.hosts[0], "/chat/1", "s.1", **headers)
-            )
+            asked = _ask_for_stream(fleet, "s.1")
             await engine.began.wait()
             await world.until(lambda: _has_begun(fleet, "s.1"))
             engine.crash()
@@ -291,10 +296,7 @@
         async with _one_peer_carries(world) as fleet:
             target = fleet.targets[1]
             target.release.clear()
-            headers = cutfleet.PROMPT | {"X-Prompt-Prefix": "c1:100"}
-            asked = asyncio.create_task(
-                world.ask(fleet.hosts[0], "/chat/1", "s.1", **headers)
-            )
+            asked = _ask_for_stream(fleet, "s.1")
             await world.until(lambda: _is_carried(fleet, "s.1"))
             fleet.hosts[1].send_signal(signal.SIGKILL)
             with pytest.raises(aiohttp.ClientError):
