Log the digests of the shared parts of each prompt that is sent

A log line named the whole request and the last shared part alone, so that a part that requests have in common couldn't be seen where it comes earlier. The digests are keyed, and depend on the account.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -11,7 +11,8 @@
 # The parts of the daemon whose lines are shown so.
 _CONTEXT_PARTS = ("decide", "platform", "daemon")
 _TAKEN_UP = re.compile(r"Takes up the stream begun as (\S+),")
-_FINGERPRINT = re.compile(r"\b[0-9a-f]{32}\b")
+# Of a whole request or of a prompt part.
+_FINGERPRINT = re.compile(r"\b(?:[0-9a-f]{32}|[0-9a-f]{30})\b")
 # Pairs of a text in log messages and the cause that it indicates. The first match
 # wins, so the texts that indicate a cause most strongly come first.
 _CAUSES = (
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -100,6 +100,8 @@
     fingerprint : str
         Identifies the request in crash detection. All attempts of the same request
         have the same one; it is empty if it is unknown.
+    parts : tuple of str
+        The fingerprints of the parts of its prompt that other prompts may share.
     incarnation : incarnations.TargetIncarnation or None
         The target incarnation of its last send.
     sends : int
@@ -136,6 +138,7 @@
     arrived_at: datetime.datetime
     until: datetime.datetime
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
     incarnation: incarnations.TargetIncarnation | None = None
     sends: int = 0
     runs: int = 0
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -178,6 +178,7 @@
             return self._refuse_leaving(request, until, now)
         account_name = account.name if account is not None else ""
         fingerprint = self._fingerprints.of(account_name, request.content)
+        parts = self._fingerprints.of_parts(account_name, request.prompt)
         refusal = self._quarantine.refusal(fingerprint, now)
         if refusal is not None:
             return commands.Refuse(
@@ -196,7 +197,7 @@
             )
         service = self._choose_service(route, request.origin)
         flight = flights.Flight(
-            request, route, service, account, now, until, fingerprint
+            request, route, service, account, now, until, fingerprint, parts
         )
         self.flight_by_request[request.request_id] = flight
         flight.software = request.software
--- a/packages/decide/sesamespindle/decide/sendlog.py
+++ b/packages/decide/sesamespindle/decide/sendlog.py
@@ -42,7 +42,8 @@
     saved = sum(address is not None for address in place.transfers.save_to)
     queued = placement.queue_seconds(row, now) * 1000
     return (
-        f"{text}, context {request.affinity or 'none'}, "
+        f"{text}, parts {' '.join(flight.parts) or 'none'}, "
+        f"context {request.affinity or 'none'}, "
         f"{'the preferred engine' if place.at_preferred_engine else 'another engine'}, "
         f"{_describe_version(flight.version, replaced, now)}, "
         f"{request.prompt_tokens} tokens, "
--- a/tests/decide/test_fingerprints.py
+++ b/tests/decide/test_fingerprints.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesamespindle.decide import fingerprints
+from sesamespindle.decide import fingerprints, kvstores
 
 CONTENT = fingerprints.of_content(b"POST", b"/chat/1?x=2", b"body")
 
@@ -39,3 +39,34 @@
 
 def test_a_request_without_its_complete_body_has_no_fingerprint():
     assert fingerprints.Fingerprints("key").of("acme", None) == ""
+
+
+def parts(*ids):
+    return tuple(kvstores.Part(part_id, 10) for part_id in ids)
+
+
+def test_the_last_part_of_a_prompt_has_no_fingerprint():
+    made = fingerprints.Fingerprints("key")
+    assert len(made.of_parts("acme", parts("aa", "bb", "cc"))) == 2
+    assert made.of_parts("acme", parts("aa")) == ()
+
+
+def test_a_part_has_one_fingerprint_an_account_wherever_it_stands():
+    made = fingerprints.Fingerprints("key")
+    first = made.of_parts("acme", parts("aa", "bb", "cc"))
+    assert set(first) == set(made.of_parts("acme", parts("bb", "aa", "dd")))
+    assert set(first).isdisjoint(made.of_parts("other", parts("aa", "bb", "cc")))
+
+
+def test_a_fingerprint_tells_whether_it_is_of_a_part():
+    made = fingerprints.Fingerprints("key")
+    whole = made.of("acme", fingerprints.of_content(b"x"))
+    (part,) = made.of_parts("acme", parts("aa", "bb"))
+    assert fingerprints.is_of_part(part)
+    assert not fingerprints.is_of_part(whole)
+
+
+def test_parts_without_end_have_a_bounded_number_of_fingerprints():
+    made = fingerprints.Fingerprints("key")
+    many = parts(*(f"{number:x}" for number in range(1000)))
+    assert len(made.of_parts("acme", many)) == 32
