Split crashes and quarantine by job; behaviour unchanged

crashes finds out whether a target ended; crashrecords keeps what is known and what is told; culprits judges causes; quarantinerecords adopts, writes, tries and lifts; quarantine answers whoever sends. The tests of decide, daemon, command line and lab pass as they are, but for the names of modules.

--- a/packages/daemon/sesamespindle/daemon/admin.py
+++ b/packages/daemon/sesamespindle/daemon/admin.py
@@ -59,7 +59,7 @@
                 "accounts": [_account_value(row) for row in state.accounts],
                 "quarantined": [
                     {"fingerprint": record.fingerprint, "crashes": record.crashes}
-                    for record in self._driver.core.quarantine.records()
+                    for record in self._driver.core.quarantine.records.all()
                 ],
                 "slices": [_slice_value(row) for row in self._driver.core.slices.held],
             }
--- a/packages/decide/sesamespindle/decide/coldtargets.py
+++ b/packages/decide/sesamespindle/decide/coldtargets.py
@@ -83,7 +83,7 @@
         cold_if_restarted_after = now - cold_start.lasts
         if row.refused_at is not None and row.refused_at > cold_if_restarted_after:
             return True
-        crash = self._crashes.crash_of(row.incarnation)
+        crash = self._crashes.records.crash_of(row.incarnation)
         return crash is not None and crash.at > cold_if_restarted_after
 
     def _may_send(self, row, cold_start, now):
--- a/packages/decide/sesamespindle/decide/fingerprints.py
+++ b/packages/decide/sesamespindle/decide/fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints of what requests have in common: their whole content, or prompt parts."""
+"""Fingerprints of what requests have in common: all content, or prompt parts."""
 
 import functools
 import hashlib
@@ -8,7 +8,7 @@
 # wherever it is read.
 _PART_DIGEST_BYTES = 15
 _PART_DIGITS = 2 * _PART_DIGEST_BYTES
-# The most parts of one prompt that have fingerprints. Callers choose how many they list.
+# The most parts of one prompt that have fingerprints, as callers may list many.
 _MAX_PARTS = 32
 # The fingerprints that are kept, as computing one takes some microseconds.
 _MAX_CACHED = 4096
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -33,7 +33,9 @@
 
 
 def suspects(core):
-    return [crash.suspects for crash in core.crashes.crash_by_incarnation.values()]
+    return [
+        crash.suspects for crash in core.crashes.records.crash_by_incarnation.values()
+    ]
 
 
 def test_interrupted_runs_are_suspects_once_their_target_refuses_connections(core):
@@ -122,7 +124,7 @@
     break_off(core, "aa")
     core.step(SOON, confirmed_end())
     core.crashes.record_answer(INCARNATION, NOW + 3 * SECOND)
-    assert core.crashes.crash_by_incarnation[INCARNATION].is_refuted
+    assert core.crashes.records.crash_by_incarnation[INCARNATION].is_refuted
 
 
 def test_an_incarnation_is_probed_twice_and_then_left_to_the_list(core):
--- a/tests/decide/test_crashfleet.py
+++ b/tests/decide/test_crashfleet.py
@@ -129,7 +129,7 @@
     made.run(15.0)
     made.start_host("entry-0", 0)
     made.run(3.0)
-    crashes = made.core_by_name["entry-0"].crashes.crash_by_incarnation
+    crashes = made.core_by_name["entry-0"].crashes.records.crash_by_incarnation
     assert len(crashes) == len(made.crashes) == 2
 
 
--- a/tests/decide/test_prompts.py
+++ b/tests/decide/test_prompts.py
@@ -187,5 +187,5 @@
     now += datetime.timedelta(seconds=5)
     sent = made.step(now, [arrival("r2", now)])[-1]
     made.step(now, [events.FirstToken(sent.request_id, 0, 10)])
-    (crash,) = made.crashes.crash_by_incarnation.values()
+    (crash,) = made.crashes.records.crash_by_incarnation.values()
     assert not crash.is_refuted
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -21,7 +21,7 @@
     gateway,
     gossip,
     incarnations,
-    quarantine,
+    quarantinerecords,
     routes,
     sends,
     targetlist,
@@ -57,11 +57,13 @@
 def judge(core, after):
     """Tick `after` seconds from `NOW`; return the quarantine and the commands."""
     found = core.step(NOW + after * SECOND, [events.Tick()])
-    return set(core.quarantine.record_by_fingerprint), found
+    return set(core.quarantine.records.record_by_fingerprint), found
 
 
 def writes(found):
-    return [item for item in found if isinstance(item, quarantine.WriteQuarantine)]
+    return [
+        item for item in found if isinstance(item, quarantinerecords.WriteQuarantine)
+    ]
 
 
 def crash_thrice(core):
@@ -262,10 +264,10 @@
     made = gossip.QuarantinedRequest(
         BAD, written[0].decided_at, 3, revision=places.at(9)
     )
-    core.step(NOW + 2.6 * SECOND, [quarantine.QuarantineWritten(made)])
+    core.step(NOW + 2.6 * SECOND, [quarantinerecords.QuarantineWritten(made)])
     assert writes(judge(core, 9.0)[1]) == []
     started = make_core()
-    started.step(NOW, [quarantine.QuarantinesListed((made,), places.at(20))])
+    started.step(NOW, [quarantinerecords.QuarantinesListed((made,), places.at(20))])
     assert code_of(started) is commands.Code.QUARANTINED
 
 
@@ -285,7 +287,7 @@
 
 def test_an_unwritten_record_is_written_once_the_platform_is_back(core):
     crash_thrice(core)
-    core.step(NOW + 3 * SECOND, [quarantine.QuarantineWriteFailed(BAD)])
+    core.step(NOW + 3 * SECOND, [quarantinerecords.QuarantineWriteFailed(BAD)])
     assert writes(judge(core, 3.1)[1]) == []
     assert writes(judge(core, 5.0)[1])
 
@@ -294,13 +296,13 @@
     record = gossip.QuarantinedRequest(
         BAD, decided_at, 3, tries, revision=places.at(9 + tries)
     )
-    core.step(NOW, [quarantine.QuarantineRead(record)])
+    core.step(NOW, [quarantinerecords.QuarantineRead(record)])
     return record
 
 
 def test_a_request_is_sent_again_after_an_operator_lifts_its_quarantine(core):
     record = quarantined(core)
-    core.step(NOW + SECOND, [quarantine.QuarantineLifted(BAD)])
+    core.step(NOW + SECOND, [quarantinerecords.QuarantineLifted(BAD)])
     assert code_of(core) is None
     late = gossip.CrashNews(quarantined=(record,))
     core.quarantine.merge(late, NOW + 2 * SECOND)
@@ -309,13 +311,13 @@
 
 def test_a_record_that_the_list_lacks_is_lifted(core):
     quarantined(core)
-    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), places.at(20))])
+    core.step(NOW + SECOND, [quarantinerecords.QuarantinesListed((), places.at(20))])
     assert code_of(core) is None
 
 
 def test_an_older_list_lifts_nothing(core):
     quarantined(core)
-    core.step(NOW + SECOND, [quarantine.QuarantinesListed((), places.at(8))])
+    core.step(NOW + SECOND, [quarantinerecords.QuarantinesListed((), places.at(8))])
     assert code_of(core) is commands.Code.QUARANTINED
 
 
@@ -326,7 +328,7 @@
     (wanted,) = writes(judge(core, 11 * 60)[1])
     assert wanted.is_trial
     tried = gossip.QuarantinedRequest(BAD, NOW, 3, 1, revision=places.at(10))
-    core.step(NOW + 11 * MINUTE, [quarantine.QuarantineWritten(tried, True)])
+    core.step(NOW + 11 * MINUTE, [quarantinerecords.QuarantineWritten(tried, True)])
     assert code_of(core, after=11 * 60) is None
     assert code_of(core, after=11 * 60) is commands.Code.QUARANTINED
     assert writes(judge(core, 60 * 60)[1]) == []
@@ -342,7 +344,7 @@
         record = gossip.QuarantinedRequest(
             BAD, NOW, crashes, tried, revision=places.at(9 + tried)
         )
-        core.step(NOW, [quarantine.QuarantineRead(record)])
+        core.step(NOW, [quarantinerecords.QuarantineRead(record)])
         wanted = writes(judge(core, (tried + 1) * 24 * 60 * 60)[1])
         assert len(wanted) == (tried < tries)
 
@@ -352,7 +354,7 @@
     core.quarantine.record_success(BAD, NOW + 11 * MINUTE)
     assert code_of(core, after=11 * 60) is None
     found = core.step(NOW + 11 * MINUTE, [])
-    assert quarantine.RemoveQuarantine(BAD) in found
+    assert quarantinerecords.RemoveQuarantine(BAD) in found
 
 
 def test_records_of_crashes_and_quarantines_are_bounded(core):
@@ -363,8 +365,8 @@
             3,
             revision=places.at(9),
         )
-        core.quarantine.handle(quarantine.QuarantineRead(record), NOW)
-    assert len(core.quarantine.record_by_fingerprint) == 1024
+        core.quarantine.handle(quarantinerecords.QuarantineRead(record), NOW)
+    assert len(core.quarantine.records.record_by_fingerprint) == 1024
     for number in range(600):
         record = gossip.TargetCrash(
             incarnations.TargetIncarnation(f"x{number}"),
@@ -373,7 +375,7 @@
             (f"{number:032x}", BAD),
         )
         core.crashes.merge([record], ())
-    assert len(core.crashes.crash_by_incarnation) == 128
+    assert len(core.crashes.records.crash_by_incarnation) == 128
 
 
 def test_a_message_has_room_for_the_suspects_of_several_crashes():
--- a/tests/support/crashfleet.py
+++ b/tests/support/crashfleet.py
@@ -19,7 +19,7 @@
     fingerprints,
     gateway,
     gossip,
-    quarantine,
+    quarantinerecords,
     reach,
     revisions,
     sends,
@@ -113,7 +113,9 @@
         self._feed(name, targetlist.TargetsListed(self._listed_targets()))
         if not self.platform_is_away:
             records = tuple(self._quarantined.values())
-            self._feed(name, quarantine.QuarantinesListed(records, places.at(10**6)))
+            self._feed(
+                name, quarantinerecords.QuarantinesListed(records, places.at(10**6))
+            )
 
     def _names(self):
         return list(self.core_by_name)
@@ -155,11 +157,13 @@
                 self.after(0.01, self._give_opinions, name, command)
             case reach.ProbeReach():
                 self.after(0.003, self._probe_reach, name, command)
-            case quarantine.WriteQuarantine():
+            case quarantinerecords.WriteQuarantine():
                 self.after(0.01, self._write, name, command)
-            case quarantine.RemoveQuarantine():
+            case quarantinerecords.RemoveQuarantine():
                 self._quarantined.pop(command.fingerprint, None)
-                self._announce_change(quarantine.QuarantineLifted(command.fingerprint))
+                self._announce_change(
+                    quarantinerecords.QuarantineLifted(command.fingerprint)
+                )
 
     def _deliver(self, sender, receiver, event):
         if sender not in self.cut_hosts and receiver not in self.cut_hosts:
@@ -195,14 +199,18 @@
         record = command.record
         known = self._quarantined.get(record.fingerprint)
         if self.platform_is_away:
-            self._feed(name, quarantine.QuarantineWriteFailed(record.fingerprint))
+            self._feed(
+                name, quarantinerecords.QuarantineWriteFailed(record.fingerprint)
+            )
         elif (known.revision if known else revisions.NEVER) != record.revision:
-            self._feed(name, quarantine.QuarantineRead(known))
+            self._feed(name, quarantinerecords.QuarantineRead(known))
         else:
             made = dataclasses.replace(record, revision=places.at(next(self._revision)))
             self._quarantined[record.fingerprint] = made
-            self._feed(name, quarantine.QuarantineWritten(made, command.is_trial))
-            self._announce_change(quarantine.QuarantineRead(made))
+            self._feed(
+                name, quarantinerecords.QuarantineWritten(made, command.is_trial)
+            )
+            self._announce_change(quarantinerecords.QuarantineRead(made))
 
     def _announce_change(self, event):
         for name in self._names():
