Blame what requests have in common: parts of prompts that crash engines

Callers got no summaries, drafts or tags while requests with one part in their prompts ended engine after engine. Cause: evidence, isolation and refusal were kept for the whole request alone, so that each new request began at nothing. The class: blame is kept for one key where the cause may be any property that requests share.

A run now has several keys, its own fingerprint and those of all parts of its prompt but the last, keyed by account, and evidence, isolation, refusal, record, trial and clearing ask the same modules for each. What differs by kind is in culprits.Terms: a part is suspected from two crashes that are 0.1 s apart, needs four crashes, three of them 0.5 s apart, and is cleared by a run that began well and lived 0.25 s; crashes within a second of that don't count, since sound requests share parts. Of several parts the one that has not run well for longer is it; a whole request that ran in all crashes goes first. A run's parts are no suspects once its answer has long begun.

--- a/packages/decide/sesamespindle/decide/calls.py
+++ b/packages/decide/sesamespindle/decide/calls.py
@@ -122,7 +122,7 @@
         if event.key and self._answer_repeat(event):
             return
         fingerprint = self._fingerprints.of(event.account, event.fingerprint.encode())
-        refusal = self._quarantine.refusal(fingerprint, now)
+        refusal = self._quarantine.refusal((fingerprint,), now)
         if refusal is not None:
             refusals.refuse_quarantined(self._state, event.request_id, refusal)
             return
@@ -402,7 +402,7 @@
 
         def permitted_targets(targets):
             return self._quarantine.permitted_targets(
-                row.request_fingerprint, targets, now
+                (row.request_fingerprint,), targets, now
             )
 
         target = routing.choose_service(
@@ -454,7 +454,7 @@
             )
         may_retry = row.repeatable and not timed_out
         # This attempt counts as one possible crash; after a second there is no retry.
-        if self._quarantine.possible_crash_count(row.request_fingerprint) > 1:
+        if self._quarantine.possible_crash_count((row.request_fingerprint,)) > 1:
             may_retry = False
         if may_retry and self._state.budget_by_pool[row.pool].spend():
             self._send(row, now)
--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -93,7 +93,7 @@
         rows = untried or rows
         if connection_limit is not None:
             rows = [row for row in rows if row.running_here < connection_limit]
-        return self._quarantine.permitted_targets(flight.fingerprint, rows, now)
+        return self._quarantine.permitted_targets(flight.keys, rows, now)
 
     def staying(self, service):
         """Return the targets of a service that are listed and don't leave."""
@@ -104,7 +104,7 @@
         rows = self.staying(flight.service)
         if rows and not self._stream_versions.permitted_targets(rows, flight, now):
             return commands.Code.VERSION_GONE
-        if self._quarantine.possible_crash_count(flight.fingerprint) > 1:
+        if self._quarantine.possible_crash_count(flight.keys) > 1:
             return commands.Code.SUSPECTED
         if self._held_targets.rest_left(rows, now) is not None:
             return commands.Code.RESTING
--- a/packages/decide/sesamespindle/decide/carriers.py
+++ b/packages/decide/sesamespindle/decide/carriers.py
@@ -81,7 +81,7 @@
             return None
         flight.incarnation, flight.sent_at, flight.version = None, None, None
         flight.sent_software = ""
-        flight.has_begun = False
+        flight.begun_at = None
         flight.carrier = peer.name
         flight.has_carrier_answered = False
         flight.sends += 1
--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -169,8 +169,8 @@
         Parameters
         ----------
         fingerprint : str
-            The request's fingerprint. Nothing is recorded if it is empty, that is, not
-            known.
+            Of the request or of a part of its prompt. Nothing is recorded if it is
+            empty, that is, not known.
         incarnation : incarnations.TargetIncarnation
             The incarnation that the run was sent to.
         sent_at, now : datetime.datetime
@@ -270,16 +270,22 @@
         crash = crashrecords.Crash(incarnation, broken.service, broken.at, suspects)
         self.records.record(crash, evidence)
 
-    def possible_crashes(self, fingerprint):
-        """Return the number of possible crashes of a request.
+    def possible_crash_times(self, fingerprint):
+        """Return when a request or part may have crashed targets.
 
-        These are the incarnations at which a run of the request broke and whose end is
-        not yet confirmed.
+        These are the targets at which a run of it broke and whose end is not yet
+        confirmed.
+
+        Returns
+        -------
+        times : list of datetime.datetime
         """
-        return sum(
-            fingerprint in broken.fingerprints
+        return [
+            broken.at
             for broken in self._broken_runs_by_incarnation.values()
-        )
+            if fingerprint in broken.fingerprints
+            and self.records.is_after_success(fingerprint, broken.at)
+        ]
 
     def tick(self, now):
         """Confirm or dismiss possible crashes, and drop outdated records.
--- a/packages/decide/sesamespindle/decide/crashrecords.py
+++ b/packages/decide/sesamespindle/decide/crashrecords.py
@@ -1,9 +1,10 @@
 """Records of target crashes, with the requests that were in flight at each."""
 
+import collections
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, gossip, incarnations
+from sesamespindle.decide import commands, fingerprints, gossip, incarnations
 
 # Two hosts' timestamps of one event may differ by this much: gossip carries the age of
 # an event, and each host converts it to a time by its own clock.
@@ -12,8 +13,15 @@
 # crashes targets may come again after minutes.
 MAX_CRASHES = 128
 _RETENTION = datetime.timedelta(hours=1)
-# A request is a repeated suspect from this many crashes on.
+# A request or part is a repeated suspect from this many crashes on.
 _REPEATED_FROM = 2
+# A part that ran well isn't the cause of crashes so soon after. Sound requests share
+# parts, and have runs under way wherever targets crash.
+_PASS_HOLDS_FOR = datetime.timedelta(seconds=1)
+# The parts that are known to have run well here, the latest ones.
+_MAX_PASSED = 4096
+# The suspects of one crash. Callers choose how many parts their prompts list.
+_MAX_SUSPECTS = 512
 # A crash is announced in this many gossip rounds, for the same reason as a weight
 # version; see `world.VERSION_ROUNDS`.
 _ANNOUNCED_ROUNDS = 10
@@ -37,8 +45,8 @@
     at : datetime.datetime
         When its first connection broke.
     suspects : set of str
-        The fingerprints of the requests in flight, those of this host and those that
-        other hosts announced.
+        The fingerprints of the requests in flight, and of the parts of those prompts
+        whose answers had not begun; of this host, and announced by others.
     is_refuted : bool
         Whether the incarnation answered later, so that it had not ended.
     rounds : int
@@ -90,11 +98,33 @@
         # Fingerprints that are suspects of `_REPEATED_FROM` crashes or more.
         self._repeated = set()
         self._successful_run_by_fingerprint = {}
+        # When parts last ran well at this host, by fingerprint.
+        self._passed_at_by_part = collections.OrderedDict()
 
-    def record_success(self, fingerprint, now):
-        """Record a successful run: the request did not cause the crashes before it."""
-        if fingerprint in self._incarnations_by_fingerprint:
-            self.clear(fingerprint, now)
+    def record_success(self, fingerprint, at):
+        """Record a successful run: it did not cause the crashes before.
+
+        Of a part it is announced only if a crash counts against that, as many requests
+        share parts.
+
+        Parameters
+        ----------
+        at : datetime.datetime
+            When the run ended well, or when that with a part began to answer.
+        """
+        if not fingerprints.is_of_part(fingerprint):
+            if fingerprint in self._incarnations_by_fingerprint:
+                self.clear(fingerprint, at)
+            return
+        crashes = self.crashes_against(fingerprint)
+        if crashes:
+            self.clear(fingerprint, at)
+        if len(crashes) >= _REPEATED_FROM:
+            self._state.emit(commands.Note("part_cleared", fingerprint))
+        self._passed_at_by_part[fingerprint] = at
+        self._passed_at_by_part.move_to_end(fingerprint)
+        if len(self._passed_at_by_part) > _MAX_PASSED:
+            self._passed_at_by_part.popitem(last=False)
 
     def clear(self, fingerprint, at):
         """Stop counting crashes up to a time against a request.
@@ -102,9 +132,12 @@
         Guards against hosts that announce one clearing to each other without end. Each
         host converts the announced age to a time a few milliseconds later than the one
         before, so the clearing looks new each time. A time within the tolerance of the
-        known one is taken for the same clearing and is not announced again.
+        known one is taken for the same clearing and is not announced again, unless a
+        crash still counts that it clears.
         """
-        if at - CLOCK_TOLERANCE > self.cleared_at(fingerprint, at - _RETENTION):
+        is_new = at - CLOCK_TOLERANCE > self.cleared_at(fingerprint, at - _RETENTION)
+        crashes = self.crashes_against(fingerprint)
+        if is_new or any(crash.at <= at for crash in crashes):
             self._successful_run_by_fingerprint[fingerprint] = _SuccessfulRun(at)
             self._state.must_announce_crashes = True
 
@@ -117,7 +150,9 @@
             Returned if the request was never cleared.
         """
         served = self._successful_run_by_fingerprint.get(fingerprint)
-        return served.at if served is not None else default
+        passed_at = self._passed_at_by_part.get(fingerprint)
+        times = [at for at in (served and served.at, passed_at) if at is not None]
+        return max(times, default=default)
 
     def crashes_against(self, fingerprint):
         """Return the crashes that count against a request, in no particular order.
@@ -131,9 +166,12 @@
         return [crash for crash in crashes if self._counts(fingerprint, crash)]
 
     def _counts(self, fingerprint, crash):
-        if crash.is_refuted:
-            return False
-        return crash.at > self.cleared_at(fingerprint, crash.at - _RETENTION)
+        return not crash.is_refuted and self.is_after_success(fingerprint, crash.at)
+
+    def is_after_success(self, fingerprint, at):
+        """Return whether the last successful run shows nothing of a crash at a time."""
+        cleared_at = self.cleared_at(fingerprint, at - _RETENTION)
+        return at > cleared_at + _holds_for(fingerprint)
 
     def repeated_suspects(self):
         """Return the fingerprints that were in flight in two crashes or more."""
@@ -154,6 +192,7 @@
 
     def record(self, crash, evidence):
         """Record a crash; `evidence` says for the log what shows it."""
+        crash.suspects = _bounded(crash.suspects)
         self.crash_by_incarnation[crash.incarnation] = crash
         name, ended_count = crash.incarnation.name, crash.incarnation.born + 1
         self._ended_count_by_name[name] = max(
@@ -163,15 +202,15 @@
         while len(self.crash_by_incarnation) > MAX_CRASHES:
             self._forget(next(iter(self.crash_by_incarnation.values())))
 
-    def add_suspects(self, crash, fingerprints):
-        """Add requests that were in flight in a known crash."""
-        added = fingerprints - crash.suspects
+    def add_suspects(self, crash, suspects):
+        """Add requests and parts that were in flight in a known crash."""
+        added = _bounded(suspects - crash.suspects, _MAX_SUSPECTS - len(crash.suspects))
         if added:
             crash.suspects |= added
             self._index_suspects(crash, added, "known before")
 
-    def _index_suspects(self, crash, fingerprints, evidence):
-        for fingerprint in fingerprints:
+    def _index_suspects(self, crash, suspects, evidence):
+        for fingerprint in suspects:
             crashed_incarnations = self._incarnations_by_fingerprint.setdefault(
                 fingerprint, set()
             )
@@ -179,7 +218,7 @@
             if len(crashed_incarnations) >= _REPEATED_FROM:
                 self._repeated.add(fingerprint)
         self._announce(crash)
-        self._log_crash(crash, fingerprints, evidence)
+        self._log_crash(crash, suspects, evidence)
 
     def _announce(self, crash):
         crash.rounds = _ANNOUNCED_ROUNDS
@@ -294,12 +333,28 @@
         if received.is_refuted and not known.is_refuted:
             self.refute(known)
 
-    def _log_crash(self, crash, fingerprints, evidence):
-        names = ", ".join(sorted(fingerprints))
+    def _log_crash(self, crash, suspects, evidence):
+        parts = sorted(filter(fingerprints.is_of_part, suspects))
+        whole = sorted(suspects.difference(parts))
         self._state.emit(
             commands.Note(
                 "target_crashed",
                 crash.incarnation.name,
-                f"{len(fingerprints)} requests under way: {names}; end: {evidence}",
+                f"{len(whole)} requests under way: {', '.join(whole)}; "
+                f"{len(parts)} parts not begun: {', '.join(parts)}; end: {evidence}",
             )
         )
+
+
+def _holds_for(fingerprint):
+    """Return how long after a successful run crashes don't count."""
+    if fingerprints.is_of_part(fingerprint):
+        return _PASS_HOLDS_FOR
+    return datetime.timedelta(0)
+
+
+def _bounded(suspects, most=_MAX_SUSPECTS):
+    """Return at most so many of some suspects, whole requests first."""
+    if len(suspects) <= most:
+        return suspects
+    return set(sorted(suspects, key=fingerprints.is_of_part)[: max(most, 0)])
--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -1,14 +1,24 @@
-"""Finds the requests that caused the crashes of targets."""
+"""Finds what caused the crashes of targets: whole requests, or parts of prompts.
 
+Each has a fingerprint, and the same logic judges all of them by `Terms` of their kind.
+"""
+
+import dataclasses
 import datetime
 
-# The number of crashes under one request from which it is refused.
+from sesamespindle.decide import fingerprints
+
+# The number of crashes under one request, or of separate ones under one part, from
+# which it is refused.
 QUARANTINED_FROM = 3
 # The number of crashes from which a request is refused in any case, even if other
 # suspects ran beside it each time or its targets crashed together with others. After
 # the third crash at most three more runs are allowed in all. These include the trial
 # runs of `_TRIALS_AFTER`; one is left for a host that learns of the crashes late.
-ALWAYS_QUARANTINED_FROM = 5
+_ALWAYS_QUARANTINED_FROM = 5
+# A part may crash two more targets: it is known from the fifth crash on, and three runs
+# are allowed after that, one of them for a host that learns of the crashes late.
+_MOST_CRASHES_OF_PART = 7
 # The number of uncorrelated crashes that a quarantine needs, as one may be chance.
 _MIN_UNCORRELATED = 2
 # Crashes of one service at most this far apart are correlated.
@@ -19,10 +29,59 @@
 # After this long the host has received what others saw of a crash. This covers three
 # rounds of urgent gossip and the delay of a busy host.
 REPORTED_WITHIN = datetime.timedelta(seconds=0.5)
+# Before anything that is known.
+_LONG_AGO = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """How much evidence convicts a fingerprint of one kind.
+
+    Attributes
+    ----------
+    by_chance : int
+        The number of crashes that an innocent one may have run in.
+    apart : datetime.timedelta
+        Crashes less than this apart are not separate.
+    decided_apart : datetime.timedelta
+        The same, for the crashes that a quarantine needs.
+    most_crashes : int
+        The most crashes in all, with those of trial runs.
+    """
+
+    by_chance: int
+    apart: datetime.timedelta
+    decided_apart: datetime.timedelta
+    most_crashes: int
+
+
+_WHOLE_REQUEST = Terms(
+    0, datetime.timedelta(0), datetime.timedelta(0), _ALWAYS_QUARANTINED_FROM
+)
+# Sound requests share parts: a part that many of them bear is under way at all targets
+# that end at one moment, by a loss of power, so that these are one crash. Runs of a
+# suspect come one after the other, held back until the crash before is reported.
+_PART = Terms(
+    1, datetime.timedelta(seconds=0.1), REPORTED_WITHIN, _MOST_CRASHES_OF_PART
+)
+
+
+def terms_of(fingerprint):
+    """Return the `Terms` of a fingerprint's kind."""
+    return _PART if fingerprints.is_of_part(fingerprint) else _WHOLE_REQUEST
+
+
+def count_separate(times, apart):
+    """Return how many of some times are apart from the one counted before."""
+    count, latest = 0, None
+    for at in sorted(times):
+        if latest is None or at - latest >= apart:
+            count, latest = count + 1, at
+    return count
 
 
 class Culprits:
-    """Judges which requests caused the crashes during which they were in flight.
+    """Judges which requests or parts caused the crashes during which they ran.
 
     Parameters
     ----------
@@ -37,69 +96,148 @@
         self._quarantined = quarantine_records
 
     def counted_crashes(self, fingerprint):
-        """Return the crashes that a request may have caused.
+        """Return the crashes that a request or part may have caused.
 
-        A crash with a quarantined request among its suspects is attributed to that one
-        and counts against no other request.
+        A crash with a quarantined one among its suspects is attributed to that one and
+        counts against no other. A whole request explains no crash of a part: it may
+        have crashed its targets by that part.
         """
-        return [
-            crash
-            for crash in self._crashes.crashes_against(fingerprint)
-            if not self._is_explained(crash)
-        ]
+        crashes = self._crashes.crashes_against(fingerprint)
+        explains = self._explaining(fingerprint)
+        return [crash for crash in crashes if explains.isdisjoint(crash.suspects)]
+
+    def _explaining(self, fingerprint):
+        """Return the quarantined fingerprints that explain crashes of another one."""
+        quarantined = self._quarantined.record_by_fingerprint.keys()
+        if not fingerprints.is_of_part(fingerprint):
+            return quarantined
+        return {other for other in quarantined if fingerprints.is_of_part(other)}
 
-    def _is_explained(self, crash):
-        return not crash.suspects.isdisjoint(self._quarantined.record_by_fingerprint)
+    def suspicion(self, fingerprint, unsure=()):
+        """Return how many separate crashes speak against a request or part.
+
+        Those that may be by chance are left out.
+
+        Parameters
+        ----------
+        unsure : sequence of datetime.datetime
+            When runs of it broke at targets whose end is not yet confirmed.
+        """
+        times = [crash.at for crash in self.counted_crashes(fingerprint)]
+        terms = terms_of(fingerprint)
+        count = count_separate([*times, *unsure], terms.apart)
+        return max(0, count - terms.by_chance)
 
     def all_reported(self, crashes, now):
         """Return whether the reports of all hosts on some crashes are known."""
         return now - max(crash.at for crash in crashes) >= REPORTED_WITHIN
 
     def causes(self, now):
-        """Yield the fingerprints of the requests that caused crashes.
+        """Yield the fingerprints of the requests and parts that caused crashes.
 
-        Those with the most crashes come first, as each quarantine clears the other
-        suspects of these crashes.
+        Those with the most crashes come first, and of parts those that have not run
+        well for longer, as each quarantine clears the other suspects of these crashes.
 
         Yields
         ------
         fingerprint : str
         crashes : list of crashrecords.Crash
-            Those that the request caused.
+            Those that it caused.
         """
         found = [
             (fingerprint, self.counted_crashes(fingerprint))
             for fingerprint in self._crashes.repeated_suspects()
             if fingerprint not in self._quarantined.record_by_fingerprint
         ]
-        found.sort(key=lambda item: (-len(item[1]), item[0]))
+        found.sort(key=self._order_of_judgement)
         for fingerprint, _ in found:
             crashes = self.counted_crashes(fingerprint)
-            if len(crashes) < QUARANTINED_FROM or not self.all_reported(crashes, now):
+            if not self._suffice(fingerprint, crashes):
+                continue
+            if not self.all_reported(crashes, now):
                 continue
             if self._is_cause(fingerprint, crashes):
                 yield fingerprint, crashes
 
+    def _order_of_judgement(self, item):
+        """Return the sort key of a fingerprint and its crashes."""
+        fingerprint, crashes = item
+        is_part = fingerprints.is_of_part(fingerprint)
+        passed_at = self._passed_at(fingerprint) if is_part else _LONG_AGO
+        return is_part, passed_at, -len(crashes), fingerprint
+
+    def _suffice(self, fingerprint, crashes):
+        """Return whether there are crashes enough for a quarantine."""
+        terms = terms_of(fingerprint)
+        if len(crashes) < QUARANTINED_FROM + terms.by_chance:
+            return False
+        times = [crash.at for crash in crashes]
+        return count_separate(times, terms.decided_apart) >= QUARANTINED_FROM
+
     def _is_cause(self, fingerprint, crashes):
-        """Return whether a request caused the crashes under it.
+        """Return whether a request or part caused the crashes under it.
 
-        Guards against harmless requests that are refused. There are three kinds. Some
-        ran beside the cause several times: each of their crashes has another suspect
-        with as many crashes. Some were in flight in correlated crashes: targets that
-        didn't run them crashed at the same time. Some are sent by many callers: they
-        ran at all targets that crashed together in one event.
+        Guards against harmless ones that are refused. There are four kinds. Some ran
+        beside the cause several times: each of their crashes has another suspect that
+        is worse. Some were in flight in correlated crashes: targets that didn't run
+        them crashed at the same time. Some are sent by many callers: they ran at all
+        targets that crashed together in one event. Some are parts of one request alone.
         """
-        if len(crashes) >= ALWAYS_QUARANTINED_FROM:
-            return True
+        if _are_of_one_request(fingerprint, crashes):
+            return False
+        if len(crashes) >= _ALWAYS_QUARANTINED_FROM:
+            return self._is_worst(fingerprint, crashes, crashes, may_tie=True)
         uncorrelated = self.uncorrelated_crashes(fingerprint, crashes)
         if _are_one_event(uncorrelated):
             return False
-        is_main_suspect = any(
-            not self._has_other_suspect(crash, len(crashes), fingerprint)
-            for crash in uncorrelated
-        )
+        is_main_suspect = self._is_worst(fingerprint, crashes, uncorrelated)
         return len(uncorrelated) >= _MIN_UNCORRELATED and is_main_suspect
 
+    def _is_worst(self, fingerprint, crashes, judged, may_tie=False):
+        """Return whether one of the judged crashes has no suspect that is worse.
+
+        Parameters
+        ----------
+        crashes, judged : list of crashrecords.Crash
+            All crashes that count against the fingerprint, and some of them.
+        may_tie : bool
+            Whether only those are worse that are so beyond doubt.
+        """
+        if may_tie and not fingerprints.is_of_part(fingerprint):
+            return True
+        return any(
+            not any(
+                self._is_worse(other, fingerprint, len(crashes), may_tie)
+                for other in crash.suspects
+                if other != fingerprint
+            )
+            for crash in judged
+        )
+
+    def _is_worse(self, other, fingerprint, count, may_tie):
+        """Return whether another suspect fits the crashes of a fingerprint better.
+
+        One with more crashes does. With as many, a whole request does rather than a
+        part, as fewer requests are refused by it. Of two parts with crashes enough the
+        one does that has not run well for longer: sound requests share the other, which
+        runs in the crashes of all parts that they come with.
+        """
+        crashes = self.counted_crashes(other)
+        are_parts = [fingerprints.is_of_part(item) for item in (fingerprint, other)]
+        if all(are_parts) and self._suffice(other, crashes):
+            passed, other_passed = map(self._passed_at, (fingerprint, other))
+            if passed != other_passed:
+                return other_passed < passed
+        if len(crashes) != count:
+            return len(crashes) > count
+        if any(are_parts) and not all(are_parts):
+            return fingerprints.is_of_part(fingerprint)
+        return not may_tie
+
+    def _passed_at(self, part):
+        """Return when a part last ran well; long ago if that isn't known."""
+        return self._crashes.cleared_at(part, _LONG_AGO)
+
     def uncorrelated_crashes(self, fingerprint, crashes):
         """Return the crashes of a request that others don't explain by their time."""
         if len(crashes) < _MIN_UNCORRELATED:
@@ -114,12 +252,13 @@
         A target doesn't count if another request that ran there has enough crashes to
         be quarantined, as that one may be the cause.
         """
+        explains = self._explaining(fingerprint)
         return any(
             abs(other.at - crash.at) <= _CORRELATED_WITHIN
             and other.service == crash.service
             and fingerprint not in other.suspects
             and not other.is_refuted
-            and not self._is_explained(other)
+            and explains.isdisjoint(other.suspects)
             and not self._has_other_suspect(other, QUARANTINED_FROM, fingerprint)
             for other in self._crashes.crash_by_incarnation.values()
         )
@@ -142,6 +281,14 @@
         )
 
 
+def _are_of_one_request(fingerprint, crashes):
+    """Return whether one whole request ran in all crashes of a part."""
+    if not fingerprints.is_of_part(fingerprint):
+        return False
+    common = set.intersection(*(crash.suspects for crash in crashes))
+    return not all(fingerprints.is_of_part(other) for other in common)
+
+
 def _are_one_event(crashes):
     """Return whether targets crashed together, each while it ran several requests."""
     times = [crash.at for crash in crashes]
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -114,8 +114,10 @@
         The target incarnations that it was sent to.
     version : int or None
         The weight version of its last send; None for plain services.
-    has_begun : bool
-        Whether an answer to its last send has begun to arrive.
+    begun_at : datetime.datetime or None
+        When the answer to its last send began to arrive; None if it has not.
+    has_passed : bool
+        Whether the parts of its prompt are known to run well.
     carrier : str
         The name of the peer that carries it now; empty if none does.
     has_carrier_answered : bool
@@ -145,7 +147,8 @@
     sent_at: datetime.datetime | None = None
     tried: set = dataclasses.field(default_factory=set)
     version: int | None = None
-    has_begun: bool = False
+    begun_at: datetime.datetime | None = None
+    has_passed: bool = False
     carrier: str = ""
     has_carrier_answered: bool = False
     failed_from: datetime.datetime | None = None
@@ -153,6 +156,16 @@
     software: str = ""
     sent_software: str = ""
 
+    @property
+    def has_begun(self):
+        """Whether an answer to its last send has begun to arrive."""
+        return self.begun_at is not None
+
+    @property
+    def keys(self):
+        """The fingerprints by which crashes may be attributed to it."""
+        return (self.fingerprint, *self.parts) if self.fingerprint else self.parts
+
     def is_engine_prompt(self, service):
         """Return whether it is a prompt, and a service is known and has engines."""
         return service is not None and bool(service.engines and self.request.model)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -56,6 +56,8 @@
 # A request that may be repeated is withdrawn from a service that has been unreached for
 # this long, and carried by a peer. Sound targets may be silent for a second.
 _WITHDRAWN_AFTER = datetime.timedelta(milliseconds=1500)
+# A target that a part of a prompt crashes ends within this time of the first byte.
+_BEGINS_WELL_AFTER = datetime.timedelta(milliseconds=250)
 # Number of route ranks that are distinguished within one account rank. Targets
 # have ten urgency levels, enough for three account ranks of three route ranks.
 _ROUTE_RANKS = 3
@@ -179,13 +181,14 @@
         account_name = account.name if account is not None else ""
         fingerprint = self._fingerprints.of(account_name, request.content)
         parts = self._fingerprints.of_parts(account_name, request.prompt)
-        refusal = self._quarantine.refusal(fingerprint, now)
+        keys = (fingerprint, *parts) if fingerprint else parts
+        refusal = self._quarantine.refusal(keys, now)
         if refusal is not None:
             return commands.Refuse(
                 request.request_id,
                 refusal.code,
                 commands.Outcome.NOT_RUN,
-                f"{refusal.message} Its fingerprint is {fingerprint}.",
+                refusal.message,
                 refusal.retry_after,
             )
         if self._origins.must_refuse(request, route, now):
@@ -270,7 +273,7 @@
         flight = self.flight_by_request.get(request_id)
         if flight is None:
             return
-        flight.has_begun = True
+        flight.begun_at = now
         row = self._state.target_in(flight.incarnation)
         if row is None:
             return
@@ -306,6 +309,8 @@
     def tick(self, now):
         """Withdraw sends whose answer can't begin in time where they are."""
         for flight in self.flight_by_request.values():
+            if flight.has_begun:
+                self._note_passed(flight, now)
             if flight.has_begun or flight.sent_at is None:
                 continue
             reason = self._withdrawal_reason(flight, now)
@@ -314,6 +319,28 @@
                     sends.Withdraw(flight.request.request_id, flight.sends, reason)
                 )
 
+    def _note_passed(self, flight, now):
+        """Record that the parts of a prompt don't crash its target, if that is known.
+
+        A part that crashes targets does so as they begin to write the answer.
+        """
+        if flight.has_passed:
+            return
+        is_direct = flight.sent_at is not None
+        if is_direct and now - flight.begun_at >= _BEGINS_WELL_AFTER:
+            self._note_parts_passed(flight)
+
+    def _note_success(self, flight, now):
+        """Record that a complete answer clears the request, and a target's its parts."""
+        self._quarantine.record_success(flight.fingerprint, now)
+        if flight.has_begun and flight.sent_at is not None:
+            self._note_parts_passed(flight)
+
+    def _note_parts_passed(self, flight):
+        flight.has_passed = True
+        for part in flight.parts:
+            self._quarantine.record_success(part, flight.begun_at)
+
     def _withdrawal_reason(self, flight, now):
         """Return why a send is to be withdrawn; empty if it isn't."""
         if self._is_stuck(flight, now):
@@ -373,16 +400,15 @@
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
         if flight.sent_at is not None:
-            self._crashes.record_abandoned_run(
-                flight.fingerprint, flight.incarnation, now
-            )
+            for key in _suspect_keys(flight, now):
+                self._crashes.record_abandoned_run(key, flight.incarnation, now)
         self._release(flight)
 
     def served(self, request_id, now):
         """Record that a caller has received a target's complete answer."""
         flight = self.flight_by_request.get(request_id)
         if flight is not None:
-            self._quarantine.record_success(flight.fingerprint, now)
+            self._note_success(flight, now)
             self._release(flight)
 
     def answer_broken(self, request_id, now):
@@ -486,7 +512,7 @@
         flight.sent_software = row.software
         flight.sends += 1
         flight.sent_at = now
-        flight.has_begun = False
+        flight.begun_at = None
         flight.tried.add(row.incarnation)
         row.running_here += 1
         self._reach.note_sent(row, now)
@@ -557,7 +583,7 @@
         """
         if maybe_ran and flight.route.repeats is routes.Repeats.ONCE:
             return False
-        if maybe_ran and self._quarantine.possible_crash_count(flight.fingerprint) > 1:
+        if maybe_ran and self._quarantine.possible_crash_count(flight.keys) > 1:
             return False
         departure = self._state.departure
         if departure is not None and departure.is_over:
@@ -583,13 +609,13 @@
             return
         match ending:
             case sends.Ending.LOST:
-                self._crashes.record_broken_run(
-                    flight.fingerprint, flight.incarnation, flight.sent_at, now
-                )
+                for key in _suspect_keys(flight, now):
+                    self._crashes.record_broken_run(
+                        key, flight.incarnation, flight.sent_at, now
+                    )
             case sends.Ending.SILENT | sends.Ending.WITHDRAWN:
-                self._crashes.record_abandoned_run(
-                    flight.fingerprint, flight.incarnation, now
-                )
+                for key in _suspect_keys(flight, now):
+                    self._crashes.record_abandoned_run(key, flight.incarnation, now)
             case sends.Ending.REFUSED:
                 self._crashes.note_refusal(flight.incarnation)
             case sends.Ending.WRONG_TARGET:
@@ -741,6 +767,16 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
+def _suspect_keys(flight, now):
+    """Return the keys of a request that its target may have crashed by.
+
+    Those of its parts are left out if its answer has long begun.
+    """
+    if flight.has_begun and now - flight.begun_at >= _BEGINS_WELL_AFTER:
+        return flight.keys[:1] if flight.fingerprint else ()
+    return flight.keys
+
+
 def _urgency(flight):
     """Return the urgency that a target sorts the request by, 0 first.
 
--- a/packages/decide/sesamespindle/decide/prompts.py
+++ b/packages/decide/sesamespindle/decide/prompts.py
@@ -128,7 +128,7 @@
             )
             return
         fingerprint = self._fingerprints.of(event.account, event.content)
-        refusal = self._quarantine.refusal(fingerprint, now)
+        refusal = self._quarantine.refusal((fingerprint,), now)
         if refusal is not None:
             refusals.refuse_quarantined(state, event.request_id, refusal)
             return
@@ -312,7 +312,7 @@
         state = self._state
 
         def permitted_targets(targets):
-            return self._quarantine.permitted_targets(row.fingerprint, targets, now)
+            return self._quarantine.permitted_targets((row.fingerprint,), targets, now)
 
         place = routing.choose(
             state, row, self.contexts, now, row.tried, permitted_targets
@@ -429,7 +429,7 @@
             self._refuse_taken_over(row, now)
         elif (
             row.may_have_run
-            and self._quarantine.possible_crash_count(row.fingerprint) > 1
+            and self._quarantine.possible_crash_count((row.fingerprint,)) > 1
         ):
             self._give_up(
                 row,
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -1,11 +1,12 @@
-"""Quarantine of requests that crash the targets that run them.
-
-A request is identified by its fingerprint, which stays the same when callers send it
-again with another id or to another host. After the first crash the host may retry it,
-at one target that all hosts choose alike. After the second crash no host retries it by
-itself; if the caller sends it again, it gets a target apart from those of other
-suspects. After the third crash it is refused, once the hosts have had time to receive
-what others saw of the crashes.
+"""Quarantine of requests, and of prompt parts, that crash the targets that run them.
+
+A request has several keys: its own fingerprint, which stays the same when callers send
+it again with another id or to another host, and those of the parts of its prompt that
+others may share. After the first crash the host may retry it, at one target that all
+hosts choose alike. After the second crash no host retries it by itself; what comes with
+the same key gets a target apart from those of other suspects. After the third crash it
+is refused, once the hosts have had time to receive what others saw of the crashes. A
+part is suspected one crash later, as sound requests share most parts.
 """
 
 import dataclasses
@@ -14,6 +15,7 @@
 from sesamespindle.decide import (
     commands,
     culprits,
+    fingerprints,
     gossip,
     hashing,
     quarantinerecords,
@@ -90,44 +92,75 @@
 
     # Decisions on requests.
 
-    def refusal(self, fingerprint, now):
-        """Return the `Refusal` of a request, or None if it may be sent."""
-        crashes = self._culprits.counted_crashes(fingerprint)
-        if len(crashes) >= culprits.QUARANTINED_FROM:
+    def refusal(self, keys, now):
+        """Return the `Refusal` of a request, or None if it may be sent.
+
+        Parameters
+        ----------
+        keys : tuple of str
+            The fingerprints of the request and of the shared parts of its prompt.
+        now : datetime.datetime
+            The current time.
+        """
+        for key in keys:
+            refusal = self._refusal_by(key, now)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def _refusal_by(self, key, now):
+        crashes = self._culprits.counted_crashes(key)
+        if self._culprits.suspicion(key) >= culprits.QUARANTINED_FROM:
             if not self._culprits.all_reported(crashes, now):
                 return self._refuse(
                     commands.Code.SUSPECTED,
-                    f"Targets crashed under this request, {len(crashes)} so far; "
+                    f"Targets crashed under {_name_of(key)}, {len(crashes)} so far; "
                     "reports of other hosts are awaited.",
+                    key,
                     culprits.REPORTED_WITHIN,
                 )
             # Decide now: this request would be sent before the next tick.
             self._quarantine_causes(now)
-        record = self.records.record_by_fingerprint.get(fingerprint)
-        if record is None or self.records.take_trial(fingerprint):
+        record = self.records.record_by_fingerprint.get(key)
+        if record is None or self.records.take_trial(key):
             return None
         return self._refuse(
             commands.Code.QUARANTINED,
-            f"Targets crash under this request, {record.crashes} so far.",
+            f"Targets crash under {_name_of(key)}, {record.crashes} so far.",
+            key,
             _RETRY_AFTER,
         )
 
-    def _refuse(self, code, message, base):
-        return Refusal(code, message, retries.with_jitter(base, self._state.random))
+    def _refuse(self, code, message, key, base):
+        retry_after = retries.with_jitter(base, self._state.random)
+        return Refusal(code, f"{message} Its fingerprint is {key}.", retry_after)
 
-    def possible_crash_count(self, fingerprint):
-        """Return the number of targets that may have crashed because of a request.
+    def possible_crash_count(self, keys):
+        """Return how many crashes a request may have caused, by any of its keys.
 
         It includes possible crashes that are not yet confirmed.
         """
-        if not fingerprint:
-            return 0
-        if fingerprint in self.records.record_by_fingerprint:
+        return max(map(self._possible_crashes_by, keys), default=0)
+
+    def _possible_crashes_by(self, key):
+        if key in self.records.record_by_fingerprint:
             return culprits.QUARANTINED_FROM
-        unsure = self._crashes.possible_crashes(fingerprint)
-        return len(self._culprits.counted_crashes(fingerprint)) + unsure
+        unsure = self._crashes.possible_crash_times(key)
+        return self._culprits.suspicion(key, unsure)
+
+    def _worst_suspect(self, keys):
+        """Return the key with the most possible crashes, or None if none is suspected.
 
-    def permitted_targets(self, fingerprint, rows, now):
+        Of equal ones the last counts, the most particular part of a prompt.
+        """
+        worst, most = None, 0
+        for key in keys:
+            count = self._possible_crashes_by(key)
+            if count and count >= most:
+                worst, most = key, count
+        return worst
+
+    def permitted_targets(self, keys, rows, now):
         """Return the target at which a suspect may run, or all for other requests.
 
         Guards against copies of one request that arrive at many hosts at once and
@@ -139,8 +172,8 @@
 
         Parameters
         ----------
-        fingerprint : str
-            Of the request; may be empty.
+        keys : tuple of str
+            The fingerprints of the request and of the shared parts of its prompt.
         rows : list of world.TargetRow
             The targets that may run the request.
         now : datetime.datetime
@@ -151,19 +184,17 @@
         rows : list of world.TargetRow
             All of `rows` for a request that isn't suspected, else one or none.
         """
-        if not rows or not self.possible_crash_count(fingerprint):
+        suspect = self._worst_suspect(keys) if rows else None
+        if suspect is None:
             return rows
+        has_crashed = self._crash_records.has_crashed
         incarnation_of = self._crashes.incarnation_of
-        alive = [
-            row
-            for row in rows
-            if not self._crash_records.has_crashed(incarnation_of(row))
-        ]
+        alive = [row for row in rows if not has_crashed(incarnation_of(row))]
         row_by_name = {row.name: row for row in alive or rows}
         names = set(row_by_name)
-        if self._needs_own_target(fingerprint):
-            names -= self._targets_of_others(fingerprint, names, now)
-        chosen = hashing.first(fingerprint, names)
+        if self._needs_own_target(suspect):
+            names -= self._targets_of_others(suspect, names, now)
+        chosen = hashing.first(suspect, names)
         return [row_by_name[chosen]] if chosen is not None else []
 
     def _targets_of_others(self, fingerprint, names, now):
@@ -180,25 +211,29 @@
         return taken
 
     def _reserves_target(self, fingerprint, now):
-        latest = max(
-            (crash.at for crash in self._culprits.counted_crashes(fingerprint)),
-            default=None,
-        )
+        crashes = self._culprits.counted_crashes(fingerprint)
+        latest = max((crash.at for crash in crashes), default=None)
         return latest is not None and now - latest < _OWN_TARGET_FOR
 
     def _needs_own_target(self, fingerprint):
         if fingerprint in self.records.record_by_fingerprint:
             return True
         crashes = self._culprits.counted_crashes(fingerprint)
-        return (
-            len(self._culprits.uncorrelated_crashes(fingerprint, crashes))
-            >= _OWN_TARGET_FROM
-        )
+        uncorrelated = self._culprits.uncorrelated_crashes(fingerprint, crashes)
+        return len(uncorrelated) >= _OWN_TARGET_FROM
+
+    def record_success(self, key, at):
+        """Record a successful run; it ends a quarantine of the request or part.
 
-    def record_success(self, fingerprint, now):
-        """Record a successful run; it ends a quarantine of the request."""
-        self._crash_records.record_success(fingerprint, now)
-        self.records.record_success(fingerprint, now)
+        Parameters
+        ----------
+        key : str
+            The fingerprint.
+        at : datetime.datetime
+            When the run ended well, or when that with a part began to answer.
+        """
+        self._crash_records.record_success(key, at)
+        self.records.record_success(key, at)
 
     # Gossip with peers.
 
@@ -224,6 +259,10 @@
         self.records.merge(news, now)
 
 
+def _name_of(key):
+    return "a part of this prompt" if fingerprints.is_of_part(key) else "this request"
+
+
 def _describe(crashes):
     names = ", ".join(sorted(crash.incarnation.name for crash in crashes))
     return f"{len(crashes)} targets crashed while running it: {names}"
--- a/packages/decide/sesamespindle/decide/quarantinerecords.py
+++ b/packages/decide/sesamespindle/decide/quarantinerecords.py
@@ -3,7 +3,15 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, culprits, gossip, hashing, retries, revisions
+from sesamespindle.decide import (
+    commands,
+    culprits,
+    fingerprints,
+    gossip,
+    hashing,
+    retries,
+    revisions,
+)
 
 # Each host waits this much longer than the host ranked before it until it writes a
 # record that the platform lacks. Several platform calls fit into this time.
@@ -144,10 +152,16 @@
         self._pending_trials.discard(fingerprint)
         return is_trial
 
-    def record_success(self, fingerprint, now):
-        """Lift the quarantine of a request that ran well, if it has one."""
-        if fingerprint in self.record_by_fingerprint:
-            self._lift(fingerprint, now)
+    def record_success(self, fingerprint, at):
+        """Lift a quarantine after a run that ended well, or began well with a part.
+
+        What began before the quarantine shows nothing of a part.
+        """
+        record = self.record_by_fingerprint.get(fingerprint)
+        if record is None:
+            return
+        if not fingerprints.is_of_part(fingerprint) or at > record.decided_at:
+            self._lift(fingerprint, at)
             self._state.emit(RemoveQuarantine(fingerprint))
 
     def adopt(self, record, now, reason):
@@ -169,7 +183,9 @@
             self._learned_at_by_fingerprint.setdefault(fingerprint, now)
         self._state.must_announce_crashes = True
         if known is None:
-            self._state.emit(commands.Note("request_quarantined", fingerprint, reason))
+            kind = "part" if fingerprints.is_of_part(fingerprint) else "request"
+            note = commands.Note(f"{kind}_quarantined", fingerprint, reason)
+            self._state.emit(note)
             self._drop_oldest()
 
     def _was_cleared(self, record):
@@ -281,7 +297,7 @@
         it crash targets is fixed. The platform counts the trial runs, and only the
         host with the first rank makes them, so that hosts don't make one each.
         """
-        left = culprits.ALWAYS_QUARANTINED_FROM - record.crashes
+        left = culprits.terms_of(record.fingerprint).most_crashes - record.crashes
         allowed = min(len(_TRIALS_AFTER), left)
         if record.tries >= allowed:
             return
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -133,11 +133,11 @@
     found = [core.step(moment, [events.Tick()]) for moment in moments]
     probes = [item for step in found for item in step if _is_probe(item)]
     assert len(probes) == 2
-    assert core.crashes.possible_crashes("aa") == 1
+    assert len(core.crashes.possible_crash_times("aa")) == 1
     core.step(NOW + 0.9 * SECOND, [events.Tick()])
     for number in range(1, 8):
         core.step(NOW + number * 0.95 * SECOND, [events.Tick()])
-    assert core.crashes.possible_crashes("aa") == 0
+    assert len(core.crashes.possible_crash_times("aa")) == 0
 
 
 @pytest.mark.parametrize(
@@ -157,7 +157,7 @@
     break_off(core, "aa")
     core.step(SOON, confirmed_end(verdicts, crashes.Verdict[own]))
     assert suspects(core) == []
-    assert core.crashes.possible_crashes("aa") == 1
+    assert len(core.crashes.possible_crash_times("aa")) == 1
 
 
 def test_a_host_without_peers_goes_by_its_own_opinion(core):
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -73,7 +73,7 @@
 
 
 def code_of(core, fingerprint=BAD, after=3.0):
-    refusal = core.quarantine.refusal(fingerprint, NOW + after * SECOND)
+    refusal = core.quarantine.refusal((fingerprint,), NOW + after * SECOND)
     return refusal.code if refusal is not None else None
 
 
@@ -131,7 +131,7 @@
     for _ in range(3):
         crash(core, 1, BAD)
     crash(core, 1, BAD, OTHER)
-    assert core.quarantine.possible_crash_count(BAD) == 1
+    assert core.quarantine.possible_crash_count((BAD,)) == 1
     assert judge(core, 5.0)[0] == set()
 
 
@@ -142,8 +142,8 @@
     crash(core, 3, BAD, THIRD, after=1.2)
     assert judge(core, 2.0)[0] == {BAD}
     assert (
-        core.quarantine.possible_crash_count(OTHER)
-        == core.quarantine.possible_crash_count(THIRD)
+        core.quarantine.possible_crash_count((OTHER,))
+        == core.quarantine.possible_crash_count((THIRD,))
         == 0
     )
 
@@ -156,7 +156,7 @@
     assert code_of(core, after=2.5) is None
     crash(core, 4, BAD, after=3.0)
     assert judge(core, 3.6)[0] == {BAD}
-    assert core.quarantine.possible_crash_count(OTHER) == 0
+    assert core.quarantine.possible_crash_count((OTHER,)) == 0
 
 
 def test_suspects_that_crashed_two_targets_are_tried_apart(core):
@@ -165,7 +165,7 @@
         crash(core, number, BAD, OTHER, THIRD)
     rows = list(core.state.targets.where("pool", "llm"))
     chosen = [
-        core.quarantine.permitted_targets(fingerprint, rows, NOW)
+        core.quarantine.permitted_targets((fingerprint,), rows, NOW)
         for fingerprint in (BAD, OTHER, THIRD)
     ]
     names = {row.name for found in chosen for row in found}
@@ -185,7 +185,7 @@
             rows = list(made.state.targets)
             places |= {
                 row.name
-                for row in made.quarantine.permitted_targets(fingerprint, rows, NOW)
+                for row in made.quarantine.permitted_targets((fingerprint,), rows, NOW)
             }
         assert len(places) == 1
 
@@ -205,14 +205,14 @@
         crash(core, number, BAD, after=2.0 * number)
         core.quarantine.record_success(BAD, NOW + (2.0 * number + 1.5) * SECOND)
     assert judge(core, 10.0)[0] == set()
-    assert core.quarantine.possible_crash_count(BAD) == 0
+    assert core.quarantine.possible_crash_count((BAD,)) == 0
 
 
 def test_a_crash_after_a_good_run_counts(core):
     crash(core, 1, BAD)
     core.quarantine.record_success(BAD, NOW + 2 * SECOND)
     crash(core, 2, BAD, after=4.0)
-    assert core.quarantine.possible_crash_count(BAD) == 1
+    assert core.quarantine.possible_crash_count((BAD,)) == 1
 
 
 def test_two_causes_at_once_are_both_found(core):
@@ -253,7 +253,7 @@
     assert core.quarantine.records_to_announce(False).crashes == ()
     started = make_core()
     started.quarantine.merge(core.quarantine.records_to_announce(True), NOW)
-    assert started.quarantine.possible_crash_count(BAD) == 2
+    assert started.quarantine.possible_crash_count((BAD,)) == 2
 
 
 def test_a_quarantine_is_written_once_and_read_from_the_platform(core):
