--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -331,9 +331,15 @@
             self._note_parts_passed(flight)
 
     def _note_success(self, flight, now):
-        """Record that a complete answer clears the request, and a target's its parts."""
+        """Record that a target's complete answer clears the request and its parts.
+
+        Guards against a suspect that is cleared, and a quarantine that is lifted, by
+        the answer of a peer that carried the request and says that its run was lost.
+        """
+        if flight.sent_at is None:
+            return
         self._quarantine.record_success(flight.fingerprint, now)
-        if flight.has_begun and flight.sent_at is not None:
+        if flight.has_begun:
             self._note_parts_passed(flight)
 
     def _note_parts_passed(self, flight):
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -154,3 +154,17 @@
     core.crashes.record_end(row.incarnation, "test")
     (found,) = core.crashes.records.crash_by_incarnation.values()
     assert found.suspects == {flight.fingerprint}
+
+
+def test_the_answer_of_a_peer_clears_no_suspect(core):
+    """A peer that carried a request answers that its run was lost."""
+    begin(core, 1, NOW, "aa")
+    flight = core.forwarding.flight_by_request["r1"]
+    for number in (1, 2):
+        crash(core, number, flight.fingerprint, *flight.parts, after=0.6 * number)
+    flight.sent_at = None
+    later = NOW + 3 * SECOND
+    core.forwarding.first_byte("r1", later)
+    core.forwarding.served("r1", later)
+    assert core.quarantine.possible_crash_count((flight.fingerprint,)) == 2
+    assert core.quarantine.possible_crash_count(flight.parts) == 1
