A part isn't blamed for crashes that few whole requests explain

Crashes under a quarantined request count as one for its parts, and three requests are needed. Of parts of which none is known to have run well the later one in their prompts is blamed, as fewer requests share it; a host that has seen no such prompt leaves the choice to one that has. The new tests failed before.

--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -29,6 +29,8 @@
 # After this long the host has received what others saw of a crash. This covers three
 # rounds of urgent gossip and the delay of a busy host.
 REPORTED_WITHIN = datetime.timedelta(seconds=0.5)
+# The suspected parts whose places in prompts are remembered.
+_MAX_DEPTHS = 1024
 # Before anything that is known.
 _LONG_AGO = datetime.datetime.min.replace(tzinfo=datetime.UTC)
 
@@ -94,6 +96,8 @@
     def __init__(self, crash_records, quarantine_records):
         self._crashes = crash_records
         self._quarantined = quarantine_records
+        # Where suspected parts were in their prompts, by fingerprint.
+        self._depth_by_part = {}
 
     def counted_crashes(self, fingerprint):
         """Return the crashes that a request or part may have caused.
@@ -181,58 +185,107 @@
         beside the cause several times: each of their crashes has another suspect that
         is worse. Some were in flight in correlated crashes: targets that didn't run
         them crashed at the same time. Some are sent by many callers: they ran at all
-        targets that crashed together in one event. Some are parts of one request alone.
+        targets that crashed together in one event. Some are parts of requests that
+        crash targets by something else.
         """
-        if _are_of_one_request(fingerprint, crashes):
+        if self._are_of_few_requests(fingerprint, crashes):
             return False
         if len(crashes) >= _ALWAYS_QUARANTINED_FROM:
-            return self._is_worst(fingerprint, crashes, crashes, may_tie=True)
+            if not fingerprints.is_of_part(fingerprint):
+                return True
+            return self._is_worst(fingerprint, crashes, crashes)
         uncorrelated = self.uncorrelated_crashes(fingerprint, crashes)
         if _are_one_event(uncorrelated):
             return False
         is_main_suspect = self._is_worst(fingerprint, crashes, uncorrelated)
         return len(uncorrelated) >= _MIN_UNCORRELATED and is_main_suspect
 
-    def _is_worst(self, fingerprint, crashes, judged, may_tie=False):
+    def _are_of_few_requests(self, fingerprint, crashes):
+        """Return whether few whole requests explain the crashes of a part.
+
+        One that ran in all of them does, and so do those that are quarantined.
+        """
+        if not fingerprints.is_of_part(fingerprint):
+            return False
+        common = set.intersection(*(crash.suspects for crash in crashes))
+        if not all(map(fingerprints.is_of_part, common)):
+            return True
+        quarantined = self._quarantined.record_by_fingerprint.keys()
+        causes = [crash.suspects & quarantined for crash in crashes]
+        unexplained = sum(not found for found in causes)
+        return unexplained + len(set().union(*causes)) < QUARANTINED_FROM
+
+    def _is_worst(self, fingerprint, crashes, judged):
         """Return whether one of the judged crashes has no suspect that is worse.
 
         Parameters
         ----------
         crashes, judged : list of crashrecords.Crash
             All crashes that count against the fingerprint, and some of them.
-        may_tie : bool
-            Whether only those are worse that are so beyond doubt.
         """
-        if may_tie and not fingerprints.is_of_part(fingerprint):
-            return True
         return any(
             not any(
-                self._is_worse(other, fingerprint, len(crashes), may_tie)
+                self._is_worse(other, fingerprint, len(crashes))
                 for other in crash.suspects
                 if other != fingerprint
             )
             for crash in judged
         )
 
-    def _is_worse(self, other, fingerprint, count, may_tie):
+    def _is_worse(self, other, fingerprint, count):
         """Return whether another suspect fits the crashes of a fingerprint better.
 
         One with more crashes does. With as many, a whole request does rather than a
-        part, as fewer requests are refused by it. Of two parts with crashes enough the
-        one does that has not run well for longer: sound requests share the other, which
-        runs in the crashes of all parts that they come with.
+        part, as fewer requests are refused by it.
+        """
+        other_is_part = fingerprints.is_of_part(other)
+        if not fingerprints.is_of_part(fingerprint):
+            if other_is_part:
+                return len(self._without_quarantined(other)) > count
+            return len(self.counted_crashes(other)) >= count
+        if not other_is_part:
+            return len(self.counted_crashes(other)) >= count
+        return self._is_worse_part(other, fingerprint, count)
+
+    def _without_quarantined(self, part):
+        """Return the crashes of a part that no quarantined request explains."""
+        quarantined = self._quarantined.record_by_fingerprint
+        crashes = self.counted_crashes(part)
+        return [item for item in crashes if item.suspects.isdisjoint(quarantined)]
+
+    def _is_worse_part(self, other, part, count):
+        """Return whether another part fits the crashes of a part better.
+
+        Of two with crashes enough the one does that has not run well for longer: sound
+        requests share the other, which runs in the crashes of all parts that they come
+        with. If neither is known to have run well, the later one in their prompts does,
+        as fewer requests share it.
         """
         crashes = self.counted_crashes(other)
-        are_parts = [fingerprints.is_of_part(item) for item in (fingerprint, other)]
-        if all(are_parts) and self._suffice(other, crashes):
-            passed, other_passed = map(self._passed_at, (fingerprint, other))
-            if passed != other_passed:
-                return other_passed < passed
+        if not self._suffice(other, crashes):
+            return len(crashes) > count
+        passed, other_passed = self._passed_at(part), self._passed_at(other)
+        if passed != other_passed:
+            return other_passed < passed
         if len(crashes) != count:
             return len(crashes) > count
-        if any(are_parts) and not all(are_parts):
-            return fingerprints.is_of_part(fingerprint)
-        return not may_tie
+        depth, other_depth = map(self._depth_by_part.get, (part, other))
+        return depth is None or other_depth is None or other_depth >= depth
+
+    def note_depths(self, keys):
+        """Note where in a prompt the parts are that are suspected.
+
+        Parameters
+        ----------
+        keys : tuple of str
+            Fingerprints, those of parts in the order of the prompt.
+        """
+        suspects = self._crashes.repeated_suspects()
+        for depth, key in enumerate(keys):
+            if key in suspects:
+                self._depth_by_part[key] = depth
+        while len(self._depth_by_part) > _MAX_DEPTHS:
+            del self._depth_by_part[next(iter(self._depth_by_part))]
 
     def _passed_at(self, part):
         """Return when a part last ran well; long ago if that isn't known."""
@@ -281,14 +334,6 @@
         )
 
 
-def _are_of_one_request(fingerprint, crashes):
-    """Return whether one whole request ran in all crashes of a part."""
-    if not fingerprints.is_of_part(fingerprint):
-        return False
-    common = set.intersection(*(crash.suspects for crash in crashes))
-    return not all(fingerprints.is_of_part(other) for other in common)
-
-
 def _are_one_event(crashes):
     """Return whether targets crashed together, each while it ran several requests."""
     times = [crash.at for crash in crashes]
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -102,6 +102,7 @@
         now : datetime.datetime
             The current time.
         """
+        self._culprits.note_depths(keys)
         for key in keys:
             refusal = self._refusal_by(key, now)
             if refusal is not None:
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -85,6 +85,15 @@
     assert judge(core) == {DEADLY}
 
 
+@pytest.mark.parametrize("parts", [(SOUND, DEADLY), (THIRD, DEADLY)])
+def test_of_parts_that_never_ran_well_the_later_one_is_refused(core, parts):
+    """Nothing is known of either, and many requests share the first one."""
+    crash_apart(core, 5, *parts)
+    assert judge(core) == set()
+    core.quarantine.refusal((REQUESTS[7], *parts), NOW + 10 * SECOND)
+    assert judge(core) == {parts[1]}
+
+
 def test_a_part_is_not_blamed_for_crashes_soon_after_it_ran_well(core):
     for number in range(1, 6):
         core.quarantine.record_success(SOUND, NOW + 0.6 * number * SECOND)
@@ -105,9 +114,19 @@
     crash_apart(core, 3, DEADLY, requests=[REQUESTS[0]] * 8)
     assert judge(core, 3.0) == {REQUESTS[0]}
     crash(core, 4, REQUESTS[1], DEADLY, after=4.0)
+    assert DEADLY not in judge(core, 5.0)
+    crash(core, 5, REQUESTS[2], DEADLY, after=6.0)
     assert DEADLY in judge(core)
 
 
+def test_a_part_of_two_requests_that_crash_targets_is_not_refused(core):
+    crash_apart(core, 3, SOUND, requests=[REQUESTS[0]] * 8)
+    assert judge(core, 3.0) == {REQUESTS[0]}
+    for number in (4, 5, 6):
+        crash(core, number, REQUESTS[1], SOUND, after=float(number))
+    assert judge(core) == {REQUESTS[0], REQUESTS[1]}
+
+
 def test_two_parts_are_told_apart_though_one_crash_ended_runs_of_both(core):
     core.quarantine.record_success(SOUND, NOW)
     for number in range(1, 5):
