The soak sends prompts of which no two are alike, with a part that crashes engines

Engines end as they take up such a prompt; the checker allows three runs later than the contact time after the fifth end.

--- a/tests/support/soak/__main__.py
+++ b/tests/support/soak/__main__.py
@@ -45,6 +45,7 @@
             cuts=True,
             frailties=True,
             versions=True,
+            deadly_parts=True,
         )
     )
     journal = outcome.journal
--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -62,6 +62,7 @@
         self._address = None
         self._addresses = []
         self._cached_until = 0.0
+        self._deadly_numbers = itertools.count(1)
         self._ids = (f"{seed:x}-{number:x}" for number in itertools.count(1))
         self._session = None
 
@@ -136,6 +137,15 @@
 
     async def send_crashing_prompt(self, path):
         """Send a prompt that crashes the engine which runs it, to a given path."""
+        await self._send_crashing(path, "c0:100,bad:20")
+
+    async def send_deadly_part(self, part):
+        """Send a prompt that is like no other but for a part that crashes engines."""
+        number = next(self._deadly_numbers)
+        prefix = f"c0:100,{part}:30,{number:x}:20"
+        await self._send_crashing(f"/chat/deadly-{part}-{number}", prefix)
+
+    async def _send_crashing(self, path, prefix):
         address = await self._choose_address()
         if address is None:
             return
@@ -150,7 +160,7 @@
             "X-Api-Key": key,
             "X-Model": "m",
             "X-Token-Count": "120,40",
-            "X-Prompt-Prefix": "c0:100,bad:20",
+            "X-Prompt-Prefix": prefix,
         }
         status, _, _ = await self._exchange(
             records.Kind.CHAT,
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -31,6 +31,8 @@
 # Once a request has crashed _CRASH_LIMIT targets, at most _MAX_LATE_RUNS more runs of
 # it may start late.
 _CRASH_LIMIT, _MAX_LATE_RUNS = 3, 3
+# The same for all requests with one part of a prompt that crashes targets.
+_PART_CRASH_LIMIT = 5
 # Seconds after the last fault from which on all requests must succeed.
 _RECOVERY_SECONDS = 12.0
 # Callers of cut daemons must be served at least this often in relation to the others',
@@ -491,18 +493,20 @@
 
 
 def _check_crashing(journal):
-    """Check that hosts stop sending a request that crashes targets."""
+    """Check that hosts stop sending what crashes targets: a request, or a part."""
+    part_ids = {run.deadly_part for run in journal.runs if run.deadly_part}
     crashes_by_path = collections.defaultdict(list)
     for crash in journal.crashes:
         crashes_by_path[crash.path].append(crash.at)
     for path, times in crashes_by_path.items():
-        if len(times) < _CRASH_LIMIT:
+        limit = _PART_CRASH_LIMIT if path in part_ids else _CRASH_LIMIT
+        if len(times) < limit:
             continue
-        known_at = sorted(times)[_CRASH_LIMIT - 1] + _CONTACT_SECONDS
+        known_at = sorted(times)[limit - 1] + _CONTACT_SECONDS
         late = [
             run
             for run in journal.runs
-            if run.path == path
+            if path in (run.path, run.deadly_part)
             and run.at > known_at + _CLOCK_SLACK_SECONDS
             and _is_in_contact(
                 journal.faults, journal.daemon_by_crash_attempt[run.request_id], run
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -8,7 +8,7 @@
 
 import standins
 
-from soak import callers, checker, faults, records, world
+from soak import callers, checker, faults, records, targets, world
 
 # Faults come in bursts of up to _MAX_BURST that overlap. Each begins up to
 # _MAX_INTERVAL_SECONDS after the one before, so that it hits daemons which are still
@@ -45,6 +45,8 @@
 # For how long a request that crashes engines is repeated, and the pause between two
 # of its attempts, each drawn between these bounds.
 _CRASHING_SECONDS = (4.0, 9.0)
+# The same for a part that crashes engines.
+_DEADLY_SECONDS = (8.0, 12.0)
 _CRASHING_PAUSE_SECONDS = (0.02, 0.6)
 # The longest time between two restarts of targets under their own names.
 _RESTART_INTERVAL_SECONDS = 4.0
@@ -96,6 +98,7 @@
     cuts=False,
     frailties=False,
     versions=False,
+    deadly_parts=False,
 ):
     """Run one soak and return its `Outcome`.
 
@@ -133,6 +136,9 @@
     versions : bool
         Whether, after all of these, engines of several software versions serve, their
         streams break off in each framing, and callers take them up again.
+    deadly_parts : bool
+        Whether prompts of which no two are alike are also sent, with a part that
+        crashes engines.
     """
     async with contextlib.AsyncExitStack() as stack:
         fleet = await stack.enter_async_context(world.World(seed, daemons))
@@ -162,6 +168,9 @@
                 crash_tasks.append(
                     group.create_task(_crash_engines(fleet, seed, seconds))
                 )
+            if deadly_parts:
+                task = _crash_engines_by_parts(fleet, seed, seconds)
+                crash_tasks.append(group.create_task(task))
             signal_tasks = []
             if signals:
                 signal_tasks.append(
@@ -239,6 +248,21 @@
                 await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
 
 
+async def _crash_engines_by_parts(fleet, seed, seconds):
+    """Send prompts of which no two are alike, with a part that crashes engines."""
+    source = random.Random(f"deadly parts {seed}")
+    number = 0
+    data_centre = world.DATA_CENTRES[1]
+    async with callers.Caller(fleet, seed * 1000 + 996, False, data_centre) as caller:
+        while fleet.now() < seconds or number < 1:
+            await asyncio.sleep(source.uniform(0, 2))
+            number += 1
+            until = fleet.now() + source.uniform(*_DEADLY_SECONDS)
+            while fleet.now() < until:
+                await caller.send_deadly_part(f"{targets.DEADLY_PREFIX}{number:02x}")
+                await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
+
+
 async def _send_signals(fleet, seed, seconds):
     """Have targets say what they need, at random times, beside all other faults."""
     source = random.Random(f"signals {seed}")
--- a/tests/support/soak/records.py
+++ b/tests/support/soak/records.py
@@ -34,6 +34,8 @@
         The cache salt that the target received.
     software : str
         The version of the target's software.
+    deadly_part : str
+        The id of the part of its prompt that crashes targets, or "".
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     weights: int = 0
     salt: str = ""
     software: str = ""
+    deadly_part: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -214,7 +217,8 @@
     Attributes
     ----------
     path : str
-        The path of the request, by which its attempts are recognised.
+        The path of the request, by which its attempts are recognised, or the id of the
+        part of its prompt that did it.
     """
 
     path: str
--- a/tests/support/soak/targets.py
+++ b/tests/support/soak/targets.py
@@ -26,6 +26,8 @@
 _FEWEST_EVENTS, _EVENT_CHOICES = 3, 8
 # The body of a prompt that crashes the engine which runs it.
 CRASHING = b"crashes engines"
+# The ids of parts that crash engines which begin to answer a prompt with them.
+DEADLY_PREFIX = "dead"
 
 
 def event_count(request_id):
@@ -49,6 +51,13 @@
     return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
 
 
+def deadly_part(headers):
+    """Return the id of the part of a prompt that crashes engines, or ""."""
+    shared = headers.get("x-prompt-prefix", "").split(",")[:-1]
+    ids = (entry.partition(":")[0] for entry in shared)
+    return next((part for part in ids if part.startswith(DEADLY_PREFIX)), "")
+
+
 def plain_answer(target, request_id):
     """Return the body of a plain service's answer."""
     return f"{target} ran {request_id}".encode()
@@ -83,7 +92,8 @@
     on_loaded : callable or None
         An asynchronous function, called with the target when it runs other weights.
     on_crashing_request : callable
-        Called with the target and the request's path when a request crashes it.
+        Called with the target and the request's path, or the id of the part of its
+        prompt, when a request crashes it.
     brittle : brittle.Rejections or None
         What the target turns away, while it is brittle.
     software : str
@@ -297,10 +307,16 @@
             first_event=first,
             weights=self.weights,
             salt=headers.get("x-cache-salt", ""),
+            deadly_part=deadly_part(headers),
         )
         if self.body == CRASHING:
             self.on_crashing_request(self, headers[":path"])
             return
+        deadly = deadly_part(headers)
+        if deadly:
+            await asyncio.sleep(_EVENT_SECONDS)
+            self.on_crashing_request(self, deadly)
+            return
         with contextlib.suppress(ConnectionError):
             await self._stream_events(headers, writer, first)
 
