An event in many chunks is searched once, not again with each chunk

A host's turn went to one stream whose event never ends: each chunk was joined to the event so far and all of it was searched for its end, time by the square of its length, up to the limit of 1 MiB. The search begins where the last one ended.

--- a/packages/wire/sesamespindle/wire/eventstream.py
+++ b/packages/wire/sesamespindle/wire/eventstream.py
@@ -5,6 +5,7 @@
 _USUAL_EVENT_END = b"\n\n"
 # Lines end with LF, CR LF or CR, and a blank line ends an event.
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+_LONGEST_EVENT_END = len(b"\r\n\r\n")
 # The text "id:" inside data doesn't count.
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # A line that is neither blank nor a comment begins like this.
@@ -50,7 +51,9 @@
             One or more whole events; empty if the chunk completes none.
         """
         data = self.rest + chunk
-        end = _last_event_end(data)
+        # What has been searched before is left out: an event that comes in many small
+        # chunks would take time by the square of its length.
+        end = _last_event_end(data, max(0, len(self.rest) - _LONGEST_EVENT_END + 1))
         if not end or not self._has_events_in(data, end):
             self.rest = data
             return b""
@@ -84,11 +87,14 @@
             self.last_event_id = ids[-1].strip().decode("ascii", "replace")
 
 
-def _last_event_end(data):
-    """Return the position after the last whole event; 0 if there is none."""
+def _last_event_end(data, start):
+    """Return the position after the last event that ends later than a position.
+
+    It is 0 if there is none.
+    """
     if data.endswith(_USUAL_EVENT_END):
         return len(data)
     end = 0
-    for found in _EVENT_END.finditer(data):
+    for found in _EVENT_END.finditer(data, start):
         end = found.end()
     return end
