Bytes that are neither head nor body end with their connection

Status lines of 100 without end kept six requests beyond their deadline of 2 s: 4.0 s on the safe route and up to 6.2 s on streams, with sound requests behind them. aiohttp reads them, extensions of chunks and trailers for as long as they come, and tells nobody. Connections of all sessions now count what comes beside the body (256 KiB, and 8 bytes for each of the body), take 16 such status lines at most, and read heads in pieces of 4 KiB. Answers to our own calls, and their lines, have a limit of 16 MiB and 1 MiB.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -9,6 +9,7 @@
 
 import enum
 import functools
+import http
 import json
 
 import aiohttp
@@ -16,6 +17,16 @@
 
 # Events of tokens have some hundred bytes; a larger one is a stream without an end.
 MAX_EVENT_BYTES = 1024 * 1024
+# Answers to our own calls: lists of the store, reports, the parts of a KV store.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# What of an answer isn't its body: heads, sizes and extensions of chunks, trailers. A
+# chunk of one byte has five others.
+MAX_OVERHEAD_BYTES = 256 * 1024
+_OVERHEAD_PER_BODY_BYTE = 8
+# Status lines of 100 before an answer. Each costs as much as an answer's head to read,
+# so that heads are read in pieces.
+_MAX_INTERIM_ANSWERS = 16
+_HEAD_PIECE_BYTES = 4096
 
 
 class BrokenAnswerError(aiohttp.ClientPayloadError):
@@ -31,11 +42,15 @@
 
 
 class Connection(aiohttp.client_proto.ResponseHandler):
-    """A connection that records whether it was reset.
+    """A connection that records whether it was reset, and ends bytes without end.
 
     Guards against truncated answers that look complete. An answer without a length
     ends where its connection does, and aiohttp accepts a reset as such an end too.
 
+    Also guards against a sender that keeps this process busy until a deadline with
+    bytes that are no part of a body: aiohttp reads status lines of 100, extensions of
+    chunks and trailers for as long as they come, and delivers nothing of them.
+
     Attributes
     ----------
     was_reset : bool
@@ -43,6 +58,61 @@
     """
 
     was_reset = False
+    _received_bytes = 0
+    _interim_answers = 0
+    _has_head = False
+
+    def set_response_params(self, **params):
+        """Prepare for the answer to the next request."""
+        self._received_bytes = self._interim_answers = 0
+        self._has_head = False
+        self._payload = None
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size=0):
+        """Take the head of an answer, and its body's reader."""
+        message, _ = data
+        if http.HTTPStatus.CONTINUE <= message.code < http.HTTPStatus.OK:
+            self._interim_answers += 1
+        else:
+            self._has_head = True
+        super().feed_data(data, size)
+
+    def data_received(self, data):
+        """Read bytes, and abort the connection if too many aren't of a body.
+
+        aiohttp passes none to have its parser go on.
+        """
+        if not data:
+            super().data_received(data)
+            return
+        while data and not self._has_head:
+            piece, data = data[:_HEAD_PIECE_BYTES], data[_HEAD_PIECE_BYTES:]
+            if not self._take(piece):
+                return
+        if data:
+            self._take(data)
+
+    def _take(self, data):
+        """Read bytes; return whether more may follow."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        overhead = self._received_bytes - body_bytes
+        if self._interim_answers > _MAX_INTERIM_ANSWERS:
+            self._give_up("Too many status lines of 100.")
+        elif overhead > MAX_OVERHEAD_BYTES + _OVERHEAD_PER_BODY_BYTE * body_bytes:
+            self._give_up(f"{overhead} bytes came beside {body_bytes} of its body.")
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _give_up(self, reason):
+        if self.transport is None:
+            return
+        error = BrokenAnswerError(reason)
+        self.set_exception(error)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.transport.abort()
 
     def connection_lost(self, exc):
         """Record whether the connection ended with an error."""
@@ -99,15 +169,15 @@
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
-async def read(response, max_bytes=None):
+async def read(response, max_bytes=MAX_BODY_BYTES):
     """Return the body of an answer.
 
     Parameters
     ----------
     response : aiohttp.ClientResponse
         The answer; its session must use `Connection`.
-    max_bytes : int, optional
-        The longest body to read; any if left out.
+    max_bytes : int
+        The longest body to read.
 
     Raises
     ------
@@ -117,8 +187,9 @@
     body = bytearray()
     async for chunk in chunks(response):
         body += chunk
-        if max_bytes is not None and len(body) > max_bytes:
-            raise BrokenAnswerError("It exceeds the size limit.")
+        if len(body) > max_bytes:
+            response.close()
+            raise BrokenAnswerError(f"It exceeds {max_bytes} bytes.")
     return bytes(body)
 
 
@@ -150,6 +221,9 @@
         *ended, rest = (rest + chunk).split(b"\n")
         for line in ended:
             yield line + b"\n"
+        if len(rest) > MAX_EVENT_BYTES:
+            response.close()
+            raise BrokenAnswerError(f"A line exceeds {MAX_EVENT_BYTES} bytes.")
     if rest:
         raise BrokenAnswerError("The answer ended inside a line.")
 
@@ -183,6 +257,7 @@
     async for chunk in chunks(response):
         yield splitter.feed(chunk)
         if len(splitter.rest) > MAX_EVENT_BYTES:
+            response.close()
             raise BrokenAnswerError(f"An event exceeds {MAX_EVENT_BYTES} bytes.")
     if splitter.has_partial_event():
         raise BrokenAnswerError("The stream ended inside an event.")
