A part is blamed only if several crashes have no suspect that fits better

Counts that differ by one decide nothing between parts, and one crash in which a part is the only suspect isn't enough.

--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -216,21 +216,23 @@
         return unexplained + len(set().union(*causes)) < QUARANTINED_FROM
 
     def _is_worst(self, fingerprint, crashes, judged):
-        """Return whether one of the judged crashes has no suspect that is worse.
+        """Return whether enough of the judged crashes have no suspect that is worse.
 
         Parameters
         ----------
         crashes, judged : list of crashrecords.Crash
             All crashes that count against the fingerprint, and some of them.
         """
-        return any(
-            not any(
+        its_own = [
+            crash
+            for crash in judged
+            if not any(
                 self._is_worse(other, fingerprint, len(crashes))
                 for other in crash.suspects
                 if other != fingerprint
             )
-            for crash in judged
-        )
+        ]
+        return len(its_own) > terms_of(fingerprint).by_chance
 
     def _is_worse(self, other, fingerprint, count):
         """Return whether another suspect fits the crashes of a fingerprint better.
@@ -256,21 +258,24 @@
     def _is_worse_part(self, other, part, count):
         """Return whether another part fits the crashes of a part better.
 
-        Of two with crashes enough the one does that has not run well for longer: sound
-        requests share the other, which runs in the crashes of all parts that they come
-        with. If neither is known to have run well, the later one in their prompts does,
-        as fewer requests share it.
+        Counts that differ by chance alone decide nothing. Of two such the one does that
+        has not run well for longer: sound requests share the other. If neither is known
+        to have run well, the later one in their prompts does, as fewer requests share
+        it; a host that has seen neither leaves that to one that has.
         """
-        crashes = self.counted_crashes(other)
-        if not self._suffice(other, crashes):
-            return len(crashes) > count
+        other_count = len(self.counted_crashes(other))
+        by_chance = terms_of(part).by_chance
+        if other_count < count - by_chance:
+            return False
         passed, other_passed = self._passed_at(part), self._passed_at(other)
         if passed != other_passed:
             return other_passed < passed
-        if len(crashes) != count:
-            return len(crashes) > count
+        if other_count > count + by_chance:
+            return True
         depth, other_depth = map(self._depth_by_part.get, (part, other))
-        return depth is None or other_depth is None or other_depth >= depth
+        if depth is None or other_depth is None:
+            return True
+        return (other_depth, other_count) > (depth, count)
 
     def note_depths(self, keys):
         """Note where in a prompt the parts are that are suspected.
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -94,6 +94,19 @@
     assert judge(core) == {parts[1]}
 
 
+def test_an_early_part_waits_for_the_later_one_that_ran_in_all_its_crashes_but_one(
+    core,
+):
+    """A sound request with the first part was under way in a crash beside."""
+    core.quarantine.refusal((REQUESTS[7], SOUND, DEADLY), NOW)
+    crash_apart(core, 3, SOUND, DEADLY)
+    crash(core, 4, REQUESTS[4], SOUND, after=2.4)
+    core.quarantine.refusal((REQUESTS[7], SOUND, DEADLY), NOW + 5 * SECOND)
+    assert judge(core, 5.0) == set()
+    crash(core, 5, REQUESTS[5], SOUND, DEADLY, after=6.0)
+    assert judge(core) == {DEADLY}
+
+
 def test_a_part_is_not_blamed_for_crashes_soon_after_it_ran_well(core):
     for number in range(1, 6):
         core.quarantine.record_success(SOUND, NOW + 0.6 * number * SECOND)
