--- a/tests/support/soak/callers.py
+++ b/tests/support/soak/callers.py
@@ -137,15 +137,16 @@
 
     async def send_crashing_prompt(self, path):
         """Send a prompt that crashes the engine which runs it, to a given path."""
-        await self._send_crashing(path, "c0:100,bad:20")
+        await self._send_crashing(path, "c0:100,bad:20", targets.CRASHING)
 
     async def send_deadly_part(self, part):
         """Send a prompt that is like no other but for a part that crashes engines."""
         number = next(self._deadly_numbers)
         prefix = f"c0:100,{part}:30,{number:x}:20"
-        await self._send_crashing(f"/chat/deadly-{part}-{number}", prefix)
+        path = f"/chat/deadly-{part}-{number}"
+        await self._send_crashing(path, prefix, path.encode())
 
-    async def _send_crashing(self, path, prefix):
+    async def _send_crashing(self, path, prefix, content):
         address = await self._choose_address()
         if address is None:
             return
@@ -168,7 +169,7 @@
             path,
             headers,
             _DEADLINES_MS[0] / 1000,
-            targets.CRASHING,
+            content,
         )
         if status is None or not self._stays_with_host:
             self._address = None
--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -46,7 +46,8 @@
 # of its attempts, each drawn between these bounds.
 _CRASHING_SECONDS = (4.0, 9.0)
 # The same for a part that crashes engines.
-_DEADLY_SECONDS = (8.0, 12.0)
+_DEADLY_SECONDS = (4.0, 9.0)
+_UNDISTURBED_DEADLY_SECONDS = 14.0
 _CRASHING_PAUSE_SECONDS = (0.02, 0.6)
 # The longest time between two restarts of targets under their own names.
 _RESTART_INTERVAL_SECONDS = 4.0
@@ -144,7 +145,7 @@
         fleet = await stack.enter_async_context(world.World(seed, daemons))
         await _until_ready(fleet)
         fleet.journal.ready_at = fleet.now()
-        stopped = asyncio.Event()
+        stopped, bursts_ended = asyncio.Event(), asyncio.Event()
         async with asyncio.TaskGroup() as group:
             for number in range(caller_count):
                 data_centre = world.DATA_CENTRES[number % 2]
@@ -169,7 +170,7 @@
                     group.create_task(_crash_engines(fleet, seed, seconds))
                 )
             if deadly_parts:
-                task = _crash_engines_by_parts(fleet, seed, seconds)
+                task = _crash_engines_by_parts(fleet, seed, seconds, bursts_ended)
                 crash_tasks.append(group.create_task(task))
             signal_tasks = []
             if signals:
@@ -177,6 +178,7 @@
                     group.create_task(_send_signals(fleet, seed, seconds))
                 )
             await _inject_bursts(fleet, seed, seconds)
+            bursts_ended.set()
             await asyncio.gather(*crash_tasks, *signal_tasks)
             if silences:
                 await _change_after_silences(fleet, seed)
@@ -248,7 +250,7 @@
                 await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
 
 
-async def _crash_engines_by_parts(fleet, seed, seconds):
+async def _crash_engines_by_parts(fleet, seed, seconds, bursts_ended):
     """Send prompts of which no two are alike, with a part that crashes engines."""
     source = random.Random(f"deadly parts {seed}")
     number = 0
@@ -258,9 +260,18 @@
             await asyncio.sleep(source.uniform(0, 2))
             number += 1
             until = fleet.now() + source.uniform(*_DEADLY_SECONDS)
-            while fleet.now() < until:
-                await caller.send_deadly_part(f"{targets.DEADLY_PREFIX}{number:02x}")
-                await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
+            await _send_part(caller, fleet, source, number, until)
+        # Daemons have to know a part for sure only while they are undisturbed.
+        await bursts_ended.wait()
+        await asyncio.sleep(_UNDISTURBED_SECONDS)
+        until = fleet.now() + _UNDISTURBED_DEADLY_SECONDS
+        await _send_part(caller, fleet, source, number + 1, until)
+
+
+async def _send_part(caller, fleet, source, number, until):
+    while fleet.now() < until:
+        await caller.send_deadly_part(f"{targets.DEADLY_PREFIX}{number:02x}")
+        await asyncio.sleep(source.uniform(*_CRASHING_PAUSE_SECONDS))
 
 
 async def _send_signals(fleet, seed, seconds):
