--- a/packages/decide/sesamespindle/decide/crashrecords.py
+++ b/packages/decide/sesamespindle/decide/crashrecords.py
@@ -87,10 +87,13 @@
     ----------
     crash_by_incarnation : dict of incarnations.TargetIncarnation to Crash
         All known crashes, in the order in which they were recorded.
+    revision : int
+        Rises whenever a crash, a suspect or what refutes or clears one is recorded.
     """
 
     def __init__(self, state):
         self._state = state
+        self.revision = 0
         self.crash_by_incarnation = {}
         # How many incarnations of a target are known to have ended, by target name.
         self._ended_count_by_name = {}
@@ -139,6 +142,7 @@
         crashes = self.crashes_against(fingerprint)
         if is_new or any(crash.at <= at for crash in crashes):
             self._successful_run_by_fingerprint[fingerprint] = _SuccessfulRun(at)
+            self.revision += 1
             self._state.must_announce_crashes = True
 
     def cleared_at(self, fingerprint, default):
@@ -159,19 +163,28 @@
 
         Refuted crashes and those before its last successful run don't count.
         """
+        since = self._counts_since(fingerprint)
         crashes = [
             self.crash_by_incarnation[incarnation]
             for incarnation in self._incarnations_by_fingerprint.get(fingerprint, ())
         ]
-        return [crash for crash in crashes if self._counts(fingerprint, crash)]
-
-    def _counts(self, fingerprint, crash):
-        return not crash.is_refuted and self.is_after_success(fingerprint, crash.at)
+        return [
+            crash
+            for crash in crashes
+            if not crash.is_refuted and (since is None or crash.at > since)
+        ]
 
     def is_after_success(self, fingerprint, at):
         """Return whether the last successful run shows nothing of a crash at a time."""
-        cleared_at = self.cleared_at(fingerprint, at - _RETENTION)
-        return at > cleared_at + _holds_for(fingerprint)
+        since = self._counts_since(fingerprint)
+        return since is None or at > since
+
+    def _counts_since(self, fingerprint):
+        """Return the time up to which crashes don't count, or None."""
+        cleared_at = self.cleared_at(fingerprint, None)
+        if cleared_at is None or not fingerprints.is_of_part(fingerprint):
+            return cleared_at
+        return cleared_at + _PASS_HOLDS_FOR
 
     def repeated_suspects(self):
         """Return the fingerprints that were in flight in two crashes or more."""
@@ -221,6 +234,7 @@
         self._log_crash(crash, suspects, evidence)
 
     def _announce(self, crash):
+        self.revision += 1
         crash.rounds = _ANNOUNCED_ROUNDS
         self._state.must_announce_crashes = True
 
@@ -346,13 +360,6 @@
         )
 
 
-def _holds_for(fingerprint):
-    """Return how long after a successful run crashes don't count."""
-    if fingerprints.is_of_part(fingerprint):
-        return _PASS_HOLDS_FOR
-    return datetime.timedelta(0)
-
-
 def _bounded(suspects, most=_MAX_SUSPECTS):
     """Return at most so many of some suspects, whole requests first."""
     if len(suspects) <= most:
--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -96,6 +96,8 @@
     def __init__(self, crash_records, quarantine_records):
         self._crashes = crash_records
         self._quarantined = quarantine_records
+        # Of each fingerprint, while causes are sought; each is asked for many times.
+        self._counted_by_fingerprint = None
         # Where suspected parts were in their prompts, by fingerprint.
         self._depth_by_part = {}
 
@@ -106,6 +108,14 @@
         counts against no other. A whole request explains no crash of a part: it may
         have crashed its targets by that part.
         """
+        known = self._counted_by_fingerprint
+        if known is None:
+            return self._count_crashes(fingerprint)
+        if fingerprint not in known:
+            known[fingerprint] = self._count_crashes(fingerprint)
+        return known[fingerprint]
+
+    def _count_crashes(self, fingerprint):
         crashes = self._crashes.crashes_against(fingerprint)
         explains = self._explaining(fingerprint)
         return [crash for crash in crashes if explains.isdisjoint(crash.suspects)]
@@ -137,6 +147,16 @@
         return now - max(crash.at for crash in crashes) >= REPORTED_WITHIN
 
     def causes(self, now):
+        """Yield what `_find_causes` does; each must be quarantined before the next."""
+        self._counted_by_fingerprint = {}
+        try:
+            for found in self._find_causes(now):
+                yield found
+                self._counted_by_fingerprint.clear()
+        finally:
+            self._counted_by_fingerprint = None
+
+    def _find_causes(self, now):
         """Yield the fingerprints of the requests and parts that caused crashes.
 
         Those with the most crashes come first, and of parts those that have not run
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -28,6 +28,8 @@
 # For this long after its last crash a suspect keeps its target to itself. Its caller
 # tries again within this time.
 _OWN_TARGET_FOR = datetime.timedelta(seconds=2)
+# For this long after the last news of crashes their causes are sought at each tick.
+_JUDGED_FOR = 4 * culprits.REPORTED_WITHIN
 # The retry delay that callers of a quarantined request are given. The decision is not
 # expected to change sooner.
 _RETRY_AFTER = datetime.timedelta(minutes=1)
@@ -75,14 +77,26 @@
             state, crashes.records, stored_on_platform
         )
         self._culprits = culprits.Culprits(crashes.records, self.records)
+        # The revision of the crash records that is being judged, and until when.
+        self._judged_revision = 0
+        self._judged_until = None
 
     def handle(self, event, now):
         """Handle an event about records; return whether the event was one."""
         return self.records.handle(event, now)
 
     def tick(self, now):
-        """Quarantine causes of crashes, write records, and start trial runs."""
-        self._quarantine_causes(now)
+        """Quarantine causes of crashes, write records, and start trial runs.
+
+        Guards against a host that spends its time on crashes of long ago: judging takes
+        some milliseconds with many of them, and nothing changes once all hosts have
+        reported.
+        """
+        if self._judged_revision != self._crash_records.revision:
+            self._judged_revision = self._crash_records.revision
+            self._judged_until = now + _JUDGED_FOR
+        if self._judged_until is not None and now <= self._judged_until:
+            self._quarantine_causes(now)
         self.records.tick(now)
 
     def _quarantine_causes(self, now):
--- a/packages/decide/sesamespindle/decide/quarantinerecords.py
+++ b/packages/decide/sesamespindle/decide/quarantinerecords.py
@@ -314,6 +314,11 @@
         """Return the `gossip.QuarantinedRequest` of all quarantined requests."""
         return list(self.record_by_fingerprint.values())
 
+    def count(self, parts):
+        """Return the number of quarantined parts, or of quarantined requests."""
+        kinds = map(fingerprints.is_of_part, self.record_by_fingerprint)
+        return sum(is_part is parts for is_part in kinds)
+
     def written(self):
         """Return the records that the platform is known to have stored."""
         return [record for record in self.all() if record.revision != revisions.NEVER]
