--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -74,7 +74,7 @@
 def test_crashes_at_one_moment_refuse_no_part(core):
     """A loss of power ends all targets while each has requests with one part."""
     for number in range(1, 9):
-        crash(core, number, REQUESTS[0], SOUND, after=0.04 * number)
+        crash(core, number, REQUESTS[number - 1], SOUND, after=0.04 * number)
     assert SOUND not in judge(core)
 
 
@@ -108,9 +108,21 @@
 
 
 def test_a_part_is_not_blamed_for_crashes_soon_after_it_ran_well(core):
-    for number in range(1, 6):
-        core.quarantine.record_success(SOUND, NOW + 0.6 * number * SECOND)
-        crash(core, number, REQUESTS[number], SOUND, after=0.6 * number + 0.5)
+    core.quarantine.record_success(SOUND, NOW)
+    for number in (1, 2, 3):
+        crash(core, number, REQUESTS[number], SOUND, after=0.3 * number)
+    assert core.quarantine.possible_crash_count((SOUND,)) == 0
+    crash(core, 4, REQUESTS[4], SOUND, after=1.1)
+    crash(core, 5, REQUESTS[5], SOUND, after=1.4)
+    assert core.quarantine.possible_crash_count((SOUND,)) == 1
+
+
+def test_a_part_that_ran_well_since_waits_for_one_that_did_not(core):
+    """The deadly part ran in all but one of the crashes of a part that is shared."""
+    core.quarantine.record_success(SOUND, NOW - 5 * SECOND)
+    crash_apart(core, 3, DEADLY, SOUND)
+    core.quarantine.refusal((REQUESTS[7], DEADLY, SOUND), NOW + 3 * SECOND)
+    crash(core, 4, REQUESTS[4], SOUND, after=2.4)
     assert judge(core) == set()
 
 
