--- a/packages/cli/sesamespindle/cli/main.py
+++ b/packages/cli/sesamespindle/cli/main.py
@@ -304,8 +304,9 @@
     settings: pathlib.Path | None = None,
     configuration: pathlib.Path | None = None,
     deploy: pathlib.Path | None = None,
+    parts: pathlib.Path | None = None,
 ):
-    """Check a host's settings, a configuration and the deploy file.
+    """Check a host's settings, a configuration and what is deployed with them.
 
     Parameters
     ----------
@@ -315,8 +316,10 @@
         The operator's configuration, as JSON.
     deploy
         The deploy file, as TOML.
+    parts
+        The operator's choice of parts for hard load, as YAML.
     """
-    found = check.check(settings, configuration, deploy)
+    found = check.check(settings, configuration, deploy, parts)
     for finding in found:
         print(finding)
     if found:
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -16,6 +16,7 @@
     gossip,
     hashing,
     incarnations,
+    loadparts,
     pauses,
     retries,
     revisions,
@@ -358,6 +359,8 @@
         # The revision of a refuted record, and when it was refuted, by incarnation.
         self._refuted_by_incarnation = {}
         self.region_by_data_centre: dict[str, str] = {}
+        # Which parts for hard load the deployment calls for.
+        self.load_parts = loadparts.LoadParts()
         self.eras = eras.Eras()
         self.freshness = freshness.Freshness(self.eras)
         self.announcements = announcements.Announcements()
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -40,3 +40,10 @@
     route = {"Host": "a", "PathPrefix": "/", "Kind": "strange", "New": 1}
     path.write_text(json.dumps({"Version": 1, "Routes": [route], "More": {}}))
     assert check.check(manifest_path=path) == []
+
+
+def test_a_wrong_choice_of_parts_is_reported(tmp_path):
+    path = tmp_path / "parts.yaml"
+    path.write_text("keepers: never\n")
+    (finding,) = check.check(parts_path=path)
+    assert finding.message.startswith("keepers")
