--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -484,17 +484,21 @@
         )
         if not rows:
             code = self._candidates.code_without(flight, now)
-            return self._final_answer(flight, ending, now, code)
+            return self._without_room(flight, ending, now, code)
         if not flight.is_engine_prompt(service):
             row = placement.choose_service_target(rows, self._state.me.data_centre, now)
             return self._start(flight, row, None, now)
         place = self._prompt_placement.choose(flight, service.engines, rows, now)
         if place is None:
-            return self._final_answer(flight, ending, now, commands.Code.NO_TARGET)
+            return self._without_room(flight, ending, now, commands.Code.NO_TARGET)
         if self._would_wait_too_long(flight, place.row, now):
-            return self._final_answer(flight, ending, now, commands.Code.OVERLOADED)
+            return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
         return self._start(flight, place.row, place, now)
 
+    def _without_room(self, flight, ending, now, code):
+        """Return what follows where no target has room for a request now."""
+        return self._final_answer(flight, ending, now, code)
+
     def _must_decline(self, flight):
         """Return whether a peer's request goes back, as this host is cut off too."""
         if flight.request.passport is None:
