Tests that take longest begin first

The whole run took 1,238 s, of which the last 180 to 220 s were one or two workers at the files of tests/soak, which came last by name. The same tests run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,19 @@
 from sesamespindle.lab import fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
+# The folders whose files take longest, the longest first.
+_LONGEST_FOLDERS = ("soak", "platform", "promises")
+
+
+def pytest_collection_modifyitems(items):
+    """Begin with the files that take longest, as workers idle beside the last ones."""
+    folders = [*_LONGEST_FOLDERS, ""]
+
+    def place(item):
+        folder = item.path.parent.name
+        return folders.index(folder if folder in _LONGEST_FOLDERS else "")
+
+    items.sort(key=place)
 
 
 @pytest.fixture(scope="session")
