Heartbeats are adopted from digests, without records and further messages

A host at rest spent most of its processor time on gossip. In each round all heartbeats of a data centre differ, so the answer carried a full record of each newer member, and asked for the records that it lacked, which took a third message and a fourth that answered it and told nothing new.

Where the digests of the data centre are equal, heartbeats (and the revision of a member's configuration, which the digest doesn't cover) are all that can differ. They are now adopted from the digests that are sent anyway: by the answerer from the request, and by the caller from the answer, which contains only those that it lacks. A new field tells that the sender does so. A peer that doesn't set it is sent records and asked for them, as before.

Two daemons play it in tests, also with messages of an earlier release.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -80,7 +80,10 @@
         data_centre=message.data_centre,
         digests=[
             peers_pb2.MemberDigest(
-                name=item.name, incarnation=item.incarnation, heartbeat=item.heartbeat
+                name=item.name,
+                incarnation=item.incarnation,
+                heartbeat=item.heartbeat,
+                revision=item.revision,
             )
             for item in message.digests
         ],
@@ -131,6 +134,7 @@
         software_seen=[_software_to_wire(item, now) for item in message.software_seen],
         known=[_known_to_wire(item, now) for item in message.known],
         store_era=message.store_era,
+        adopts_heartbeats=message.adopts_heartbeats,
         **crashmessages.to_wire(message.crash_news, now),
     )
 
@@ -159,7 +163,9 @@
         message.sender,
         message.data_centre,
         tuple(
-            gossip.MemberDigest(item.name, item.incarnation, item.heartbeat)
+            gossip.MemberDigest(
+                item.name, item.incarnation, item.heartbeat, item.revision
+            )
             for item in message.digests
         ),
         tuple(
@@ -212,6 +218,7 @@
             _software_from_wire(item, sent_after or now)
             for item in message.software_seen
         ),
+        message.adopts_heartbeats,
     )
 
 
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -44,11 +44,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberDigest:
-    """The age of a member's record, by which peers see whose copy is newer."""
+    """The age of a member's record, by which peers see whose copy is newer.
+
+    Attributes
+    ----------
+    revision : int
+        As in `Member`; 0 in a message that doesn't adopt heartbeats.
+    """
 
     name: str
     incarnation: int
     heartbeat: int
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -327,6 +334,9 @@
         object. Proofs count only in an answer, as a request may have been delayed.
     store_era : int
         The highest era of the platform's store that the sender knows of.
+    adopts_heartbeats : bool
+        Whether the sender adopts heartbeats from `digests` where nothing else differs,
+        and so needs no records for them. Daemons of earlier releases don't.
     """
 
     sender: str
@@ -351,6 +361,7 @@
     store_era: int = 0
     brittle: tuple[BrittleService, ...] = ()
     software_seen: tuple[SoftwareSeen, ...] = ()
+    adopts_heartbeats: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -14,6 +14,7 @@
     events,
     gossip,
     hashing,
+    memberdigests,
     memberrecords,
     startupprobes,
     world,
@@ -106,8 +107,7 @@
         self._probes = startupprobes.StartupProbes(self._interval)
         self._next_round = None
         self._last_round_at = None
-        self._digests = None
-        self._digests_view = None
+        self._digests = memberdigests.MemberDigests(state)
         self._urgent = False
         # The pulse of a data centre: a count of the gossip rounds of its members that
         # only rises. See `_raise_pulse`.
@@ -235,9 +235,20 @@
         if sender is not None:
             self._fetch_revision(sender.peer_address, message.revision)
         inside = message.data_centre == self._state.me.data_centre
-        newer, wanted = self._compare(message)
+        digests = newer = wanted = ()
+        if self._digests.differ_in_heartbeats_alone(message):
+            self._adopt_heartbeats(message, now)
+            digests = self._digests.newer_heartbeats(message)
+        else:
+            newer, wanted = self._digests.compare(message)
         reply = self._message(
-            inside, now, newer, wanted, message.store_words, self._is_newly_met(message)
+            inside,
+            now,
+            newer,
+            wanted,
+            message.store_words,
+            self._is_newly_met(message),
+            digests,
         )
         self._state.emit(commands.GossipReply(event.exchange_id, reply))
 
@@ -252,6 +263,8 @@
             return
         self._state.knows_entries = True
         self._merge(event.message, now)
+        if self._digests.differ_in_heartbeats_alone(event.message):
+            self._adopt_heartbeats(event.message, now)
         self._fetch_revision(event.peer_address, event.message.revision)
         asked_for = [
             self._state.entries.get(name)
@@ -429,7 +442,14 @@
         return True
 
     def _message(
-        self, inside, now, members=(), wanted=(), their_words=None, is_newly_met=False
+        self,
+        inside,
+        now,
+        members=(),
+        wanted=(),
+        their_words=None,
+        is_newly_met=False,
+        digests=None,
     ):
         """Return a message to a peer.
 
@@ -447,6 +467,8 @@
             The positions of KV stores that the peer knows, in a reply to the peer.
         is_newly_met : bool
             Whether to include the crashes that are no longer sent in every message.
+        digests : tuple of gossip.MemberDigest, optional
+            The heartbeats that the peer lacks, in a reply to the peer.
         """
         state = self._state
         crash_news = gossip.CrashNews()
@@ -461,16 +483,13 @@
         software_seen = ()
         if self._stream_versions is not None:
             software_seen = self._stream_versions.records_to_announce(now)
-        digests = store_words = store_news = ()
+        store_words = store_news = ()
         if inside and self._store_relay is not None:
             store_words = self._store_relay.states_for(their_words or ())
             if store_words and their_words is not None:
                 store_news = self._store_relay.updates_for(their_words)
-        if inside:
-            digests = tuple(
-                gossip.MemberDigest(row.name, row.incarnation, row.heartbeat)
-                for row in state.entries.where("data_centre", state.me.data_centre)
-            )
+        if digests is None:
+            digests = self._digests.of_members() if inside else ()
         return gossip.GossipMessage(
             state.me.name,
             state.me.data_centre,
@@ -496,6 +515,7 @@
             store_era=state.eras.current,
             brittle=brittle,
             software_seen=software_seen,
+            adopts_heartbeats=True,
         )
 
     def _pending(self):
@@ -536,47 +556,12 @@
         return tuple(leaving[:MAX_LEAVING_TARGETS])
 
     def _data_centre_digests(self):
-        """Return one digest for each data centre, computed once for each table view."""
-        if self._digests_view != self._state.view:
-            self._digests_view = self._state.view
-            self._digests = memberrecords.digest_by_data_centre(self._state.entries)
         pulses = self._pulse_by_data_centre
         return tuple(
             gossip.DataCentreDigest(name, digest, pulses.get(name, 0))
-            for name, digest in self._digests.items()
+            for name, digest in self._digests.of_data_centres().items()
         )
 
-    def _compare(self, message):
-        """Return our newer records, and the names whose newer records we lack.
-
-        Guards against a host that starts in a data centre of which no other host is
-        known here: it learns of this host, and this host would never learn of it.
-        """
-        newer = {}
-        wanted = []
-        if message.sender not in self._state.entries:
-            wanted.append(message.sender)
-        seen_names = set()
-        for digest in message.digests:
-            seen_names.add(digest.name)
-            row = self._state.entries.get(digest.name)
-            theirs = (digest.incarnation, digest.heartbeat)
-            ours = (row.incarnation, row.heartbeat) if row else (-1, -1)
-            if ours > theirs:
-                newer[digest.name] = memberrecords.to_member(row)
-            elif ours < theirs and digest.name not in wanted:
-                wanted.append(digest.name)
-        ours_by_name = {item.name: item for item in self._data_centre_digests()}
-        theirs_by_name = {item.name: item for item in message.data_centres}
-        for name, ours in ours_by_name.items():
-            theirs = theirs_by_name.get(name)
-            if theirs is not None and theirs.digest == ours.digest:
-                continue
-            for row in self._state.entries.where("data_centre", name):
-                if row.name not in seen_names:
-                    newer[row.name] = memberrecords.to_member(row)
-        return list(newer.values()), wanted
-
     def _merge(self, message, now):
         inside = message.data_centre == self._state.me.data_centre
         for member in message.members:
@@ -649,6 +634,22 @@
             self._urgent = True
             self._state.emit(commands.Note("target_leaving", row.name, "heard"))
 
+    def _adopt_heartbeats(self, message, now):
+        """Adopt the heartbeats of members that differ in nothing else."""
+        for row, digest in self._digests.risen(message):
+            if row.state is _State.SUSPECT:
+                member = dataclasses.replace(
+                    memberrecords.to_member(row),
+                    heartbeat=digest.heartbeat,
+                    revision=digest.revision,
+                )
+                self._merge_member(member, True, now)
+                continue
+            if row.state not in _GONE:
+                self._probes.note_heard(row.name)
+            row.heartbeat, row.revision = digest.heartbeat, digest.revision
+            row.heard_at = now
+
     def _merge_member(self, member, inside, now):
         """Store a record that is newer than ours, by incarnation and heartbeat.
 
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -643,3 +643,49 @@
     known = make_membership("entry-0", ["entry-0"], ["far"])
     reply = answer(known, gossip.GossipMessage("far", "dc-2"), NOW)
     assert reply.wanted == ()
+
+
+def meet_with_old_heartbeats():
+    """Return two daemons whose tables differ only in the heartbeats of themselves."""
+    here, there = (make_membership(name, NAMES[:3]) for name in NAMES[:2])
+    for _, state in (here, there):
+        state.entries.get(state.me.name).heartbeat = 7
+        state.entries.get(state.me.name).revision = 3
+        state.revision = 3
+    return here, there
+
+
+def known_heartbeats(pair):
+    return [
+        (state.entries.get(name).heartbeat, state.entries.get(name).revision)
+        for state, name in zip((pair[0][1], pair[1][1]), NAMES[1::-1], strict=True)
+    ]
+
+
+def test_heartbeats_alone_are_sent_without_records():
+    """Guards against the records of all members in every message."""
+    here, there = meet_with_old_heartbeats()
+    there[1].entries.get(NAMES[0]).state = events.HostState.SUSPECT
+    asked = here[0]._message(True, NOW)
+    reply = answer(there, asked, NOW + ROUND)
+    assert (reply.members, reply.wanted) == ((), ())
+    assert [item.name for item in reply.digests] == [NAMES[1]]
+    here[0].receive_reply(gossip.GossipAnswered("b:81", reply), NOW + ROUND)
+    assert known_heartbeats((here, there)) == [(7, 3), (7, 3)]
+    assert there[1].entries.get(NAMES[0]).heard_at == NOW + ROUND
+    assert there[1].entries.get(NAMES[0]).state is events.HostState.LIVE
+
+
+def test_a_host_of_an_earlier_release_gets_and_is_asked_for_records():
+    """Guards against hosts that are suspected while a release replaces another."""
+    here, there = meet_with_old_heartbeats()
+    asked = dataclasses.replace(here[0]._message(True, NOW), adopts_heartbeats=False)
+    reply = answer(there, asked, NOW + ROUND)
+    assert [item.name for item in reply.members] == [NAMES[1]]
+    assert reply.wanted == (NAMES[0],)
+    old_reply = dataclasses.replace(reply, adopts_heartbeats=False)
+    here[1].take_commands()
+    here[0].receive_reply(gossip.GossipAnswered("b:81", old_reply), NOW + ROUND)
+    [sent] = here[1].take_commands()
+    answer(there, sent.message, NOW + ROUND)
+    assert known_heartbeats((here, there)) == [(7, 3), (7, 3)]
