Read the present speed that a target states with its load

The fourth figure of X-Server-Load says how long work takes there now, in percent of the usual. A figure that can't be read is left out and named apart from other signals, as the header comes with each answer. Load is read as before.

--- a/packages/decide/sesamespindle/decide/targetsignals.py
+++ b/packages/decide/sesamespindle/decide/targetsignals.py
@@ -13,6 +13,11 @@
     ----------
     load : int or None
         Requests that run or wait at the target; None if the answer doesn't tell.
+    speed : int or None
+        How long work takes at the target now, in percent of the usual; None if the
+        answer doesn't tell.
+    unreadable_load : str
+        The header of load and speed, if a figure of it can't be read; else empty.
     weight_version : int or None
         The weight version that generated the answer; None if the answer doesn't tell.
     limit : float or None
@@ -40,3 +45,5 @@
     rest: datetime.timedelta | None = None
     unreadable: tuple[str, ...] = ()
     brittle: float | None = math.inf
+    speed: int | None = None
+    unreadable_load: str = ""
--- a/tests/platform/test_signalheaders.py
+++ b/tests/platform/test_signalheaders.py
@@ -26,6 +26,28 @@
     assert (signals.load, signals.weight_version) == (5, 4)
 
 
+@pytest.mark.parametrize(
+    ("value", "load", "speed", "is_readable"),
+    [
+        ("3,2,8", 5, None, True),
+        ("3,2,8,100", 5, 100, True),
+        ("3,2,8,250,7", 5, 250, True),
+        ("3,2,8,fast", 5, None, False),
+        ("3,2,8,-1", 5, None, False),
+        ("3,2,8,0", 5, None, False),
+        ("3,2,8," + "9" * 40, 5, None, False),
+        ("3,2,x,250", 5, 250, False),
+        ("?,2,8,250", None, 250, True),
+    ],
+)
+def test_load_with_speed(value, load, speed, is_readable):
+    """Guards against an answer that is lost to a figure that can't be read."""
+    signals = read(("X-Server-Load", value))
+    assert (signals.load, signals.speed) == (load, speed)
+    assert (signals.unreadable_load == "") == is_readable
+    assert signals.unreadable == ()
+
+
 @pytest.mark.parametrize(
     ("value", "limit"), [("1.7", 1.7), ("12", 12.0), (" 0 ", 0.0), ("0.25", 0.25)]
 )
