Keepers of engines: one host counts the work at each, others ask before they send

Long prompts piled up at a few engines while others idled, as a host sees one in twenty or more of the sends. Where Part.KEEPERS is on, each engine's keeper, by rendezvous over live hosts that reach engines, grants memory and time; the asker asks at most three engines in its own order and decides alone where nobody answers. All checks of candidates run again after each answer.

First tried: an engine whose keeper doesn't answer gets the prompt unasked at once.

Urgency and the time-outs of first bytes move out of forwarding, unchanged.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -43,6 +43,8 @@
 # Begins a datagram about the origin of a stream. No protobuf message begins so, and a
 # host of an earlier release drops it instead of taking it for a gossip message.
 _ORIGIN_PREFIX = b"\xff"
+# Begins a datagram about the work at an engine; no protobuf message begins so either.
+_KEEPER_PREFIX = b"\xfe"
 _OPTIONS = (
     ("grpc.enable_http_proxy", 0),
     # Only one process may listen at a peer address. A lease holder that restarts
@@ -109,6 +111,7 @@
         self._metadata = ((_KEY_METADATA, key),)
         self._key = key
         self._calls = self._judge = self._receive_origin = None
+        self._receive_keeper_message = None
         self._call_timeout = None
         self._channel_by_address = {}
         # Callbacks that receive the reply command of an exchange, by exchange id.
@@ -407,12 +410,23 @@
             service=origin.service if origin else "",
             software=origin.software if origin else "",
         )
+        self._send_prefixed(_ORIGIN_PREFIX, message.SerializeToString(), address)
+
+    def send_to_keeper(self, payload, address):
+        """Send a message about the work at an engine to a peer, as ``host:port``."""
+        self._send_prefixed(_KEEPER_PREFIX, payload, address)
+
+    def set_keeper_receiver(self, receive):
+        """Set what gets messages about work at engines: payload, peer's address."""
+        self._receive_keeper_message = receive
+
+    def _send_prefixed(self, prefix, payload, address):
         try:
             peer = _parse_address(address)
         except ValueError as error:
             _log.warning("Invalid peer address {!r}. {}", address, error)
             return
-        self._datagrams.send(_ORIGIN_PREFIX + message.SerializeToString(), peer)
+        self._datagrams.send(prefix + payload, peer)
 
     def set_origin_receiver(self, receive):
         """Set what gets messages about origins: kind, key, origin, peer's address."""
@@ -435,6 +449,11 @@
         if payload.startswith(_ORIGIN_PREFIX):
             self._receive_origin_datagram(payload[len(_ORIGIN_PREFIX) :], peer)
             return
+        if payload.startswith(_KEEPER_PREFIX):
+            if self._receive_keeper_message is not None:
+                address = f"{peer[0]}:{peer[1]}"
+                self._receive_keeper_message(payload[len(_KEEPER_PREFIX) :], address)
+            return
         try:
             datagram = peers_pb2.GossipDatagram.FromString(payload)
         except protobuf_message.DecodeError as error:
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -65,6 +65,8 @@
         Connects to peers that carry requests; may be left out if none does.
     origin_lookup : sesamespindle.daemon.originlookup.OriginLookup, optional
         Finds out which software version began a stream; may be left out in tests.
+    keeper_links : sesamespindle.daemon.keeperlinks.KeeperLinks, optional
+        Asks the keepers of engines; may be left out in tests.
 
     Attributes
     ----------
@@ -80,6 +82,7 @@
         measures,
         peer_session=None,
         origin_lookup=None,
+        keeper_links=None,
     ):
         self._driver = driver
         self._forwarding = driver.core.forwarding
@@ -88,6 +91,7 @@
         self._session = session
         self._peer_session = peer_session
         self._origin_lookup = origin_lookup
+        self._keeper_links = keeper_links
         self._measures = measures
         self._answer_ends = answerends.AnswerEnds(measures)
         self._proofs = proofs.Proofs(driver)
@@ -240,6 +244,11 @@
                     if answer.response is not None:
                         raise _CutOffError
                     return self._close_if_leaving(answer.failure)
+                case sends.AskKeeper():
+                    reply = await self._keeper_links.ask(command)
+                    command = self._call_core(
+                        self._forwarding.keeper_answered, command.request_id, reply
+                    )
                 case sends.Forward():
                     command = await self._send(http, body, command, answer)
                     if command is None:
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -5,6 +5,10 @@
 
 from sesamespindle.decide import incarnations, kvstores, routes, sends, streamorigins
 
+# Number of route ranks that are distinguished within one account rank. Targets
+# have ten urgency levels, enough for three account ranks of three route ranks.
+_ROUTE_RANKS = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -129,6 +133,11 @@
         go on; empty if it may be any.
     sent_software : str
         The software version of the target of its last send.
+    asked : asking.Asked or None
+        What keepers of engines have answered for its next send; None if none was
+        asked.
+    counted : dict
+        The peer addresses of the keepers that may count it, by target incarnation.
     is_retry_paid : bool
         Whether its next send is already taken from the retry budget.
     """
@@ -155,6 +164,8 @@
     is_retry_paid: bool = False
     software: str = ""
     sent_software: str = ""
+    asked: object | None = None
+    counted: dict = dataclasses.field(default_factory=dict)
 
     @property
     def has_begun(self):
@@ -166,6 +177,19 @@
         """The fingerprints by which crashes may be attributed to it."""
         return (self.fingerprint, *self.parts) if self.fingerprint else self.parts
 
+    @property
+    def urgency(self):
+        """The urgency that a target sorts the request by, 0 first.
+
+        The account's rank comes before the route's. The route's rank orders requests
+        of accounts of equal rank, so that their short prompts don't wait behind long
+        ones.
+        """
+        account_rank = route_rank = self.route.rank
+        if self.account is not None and self.account.rank is not None:
+            account_rank = self.account.rank
+        return account_rank * _ROUTE_RANKS + min(route_rank, _ROUTE_RANKS - 1)
+
     def is_engine_prompt(self, service):
         """Return whether it is a prompt, and a service is known and has engines."""
         return service is not None and bool(service.engines and self.request.model)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -5,6 +5,7 @@
 from sesamespindle.decide import (
     catalogue,
     commands,
+    firstbytes,
     flights,
     kvstores,
     placement,
@@ -21,14 +22,6 @@
 # A request is refused at once if its expected queueing time exceeds this share of
 # the time that it has left, since the target would then answer too late.
 _MAX_WAIT_SHARE = 0.8
-# Weight of the newest sample in the moving averages of failure rate and service
-# time: about the last ten answers count.
-_NEWEST_WEIGHT = 0.1
-# An idempotent request is retried at another target if no answer has begun after
-# this many average service times, but no sooner than the minimum. The minimum is
-# above the 99th percentile of plain services (5 times 45 ms).
-_FIRST_BYTE_TIMEOUT_FACTOR = 6.0
-_MIN_FIRST_BYTE_TIMEOUT = datetime.timedelta(milliseconds=350)
 # How long an engine that still has superseded weights counts as loading the new
 # ones after it turned a request away. Loading takes 0.4 s.
 _WEIGHT_LOADING_TIME = datetime.timedelta(milliseconds=300)
@@ -58,9 +51,6 @@
 _WITHDRAWN_AFTER = datetime.timedelta(milliseconds=1500)
 # A target that a part of a prompt crashes ends within this time of the first byte.
 _BEGINS_WELL_AFTER = datetime.timedelta(milliseconds=250)
-# Number of route ranks that are distinguished within one account rank. Targets
-# have ten urgency levels, enough for three account ranks of three route ranks.
-_ROUTE_RANKS = 3
 
 
 class Forwarding:
@@ -96,6 +86,8 @@
         Which targets fall over if they have to turn away too many requests.
     stream_origins : streamorigins.StreamOrigins
         Which software versions began the streams that callers take up again.
+    keeper_asking : asking.Asking
+        Which keepers of engines are asked for a prompt.
     """
 
     def __init__(
@@ -114,6 +106,7 @@
         peer_carriers,
         brittle_targets,
         stream_origins,
+        keeper_asking,
     ):
         self._state = state
         self._weights = weights
@@ -129,6 +122,7 @@
         self._carriers = peer_carriers
         self._brittle = brittle_targets
         self._origins = stream_origins
+        self._asking = keeper_asking
         self.configuration = None
         self.flight_by_request = {}
 
@@ -279,10 +273,12 @@
             return
         if flight.sent_at is not None:
             self._crashes.record_answer(flight.incarnation, flight.sent_at)
-        row.sent_by_request.pop(request_id, None)
+        sent = row.sent_by_request.pop(request_id, None)
+        if sent is not None and flight.sent_at is not None:
+            self._asking.begun(flight, row, sent.tokens, now)
         _note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
-            _note_service_time(row, now - flight.sent_at)
+            firstbytes.note_service_time(row, now - flight.sent_at)
 
     def stream_begun(self, request_id, software="", *, now):
         """Record that the caller gets the first event of a stream.
@@ -448,6 +444,7 @@
             return
         if signals.load is not None:
             row.reported_load = signals.load
+        self._asking.note_stated(row, signals, now)
         if signals.weight_version is not None and flight.request.model:
             row.learn_version(flight.request.model, signals.weight_version)
 
@@ -484,16 +481,50 @@
         )
         if not rows:
             code = self._candidates.code_without(flight, now)
+            self._asking.release(flight)
             return self._without_room(flight, ending, now, code)
         if not flight.is_engine_prompt(service):
             row = placement.choose_service_target(rows, self._state.me.data_centre, now)
             return self._start(flight, row, None, now)
-        place = self._prompt_placement.choose(flight, service.engines, rows, now)
-        if place is None:
-            return self._without_room(flight, ending, now, commands.Code.NO_TARGET)
-        if self._would_wait_too_long(flight, place.row, now):
+        return self._send_prompt(flight, service.engines, rows, now, ending)
+
+    def _send_prompt(self, flight, engines, rows, now, ending):
+        rows = self._asking.narrow(flight, rows, now)
+        choice = self._prompt_placement.choose(flight, engines, rows, now)
+        if choice is None:
+            self._asking.release(flight)
+            return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
+        question = self._asking.question(flight, choice, engines, now, ending)
+        if question is not None:
+            return question
+        place = self._prompt_placement.settle(flight, engines, choice, now)
+        if flight.asked is None and self._would_wait_too_long(flight, place.row, now):
             return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
-        return self._start(flight, place.row, place, now)
+        return self._start(flight, place.row, place, now, engines)
+
+    def keeper_answered(self, request_id, answer, now):
+        """Return what to do with a prompt after an answer of an engine's keeper.
+
+        Parameters
+        ----------
+        request_id : str
+            The request, which must be in flight.
+        answer : ledgers.Answer or None
+            The answer; None if none came in time.
+        now : datetime.datetime
+            The current time.
+
+        Returns
+        -------
+        command : sends.Forward, sends.AskKeeper, sends.PassOn or commands.Refuse
+        """
+        flight = self.flight_by_request[request_id]
+        ending = self._asking.note_answer(flight, answer, now)
+        departure = self._state.departure
+        if departure is not None and departure.is_over:
+            code = commands.Code.SHUTTING_DOWN
+            return self._final_answer(flight, ending, now, code)
+        return self._send(flight, now, ending)
 
     def _without_room(self, flight, ending, now, code):
         """Return what follows where no target has room for a request now."""
@@ -514,7 +545,7 @@
             return None
         return max(1, service.max_connections // self._count_live_entries())
 
-    def _start(self, flight, row, place, now):
+    def _start(self, flight, row, place, now, engines=None):
         """Record a send at its target, and return it."""
         request = flight.request
         flight.incarnation = row.incarnation
@@ -540,14 +571,14 @@
             row.name,
             row.url,
             flight.until,
-            _urgency(flight),
+            flight.urgency,
             account.name if account is not None else None,
             flight.route.repeats,
             flight.route.streaming,
             flight.version,
             place.salt if place else None,
             place.transfers if place else kvstores.NO_TRANSFERS,
-            self._first_byte_timeout(flight, row),
+            firstbytes.timeout(flight, row),
             sendlog.explain(
                 self.configuration,
                 flight,
@@ -556,7 +587,8 @@
                 self._replacement(flight),
                 self._target_limits.describe(row, now),
                 now,
-            ),
+            )
+            + self._asking.sent(flight, row, engines),
             row.born,
         )
 
@@ -566,20 +598,6 @@
         wait = datetime.timedelta(seconds=placement.queue_seconds(row, now))
         return wait > time_left * _MAX_WAIT_SHARE
 
-    def _first_byte_timeout(self, flight, row):
-        """Return the timeout for the first byte of a send, or None for no timeout.
-
-        Only idempotent requests with attempts left have one, as only they may be
-        retried at another target.
-        """
-        route = flight.route
-        if route.repeats is not routes.Repeats.IDEMPOTENT:
-            return None
-        if flight.runs + 1 >= route.max_attempts:
-            return None
-        average = row.service_time or datetime.timedelta(0)
-        return max(_MIN_FIRST_BYTE_TIMEOUT, average * _FIRST_BYTE_TIMEOUT_FACTOR)
-
     def _may_retry(self, flight, ending, maybe_ran, now):
         """Return whether a request may be sent to a target once more.
 
@@ -666,6 +684,7 @@
 
     def _release(self, flight):
         """Release the connection and memory accounted to a send at its target."""
+        self._asking.release(flight)
         row = self._state.target_in(flight.incarnation)
         if row is not None and flight.sent_at is not None:
             self._brittle.note_ended(row.incarnation, flight.request.request_id)
@@ -787,27 +806,9 @@
     return flight.keys
 
 
-def _urgency(flight):
-    """Return the urgency that a target sorts the request by, 0 first.
-
-    The account's rank comes before the route's. The route's rank orders requests
-    of accounts of equal rank, so that their short prompts don't wait behind long
-    ones.
-    """
-    account_rank = route_rank = flight.route.rank
-    if flight.account is not None and flight.account.rank is not None:
-        account_rank = flight.account.rank
-    return account_rank * _ROUTE_RANKS + min(route_rank, _ROUTE_RANKS - 1)
-
-
 def _note_result(row, failed):
-    row.failure_rate += _NEWEST_WEIGHT * ((1.0 if failed else 0.0) - row.failure_rate)
+    row.failure_rate += firstbytes.NEWEST_WEIGHT * (
+        (1.0 if failed else 0.0) - row.failure_rate
+    )
     if not failed:
         catalogue.note_success(row)
-
-
-def _note_service_time(row, duration):
-    if row.service_time is None:
-        row.service_time = duration
-    else:
-        row.service_time += (duration - row.service_time) * _NEWEST_WEIGHT
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -4,6 +4,7 @@
 import datetime
 
 from sesamespindle.decide import (
+    asking,
     brittle,
     budgets,
     candidates,
@@ -22,8 +23,10 @@
     freshness,
     gossip,
     heldtargets,
+    keepers,
     kvstores,
     lease,
+    ledgers,
     membership,
     promptplacement,
     quarantine,
@@ -153,6 +156,8 @@
         self.carriers = carriers.Carriers(
             self.state, self.reach, self.brittle, self._is_reachable, carry_port
         )
+        self.ledgers = ledgers.Ledgers()
+        self.asking = asking.Asking(self.state, keepers.Keepers(self.state))
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
@@ -178,6 +183,7 @@
             self.carriers,
             self.brittle,
             self.origins,
+            self.asking,
         )
         self.store_checks = storechecks.StoreChecks(self.state, terms.kinds)
         self.membership = membership.Membership(
@@ -420,6 +426,8 @@
         self.origins.tick(self.forwarding.flight_by_request.values(), now)
         self.reach.tick(now)
         self.forwarding.tick(now)
+        self.asking.tick(now)
+        self.ledgers.tick(now)
         if self.lease.is_held(now):
             self.stores.free_superseded(self._salt_may_be_in_use, now)
 
--- a/packages/decide/sesamespindle/decide/hashing.py
+++ b/packages/decide/sesamespindle/decide/hashing.py
@@ -41,6 +41,11 @@
     return max(names, key=lambda name: _weight(name, seed), default=None)
 
 
+def number(text):
+    """Return a number of 64 bits that stands for a text in messages between hosts."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def _weight(name, seed):
     return xxhash.xxh3_64_intdigest(name.encode(), seed=seed)
 
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -15,7 +15,7 @@
 PREFILL_TOKENS_PER_SECOND = 50_000.0
 # Seconds that each request waiting or running at an engine adds to the expected time
 # to first token: a decode step of 3 to 4 ms and a share of a prefill.
-_SECONDS_PER_REQUEST = 0.004
+SECONDS_PER_REQUEST = 0.004
 # Wait in seconds that is expected at an engine which is loading weights, as it
 # refuses all requests meanwhile.
 _LOADING_WAIT_SECONDS = 3.0
@@ -188,8 +188,8 @@
 
 def _expected_seconds(row, effort, waiting, now):
     """Return the expected seconds to a prompt's first token at an engine."""
-    seconds = effort.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-    seconds += effort.transfer_seconds + _queue_seconds(row, waiting)
+    seconds = _reading_seconds(row, effort.prefill_tokens, now)
+    seconds += effort.transfer_seconds + _queue_seconds(row, waiting, now)
     if row.loading_until is not None and now < row.loading_until:
         seconds += _LOADING_WAIT_SECONDS
     return seconds
@@ -273,9 +273,16 @@
 
 def queue_seconds(row, now):
     """Return the expected wait in seconds for the requests sent before."""
-    return _queue_seconds(row, pending(row, now))
+    return _queue_seconds(row, pending(row, now), now)
 
 
-def _queue_seconds(row, waiting):
-    prefill_seconds = waiting.tokens / PREFILL_TOKENS_PER_SECOND
-    return prefill_seconds + row.reported_load * _SECONDS_PER_REQUEST
+def _queue_seconds(row, waiting, now):
+    prefill_seconds = _reading_seconds(row, waiting.tokens, now)
+    return prefill_seconds + row.reported_load * SECONDS_PER_REQUEST
+
+
+def _reading_seconds(row, tokens, now):
+    """Return how long an engine reads tokens, by what is learned of it, if anything."""
+    if row.learned is None:
+        return tokens / PREFILL_TOKENS_PER_SECOND
+    return row.learned.reading_seconds(tokens, PREFILL_TOKENS_PER_SECOND, now)
--- a/packages/decide/sesamespindle/decide/promptplacement.py
+++ b/packages/decide/sesamespindle/decide/promptplacement.py
@@ -15,6 +15,25 @@
 _MAX_COMPARED = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The engine that was chosen for a prompt, and what it has to do.
+
+    Attributes
+    ----------
+    row : world.TargetRow
+        The engine.
+    effort : placement.Effort
+        What it has to do before the first token.
+    preferred : world.TargetRow or None
+        The preferred engine of the prompt's context.
+    """
+
+    row: world.TargetRow
+    effort: placement.Effort
+    preferred: world.TargetRow | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """The placement of a prompt.
@@ -87,7 +106,7 @@
         return [row for row in rows if begins_in_time(row)]
 
     def choose(self, flight, engines, rows, now):
-        """Return the `Place` for a prompt, or None if `rows` is empty.
+        """Return the `Choice` for a prompt, or None if `rows` is empty.
 
         Parameters
         ----------
@@ -114,16 +133,31 @@
             return None
         if not placement.has_free_memory(row, work, now):
             row = placement.choose_engine(rows, work, now, version_cost, preferred)
+        return Choice(row, work.effort_at(row), preferred)
+
+    def settle(self, flight, engines, choice, now):
+        """Return the `Place` of a prompt that is sent to the engine chosen for it.
+
+        Parameters
+        ----------
+        flight : flights.Flight
+            The prompt.
+        engines : routes.Engines
+            What the engines of its service have in common.
+        choice : Choice
+            From `choose`.
+        now : datetime.datetime
+            The current time.
+        """
+        request, row, preferred = flight.request, choice.row, choice.preferred
         version = self._weights.running(row, request.model)
         salt = _salt(flight, version)
-        effort = work.effort_at(row)
         transfers = self._stores.plan(
             engines, row, preferred, salt, request.prompt, now
         )
         row.note_cached(salt, request.prompt[:-1], engines.kv_capacity)
-        return Place(
-            row, version, salt, transfers, effort.prefill_tokens, row is preferred
-        )
+        tokens = choice.effort.prefill_tokens
+        return Place(row, version, salt, transfers, tokens, row is preferred)
 
     def _compared(self, rows, model):
         """Return the engines to compare, out of all in a context's rendezvous order.
--- a/packages/decide/sesamespindle/decide/sends.py
+++ b/packages/decide/sesamespindle/decide/sends.py
@@ -7,7 +7,7 @@
 import datetime
 import enum
 
-from sesamespindle.decide import kvstores, routes
+from sesamespindle.decide import kvstores, ledgers, routes
 
 
 class Ending(enum.Enum):
@@ -110,6 +110,34 @@
     software: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskKeeper:
+    """Ask the keeper of an engine for room, and go on with its answer.
+
+    Attributes
+    ----------
+    keeper : str
+        The name of the keeper, which may be this host.
+    address : str
+        Its peer address.
+    ask : ledgers.Ask
+        The question.
+    """
+
+    request_id: str
+    keeper: str
+    address: str
+    ask: ledgers.Ask
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellKeeper:
+    """Tell the keeper of an engine what became of a prompt."""
+
+    address: str
+    tell: ledgers.Tell
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PassOn:
     """Relay the target's own failure response to the caller."""
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -21,6 +21,7 @@
     retries,
     revisions,
     routes,
+    speeds,
     tables,
 )
 
@@ -198,6 +199,8 @@
     held_by_request: dict[str, int] = dataclasses.field(default_factory=dict)
     # The work that peers have sent to the target and announced, by the peer's name.
     peer_work_by_entry: dict[str, SentWork] = dataclasses.field(default_factory=dict)
+    # What was learned of its speed; None where `loadparts.Part.KEEPERS` is off.
+    learned: speeds.Learned | None = None
 
     @property
     def incarnation(self):
