--- a/packages/daemon/sesamespindle/daemon/keepermessages.py
+++ b/packages/daemon/sesamespindle/daemon/keepermessages.py
@@ -28,7 +28,7 @@
         _ASK,
         number,
         ask.request,
-        engine.born,
+        _bounded(engine.born, 8),
         _bounded(ask.tokens, 4),
         _bounded(ask.held_tokens, 4),
         _bounded(ask.capacity, 4),
@@ -56,7 +56,7 @@
     head = _TELL_FORM.pack(
         _TELL,
         tell.request,
-        engine.born,
+        _bounded(engine.born, 8),
         tell.stage,
         _bounded(tell.tokens, 4),
         _bounded(tell.held_tokens, 4),
--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -87,6 +87,7 @@
         self._keepers = engine_keepers
         self.count_by_result = collections.Counter()
         self.unreadable_loads = 0
+        self._service_times = speeds.ServiceTimes()
         self._silent_until_by_host = {}
         # Tokens that were declined for memory, and until when, by incarnation.
         self._full_by_incarnation = {}
@@ -241,6 +242,15 @@
         if signals.speed is not None and self.is_on():
             _learned(row).note_speed(signals.speed, now)
 
+    def note_call(self, flight, now):
+        """Take note that the answer to a call of a plain service has begun."""
+        if self.is_on() and not flight.request.model:
+            self._service_times.note(flight.service, now - flight.sent_at, now)
+
+    def service_seconds(self, service, now):
+        """Return how long a call of a plain service takes; None if it isn't known."""
+        return self._service_times.seconds(service, now)
+
     def _note_unreadable(self, row, text):
         """Count a load that can't be read; only the first one is logged."""
         if not self.unreadable_loads:
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -279,6 +279,7 @@
         _note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
             firstbytes.note_service_time(row, now - flight.sent_at)
+            self._asking.note_call(flight, now)
 
     def stream_begun(self, request_id, software="", *, now):
         """Record that the caller gets the first event of a stream.
@@ -484,7 +485,9 @@
             self._asking.release(flight)
             return self._without_room(flight, ending, now, code)
         if not flight.is_engine_prompt(service):
-            row = placement.choose_service_target(rows, self._state.me.data_centre, now)
+            here = self._state.me.data_centre
+            usual = self._asking.service_seconds(flight.service, now)
+            row = placement.choose_service_target(rows, here, now, usual)
             return self._start(flight, row, None, now)
         return self._send_prompt(flight, service.engines, rows, now, ending)
 
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -8,7 +8,7 @@
 import datetime
 import typing
 
-from sesamespindle.decide import hashing
+from sesamespindle.decide import hashing, loadparts
 
 # Prompt tokens that an otherwise idle engine prefills in a second; a little below
 # the stated rate of 61,200. Only ratios matter.
@@ -226,7 +226,7 @@
     return _LATE_COST * min(max(share, 0.0), 1.0)
 
 
-def choose_service_target(rows, data_centre, now):
+def choose_service_target(rows, data_centre, now, service_seconds=None):
     """Return the target of a plain service with the least expected wait, or None.
 
     Parameters
@@ -237,12 +237,16 @@
         The data centre of this host; targets elsewhere cost a crossing.
     now : datetime.datetime
         The current time.
+    service_seconds : float, optional
+        How long a call of the service takes, for targets of which it isn't known.
     """
 
     def cost(row):
-        service = _DEFAULT_SERVICE_SECONDS
+        service = service_seconds or _DEFAULT_SERVICE_SECONDS
         if row.service_time is not None:
             service = row.service_time.total_seconds()
+        if row.learned is not None:
+            service *= row.learned.speed(now) / loadparts.USUAL_SPEED
         load = max(row.running_here, row.reported_load)
         seconds = service * (1.0 + load / max(row.slots, 1))
         if row.data_centre != data_centre:
--- a/packages/decide/sesamespindle/decide/speeds.py
+++ b/packages/decide/sesamespindle/decide/speeds.py
@@ -1,6 +1,6 @@
-"""What is learned of how fast one engine reads prompts, and how fast it works now.
+"""What is learned of how fast targets are, and how fast each works now.
 
-The load that this answers: engines differ in speed, and one that shares its machine
+The load that this answers: targets differ in speed, and one that shares its machine
 may be two or three times as slow for half a second. A fixed rate sends it as much as
 the others.
 """
@@ -27,11 +27,27 @@
 _SPEEDS = (10, 2000)
 
 
+class ServiceTimes:
+    """How long a call of each plain service takes, by all its targets together."""
+
+    def __init__(self):
+        self._samples_by_service = collections.defaultdict(_new_samples)
+
+    def note(self, service, duration, now):
+        """Take note of how long a call took."""
+        self._samples_by_service[service].append((now, duration.total_seconds()))
+
+    def seconds(self, service, now):
+        """Return how long a call takes; None as long as too few are known."""
+        samples = self._samples_by_service.get(service, ())
+        return _median(samples, now)
+
+
 class Learned:
-    """What is known of one incarnation of an engine."""
+    """What is known of one incarnation of a target."""
 
     def __init__(self):
-        self._samples = collections.deque(maxlen=_MOST_SAMPLES)
+        self._samples = _new_samples()
         self._speed = loadparts.USUAL_SPEED
         self._speed_at = None
         self._is_stated_here = False
@@ -96,15 +112,26 @@
         now : datetime.datetime
             The current time.
         """
-        oldest = now - _SAMPLED_FOR
-        while self._samples and self._samples[0][0] < oldest:
-            self._samples.popleft()
-        if len(self._samples) < _LEAST_SAMPLES:
+        median = _median(self._samples, now)
+        if median is None:
             return prior
-        median = statistics.median(rate for _, rate in self._samples)
         return min(max(median, prior / _BELIEVED_FACTOR), prior * _BELIEVED_FACTOR)
 
     def reading_seconds(self, tokens, prior, now):
         """Return how long the engine reads a number of tokens, at its present speed."""
         share = self.speed(now) / loadparts.USUAL_SPEED
         return tokens / self.rate(prior, now) * share
+
+
+def _new_samples():
+    return collections.deque(maxlen=_MOST_SAMPLES)
+
+
+def _median(samples, now):
+    """Return the median of samples that aren't old, or None if there are too few."""
+    oldest = now - _SAMPLED_FOR
+    while samples and samples[0][0] < oldest:
+        samples.popleft()
+    if len(samples) < _LEAST_SAMPLES:
+        return None
+    return statistics.median(value for _, value in samples)
