Don't hold sound prompts back after crashes that a refused request explains

Callers of sound prompts got 503 (suspected) for half a second after a crash, if their prompts shared a part with a request that was already refused for crashing engines: a trial or a late run of that one ends an engine, the part has then four crashes, and reports of others were awaited although they could never have convicted the part.

The wait now asks the same question as the judgement: crashes that few whole requests explain speak against no part.

Not mended: a part that ran in crashes of a refused request and in two of one more request is still judged by their number.

--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -142,6 +142,16 @@
         count = count_separate([*times, *unsure], terms.apart)
         return max(0, count - terms.by_chance)
 
+    def may_be_cause(self, fingerprint, crashes):
+        """Return whether crashes may convict a request or part once all have reported.
+
+        Guards against sound requests that are refused after each crash of another one
+        with the same part, although that one is known to be the cause.
+        """
+        if self.suspicion(fingerprint) < QUARANTINED_FROM:
+            return False
+        return not self._are_of_few_requests(fingerprint, crashes)
+
     def all_reported(self, crashes, now):
         """Return whether the reports of all hosts on some crashes are known."""
         return now - max(crash.at for crash in crashes) >= REPORTED_WITHIN
--- a/packages/decide/sesamespindle/decide/quarantine.py
+++ b/packages/decide/sesamespindle/decide/quarantine.py
@@ -125,7 +125,7 @@
 
     def _refusal_by(self, key, now):
         crashes = self._culprits.counted_crashes(key)
-        if self._culprits.suspicion(key) >= culprits.QUARANTINED_FROM:
+        if self._culprits.may_be_cause(key, crashes):
             if not self._culprits.all_reported(crashes, now):
                 return self._refuse(
                     commands.Code.SUSPECTED,
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -212,3 +212,19 @@
     core.forwarding.served("r1", later)
     assert core.quarantine.possible_crash_count((flight.fingerprint,)) == 2
     assert core.quarantine.possible_crash_count(flight.parts) == 1
+
+
+def test_sound_requests_are_served_while_reports_of_another_ones_crash_are_awaited(
+    core,
+):
+    """Guards against a part refused for crashes that a refused request explains."""
+    crash_apart(core, 3, SOUND, requests=[REQUESTS[0]] * 8)
+    assert judge(core, 3.0) == {REQUESTS[0]}
+    crash(core, 4, REQUESTS[0], SOUND, after=4.0)
+    assert core.quarantine.refusal((REQUESTS[7], SOUND), NOW + 4.1 * SECOND) is None
+
+
+def test_a_part_that_may_be_the_cause_is_held_back_until_all_have_reported(core):
+    crash_apart(core, 4, DEADLY)
+    refusal = core.quarantine.refusal((REQUESTS[7], DEADLY), NOW + 2.5 * SECOND)
+    assert refusal.code is commands.Code.SUSPECTED
