Don't refuse a part as a second request with it begins to crash engines

Sound chats got 503 (quarantined) for a part that they share with requests of which each crashes engines by itself.

Cause: each crash without a refused request counted as one of a request of its own, also if one and the same ran in both. They are now counted by the fewest whole requests that ran in them, once a refused one explains other crashes. A pure test of that sequence failed before (both refused) and passes; a part that one more request crashes targets by is still found, at the first crash of the third request. 179 pure tests of crashes, quarantine and culprits pass.

--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -3,6 +3,7 @@
 Each has a fingerprint, and the same logic judges all of them by `Terms` of their kind.
 """
 
+import collections
 import dataclasses
 import datetime
 
@@ -234,6 +235,9 @@
         """Return whether few whole requests explain the crashes of a part.
 
         One that ran in all of them does, and so do those that are quarantined.
+
+        Guards against a part of sound requests that is refused as a second request
+        with it crashes targets, and has too few crashes as yet to be quarantined.
         """
         if not fingerprints.is_of_part(fingerprint):
             return False
@@ -241,9 +245,10 @@
         if not all(map(fingerprints.is_of_part, common)):
             return True
         quarantined = self._quarantined.record_by_fingerprint.keys()
-        causes = [crash.suspects & quarantined for crash in crashes]
-        unexplained = sum(not found for found in causes)
-        return unexplained + len(set().union(*causes)) < QUARANTINED_FROM
+        causes = set().union(*(crash.suspects & quarantined for crash in crashes))
+        rest = [crash for crash in crashes if crash.suspects.isdisjoint(quarantined)]
+        unexplained = _count_requests_of(rest) if causes else len(rest)
+        return unexplained + len(causes) < QUARANTINED_FROM
 
     def _is_worst(self, fingerprint, crashes, judged):
         """Return whether enough of the judged crashes have no suspect that is worse.
@@ -369,6 +374,24 @@
         )
 
 
+def _count_requests_of(crashes):
+    """Return how many whole requests together ran in all of some crashes."""
+    count = 0
+    while crashes:
+        runs = collections.Counter(
+            suspect
+            for crash in crashes
+            for suspect in crash.suspects
+            if not fingerprints.is_of_part(suspect)
+        )
+        if not runs:
+            return count + len(crashes)
+        most = max(runs, key=runs.get)
+        crashes = [crash for crash in crashes if most not in crash.suspects]
+        count += 1
+    return count
+
+
 def _are_one_event(crashes):
     """Return whether targets crashed together, each while it ran several requests."""
     times = [crash.at for crash in crashes]
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -152,6 +152,17 @@
     assert judge(core) == {REQUESTS[0], REQUESTS[1]}
 
 
+def test_a_part_is_not_refused_as_a_second_request_with_it_begins_to_crash_targets(
+    core,
+):
+    crash_apart(core, 3, SOUND, requests=[REQUESTS[0]] * 8)
+    assert judge(core, 3.0) == {REQUESTS[0]}
+    crash(core, 4, REQUESTS[0], SOUND, after=4.0)
+    crash(core, 5, REQUESTS[1], REQUESTS[2], SOUND, after=5.0)
+    crash(core, 6, REQUESTS[1], REQUESTS[3], SOUND, after=6.0)
+    assert judge(core) == {REQUESTS[0]}
+
+
 def test_two_parts_are_told_apart_though_one_crash_ended_runs_of_both(core):
     core.quarantine.record_success(SOUND, NOW)
     for number in range(1, 5):
