An end that overtakes its question at a keeper holds no memory

Datagrams overtake each other: the end came before the question, found nothing to end, and the question was then counted until the request's deadline. An end without an entry is now remembered for a second and takes its question's place. The new tests of ledgers failed before.

--- a/packages/decide/sesamespindle/decide/ledgers.py
+++ b/packages/decide/sesamespindle/decide/ledgers.py
@@ -19,6 +19,8 @@
 _KEPT_FREE_FOR = datetime.timedelta(milliseconds=300)
 # More entries at one engine are not counted but declined; engines have fewer slots.
 _MOST_ENTRIES = 1000
+# An end that arrives before its question is remembered for this time.
+_OVERTAKEN_FOR = datetime.timedelta(seconds=1)
 # A ledger without entries is dropped after this time.
 _KEPT_EMPTY_FOR = datetime.timedelta(seconds=30)
 # An engine's stated load counts for this long.
@@ -146,6 +148,8 @@
     def __init__(self, born, now):
         self.born = born
         self.entry_by_key = {}
+        # When ends arrived whose questions hadn't, by key, oldest first.
+        self._ended_at_by_key = {}
         self.learned = speeds.Learned()
         self.used_at = now
         self._load = 0
@@ -163,7 +167,8 @@
         unread = self._unread()
         wait = self._wait(ask, unread, now)
         reason = self._judge(ask, key, wait, now)
-        if reason is Reason.GRANTED:
+        has_ended = self._ended_at_by_key.pop(key, None) is not None
+        if reason is Reason.GRANTED and not has_ended:
             self._lift(key)
             self.entry_by_key[key] = _Entry(
                 ask.tokens, ask.held_tokens, now + ask.left, now, unread
@@ -203,6 +208,11 @@
         ]
         for key in over:
             del self.entry_by_key[key]
+        while self._ended_at_by_key:
+            key, ended_at = next(iter(self._ended_at_by_key.items()))
+            if now - ended_at < _OVERTAKEN_FOR:
+                break
+            del self._ended_at_by_key[key]
 
     def _unread(self):
         return sum(
@@ -263,6 +273,12 @@
     def _end(self, key, now):
         self._lift(key)
         entry = self.entry_by_key.pop(key, None)
+        if entry is None and len(self._ended_at_by_key) < _MOST_ENTRIES:
+            # Guards against memory that is held until the deadline of a caller who
+            # left, as datagrams overtake each other. A prompt that is asked for again
+            # after all is counted as soon as it is told to have begun.
+            self._ended_at_by_key.pop(key, None)
+            self._ended_at_by_key[key] = now
         if entry is not None and entry.has_begun:
             seconds = (now - entry.granted_at).total_seconds()
             self._run_seconds += (seconds - self._run_seconds) * _NEWEST_WEIGHT
@@ -283,10 +299,6 @@
 
     def take(self, tell, now):
         """Count a `Tell`; one of an earlier life of its engine is dropped."""
-        if tell.stage is Stage.ENDED and tell.incarnation.name not in (
-            self._ledger_by_engine
-        ):
-            return
         ledger = self._ledger(tell.incarnation, now)
         if ledger is not None:
             ledger.take(tell, now)
--- a/tests/decide/test_ledgers.py
+++ b/tests/decide/test_ledgers.py
@@ -58,6 +58,21 @@
     assert known.held_tokens() == 12_000
 
 
+def test_an_end_that_overtakes_its_question_leaves_no_memory_held(known):
+    """Guards against memory held until the deadline of a caller who has left."""
+    tell(known, ledgers.Stage.ENDED)
+    assert ask(known, NOW + 0.01 * SECOND) is ledgers.Reason.GRANTED
+    assert known.held_tokens() == 0
+    tell(known, ledgers.Stage.BEGUN, NOW + 0.1 * SECOND)
+    assert known.held_tokens() == 12_000
+
+
+def test_an_end_that_came_long_before_changes_no_later_question(known):
+    tell(known, ledgers.Stage.ENDED)
+    ask(known, NOW + 2 * SECOND)
+    assert known.held_tokens() == 12_000
+
+
 def test_a_prompt_beyond_the_share_runs_alone(known):
     """Guards against a prompt that no engine is ever granted for."""
     assert ask(known, tokens=95_000) is ledgers.Reason.GRANTED
