Events of a stream are passed on in the callback that receives them

A host spent some 0.13 ms of processor time on each event of a stream, so that callers of small hosts wait first for that. Each event woke a task, which went through ten coroutines and two asynchronous generators.

Once the first events are written, the bytes that arrive are taken where the target's connection receives them: the splitter finds whole events, which go to the caller's transport with their chunk's frame. The request's task waits for one future, until the stream ends or breaks off, an event is too long, or the caller is lost or reads slowly. It then goes on as before with all that was not taken, so that one place alone judges ends, waits for slow callers and resumes elsewhere. A connection that isn't paused is no longer resumed at each read.

The whole events of a stream are now read in eventstream, and writes to the caller are made in relayed.Answer, so that answers and relay get shorter. The gateway of test_departed_callers is made in tests/support/relays.py, as a second file needs it.

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -40,9 +40,16 @@
     sending what an orderly closed connection has not delivered. As a path is restored,
     all that was given up meanwhile would arrive at once. A request without a byte of
     its answer is therefore given up by a reset, after which nothing is sent.
+
+    Attributes
+    ----------
+    on_received : callable or None
+        Called without arguments when bytes have been received, or the connection has
+        ended. It must not raise.
     """
 
     _awaits_answer = False
+    on_received = None
 
     def set_response_params(self, **params):
         """Prepare for the answer to a request that is about to be sent."""
@@ -53,6 +60,19 @@
         """Take bytes of an answer."""
         self._awaits_answer = False
         super().data_received(data)
+        if data and self.on_received is not None:
+            self.on_received()
+
+    def connection_lost(self, exc):
+        """End the answer, if it has not ended before."""
+        super().connection_lost(exc)
+        if self.on_received is not None:
+            self.on_received()
+
+    def resume_reading(self, resume_parser=True):
+        """Resume reading if it is paused; aiohttp asks for it at each read."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
 
     def close(self):
         """Close the connection, by a reset if its request has no byte of an answer."""
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import weakref
 
 import aiohttp
@@ -21,9 +22,10 @@
     reachcheck,
     relayed,
     silences,
+    streampump,
 )
 from sesamespindle.decide import carriers, commands, events, routes, sends
-from sesamespindle.wire import answers
+from sesamespindle.wire import answers, eventstream
 
 _log = logs.part("relay")
 # A connection is closed after its answer if the target keeps idle connections
@@ -42,10 +44,6 @@
     code = "cut_off"
 
 
-class _CallerLeftError(Exception):
-    """The caller's connection is broken, so that it gets nothing more."""
-
-
 class Relay:
     """Relays callers' requests to targets, and the targets' answers to callers.
 
@@ -186,7 +184,7 @@
             self._measures.refused("cut_off")
             self._abort_connection(http)
             return answer.response
-        except _CallerLeftError:
+        except relayed.CallerLeftError:
             self._log_incomplete(request, answer, "The caller has left")
             self._abort_connection(http)
             return answer.response
@@ -419,7 +417,7 @@
         ending : sends.Ending or None
             As `_exchange` returns it.
         """
-        self._forwarding.heard(forward.request_id, self._clock.now())
+        self._heard(forward)
         signals = self._dialect.signals(forward, response.status, response.headers)
         if signals is not None:
             now = self._clock.now()
@@ -480,12 +478,12 @@
         try:
             async for chunk in answers.chunks(response):
                 if answer.response is not None:
-                    await self._write(answer, chunk)
+                    await answer.write(chunk, self._clock)
                     continue
                 buffered += chunk
                 if len(buffered) > relayed.MAX_BUFFERED_BYTES:
                     await self._start_response(http, response, answer)
-                    await self._write(answer, bytes(buffered))
+                    await answer.write(bytes(buffered), self._clock)
         except aiohttp.ClientError as error:
             return self._ending_of_broken(forward, response, answer, error)
         self._answer_ends.note_whole(forward, response)
@@ -494,7 +492,7 @@
                 self._buffered_response(response, bytes(buffered))
             )
         else:
-            await self._end_response(answer)
+            await answer.end()
         return None
 
     def _buffered_response(self, response, content):
@@ -535,10 +533,11 @@
         splitter = answer.event_splitter
         splitter.begin_anew()
         continues = answer.response is not None or "Last-Event-Id" in http.headers
+        heard = functools.partial(self._heard, forward)
         is_first = True
         try:
-            async for whole_events in answers.events(response, splitter, continues):
-                self._forwarding.heard(forward.request_id, self._clock.now())
+            async for whole_events in eventstream.events(response, splitter, continues):
+                heard()
                 if is_first:
                     is_first = False
                     self._first_byte(forward)
@@ -546,28 +545,16 @@
                     continue
                 if answer.response is None:
                     await self._start_stream(http, forward, response, answer)
-                await self._write(answer, whole_events)
+                await answer.write(whole_events, self._clock)
+                await streampump.pass_on(response, http, answer, heard)
         except aiohttp.ClientError as error:
             return self._ending_of_broken(forward, response, answer, error)
         self._answer_ends.note_whole(forward, response)
         if answer.response is None:
             await self._start_stream(http, forward, response, answer)
-        await self._end_response(answer)
+        await answer.end()
         return None
 
-    async def _write(self, answer, chunk):
-        """Write to the caller.
-
-        Raises
-        ------
-        _CallerLeftError
-            If the caller's connection is broken.
-        """
-        with _sending_to_caller():
-            await answer.response.write(chunk)
-        answer.relayed_bytes += len(chunk)
-        answer.last_relayed_at = self._clock.now()
-
     def _ending_of_broken(self, forward, response, answer, error):
         """Return the ending of a send whose answer broke off.
 
@@ -604,14 +591,9 @@
         length = response.headers.get("Content-Length")
         if length is not None and not self._is_stream(response):
             answer.response.content_length = int(length)
-        with _sending_to_caller():
+        with relayed.sending_to_caller():
             await self._close_if_leaving(answer.response).prepare(http)
 
-    async def _end_response(self, answer):
-        """Tell the caller that its answer is complete."""
-        with _sending_to_caller():
-            await answer.response.write_eof()
-
     def _close_if_leaving(self, response):
         """Close the caller's connection after this response if the host is leaving.
 
@@ -626,6 +608,12 @@
     def _is_stream(self, response):
         return response.content_type == "text/event-stream"
 
+    def _heard(self, forward):
+        """Record that the target sent something; return the current time."""
+        now = self._clock.now()
+        self._forwarding.heard(forward.request_id, now)
+        return now
+
     def _first_byte(self, forward):
         """Record the first byte of an answer; its send is no longer withdrawn."""
         self._prevent_withdrawal(forward)
@@ -688,20 +676,6 @@
         http.transport.abort()
 
 
-@contextlib.contextmanager
-def _sending_to_caller():
-    """Raise `_CallerLeftError` for a broken connection to the caller.
-
-    Guards against retries of a request whose caller has left, and against a sound
-    target or peer that is avoided for it. aiohttp raises the same kind of error for a
-    broken connection to the caller as for one to the target.
-    """
-    try:
-        yield
-    except (aiohttp.ClientError, ConnectionError) as error:
-        raise _CallerLeftError from error
-
-
 def _ending_of_misfit(forward, status):
     """Return the ending of a response that can't continue a stream; None if it can.
 
--- a/packages/daemon/sesamespindle/daemon/relayed.py
+++ b/packages/daemon/sesamespindle/daemon/relayed.py
@@ -1,6 +1,9 @@
 """State that the relay keeps of one request: body, answer and current send."""
 
 import asyncio
+import contextlib
+
+import aiohttp
 
 from sesamespindle.decide import fingerprints
 from sesamespindle.wire import eventstream
@@ -11,6 +14,24 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 
 
+class CallerLeftError(Exception):
+    """The caller's connection is broken, so that it gets nothing more."""
+
+
+@contextlib.contextmanager
+def sending_to_caller():
+    """Raise `CallerLeftError` for a broken connection to the caller.
+
+    Guards against retries of a request whose caller has left, and against a sound
+    target or peer that is avoided for it. aiohttp raises the same kind of error for a
+    broken connection to the caller as for one to the target.
+    """
+    try:
+        yield
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise CallerLeftError from error
+
+
 async def read_body(http):
     """Return the `Body` of a request.
 
@@ -126,6 +147,28 @@
         self.relayed_bytes = 0
         self.last_relayed_at = None
 
+    async def write(self, chunk, clock):
+        """Write to the caller, once it has what was written before.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller's connection is broken.
+        """
+        with sending_to_caller():
+            await self.response.write(chunk)
+        self.note_relayed(len(chunk), clock.now())
+
+    def note_relayed(self, byte_count, now):
+        """Record bytes that were written to the caller."""
+        self.relayed_bytes += byte_count
+        self.last_relayed_at = now
+
+    async def end(self):
+        """Tell the caller that its answer is complete."""
+        with sending_to_caller():
+            await self.response.write_eof()
+
     def describe_progress(self, now):
         """Return how much of the answer the caller has at `now`, for the log."""
         if self.last_relayed_at is None:
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -169,6 +169,25 @@
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
+def read_arrived(response):
+    """Return the bytes of an answer that have arrived, without waiting for any.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; no one may be waiting for its bytes.
+
+    Returns
+    -------
+    chunk : bytes or None
+        None at the end of the answer, or if it broke off: `chunks` tells which.
+    """
+    if response.content.exception() is not None:
+        return None
+    ended = None if response.content.is_eof() else b""
+    return response.content.read_nowait() or ended
+
+
 async def read(response, max_bytes=MAX_BODY_BYTES):
     """Return the body of an answer.
 
@@ -226,43 +245,3 @@
             raise BrokenAnswerError(f"A line exceeds {MAX_EVENT_BYTES} bytes.")
     if rest:
         raise BrokenAnswerError("The answer ended inside a line.")
-
-
-async def events(response, splitter, continues):
-    """Yield the whole events of a stream as they arrive.
-
-    Guards against a success without content: an engine that ends right after its
-    headers sends a stream without an event, which would look complete. Only a stream
-    that continues another may have none left, and then its end must be marked.
-
-    Parameters
-    ----------
-    response : aiohttp.ClientResponse
-        The answer; its session must use `Connection`.
-    splitter : eventstream.EventSplitter
-        Collects the bytes of events that aren't whole yet.
-    continues : bool
-        Whether the request asks for the rest of a stream.
-
-    Yields
-    ------
-    whole_events : bytes
-        Empty if the bytes that arrived complete no event.
-
-    Raises
-    ------
-    aiohttp.ClientPayloadError
-        After the last whole event, if the stream isn't whole.
-    """
-    async for chunk in chunks(response):
-        yield splitter.feed(chunk)
-        if len(splitter.rest) > MAX_EVENT_BYTES:
-            response.close()
-            raise BrokenAnswerError(f"An event exceeds {MAX_EVENT_BYTES} bytes.")
-    if splitter.has_partial_event():
-        raise BrokenAnswerError("The stream ended inside an event.")
-    may_be_empty = continues and framing_of(response) is not Framing.CLOSE
-    if not splitter.has_events and not may_be_empty:
-        raise BrokenAnswerError("The stream ended before its first event.")
-    if splitter.rest:
-        yield splitter.rest
--- a/packages/wire/sesamespindle/wire/eventstream.py
+++ b/packages/wire/sesamespindle/wire/eventstream.py
@@ -2,6 +2,8 @@
 
 import re
 
+from sesamespindle.wire import answers
+
 _USUAL_EVENT_END = b"\n\n"
 # Lines end with LF, CR LF or CR, and a blank line ends an event.
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
@@ -87,6 +89,50 @@
             self.last_event_id = ids[-1].strip().decode("ascii", "replace")
 
 
+async def events(response, splitter, continues):
+    """Yield the whole events of a stream as they arrive.
+
+    Guards against a success without content: an engine that ends right after its
+    headers sends a stream without an event, which would look complete. Only a stream
+    that continues another may have none left, and then its end must be marked.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; its session must use `answers.Connection`.
+    splitter : EventSplitter
+        Collects the bytes of events that aren't whole yet.
+    continues : bool
+        Whether the request asks for the rest of a stream.
+
+    Yields
+    ------
+    whole_events : bytes
+        Empty if the bytes that arrived complete no event.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        After the last whole event, if the stream isn't whole.
+    """
+    async for chunk in answers.chunks(response):
+        yield splitter.feed(chunk)
+        if len(splitter.rest) > answers.MAX_EVENT_BYTES:
+            response.close()
+            raise answers.BrokenAnswerError(
+                f"An event exceeds {answers.MAX_EVENT_BYTES} bytes."
+            )
+    if splitter.has_partial_event():
+        raise answers.BrokenAnswerError("The stream ended inside an event.")
+    may_be_empty = (
+        continues and answers.framing_of(response) is not answers.Framing.CLOSE
+    )
+    if not splitter.has_events and not may_be_empty:
+        raise answers.BrokenAnswerError("The stream ended before its first event.")
+    if splitter.rest:
+        yield splitter.rest
+
+
 def _last_event_end(data, start):
     """Return the position after the last event that ends later than a position.
 
--- a/tests/platform/test_departed_callers.py
+++ b/tests/platform/test_departed_callers.py
@@ -3,13 +3,11 @@
 import aiohttp
 import aiohttp.web
 import gateways
-import places
 import pytest
 import relays
 import standins
 
 from sesamespindle.daemon import relayed
-from sesamespindle.decide import targetlist
 from sesamespindle.wire import clock
 
 # What the relay calls to start, continue and end an answer to its caller.
@@ -23,26 +21,6 @@
 }
 
 
-def make_core(targets):
-    """Return a gateway that knows the targets and may retry at them."""
-    core = gateways.make_gateway()
-    listed = tuple(
-        targetlist.ListedTarget(
-            target.name,
-            target.service,
-            target.address,
-            "dc-1",
-            8,
-            False,
-            {"m": 1},
-            places.at(1),
-        )
-        for target in targets
-    )
-    core.step(gateways.NOW, [targetlist.TargetsListed(listed)])
-    return core
-
-
 @pytest.fixture
 def play(go):
     """Return a function that runs a scenario with a relay and two targets of each."""
@@ -55,7 +33,7 @@
                 for service in ("llm", "desk")
                 for number in (1, 2)
             ]
-            async with relays.serve(make_core(targets), manual_clock) as served:
+            async with relays.serve(relays.make_core(targets), manual_clock) as served:
                 await scenario(served, targets)
 
     return lambda scenario: go(with_relay(scenario))
--- a/tests/support/relays.py
+++ b/tests/support/relays.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 import aiohttp.web
+import gateways
+import places
 
 from sesamespindle.daemon import (
     connections,
@@ -23,6 +25,7 @@
     quarantinerecords,
     rollout,
     streamorigins,
+    targetlist,
 )
 from sesamespindle.platform import dialect, servers
 
@@ -73,6 +76,26 @@
         return f"http://{self.address}{path}"
 
 
+def make_core(targets):
+    """Return a gateway that knows the targets and may retry at them."""
+    core = gateways.make_gateway()
+    listed = tuple(
+        targetlist.ListedTarget(
+            target.name,
+            target.service,
+            target.address,
+            "dc-1",
+            8,
+            False,
+            {"m": 1},
+            places.at(1),
+        )
+        for target in targets
+    )
+    core.step(gateways.NOW, [targetlist.TargetsListed(listed)])
+    return core
+
+
 @contextlib.asynccontextmanager
 async def serve(core, clock):
     """Run a relay with a gateway's decision logic, and yield it as a `RunningRelay`."""
