Lines about requests are encoded without loguru

Each request logs two lines or more. Loguru inspected the caller's frames, built a record of process, thread, file and times for each, and json.dumps made an encoder for each line's dictionary. Where lines don't go to standard output as JSON, they go to loguru as before.

--- a/packages/daemon/sesamespindle/daemon/answerends.py
+++ b/packages/daemon/sesamespindle/daemon/answerends.py
@@ -1,9 +1,11 @@
 """Logs and counts how the answers of targets ended."""
 
+import functools
+
 from sesamespindle.daemon import logs
 from sesamespindle.wire import answers
 
-_log = logs.part("relay")
+_note_request = functools.partial(logs.note_request, "relay")
 
 
 class AnswerEnds:
@@ -31,7 +33,8 @@
         framing = answers.framing_of(response)
         self._measures.answered(framing, is_whole=True)
         if framing is answers.Framing.CLOSE:
-            _log.bind(request=forward.request_id).info(
+            _note_request(
+                forward.request_id,
                 "The answer of {} {} ended in order with its connection.",
                 kind_of(forward),
                 forward.target,
@@ -47,7 +50,8 @@
         """
         framing = answers.framing_of(response)
         self._measures.answered(framing, is_whole=False)
-        _log.bind(request=forward.request_id).info(
+        _note_request(
+            forward.request_id,
             "The answer of {} {} broke off; its end is marked by {}. {}",
             kind_of(forward),
             forward.target,
--- a/packages/daemon/sesamespindle/daemon/logs.py
+++ b/packages/daemon/sesamespindle/daemon/logs.py
@@ -1,6 +1,7 @@
 """Logging with loguru, as text or JSON, with a fixed prefix for each part."""
 
 import collections
+import datetime
 import json
 import os
 import sys
@@ -100,28 +101,86 @@
         The buffer. The caller must call its `flush` regularly; lines are written only
         then.
     """
+    global _json_lines
     lines = BoundedLines(sys.stdout.fileno())
-
-    def add_line(message):
-        record = message.record
-        line = {
-            "time": record["time"].isoformat(timespec="milliseconds"),
-            "level": record["level"].name,
-            "host": host,
-            "part": record["extra"]["part"],
-            "request": record["extra"]["request"],
-            "message": record["message"],
-        }
-        if record["exception"] is not None:
-            line["exception"] = repr(record["exception"].value)
-        lines.add(json.dumps(line))
-
+    json_lines = JsonLines(host, lines)
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": "daemon", "request": "-", "host": host})
-    loguru.logger.add(add_line, level=level, format="{message}", catch=False)
+    loguru.logger.add(
+        json_lines.add_record, level=level, format="{message}", catch=False
+    )
+    shows_info = loguru.logger.level(level).no <= loguru.logger.level("INFO").no
+    _json_lines = json_lines if shows_info else None
     return lines
 
 
+class JsonLines:
+    """Encodes log lines as JSON objects of one shape.
+
+    Parameters
+    ----------
+    host : str
+        The host's name, for the lines.
+    lines : BoundedLines
+        Receives the lines.
+    """
+
+    def __init__(self, host, lines):
+        self._lines = lines
+        self._host = json.dumps(host)
+
+    def add_record(self, message):
+        """Add the line of a message of loguru, as its sink."""
+        record = message.record
+        level, extra, exception = record["level"], record["extra"], record["exception"]
+        texts = extra["part"], extra["request"], record["message"]
+        end = ""
+        if exception is not None:
+            end = f', "exception": {json.dumps(repr(exception.value))}'
+        self._add(record["time"], level.name, *texts, end)
+
+    def add_info(self, part_name, request_id, message):
+        """Add a line of level INFO about a request."""
+        now = datetime.datetime.now().astimezone()
+        self._add(now, "INFO", part_name, request_id, message)
+
+    def _add(self, at, level, part_name, request_id, message, end=""):
+        encode = json.dumps
+        self._lines.add(
+            f'{{"time": "{at.isoformat(timespec="milliseconds")}", '
+            f'"level": "{level}", "host": {self._host}, '
+            f'"part": {encode(part_name)}, "request": {encode(request_id)}, '
+            f'"message": {encode(message)}{end}}}'
+        )
+
+
+# Where lines about requests go; None while they go to loguru, whose inspection of the
+# caller and record of what a line doesn't show take most of what it costs.
+_json_lines = None
+
+
+def note_request(part_name, request_id, text, *values):
+    """Log a line of level INFO about a request.
+
+    Parameters
+    ----------
+    part_name : str
+        The part of the daemon.
+    request_id : str
+        The request.
+    text : str
+        The message, with a pair of braces for each value.
+    *values
+        The values.
+    """
+    if _json_lines is None:
+        logger = loguru.logger.bind(part=part_name, request=request_id)
+        logger.opt(depth=1).info(text, *values)
+        return
+    message = text.format(*values) if values else text
+    _json_lines.add_info(part_name, request_id, message)
+
+
 def part(name):
     """Return the logger of a part of the daemon.
 
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -28,6 +28,7 @@
 from sesamespindle.wire import answers, eventstream
 
 _log = logs.part("relay")
+_note_request = functools.partial(logs.note_request, "relay")
 # A connection is closed after its answer if the target keeps idle connections
 # open for less than this. The connection pool reuses them for up to 4 s, so a
 # request could be sent just as the target closes the connection.
@@ -203,8 +204,11 @@
             The cause, unless it is the end of this host.
         """
         cause = "Cut off by the end of this host" if self._is_ending else default_cause
-        _log.bind(request=request.request_id).info(
-            "{}: {}.", cause, answer.describe_progress(self._clock.now())
+        _note_request(
+            request.request_id,
+            "{}: {}.",
+            cause,
+            answer.describe_progress(self._clock.now()),
         )
 
     def _count_on_connection(self, http):
@@ -252,7 +256,8 @@
             What to do next; None once the caller has its complete answer.
         """
         seconds_left = (forward.until - self._clock.now()).total_seconds()
-        _log.bind(request=forward.request_id).info(
+        _note_request(
+            forward.request_id,
             "Sent to {} {}, attempt {}, {:.0f} ms left. {} {}",
             answerends.kind_of(forward),
             forward.target,
@@ -332,7 +337,8 @@
 
     def _log_end(self, forward, ending, command):
         """Log how a send ended, and what follows it."""
-        _log.bind(request=forward.request_id).info(
+        _note_request(
+            forward.request_id,
             "The send to {} {} ended: {}. Next: {}.",
             answerends.kind_of(forward),
             forward.target,
@@ -623,7 +629,8 @@
         if flight is not None:
             waited = now - flight.arrived_at
             self._measures.first_byte(flight.route.name, waited)
-            _log.bind(request=forward.request_id).info(
+            _note_request(
+                forward.request_id,
                 "First byte from {} {} after {:.0f} ms.",
                 answerends.kind_of(forward),
                 forward.target,
@@ -650,7 +657,8 @@
         is_declined = passport is not None and carriers.declines(refuse)
         refusal = self._dialect.refusal(refuse, is_declined)
         self._measures.refused(refuse.code)
-        _log.bind(request=refuse.request_id).info(
+        _note_request(
+            refuse.request_id,
             "Refused: {}, {}. {} {} It is request number {} on its connection.",
             refuse.code,
             refuse.outcome,
