What a prompt's choice of an engine asks more than once is asked once

For each key of a request the crashes that count against it were counted three times, with sets and lists made also where no target ever ended under it. The newest weights were looked up for each engine twice, and the length of the prompt for each engine. Nothing that is decided changes.

--- a/packages/decide/sesamespindle/decide/crashrecords.py
+++ b/packages/decide/sesamespindle/decide/crashrecords.py
@@ -163,11 +163,11 @@
 
         Refuted crashes and those before its last successful run don't count.
         """
+        incarnations = self._incarnations_by_fingerprint.get(fingerprint)
+        if not incarnations:
+            return []
         since = self._counts_since(fingerprint)
-        crashes = [
-            self.crash_by_incarnation[incarnation]
-            for incarnation in self._incarnations_by_fingerprint.get(fingerprint, ())
-        ]
+        crashes = [self.crash_by_incarnation[each] for each in incarnations]
         return [
             crash
             for crash in crashes
--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -117,6 +117,8 @@
 
     def _count_crashes(self, fingerprint):
         crashes = self._crashes.crashes_against(fingerprint)
+        if not crashes:
+            return []
         explains = self._explaining(fingerprint)
         return [crash for crash in crashes if explains.isdisjoint(crash.suspects)]
 
@@ -138,8 +140,11 @@
             When runs of it broke at targets whose end is not yet confirmed.
         """
         times = [crash.at for crash in self.counted_crashes(fingerprint)]
+        times += unsure
+        if not times:
+            return 0
         terms = terms_of(fingerprint)
-        count = count_separate([*times, *unsure], terms.apart)
+        count = count_separate(times, terms.apart)
         return max(0, count - terms.by_chance)
 
     def all_reported(self, crashes, now):
--- a/packages/decide/sesamespindle/decide/placement.py
+++ b/packages/decide/sesamespindle/decide/placement.py
@@ -258,11 +258,10 @@
     The load that the engine reports lags and leaves out requests on their way to
     it. So the requests that this daemon and its peers have sent are counted instead.
     """
-    tokens = held_tokens = 0
+    tokens = 0
     for work in row.sent_by_request.values():
         tokens += work.tokens
-    for held in row.held_by_request.values():
-        held_tokens += held
+    held_tokens = sum(row.held_by_request.values())
     oldest = now - _PEER_WORK_LIFETIME
     for work in row.peer_work_by_entry.values():
         if work.at > oldest:
--- a/packages/decide/sesamespindle/decide/promptplacement.py
+++ b/packages/decide/sesamespindle/decide/promptplacement.py
@@ -71,7 +71,7 @@
         engine is left out if its expected wait already goes beyond that time.
         """
         model = flight.request.model
-        if not any(self._weights.is_behind(row, model) for row in rows):
+        if not self._weights.any_behind(rows, model):
             return rows
         work = self._work(flight, engines, self._preferred_engine(flight), now)
 
@@ -132,7 +132,7 @@
         run the new weights are compared as well.
         """
         compared = rows[:_MAX_COMPARED]
-        if not any(self._weights.is_behind(row, model) for row in compared):
+        if not self._weights.any_behind(compared, model):
             return compared
         current = [
             row
@@ -144,11 +144,14 @@
     def _work(self, flight, engines, preferred, now):
         """Return the `placement.Work` of a prompt."""
         import_times = self._stores.import_times(engines, now)
+        tokens = flight.request.prompt_tokens
         return placement.Work(
             flight.request.held_tokens,
             engines.kv_capacity,
             flight.route.latency_goal.total_seconds(),
-            lambda row: self._effort_at(flight, engines, row, preferred, import_times),
+            lambda row: self._effort_at(
+                flight, tokens, engines, row, preferred, import_times
+            ),
         )
 
     def _preferred_engine(self, flight):
@@ -160,7 +163,7 @@
         staying = [row for row in rows if row.stays]
         return placement.preferred_engine(staying, affinity)
 
-    def _effort_at(self, flight, engines, row, preferred, import_times):
+    def _effort_at(self, flight, tokens, engines, row, preferred, import_times):
         """Return the `placement.Effort` of a prompt at an engine.
 
         The engine holds a part if this daemon recently had it prefill that part. It
@@ -170,7 +173,7 @@
         """
         request = flight.request
         salt = _salt(flight, self._weights.running(row, request.model))
-        seconds, uncached_tokens = 0.0, request.prompt_tokens
+        seconds, uncached_tokens = 0.0, tokens
         for part in request.prompt[:-1]:
             key = salt, part.part_id
             if key not in row.cached_parts:
--- a/packages/decide/sesamespindle/decide/weights.py
+++ b/packages/decide/sesamespindle/decide/weights.py
@@ -155,6 +155,13 @@
         """Return whether a target is thought to run a superseded version."""
         return bool(model) and self.running(row, model) < self.named(model)
 
+    def any_behind(self, rows, model):
+        """Return whether any target is thought to run a superseded version."""
+        if not model:
+            return False
+        named = self.named(model)
+        return any(self.running(row, model) < named for row in rows)
+
     def cost(self, row, model, now):
         """Return the cost of a target's superseded weights, as a share of the value.
 
