What peers are told of the platform's objects is made only when it changes

Each gossip message made a record of each kind of object anew, by copying it twice, and each answer stored a new copy of each kind even where a peer's proof told nothing new. Peers' proofs are usually older than one's own. Now such a proof changes nothing, and the records are kept until one does.

--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -76,17 +76,25 @@
             f"{age}"
         )
 
-    def for_peers(self, kind):
+    def is_proved(self, revision, at):
+        """Return whether a proof for a revision, as of a time, tells nothing new."""
+        if self.proved_at is None or self.revision < revision:
+            return False
+        return at is None or at <= self.proved_at
+
+    def for_peers(self, kind, version):
         """Return what this host may call itself complete for, as a `KnownKind`.
 
+        `version` is that of the content that is in force.
+
         Guards against a refused change that seems to be in force everywhere: the host
         has the content of before the change, so it tells of no later revision, and of
         no proof.
         """
         if self.refused_at_revision != revisions.NEVER:
             complete = self.refused_at_revision.before()
-            return KnownKind(kind, complete, self.digest, None)
-        return KnownKind(kind, self.revision, self.digest, self.proved_at)
+            return KnownKind(kind, complete, self.digest, None, version)
+        return KnownKind(kind, self.revision, self.digest, self.proved_at, version)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +137,8 @@
         self._version_in_force_by_kind = {}
         # The highest version that a peer has told.
         self._told_version_by_kind = {}
+        # What peers are told; None once it has changed.
+        self._for_peers = None
 
     def revision(self, kind):
         """Return the revision up to which a kind is known.
@@ -170,6 +180,7 @@
             self._refused_revision_by_kind.pop(kind, None)
             refused_at = revisions.NEVER
         lapsed_at = known.lapsed_at if known is not None and proved_at is None else None
+        self._for_peers = None
         self.knowledge_by_kind[kind] = Knowledge(
             revision, digest, changed_at, proved_at, source, refused_at, lapsed_at
         )
@@ -192,6 +203,9 @@
     def prove(self, kind, revision, at):
         """Record that nothing of a kind has changed up to a revision, as of a time."""
         known = self.knowledge_by_kind[kind]
+        if known.is_proved(revision, at):
+            return
+        self._for_peers = None
         self.knowledge_by_kind[kind] = dataclasses.replace(
             known,
             revision=max(revision, known.revision),
@@ -205,6 +219,7 @@
         Guards against a store whose revisions have gone back, so that what it no longer
         has seems to be proved by its lower revisions.
         """
+        self._for_peers = None
         for kind, known in self.knowledge_by_kind.items():
             self.knowledge_by_kind[kind] = dataclasses.replace(
                 known,
@@ -245,6 +260,7 @@
 
     def note_in_force(self, kind, version):
         """Record the version of a kind that this host works by, to tell it to peers."""
+        self._for_peers = None
         self._version_in_force_by_kind[kind] = version
 
     def told_version(self, kind):
@@ -269,13 +285,13 @@
 
     def for_peers(self):
         """Return a `KnownKind` for each kind that was read."""
-        return tuple(
-            dataclasses.replace(
-                known.for_peers(kind),
-                version=self._version_in_force_by_kind.get(kind, 0),
+        if self._for_peers is None:
+            versions = self._version_in_force_by_kind
+            self._for_peers = tuple(
+                known.for_peers(kind, versions.get(kind, 0))
+                for kind, known in self.knowledge_by_kind.items()
             )
-            for kind, known in self.knowledge_by_kind.items()
-        )
+        return self._for_peers
 
     def age(self, kind, now):
         """Return how long ago a kind was last proved complete; None if it never was."""
