What peers tell of targets has a module of its own, and an index of pending work

Each message went through all targets to remove what its sender had told before. The rows that have something of a sender are now kept by the sender; the rest is moved from membership unchanged.

--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -17,6 +17,7 @@
     memberdigests,
     memberrecords,
     startupprobes,
+    targetnews,
     world,
 )
 
@@ -27,9 +28,6 @@
 # each round interval, if it has that many: an update reaches every other data centre
 # after one or two rounds.
 ROUNDS_OUTSIDE = 8
-MAX_LEAVING_TARGETS = 256
-MAX_TARGET_VERSIONS = 256
-MAX_PENDING = 64
 # Daemons of each data centre that watch the platform. With two, one may be lost.
 WATCHERS = 2
 # An update about a crash starts a round at once, but no sooner than this after the
@@ -108,6 +106,7 @@
         self._next_round = None
         self._last_round_at = None
         self._digests = memberdigests.MemberDigests(state)
+        self._target_news = targetnews.TargetNews(state)
         self._urgent = False
         # The pulse of a data centre: a count of the gossip rounds of its members that
         # only rises. See `_raise_pulse`.
@@ -156,8 +155,7 @@
             if inside not in message_by_inside:
                 message_by_inside[inside] = self._message(inside, now)
             self._state.emit(commands.GossipTo(address, message_by_inside[inside]))
-        for row in self._state.targets:
-            row.version_rounds = max(0, row.version_rounds - 1)
+        self._target_news.note_round()
         if self._quarantine is not None:
             self._quarantine.note_round()
 
@@ -186,7 +184,7 @@
         return gossip.GossipMessage(
             me.name,
             me.data_centre,
-            pending=self._pending(),
+            pending=self._target_news.pending(),
             brief=True,
             known=self._state.freshness.for_peers(),
             store_era=self._state.eras.current,
@@ -226,7 +224,7 @@
         if sender is not None:
             self._request_rereads(sender.peer_address, message.known)
         if message.brief:
-            self._merge_pending(message, now)
+            self._target_news.merge_pending(message, now)
             reply = self._brief_message()
             self._state.emit(commands.GossipReply(event.exchange_id, reply))
             return
@@ -259,7 +257,7 @@
             self._state.freshness.merge(known_kind)
         self._request_rereads(event.peer_address, event.message.known)
         if event.message.brief:
-            self._merge_pending(event.message, now)
+            self._target_news.merge_pending(event.message, now)
             return
         self._state.knows_entries = True
         self._merge(event.message, now)
@@ -497,15 +495,15 @@
             self._data_centre_digests(),
             tuple(members),
             tuple(wanted),
-            self._leaving_targets(),
+            self._target_news.leaving(),
             state.revision,
             tuple(
                 gossip.SeenRevision(kind, known.changed_at_revision.number)
                 for kind, known in state.freshness.knowledge_by_kind.items()
             ),
-            self._target_versions(),
+            self._target_news.versions(),
             state.lease_release,
-            self._pending(),
+            self._target_news.pending(),
             named=state.announcements.told,
             store_words=store_words,
             store_news=store_news,
@@ -518,43 +516,6 @@
             adopts_heartbeats=True,
         )
 
-    def _pending(self):
-        """Return this daemon's pending work at targets, by falling prompt tokens."""
-        pending = [
-            gossip.PendingWork(
-                row.incarnation,
-                sum(work.tokens for work in row.sent_by_request.values()),
-                sum(row.held_by_request.values()),
-            )
-            for row in self._state.targets
-            if row.sent_by_request or row.held_by_request
-        ]
-        pending.sort(key=lambda item: -item.tokens)
-        return tuple(pending[:MAX_PENDING])
-
-    def _target_versions(self):
-        """Return the weight versions of targets that were learned in recent rounds.
-
-        To send the versions of all targets in every message would be most of the work
-        of an idle daemon. A peer that missed an update learns the version from the
-        target's record on the platform, or from the target when it refuses a request.
-        """
-        versions = [
-            gossip.TargetVersion(row.incarnation, model, version, row.revision)
-            for row in self._state.targets
-            if row.version_rounds
-            for model, version in row.version_by_model.items()
-        ]
-        return tuple(versions[:MAX_TARGET_VERSIONS])
-
-    def _leaving_targets(self):
-        leaving = [
-            gossip.LeavingTarget(row.incarnation, row.url)
-            for row in self._state.targets
-            if row.leaving
-        ]
-        return tuple(leaving[:MAX_LEAVING_TARGETS])
-
     def _data_centre_digests(self):
         pulses = self._pulse_by_data_centre
         return tuple(
@@ -568,12 +529,8 @@
             self._merge_member(member, inside, now)
         for digest in message.data_centres:
             self._merge_pulse(digest, now)
-        for leaving in message.leaving_targets:
-            self._merge_leaving(leaving)
-        for running in message.target_versions:
-            self._merge_version(running)
+        self._target_news.merge(message, now)
         self._merge_release(message.lease_release)
-        self._merge_pending(message, now)
         if self._store_relay is not None:
             self._store_relay.merge(message)
         if self._quarantine is not None:
@@ -585,16 +542,6 @@
         if self._stream_versions is not None:
             self._stream_versions.merge(message.software_seen, now)
 
-    def _merge_pending(self, message, now):
-        """Replace the sender's pending work at each target by that in its message."""
-        for row in self._state.targets:
-            row.peer_work_by_entry.pop(message.sender, None)
-        for item in message.pending:
-            row = self._state.target_in(item.incarnation)
-            if row is not None:
-                work = world.SentWork(now, item.tokens, item.held_tokens)
-                row.peer_work_by_entry[message.sender] = work
-
     def _merge_release(self, release):
         """Keep a peer's lease release if its epoch is higher than the known one's."""
         known = self._state.lease_release
@@ -603,12 +550,6 @@
         self._state.lease_release = release
         self._urgent = True
 
-    def _merge_version(self, running):
-        """Learn a target's version, unless its record has listed an older one since."""
-        row = self._state.target_in(running.incarnation)
-        if row is not None and running.revision >= row.fell_at_revision:
-            row.learn_version(running.model, running.version)
-
     def _raise_pulse(self, me):
         """Increment the pulse of this data centre for a gossip round of this daemon.
 
@@ -627,13 +568,6 @@
             self._pulse_by_data_centre[digest.name] = digest.pulse
             self._pulse_heard_at[digest.name] = now
 
-    def _merge_leaving(self, leaving):
-        row = self._state.target_in(leaving.incarnation)
-        if row is not None and not row.leaving and row.url == leaving.url:
-            row.leaving = True
-            self._urgent = True
-            self._state.emit(commands.Note("target_leaving", row.name, "heard"))
-
     def _adopt_heartbeats(self, message, now):
         """Adopt the heartbeats of members that differ in nothing else."""
         for row, digest in self._digests.risen(message):
