Gossip messages are converted and encoded field by field, where there is content

Of a message's 20 lists most are empty, and each was converted. Now only those that have items are, and the clock is read once for all KV stores. A message is encoded once for all peers of a round and put into the datagram as bytes; before, it was copied into each datagram, sized twice and encoded again. The datagram's bytes are the same, so earlier releases read it. Parsed peer addresses are kept.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import datetime
+import functools
 import ipaddress
 import itertools
 
@@ -40,6 +41,8 @@
 # value equals the timeout of a gRPC call.
 _ROUND_TIMEOUT = datetime.timedelta(seconds=_RPC_SECONDS)
 _KEY_METADATA = "peer-key"
+# Parsed addresses of peers that are kept, more than there are hosts.
+_KEPT_ADDRESSES = 4096
 # Begins a datagram about the origin of a stream. No protobuf message begins so, and a
 # host of an earlier release drops it instead of taking it for a gossip message.
 _ORIGIN_PREFIX = b"\xff"
@@ -117,7 +120,7 @@
         # Start times of the gossip rounds that have no answer yet, oldest first.
         self._started_at_by_round = {}
         # The message of the latest gossip round, and its protobuf form.
-        self._latest_message = self._latest_message_on_wire = None
+        self._latest_message = self._latest_bytes = None
         self._round_numbers = itertools.count(1)
         self._exchange_ids = itertools.count()
         self._tasks = tasksets.TaskSet()
@@ -353,8 +356,9 @@
 
     def _gossip(self, command):
         """Start a gossip round with a peer."""
-        message = self._cached_gossip_to_wire(command.message)
-        if message.ByteSize() > datagrams.MAX_BYTES:
+        raw = self._cached_gossip_bytes(command.message)
+        if len(raw) > datagrams.MAX_BYTES:
+            message = peers_pb2.GossipMessage.FromString(raw)
             self._tasks.spawn(self._gossip_over_grpc(command.peer_address, message))
             return
         now = self._now()
@@ -362,7 +366,7 @@
         self._started_at_by_round[number] = now
         self._expire_rounds(now)
         try:
-            self._send(number, False, message, _parse_address(command.peer_address))
+            self._send(number, False, raw, _parse_address(command.peer_address))
         except ValueError as error:
             # Peer addresses that arrive by gossip aren't validated. An error raised
             # here would end the task that ticks, and with it the daemon.
@@ -374,10 +378,9 @@
         if answer is not None:
             self._receive_answer(address, answer, started_at)
 
-    def _send(self, number, is_answer, message, peer):
-        datagram = peers_pb2.GossipDatagram(
-            round=number, is_answer=is_answer, message=message
-        )
+    def _send(self, number, is_answer, raw, peer):
+        """Send a gossip message, given as bytes, in one half of a round."""
+        datagram = peers_pb2.GossipFrame(round=number, is_answer=is_answer, message=raw)
         self._datagrams.send(datagram.SerializeToString(), peer)
 
     def _expire_rounds(self, now):
@@ -459,23 +462,23 @@
         self._driver.feed(gossip.GossipReceived(exchange_id, message))
         self._deliver_by_exchange.pop(exchange_id, None)
         for reply in replied:
-            answer = self._gossip_to_wire(reply.message)
+            answer = self._gossip_to_wire(reply.message).SerializeToString()
             self._send(datagram.round, True, answer, peer)
 
     def _receive_answer(self, address, answer, started_at):
         message = peermessages.gossip_from_wire(answer, self._now(), started_at)
         self._driver.feed(gossip.GossipAnswered(address, message))
 
-    def _cached_gossip_to_wire(self, message):
-        """Return the protobuf form of a gossip message.
+    def _cached_gossip_bytes(self, message):
+        """Return the protobuf form of a gossip message, as bytes.
 
         A round sends the same message object to several peers, so its protobuf form is
         made only once.
         """
         if self._latest_message is not message:
             self._latest_message = message
-            self._latest_message_on_wire = self._gossip_to_wire(message)
-        return self._latest_message_on_wire
+            self._latest_bytes = self._gossip_to_wire(message).SerializeToString()
+        return self._latest_bytes
 
     def _gossip_to_wire(self, message):
         stamp = self._clock.stamp()
@@ -627,6 +630,7 @@
             deliver(command)
 
 
+@functools.lru_cache(maxsize=_KEPT_ADDRESSES)
 def _parse_address(address):
     """Return the (host, port) of a peer address of the form ``host:port``.
 
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -8,7 +8,7 @@
 import datetime
 import math
 
-from sesamespindle.daemon import crashmessages
+from sesamespindle.daemon import crashmessages, membermessages
 from sesamespindle.decide import (
     announcements,
     events,
@@ -20,6 +20,8 @@
 )
 from sesamespindle.wire import peers_pb2
 
+_NO_CRASHES = gossip.CrashNews()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownState:
@@ -75,67 +77,27 @@
     -------
     message : peers_pb2.GossipMessage
     """
+    fields = {
+        name: to_wire(items, now)
+        for name, (to_wire, _) in _CODECS.items()
+        if (items := getattr(message, name))
+    }
+    fields["known"] = [_known_to_wire(item, now) for item in message.known]
+    if message.lease_release is not None:
+        fields["lease_release"] = _lease_release_to_wire(message.lease_release, now)
+    if message.crash_news != _NO_CRASHES:
+        fields |= crashmessages.to_wire(message.crash_news, now)
     return peers_pb2.GossipMessage(
         sender=message.sender,
         data_centre=message.data_centre,
-        digests=[
-            peers_pb2.MemberDigest(
-                name=item.name,
-                incarnation=item.incarnation,
-                heartbeat=item.heartbeat,
-                revision=item.revision,
-            )
-            for item in message.digests
-        ],
-        data_centres=[
-            peers_pb2.DataCentreDigest(
-                name=item.name, digest=item.digest, pulse=item.pulse
-            )
-            for item in message.data_centres
-        ],
-        members=[_member_to_wire(item) for item in message.members],
         wanted=message.wanted,
-        leaving_targets=[
-            peers_pb2.LeavingTarget(
-                name=item.incarnation.name, url=item.url, born=item.incarnation.born
-            )
-            for item in message.leaving_targets
-        ],
         revision=message.revision,
         clock=stamp,
         seen={item.kind: item.revision for item in message.seen},
-        target_versions=[
-            peers_pb2.TargetVersion(
-                target=item.incarnation.name,
-                model=item.model,
-                version=item.version,
-                born=item.incarnation.born,
-                revision=item.revision.number,
-                era=item.revision.era,
-            )
-            for item in message.target_versions
-        ],
-        lease_release=_lease_release_to_wire(message.lease_release, now),
-        pending=[
-            peers_pb2.PendingWork(
-                target=item.incarnation.name,
-                tokens=item.tokens,
-                held_tokens=item.held_tokens,
-                born=item.incarnation.born,
-            )
-            for item in message.pending
-        ],
         brief=message.brief,
-        named=[_naming_to_wire(item, now) for item in message.named],
-        store_words=[_store_word_to_wire(item, now) for item in message.store_words],
-        store_news=[_store_news_to_wire(item) for item in message.store_news],
-        target_limits=[_limit_to_wire(item, now) for item in message.target_limits],
-        brittle=[_brittle_to_wire(item, now) for item in message.brittle],
-        software_seen=[_software_to_wire(item, now) for item in message.software_seen],
-        known=[_known_to_wire(item, now) for item in message.known],
         store_era=message.store_era,
         adopts_heartbeats=message.adopts_heartbeats,
-        **crashmessages.to_wire(message.crash_news, now),
+        **fields,
     )
 
 
@@ -159,69 +121,37 @@
     -------
     message : gossip.GossipMessage
     """
+    sent_at = sent_after or now
+    fields = {
+        name: tuple(from_wire(items, sent_at))
+        for name, (_, from_wire) in _CODECS.items()
+        if (items := getattr(message, name))
+    }
+    if message.known:
+        fields["known"] = tuple(
+            _known_from_wire(item, sent_after) for item in message.known
+        )
+    if message.crashes or message.cleared or message.quarantined:
+        fields["crash_news"] = crashmessages.from_wire(message, sent_at)
     return gossip.GossipMessage(
-        message.sender,
-        message.data_centre,
-        tuple(
-            gossip.MemberDigest(
-                item.name, item.incarnation, item.heartbeat, item.revision
-            )
-            for item in message.digests
-        ),
-        tuple(
-            gossip.DataCentreDigest(item.name, item.digest, item.pulse)
-            for item in message.data_centres
-        ),
-        tuple(_member_from_wire(item) for item in message.members),
-        tuple(message.wanted),
-        tuple(
-            gossip.LeavingTarget(
-                incarnations.TargetIncarnation(item.name, item.born), item.url
-            )
-            for item in message.leaving_targets
-        ),
-        message.revision,
-        tuple(gossip.SeenRevision(*item) for item in message.seen.items()),
-        tuple(
-            gossip.TargetVersion(
-                incarnations.TargetIncarnation(item.target, item.born),
-                item.model,
-                item.version,
-                revisions.Revision(item.era, item.revision),
-            )
-            for item in message.target_versions
-        ),
-        _lease_release_from_wire(message, now),
-        tuple(
-            gossip.PendingWork(
-                incarnations.TargetIncarnation(item.target, item.born),
-                item.tokens,
-                item.held_tokens,
-            )
-            for item in message.pending
-        ),
-        message.brief,
-        tuple(_naming_from_wire(item, sent_after or now) for item in message.named),
-        tuple(
-            _store_word_from_wire(item, sent_after or now)
-            for item in message.store_words
-        ),
-        tuple(_store_news_from_wire(item) for item in message.store_news),
-        crashmessages.from_wire(message, sent_after or now),
-        tuple(
-            _limit_from_wire(item, sent_after or now) for item in message.target_limits
-        ),
-        tuple(_known_from_wire(item, sent_after) for item in message.known),
-        message.store_era,
-        tuple(_brittle_from_wire(item, sent_after or now) for item in message.brittle),
-        tuple(
-            _software_from_wire(item, sent_after or now)
-            for item in message.software_seen
-        ),
-        message.adopts_heartbeats,
+        sender=message.sender,
+        data_centre=message.data_centre,
+        wanted=tuple(message.wanted),
+        revision=message.revision,
+        seen=tuple(gossip.SeenRevision(*item) for item in message.seen.items()),
+        lease_release=_lease_release_from_wire(message, now),
+        brief=message.brief,
+        store_era=message.store_era,
+        adopts_heartbeats=message.adopts_heartbeats,
+        **fields,
     )
 
 
+def _each(convert):
+    """Return a function that converts a list of items, each with one time."""
+    return lambda items, at: [convert(item, at) for item in items]
+
+
 def _known_to_wire(known, now):
     """Return what is known of a kind of object, with the age of its proof."""
     seconds_ago = None
@@ -253,9 +183,7 @@
 
 
 def _lease_release_to_wire(release, now):
-    """Return the release with the age of the holder's last action; None for None."""
-    if release is None:
-        return None
+    """Return the release with the age of the holder's last action."""
     quiet_seconds = (now - release.last_act_at).total_seconds()
     return peers_pb2.LeaseRelease(epoch=release.epoch, quiet_seconds=quiet_seconds)
 
@@ -288,14 +216,19 @@
     )
 
 
-def _store_word_to_wire(store_word, now):
+def _store_words_to_wire(store_words, now):
+    now_ms = now.timestamp() * 1000.0
+    return [_store_word_to_wire(item, now, now_ms) for item in store_words]
+
+
+def _store_word_to_wire(store_word, now, now_ms):
     """Return the known position of a KV store, with the age of its last check.
 
     The engines' clock, if known, is sent as its reading in milliseconds at `now`.
     """
     clock_ms = None
     if store_word.clock_lead is not None:
-        clock_ms = now.timestamp() * 1000.0 + store_word.clock_lead
+        clock_ms = now_ms + store_word.clock_lead
     return peers_pb2.StoreWord(
         store=store_word.store,
         boot=store_word.boot,
@@ -306,10 +239,15 @@
     )
 
 
-def _store_word_from_wire(message, sent_at):
+def _store_words_from_wire(messages, sent_at):
+    sent_at_ms = sent_at.timestamp() * 1000.0
+    return [_store_word_from_wire(item, sent_at, sent_at_ms) for item in messages]
+
+
+def _store_word_from_wire(message, sent_at, sent_at_ms):
     clock_lead = None
     if message.HasField("clock_ms"):
-        clock_lead = message.clock_ms - sent_at.timestamp() * 1000.0
+        clock_lead = message.clock_ms - sent_at_ms
     return gossip.StoreWord(
         message.store,
         message.boot,
@@ -320,7 +258,7 @@
     )
 
 
-def _store_news_to_wire(news):
+def _store_news_to_wire(news, now):
     return peers_pb2.StoreNews(
         store=news.store,
         boot=news.boot,
@@ -333,7 +271,7 @@
     )
 
 
-def _store_news_from_wire(message):
+def _store_news_from_wire(message, sent_at):
     rows = zip(message.salts, message.part_ids, message.tokens, strict=True)
     return gossip.StoreNews(
         message.store,
@@ -445,31 +383,37 @@
     )
 
 
-def _member_to_wire(item):
-    return peers_pb2.Member(
-        name=item.name,
-        data_centre=item.data_centre,
-        url=item.url,
-        peer_address=item.peer_address,
-        admin_url=item.admin_url,
-        incarnation=item.incarnation,
-        heartbeat=item.heartbeat,
-        state=item.state.value,
-        revision=item.revision,
-        unreached=item.unreached,
-    )
-
-
-def _member_from_wire(item):
-    return gossip.Member(
-        item.name,
-        item.data_centre,
-        item.url,
-        item.peer_address,
-        item.admin_url,
-        item.incarnation,
-        item.heartbeat,
-        events.HostState(item.state),
-        item.revision,
-        tuple(item.unreached),
-    )
+# For each field with a list of records: how to convert a list to the wire, given the
+# time of sending, and back, given that time by this host's clock.
+_CODECS = {
+    "digests": (
+        _each(membermessages.digest_to_wire),
+        _each(membermessages.digest_from_wire),
+    ),
+    "data_centres": (
+        _each(membermessages.data_centre_to_wire),
+        _each(membermessages.data_centre_from_wire),
+    ),
+    "members": (
+        _each(membermessages.member_to_wire),
+        _each(membermessages.member_from_wire),
+    ),
+    "leaving_targets": (
+        _each(membermessages.leaving_to_wire),
+        _each(membermessages.leaving_from_wire),
+    ),
+    "target_versions": (
+        _each(membermessages.version_to_wire),
+        _each(membermessages.version_from_wire),
+    ),
+    "pending": (
+        _each(membermessages.pending_to_wire),
+        _each(membermessages.pending_from_wire),
+    ),
+    "named": (_each(_naming_to_wire), _each(_naming_from_wire)),
+    "store_words": (_store_words_to_wire, _store_words_from_wire),
+    "store_news": (_each(_store_news_to_wire), _each(_store_news_from_wire)),
+    "target_limits": (_each(_limit_to_wire), _each(_limit_from_wire)),
+    "brittle": (_each(_brittle_to_wire), _each(_brittle_from_wire)),
+    "software_seen": (_each(_software_to_wire), _each(_software_from_wire)),
+}
--- a/tests/daemon/test_peermessages.py
+++ b/tests/daemon/test_peermessages.py
@@ -6,6 +6,7 @@
 
 from sesamespindle.daemon import peermessages
 from sesamespindle.decide import freshness, gossip
+from sesamespindle.wire import peers_pb2
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 SECOND = datetime.timedelta(seconds=1)
@@ -36,3 +37,11 @@
     wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, None))
     [known] = peermessages.gossip_from_wire(wire, NOW, NOW).known
     assert known.proved_at is None
+
+
+def test_a_datagram_with_encoded_message_is_read_by_earlier_releases():
+    wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, NOW))
+    raw = wire.SerializeToString()
+    frame = peers_pb2.GossipFrame(round=3, is_answer=True, message=raw)
+    whole = peers_pb2.GossipDatagram(round=3, is_answer=True, message=wire)
+    assert peers_pb2.GossipDatagram.FromString(frame.SerializeToString()) == whole
