--- a/packages/daemon/sesamespindle/daemon/keeperlinks.py
+++ b/packages/daemon/sesamespindle/daemon/keeperlinks.py
@@ -98,7 +98,7 @@
         core = self._driver.core
         measures.gauge("engines_kept", core.ledgers.count)
         measures.gauge("tokens_held_at_kept_engines", core.ledgers.held_tokens)
-        measures.gauge("unreadable_loads_total", lambda: core.asking.unreadable_loads)
+        measures.gauge("unreadable_loads_total", lambda: core.learning.unreadable_loads)
         for result in _RESULTS:
             measures.gauge(
                 f'keeper_questions_total{{result="{result}"}}',
--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -8,7 +8,7 @@
 import dataclasses
 import datetime
 
-from sesamespindle.decide import commands, hashing, ledgers, loadparts, sends, speeds
+from sesamespindle.decide import hashing, ledgers, loadparts, sends, speeds
 
 # The most engines that are asked about for one send. The one with the least expected
 # wait is asked about once more if all of them would be late.
@@ -78,16 +78,12 @@
     count_by_result : collections.Counter
         Questions by result: ``asked``, ``unanswered``, ``left_alone`` for those that
         weren't asked as the keeper is silent, or the name of a `ledgers.Reason`.
-    unreadable_loads : int
-        How many answers of engines stated a load that can't be read.
     """
 
     def __init__(self, state, engine_keepers):
         self._state = state
         self._keepers = engine_keepers
         self.count_by_result = collections.Counter()
-        self.unreadable_loads = 0
-        self._service_times = speeds.ServiceTimes()
         self._silent_until_by_host = {}
         # Tokens that were declined for memory, and until when, by incarnation.
         self._full_by_incarnation = {}
@@ -181,7 +177,7 @@
             asked.text = _describe(question.keeper, answer)
             row = self._state.target_in(incarnation)
             if row is not None and answer.speed != loadparts.USUAL_SPEED:
-                _learned(row).note_speed(answer.speed, now, is_stated_here=False)
+                speeds.of(row).note_speed(answer.speed, now, is_stated_here=False)
         if answer is None or answer.reason is ledgers.Reason.GRANTED:
             # A question whose answer was lost may have been counted too.
             flight.counted[incarnation] = question.address
@@ -222,42 +218,12 @@
         if not flight.counted:
             return
         waited = now - flight.sent_at
-        _learned(row).note_reading(prompt_tokens, _tokens_before(row), waited, now)
+        speeds.of(row).note_reading(prompt_tokens, _tokens_before(row), waited, now)
         address = flight.counted.get(row.incarnation)
         if address is not None:
             stage = ledgers.Stage.BEGUN
             self._tell(address, flight, row.incarnation, stage, now, waited)
 
-    def note_stated(self, row, signals, now):
-        """Take note of the speed that an engine stated in its answer."""
-        if signals.unreadable_load:
-            self._note_unreadable(row, signals.unreadable_load)
-        parts = self._state.load_parts
-        before = parts.describe()
-        parts.note_speed(signals.speed)
-        if parts.describe() != before:
-            told = f"{row.name} states speed {signals.speed}% of the usual time"
-            note = commands.Note("load_parts", parts.describe(), f"{told}.")
-            self._state.emit(note)
-        if signals.speed is not None and self.is_on():
-            _learned(row).note_speed(signals.speed, now)
-
-    def note_call(self, flight, now):
-        """Take note that the answer to a call of a plain service has begun."""
-        if self.is_on() and not flight.request.model:
-            self._service_times.note(flight.service, now - flight.sent_at, now)
-
-    def service_seconds(self, service, now):
-        """Return how long a call of a plain service takes; None if it isn't known."""
-        return self._service_times.seconds(service, now)
-
-    def _note_unreadable(self, row, text):
-        """Count a load that can't be read; only the first one is logged."""
-        if not self.unreadable_loads:
-            note = commands.Note("target_signal_unreadable", row.name, text)
-            self._state.emit(note)
-        self.unreadable_loads += 1
-
     def release(self, flight):
         """Tell keepers that a request has ended, or isn't sent.
 
@@ -388,12 +354,6 @@
     return value[1] if isinstance(value, tuple) else value
 
 
-def _learned(row):
-    if row.learned is None:
-        row.learned = speeds.Learned()
-    return row.learned
-
-
 def _tokens_before(row):
     """Return the tokens sent to an engine from here whose first token is awaited."""
     return sum(work.tokens for work in row.sent_by_request.values())
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -88,6 +88,8 @@
         Which software versions began the streams that callers take up again.
     keeper_asking : asking.Asking
         Which keepers of engines are asked for a prompt.
+    target_learning : learning.Learning
+        What is learned of the speed of targets.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         brittle_targets,
         stream_origins,
         keeper_asking,
+        target_learning,
     ):
         self._state = state
         self._weights = weights
@@ -123,6 +126,7 @@
         self._brittle = brittle_targets
         self._origins = stream_origins
         self._asking = keeper_asking
+        self._learning = target_learning
         self.configuration = None
         self.flight_by_request = {}
 
@@ -192,7 +196,8 @@
                 "It isn't known which software version began the stream, or whether "
                 "there are several.",
             )
-        service = self._choose_service(route, request.origin)
+        begun_by = request.origin.service if request.origin is not None else None
+        service = route.draw_service(self._state.random, begun_by)
         flight = flights.Flight(
             request, route, service, account, now, until, fingerprint, parts
         )
@@ -279,7 +284,7 @@
         _note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
             firstbytes.note_service_time(row, now - flight.sent_at)
-            self._asking.note_call(flight, now)
+            self._learning.note_call(flight, now)
 
     def stream_begun(self, request_id, software="", *, now):
         """Record that the caller gets the first event of a stream.
@@ -445,7 +450,7 @@
             return
         if signals.load is not None:
             row.reported_load = signals.load
-        self._asking.note_stated(row, signals, now)
+        self._learning.note_stated(row, signals, now)
         if signals.weight_version is not None and flight.request.model:
             row.learn_version(flight.request.model, signals.weight_version)
 
@@ -453,20 +458,6 @@
         """Return the number of live entry hosts, at least 1."""
         return max(len(self._state.live_entries()), 1)
 
-    def _choose_service(self, route, origin=None):
-        """Return the name of a service of a route, drawn by weight.
-
-        A stream that is taken up stays at the service that began it.
-        """
-        if origin is not None and any(
-            share.service == origin.service for share in route.shares
-        ):
-            return origin.service
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self._state.random.choices(route.shares, weights)[0].service
-
     def _send(self, flight, now, ending=None):
         """Choose a target and return the send, or the final answer if none fits."""
         if flight.until - now < _MIN_TIME_LEFT:
@@ -486,7 +477,7 @@
             return self._without_room(flight, ending, now, code)
         if not flight.is_engine_prompt(service):
             here = self._state.me.data_centre
-            usual = self._asking.service_seconds(flight.service, now)
+            usual = self._learning.service_seconds(flight.service, now)
             row = placement.choose_service_target(rows, here, now, usual)
             return self._start(flight, row, None, now)
         return self._send_prompt(flight, service.engines, rows, now, ending)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -25,6 +25,7 @@
     heldtargets,
     keepers,
     kvstores,
+    learning,
     lease,
     ledgers,
     membership,
@@ -157,6 +158,7 @@
             self.state, self.reach, self.brittle, self._is_reachable, carry_port
         )
         self.ledgers = ledgers.Ledgers()
+        self.learning = learning.Learning(self.state)
         self.asking = asking.Asking(self.state, keepers.Keepers(self.state))
         self.forwarding = forwarding.Forwarding(
             self.state,
@@ -184,6 +186,7 @@
             self.brittle,
             self.origins,
             self.asking,
+            self.learning,
         )
         self.store_checks = storechecks.StoreChecks(self.state, terms.kinds)
         self.membership = membership.Membership(
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -57,6 +57,25 @@
     shares: tuple[Share, ...]
     public: bool = False
 
+    def draw_service(self, rng, begun_by=None):
+        """Return the name of one of its services, drawn by weight.
+
+        A stream that is taken up stays at the service that began it.
+
+        Parameters
+        ----------
+        rng : random.Random
+            The source of randomness.
+        begun_by : str or None
+            The service that began the stream; None if none has.
+        """
+        if any(share.service == begun_by for share in self.shares):
+            return begun_by
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return rng.choices(self.shares, weights)[0].service
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engines:
--- a/packages/decide/sesamespindle/decide/speeds.py
+++ b/packages/decide/sesamespindle/decide/speeds.py
@@ -123,6 +123,13 @@
         return tokens / self.rate(prior, now) * share
 
 
+def of(row):
+    """Return the `Learned` of a `world.TargetRow`; a new one if it has none."""
+    if row.learned is None:
+        row.learned = Learned()
+    return row.learned
+
+
 def _new_samples():
     return collections.deque(maxlen=_MOST_SAMPLES)
 
--- a/tests/daemon/test_keepermessages.py
+++ b/tests/daemon/test_keepermessages.py
@@ -46,5 +46,5 @@
     "payload", [b"", b"\x01", b"\x02" + b"\xff" * 11, b"\x03" * 5, b"\x09abc"]
 )
 def test_a_message_that_cannot_be_read_is_an_error(payload):
-    with pytest.raises(ValueError, match="message about an engine|not a valid|decode"):
+    with pytest.raises(ValueError, match=r"message about an engine|not a valid|decode"):
         keepermessages.decode(payload, "a:1")
--- a/tests/decide/test_asking.py
+++ b/tests/decide/test_asking.py
@@ -125,7 +125,7 @@
         core.forwarding.note_signals("r1", signals, NOW)
     notes = core.state.take_commands()
     assert [note.kind for note in notes] == ["target_signal_unreadable"]
-    assert core.asking.unreadable_loads == 3
+    assert core.learning.unreadable_loads == 3
 
 
 def test_a_keeper_is_of_the_engines_data_centre_and_the_same_for_all(core):
