--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -152,6 +152,17 @@
     assert judge(core) == {REQUESTS[0], REQUESTS[1]}
 
 
+def test_a_part_is_not_refused_as_a_second_request_with_it_begins_to_crash_targets(
+    core,
+):
+    crash_apart(core, 3, SOUND, requests=[REQUESTS[0]] * 8)
+    assert judge(core, 3.0) == {REQUESTS[0]}
+    crash(core, 4, REQUESTS[0], SOUND, after=4.0)
+    crash(core, 5, REQUESTS[1], REQUESTS[2], SOUND, after=5.0)
+    crash(core, 6, REQUESTS[1], REQUESTS[3], SOUND, after=6.0)
+    assert judge(core) == {REQUESTS[0]}
+
+
 def test_two_parts_are_told_apart_though_one_crash_ended_runs_of_both(core):
     core.quarantine.record_success(SOUND, NOW)
     for number in range(1, 5):
@@ -212,3 +223,19 @@
     core.forwarding.served("r1", later)
     assert core.quarantine.possible_crash_count((flight.fingerprint,)) == 2
     assert core.quarantine.possible_crash_count(flight.parts) == 1
+
+
+def test_sound_requests_are_served_while_reports_of_another_ones_crash_are_awaited(
+    core,
+):
+    """Guards against a part refused for crashes that a refused request explains."""
+    crash_apart(core, 3, SOUND, requests=[REQUESTS[0]] * 8)
+    assert judge(core, 3.0) == {REQUESTS[0]}
+    crash(core, 4, REQUESTS[0], SOUND, after=4.0)
+    assert core.quarantine.refusal((REQUESTS[7], SOUND), NOW + 4.1 * SECOND) is None
+
+
+def test_a_part_that_may_be_the_cause_is_held_back_until_all_have_reported(core):
+    crash_apart(core, 4, DEADLY)
+    refusal = core.quarantine.refusal((REQUESTS[7], DEADLY), NOW + 2.5 * SECOND)
+    assert refusal.code is commands.Code.SUSPECTED
