Each send is counted at keepers under a number of its own

A retry at the same engine within a second of the end before it was granted, but not counted until it had begun, as the end of the earlier send was taken for its own. Each round of questions has a number of its own now; the new test failed before.

--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import datetime
+import itertools
 
 from sesamespindle.decide import hashing, ledgers, loadparts, sends, speeds
 
@@ -36,13 +37,15 @@
     ----------
     ending : sends.Ending or None
         How the last send ended.
+    number : int
+        Stands for the request and this send in messages to keepers, so that the end of
+        one send never ends what is asked for the next.
     question : sends.AskKeeper or None
         The question that has no answer yet.
     answer_by_incarnation : dict
         The answers that declined, by target incarnation; None where none came.
     kept_at : dict
-        The peer addresses of the keepers that keep memory free for it, by target
-        incarnation.
+        The keepers that keep memory free for it, as `flights.Flight.counted`.
     is_last : bool
         Whether the engine with the least wait was asked about once more.
     is_unasked : bool
@@ -54,6 +57,7 @@
     """
 
     ending: sends.Ending | None
+    number: int
     question: sends.AskKeeper | None = None
     answer_by_incarnation: dict = dataclasses.field(default_factory=dict)
     kept_at: dict = dataclasses.field(default_factory=dict)
@@ -84,6 +88,7 @@
         self._state = state
         self._keepers = engine_keepers
         self.count_by_result = collections.Counter()
+        self._rounds = itertools.count()
         self._silent_until_by_host = {}
         # Tokens that were declined for memory, and until when, by incarnation.
         self._full_by_incarnation = {}
@@ -138,7 +143,7 @@
             return None
         asked = flight.asked
         if asked is None:
-            asked = flight.asked = Asked(ending)
+            asked = flight.asked = Asked(ending, self._number(flight))
         if asked.permitted == choice.row.incarnation:
             return None
         keeper = self._keepers.keeper(choice.row)
@@ -180,7 +185,7 @@
                 speeds.of(row).note_speed(answer.speed, now, is_stated_here=False)
         if answer is None or answer.reason is ledgers.Reason.GRANTED:
             # A question whose answer was lost may have been counted too.
-            flight.counted[incarnation] = question.address
+            flight.counted[incarnation] = question.address, asked.number
         if answer is not None and answer.reason is ledgers.Reason.GRANTED:
             asked.permitted = incarnation
             return asked.ending
@@ -190,7 +195,7 @@
         if answer.reason in _FOR_MEMORY:
             full = question.ask.held_tokens, now + _FULL_FOR
             self._full_by_incarnation[incarnation] = full
-            asked.kept_at[incarnation] = question.address
+            asked.kept_at[incarnation] = question.address, asked.number
         return asked.ending
 
     def sent(self, flight, row, engines):
@@ -203,7 +208,8 @@
         if engines is not None and self._is_counted(flight, row, engines):
             keeper = self._keepers.keeper(row)
             if keeper is not None and row.incarnation not in flight.counted:
-                flight.counted[row.incarnation] = keeper.peer_address
+                counted = keeper.peer_address, self._number(flight)
+                flight.counted[row.incarnation] = counted
         asked, flight.asked = flight.asked, None
         kept = flight.counted.pop(row.incarnation, None)
         if asked is not None:
@@ -219,10 +225,10 @@
             return
         waited = now - flight.sent_at
         speeds.of(row).note_reading(prompt_tokens, _tokens_before(row), waited, now)
-        address = flight.counted.get(row.incarnation)
-        if address is not None:
+        counted = flight.counted.get(row.incarnation)
+        if counted is not None:
             stage = ledgers.Stage.BEGUN
-            self._tell(address, flight, row.incarnation, stage, now, waited)
+            self._tell(counted, flight, row.incarnation, stage, now, waited)
 
     def release(self, flight):
         """Tell keepers that a request has ended, or isn't sent.
@@ -232,7 +238,8 @@
         asked, flight.asked = flight.asked, None
         if asked is not None and asked.question is not None:
             question = asked.question
-            flight.counted[question.ask.incarnation] = question.address
+            counted = question.address, asked.number
+            flight.counted[question.ask.incarnation] = counted
         if flight.counted:
             self._tell_ended(flight)
 
@@ -245,10 +252,11 @@
 
     def _tell_ended(self, flight):
         counted, flight.counted = flight.counted, {}
-        for engine, address in counted.items():
-            self._tell(address, flight, engine, ledgers.Stage.ENDED)
+        for engine, place in counted.items():
+            self._tell(place, flight, engine, ledgers.Stage.ENDED)
 
-    def _tell(self, address, flight, incarnation, stage, now=None, waited=None):
+    def _tell(self, counted, flight, incarnation, stage, now=None, waited=None):
+        address, number = counted
         row = self._state.target_in(incarnation)
         speed = None
         if now is not None and row is not None and row.learned is not None:
@@ -259,7 +267,7 @@
                 address,
                 ledgers.Tell(
                     self._state.me.peer_address,
-                    hashing.number(request.request_id),
+                    number,
                     incarnation,
                     stage,
                     request.prompt_tokens,
@@ -281,7 +289,7 @@
             wait = min(wait, goal - (now - flight.arrived_at) - transfer)
         return ledgers.Ask(
             self._state.me.peer_address,
-            hashing.number(request.request_id),
+            flight.asked.number,
             row.incarnation,
             choice.effort.prefill_tokens,
             request.held_tokens,
@@ -292,6 +300,9 @@
             left,
         )
 
+    def _number(self, flight):
+        return hashing.number(f"{flight.request.request_id}/{next(self._rounds)}")
+
     def _is_counted(self, flight, row, engines):
         if not self.is_on():
             return False
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -137,7 +137,8 @@
         What keepers of engines have answered for its next send; None if none was
         asked.
     counted : dict
-        The peer addresses of the keepers that may count it, by target incarnation.
+        The peer addresses of the keepers that may count it, each with the number under
+        which it is counted, by target incarnation.
     is_retry_paid : bool
         Whether its next send is already taken from the retry budget.
     """
--- a/packages/decide/sesamespindle/decide/ledgers.py
+++ b/packages/decide/sesamespindle/decide/ledgers.py
@@ -54,7 +54,7 @@
     host : str
         The peer address of the host that asks.
     request : int
-        The request's id, as a number of 64 bits.
+        Stands for the request and its send, a number of 64 bits.
     tokens, held_tokens : int
         The tokens to read, and those to hold until the run ends.
     capacity, slots : int
@@ -275,8 +275,7 @@
         entry = self.entry_by_key.pop(key, None)
         if entry is None and len(self._ended_at_by_key) < _MOST_ENTRIES:
             # Guards against memory that is held until the deadline of a caller who
-            # left, as datagrams overtake each other. A prompt that is asked for again
-            # after all is counted as soon as it is told to have begun.
+            # left, as datagrams overtake each other. Each send has a number of its own.
             self._ended_at_by_key.pop(key, None)
             self._ended_at_by_key[key] = now
         if entry is not None and entry.has_begun:
--- a/tests/decide/test_asking.py
+++ b/tests/decide/test_asking.py
@@ -59,6 +59,21 @@
     assert told(core) == [(ledgers.Stage.ENDED, asked.ask.incarnation.name)]
 
 
+def test_each_send_is_counted_apart(core):
+    """Guards against a retry that isn't counted as the send before it has ended."""
+    asked = begin(core)
+    answer(core, ledgers.Reason.GRANTED)
+    again = core.forwarding.ended("r1", sends.Ending.TURNED_AWAY, now=NOW)
+    ended = [
+        item.tell
+        for item in core.state.take_commands()
+        if isinstance(item, sends.TellKeeper)
+    ]
+    assert [tell.request for tell in ended] == [asked.ask.request]
+    assert isinstance(again, sends.AskKeeper)
+    assert again.ask.request != asked.ask.request
+
+
 def test_at_most_three_engines_are_asked_and_the_soonest_once_more(core):
     """Guards against a prompt that is asked for at every engine of a service."""
     asked = [begin(core)]
