--- a/tests/decide/test_asking.py
+++ b/tests/decide/test_asking.py
@@ -59,6 +59,21 @@
     assert told(core) == [(ledgers.Stage.ENDED, asked.ask.incarnation.name)]
 
 
+def test_each_send_is_counted_apart(core):
+    """Guards against a retry that isn't counted as the send before it has ended."""
+    asked = begin(core)
+    answer(core, ledgers.Reason.GRANTED)
+    again = core.forwarding.ended("r1", sends.Ending.TURNED_AWAY, now=NOW)
+    ended = [
+        item.tell
+        for item in core.state.take_commands()
+        if isinstance(item, sends.TellKeeper)
+    ]
+    assert [tell.request for tell in ended] == [asked.ask.request]
+    assert isinstance(again, sends.AskKeeper)
+    assert again.ask.request != asked.ask.request
+
+
 def test_at_most_three_engines_are_asked_and_the_soonest_once_more(core):
     """Guards against a prompt that is asked for at every engine of a service."""
     asked = [begin(core)]
@@ -125,7 +140,7 @@
         core.forwarding.note_signals("r1", signals, NOW)
     notes = core.state.take_commands()
     assert [note.kind for note in notes] == ["target_signal_unreadable"]
-    assert core.asking.unreadable_loads == 3
+    assert core.learning.unreadable_loads == 3
 
 
 def test_a_keeper_is_of_the_engines_data_centre_and_the_same_for_all(core):
