--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -255,6 +255,29 @@
     play(scenario)
 
 
+def test_a_host_that_has_loaded_only_after_its_grace_time_answers_who_waits(
+    play, tmp_path
+):
+    """Guards against connections in the backlog that are reset by a late end."""
+
+    async def scenario(world):
+        released = tmp_path / "released"
+        daemon = await world.start_daemon(grace=1, held_until=str(released))
+        reader, writer = await _connect_early(daemon)
+        writer.write(
+            b"GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+            b"X-Api-Key: " + standins.KEY.encode() + b"\r\n\r\n"
+        )
+        await terminate_and_wait(world, daemon, 1.5)
+        released.touch()
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        assert await daemon.ended() == 0
+
+    play(scenario)
+
+
 async def _connect_early(daemon):
     """Connect to a daemon's caller port as soon as it is open."""
     while True:
