--- a/tests/platform/test_deadly_parts.py
+++ b/tests/platform/test_deadly_parts.py
@@ -158,7 +158,8 @@
                 await fleet.end_by_themselves(10, 0.6)
                 await asyncio.sleep(2.0)
             assert fleet.begun_share(0.0) >= partfleet.LEAST_BEGUN, fleet.summary()
-            assert not fleet.lines("_quarantined")
-            assert not fleet.lines("Refused: suspected")
+            for text in ("_quarantined", "Refused: suspected"):
+                lines = fleet.lines(text)
+                assert not lines, "\n".join(lines)
 
     play(scenario)
