Tell callers of hosts by what each can carry, where the deployment calls for it

Callers choose evenly among the hosts that the directory names, so that a weak host got as many as a strong one, and hosts late in the alphabet none at all: of 6 hosts with eight times what 71 others of the data centre have, 1,000 callers gave each of 64 hosts 15.6 and 13 weak ones none, nor any to 10 hosts elsewhere.

Where the part is on, each caller gets a weighted sample, by rendezvous of its address: half of its data centre's hosts first and half of the others, three of each at least, 64 in all at most. It stays as others join or die, but for one host. Weights are cores, or the link's share of one if that is less, from the host's own settings, in the member records of gossip (a field that earlier releases ignore).

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -450,6 +450,7 @@
         state=item.state.value,
         revision=item.revision,
         unreached=item.unreached,
+        capacity=item.capacity,
     )
 
 
@@ -465,4 +466,5 @@
         events.HostState(item.state),
         item.revision,
         tuple(item.unreached),
+        item.capacity,
     )
--- a/packages/decide/sesamespindle/decide/events.py
+++ b/packages/decide/sesamespindle/decide/events.py
@@ -33,6 +33,8 @@
         The address of the operators' interface; of entries only.
     incarnation : int
         When the process started, in milliseconds since the epoch; of entries only.
+    capacity : int
+        What it can carry, in thousandths of a core; 0 if it isn't known.
     """
 
     name: str
@@ -43,6 +45,7 @@
     admin_url: str = ""
     incarnation: int = 0
     state: HostState = HostState.LIVE
+    capacity: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -264,7 +264,7 @@
         known = self.state.freshness.describe(self._kinds.targets, now)
         return f"Targets are known {known}."
 
-    def addresses(self, data_centre, now):
+    def addresses(self, data_centre, now, caller=None):
         """Return the addresses of the entry hosts that a caller should use.
 
         Parameters
@@ -273,13 +273,15 @@
             Where the caller is.
         now : datetime.datetime
             The current time.
+        caller : str, optional
+            The caller's address; without it the answer is the one for all callers.
         """
 
         def reachable(name):
             return self.membership.is_reachable(name, now)
 
         return directory.choose_addresses(
-            self.state, data_centre, reachable, self.reach.is_isolated
+            self.state, data_centre, reachable, self.reach.is_isolated, caller
         )
 
     def _is_reachable(self, data_centre, now, span=None):
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -28,6 +28,8 @@
         The revision of the member's active configuration.
     unreached : tuple of str
         The services of which the member reaches no target, as it says itself.
+    capacity : int
+        What the member can carry, in thousandths of a core; 0 if it doesn't say.
     """
 
     name: str
@@ -40,6 +42,7 @@
     state: events.HostState
     revision: int
     unreached: tuple[str, ...] = ()
+    capacity: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/hashing.py
+++ b/packages/decide/sesamespindle/decide/hashing.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import heapq
+import math
 
 import xxhash
 
@@ -13,6 +14,7 @@
 BYTES_PER_TOKEN = 4
 BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
 _DIGEST_BYTES = 16
+_HASHES = 2.0**64
 
 
 def rank(key, names):
@@ -35,6 +37,30 @@
     return heapq.nlargest(count, names, key=lambda name: _weight(name, seed))
 
 
+def top_weighted(key, weight_by_name, count):
+    """Return a weighted sample of names, the same for a key as long as they stay.
+
+    Each name's chance to be first is its share of all weights. A name that joins takes
+    the place of one other at most, and so does one that leaves.
+
+    Parameters
+    ----------
+    key : str
+        What the sample is for.
+    weight_by_name : dict of str to float
+        Weights above 0.
+    count : int
+        The size of the sample.
+    """
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+
+    def score(name):
+        uniform = (_weight(name, seed) + 0.5) / _HASHES
+        return -weight_by_name[name] / math.log(uniform)
+
+    return heapq.nlargest(count, weight_by_name, key=score)
+
+
 def first(key, names):
     """Return the name with the highest rendezvous weight for a key, or None."""
     seed = xxhash.xxh3_64_intdigest(key.encode())
--- a/packages/decide/sesamespindle/decide/memberrecords.py
+++ b/packages/decide/sesamespindle/decide/memberrecords.py
@@ -35,6 +35,7 @@
         announced_state,
         row.revision,
         row.unreached,
+        row.capacity,
     )
 
 
@@ -50,11 +51,11 @@
     Guards against a live host that other data centres never give to callers: its
     record spreads without an address first, and the address follows once the host can
     serve. The hash covers the address, so the digests differ and the record is sent
-    again.
+    again. The same holds for what the host can carry.
     """
     parts = sorted(
         f"{row.name}/{row.incarnation}/{_RANK_BY_STATE[row.state]}/{row.url}/"
-        f"{','.join(row.unreached)}"
+        f"{','.join(row.unreached)}" + (f"/{row.capacity}" if row.capacity else "")
         for row in rows
     )
     return xxhash.xxh3_64_intdigest("\n".join(parts).encode())
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -693,6 +693,7 @@
                 now,
                 member.revision,
                 member.unreached,
+                member.capacity,
             )
         )
         if member.unreached != unreached_before:
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -302,6 +302,8 @@
     ----------
     unreached : tuple of str
         The services of which the host reaches no target, as it says itself.
+    capacity : int
+        What the host can carry, in thousandths of a core; 0 if it isn't known.
     """
 
     name: str
@@ -315,6 +317,7 @@
     heard_at: datetime.datetime | None = None
     revision: int = 0
     unreached: tuple[str, ...] = ()
+    capacity: int = 0
 
 
 class World:
--- a/tests/daemon/test_peermessages.py
+++ b/tests/daemon/test_peermessages.py
@@ -3,9 +3,10 @@
 import datetime
 
 import places
+import pytest
 
 from sesamespindle.daemon import peermessages
-from sesamespindle.decide import freshness, gossip
+from sesamespindle.decide import events, freshness, gossip
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 SECOND = datetime.timedelta(seconds=1)
@@ -36,3 +37,15 @@
     wire = sent(freshness.KnownKind("config", places.at(7, 2), 5, None))
     [known] = peermessages.gossip_from_wire(wire, NOW, NOW).known
     assert known.proved_at is None
+
+
+@pytest.mark.parametrize("capacity", [0, 250])
+def test_a_member_tells_what_it_can_carry(capacity):
+    live = events.HostState.LIVE
+    member = gossip.Member(
+        "entry-1", "dc-1", "u", "p", "", 1, 2, live, 3, capacity=capacity
+    )
+    message = gossip.GossipMessage("entry-1", "dc-1", members=(member,))
+    wire = peermessages.gossip_to_wire(message, 1, NOW)
+    [read] = peermessages.gossip_from_wire(wire, NOW).members
+    assert read == member
--- a/tests/decide/test_directory.py
+++ b/tests/decide/test_directory.py
@@ -1,8 +1,10 @@
 """Which addresses callers get, without a network."""
 
+import collections
+
 import pytest
 
-from sesamespindle.decide import directory, events, world
+from sesamespindle.decide import directory, events, loadparts, world
 
 _State = events.HostState
 
@@ -98,3 +100,99 @@
     """Guards against callers that are sent to leaving hosts while all are isolated."""
     state = make_state(("a", "dc-1", _State.LIVE), ("b", "dc-1", _State.LEAVING))
     assert choose(state, isolated=("a", "b")) == ["a:80"]
+
+
+# Hosts of the caller's data centre, a strong one with eight times what a weak one has,
+# and some elsewhere.
+_STRONG, _WEAK, _FAR = 6, 71, 10
+_CAPACITY_BY_KIND = {"strong": 2000, "weak": 250, "far": 1000}
+_NAMES = [
+    *(f"strong-{number}" for number in range(_STRONG)),
+    *(f"weak-{number}" for number in range(_WEAK)),
+    *(f"far-{number}" for number in range(_FAR)),
+]
+_CALLERS = [f"10.0.{number // 200}.{number % 200}" for number in range(1000)]
+
+
+def make_fleet(names=_NAMES, choice=loadparts.Choice.ON, state_by_name=None):
+    """Return tables of a fleet; callers are told of hosts by weight if chosen."""
+    state = make_state()
+    state.load_parts = loadparts.LoadParts(
+        choice_by_part={loadparts.Part.WEIGHTED_HOSTS: choice}
+    )
+    for name in names:
+        kind = name.partition("-")[0]
+        data_centre = "dc-2" if kind == "far" else "dc-1"
+        host_state = (state_by_name or {}).get(name, _State.LIVE)
+        row = world.EntryRow(name, data_centre, name, "", "", 1, host_state)
+        row.capacity = _CAPACITY_BY_KIND.get(kind, 0)
+        state.put_entry(row)
+    return state
+
+
+def ask(state, caller):
+    return directory.choose_addresses(
+        state, "dc-1", lambda _: True, lambda _: False, caller
+    )
+
+
+def test_hosts_get_callers_by_what_they_can_carry_and_each_gets_some():
+    """Guards against weak hosts that get as many callers as strong ones."""
+    state = make_fleet()
+    callers_by_host = collections.Counter()
+    for caller in _CALLERS:
+        answer = ask(state, caller)
+        assert len(answer) <= directory.MAX_ADDRESSES
+        callers_by_host.update({name: 1 / len(answer) for name in answer})
+    strong = [callers_by_host[name] for name in _NAMES if name.startswith("strong")]
+    weak = [callers_by_host[name] for name in _NAMES if name.startswith("weak")]
+    assert min(weak) > 0
+    assert sum(strong) / _STRONG > 1.9 * sum(weak) / _WEAK
+    assert min(strong) > max(weak)
+
+
+def test_callers_that_share_an_address_reach_half_of_their_data_centre_first():
+    state = make_fleet()
+    for caller in _CALLERS[:50]:
+        answer = ask(state, caller)
+        here = [name for name in answer if not name.startswith("far")]
+        assert 2 * len(here) >= _STRONG + _WEAK
+        assert answer[: len(here)] == here
+        assert 2 * (len(answer) - len(here)) >= _FAR
+
+
+@pytest.mark.parametrize("gone", ["weak-7", "strong-0", "far-3"])
+def test_one_callers_answer_stays_while_others_join_or_die(gone):
+    """Guards against callers that close connections to hosts which still serve."""
+    whole = make_fleet()
+    fewer = make_fleet([name for name in _NAMES if name != gone])
+    for caller in _CALLERS[:100]:
+        before, after = set(ask(whole, caller)), set(ask(fewer, caller))
+        assert len(before - after - {gone}) <= 1
+        assert len(after - before) <= 1
+
+
+@pytest.mark.parametrize("state", [_State.LEAVING, _State.SUSPECT, _State.DEAD])
+def test_no_host_that_leaves_or_is_suspected_is_in_a_weighted_answer(state):
+    fleet = make_fleet(state_by_name={"strong-0": state, "weak-1": state})
+    for caller in _CALLERS[:100]:
+        assert not {"strong-0", "weak-1"} & set(ask(fleet, caller))
+
+
+def test_a_host_of_unknown_weight_counts_as_the_mean():
+    fleet = make_fleet(["strong-0", "weak-0", "weak-1", "unknown-0"])
+    first = collections.Counter(ask(fleet, caller)[0] for caller in _CALLERS)
+    assert first["weak-0"] < first["unknown-0"] < first["strong-0"]
+
+
+def test_a_caller_has_several_hosts_to_choose_from_in_a_small_data_centre():
+    small = ["strong-0", "weak-0", "weak-1"]
+    assert set(ask(make_fleet(small), "10.0.0.1")) == set(small)
+
+
+def test_without_the_part_all_callers_get_one_answer_of_up_to_64_by_name():
+    """Guards against other deployments that are served otherwise than before."""
+    fleet = make_fleet(choice=loadparts.Choice.AUTO)
+    here = sorted(name for name in _NAMES if not name.startswith("far"))
+    for caller in _CALLERS[:10]:
+        assert ask(fleet, caller) == here[: directory.MAX_ADDRESSES]
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -9,6 +9,7 @@
     core,
     events,
     gossip,
+    memberrecords,
     membership,
     startupprobes,
     world,
@@ -335,6 +336,19 @@
     assert state.entries.get("entry-1").state is events.HostState.DEAD
 
 
+def test_another_data_centre_gets_the_record_of_a_host_that_says_what_it_can_carry():
+    """Guards against a host that counts as the mean elsewhere, as it was only listed.
+
+    A host that says nothing of it has the digest that earlier releases know.
+    """
+    entries = make_daemon("entry-1", "dc-1")[1].entries
+    silent = memberrecords.digest_by_data_centre(entries)
+    entries.get("entry-1").capacity = 250
+    assert memberrecords.digest_by_data_centre(entries) != silent
+    entries.get("entry-1").capacity = 0
+    assert memberrecords.digest_by_data_centre(entries) == silent
+
+
 TICK = ROUND / 4
 # The gossip interval of the daemons of `make_daemon`, which have the default policy.
 INTERVAL = world.Policy().suspect_after / membership.ROUNDS_BEFORE_SUSPICION
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,6 +22,18 @@
     assert loaded.capacity == settings.Capacity(1.5, 200_000_000, 10e6)
 
 
+@pytest.mark.parametrize(
+    ("link", "carried"), [("", 1500), ("40.0", 100), ("1000.0", 1500), ("0.1", 1)]
+)
+def test_what_a_host_says_that_it_can_carry_counts_its_cores_and_its_link(
+    link, carried
+):
+    text = "Limits.CpuShare=0.5\nLimits.Cores=3\n"
+    text += f"Limits.LinkMbps={link}\n" if link else ""
+    loaded = settings.parse(f"{_TEXT}{text}")
+    assert loaded.capacity.thousandths_of_a_core() == carried
+
+
 @pytest.mark.parametrize(
     ("contracts", "compete"),
     [("", False), ("base,drain", False), ("base, pressure,platform", True)],
