--- a/packages/daemon/sesamespindle/daemon/membermessages.py
+++ b/packages/daemon/sesamespindle/daemon/membermessages.py
@@ -100,6 +100,7 @@
         state=item.state.value,
         revision=item.revision,
         unreached=item.unreached,
+        capacity=item.capacity,
     )
 
 
@@ -116,4 +117,5 @@
         events.HostState(item.state),
         item.revision,
         tuple(item.unreached),
+        item.capacity,
     )
--- a/tests/daemon/test_peermessages.py
+++ b/tests/daemon/test_peermessages.py
@@ -3,9 +3,10 @@
 import datetime
 
 import places
+import pytest
 
 from sesamespindle.daemon import peermessages
-from sesamespindle.decide import freshness, gossip
+from sesamespindle.decide import events, freshness, gossip
 from sesamespindle.wire import peers_pb2
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
@@ -45,3 +46,15 @@
     frame = peers_pb2.GossipFrame(round=3, is_answer=True, message=raw)
     whole = peers_pb2.GossipDatagram(round=3, is_answer=True, message=wire)
     assert peers_pb2.GossipDatagram.FromString(frame.SerializeToString()) == whole
+
+
+@pytest.mark.parametrize("capacity", [0, 250])
+def test_a_member_tells_what_it_can_carry(capacity):
+    live = events.HostState.LIVE
+    member = gossip.Member(
+        "entry-1", "dc-1", "u", "p", "", 1, 2, live, 3, capacity=capacity
+    )
+    message = gossip.GossipMessage("entry-1", "dc-1", members=(member,))
+    wire = peermessages.gossip_to_wire(message, 1, NOW)
+    [read] = peermessages.gossip_from_wire(wire, NOW).members
+    assert read == member
