--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -3,8 +3,8 @@
 import datetime
 
 from sesamespindle.decide import (
-    catalogue,
     commands,
+    endings,
     flights,
     kvstores,
     placement,
@@ -21,19 +21,11 @@
 # A request is refused at once if its expected queueing time exceeds this share of
 # the time that it has left, since the target would then answer too late.
 _MAX_WAIT_SHARE = 0.8
-# Weight of the newest sample in the moving averages of failure rate and service
-# time: about the last ten answers count.
-_NEWEST_WEIGHT = 0.1
 # An idempotent request is retried at another target if no answer has begun after
 # this many average service times, but no sooner than the minimum. The minimum is
 # above the 99th percentile of plain services (5 times 45 ms).
 _FIRST_BYTE_TIMEOUT_FACTOR = 6.0
 _MIN_FIRST_BYTE_TIMEOUT = datetime.timedelta(milliseconds=350)
-# How long an engine that still has superseded weights counts as loading the new
-# ones after it turned a request away. Loading takes 0.4 s.
-_WEIGHT_LOADING_TIME = datetime.timedelta(milliseconds=300)
-# How long a target gets no new work after it turned a request away.
-_BUSY_EJECTION_TIME = datetime.timedelta(milliseconds=100)
 # The most sends of one request, including those that targets turned away without
 # running it; after that it is refused.
 _MAX_SENDS = 4
@@ -44,20 +36,9 @@
 # the next tick. It occupies an engine for 40 ms or more, and in that time peers
 # that don't know of it would send the same engine another prompt.
 _ANNOUNCED_AT_ONCE_TOKENS = 2000
-# The endings after which this host doubts that it reaches the target.
-_DOUBTED_AFTER = frozenset(
-    (
-        sends.Ending.UNREACHABLE,
-        sends.Ending.REFUSED,
-        sends.Ending.LOST,
-        sends.Ending.SILENT,
-    )
-)
 # A request that may be repeated is withdrawn from a service that has been unreached for
 # this long, and carried by a peer. Sound targets may be silent for a second.
 _WITHDRAWN_AFTER = datetime.timedelta(milliseconds=1500)
-# A target that a part of a prompt crashes ends within this time of the first byte.
-_BEGINS_WELL_AFTER = datetime.timedelta(milliseconds=250)
 # Number of route ranks that are distinguished within one account rank. Targets
 # have ten urgency levels, enough for three account ranks of three route ranks.
 _ROUTE_RANKS = 3
@@ -128,6 +109,9 @@
         self._reach = service_reach
         self._carriers = peer_carriers
         self._brittle = brittle_targets
+        self._endings = endings.Endings(
+            state, weights, crashes, service_reach, brittle_targets
+        )
         self._origins = stream_origins
         self.configuration = None
         self.flight_by_request = {}
@@ -231,9 +215,9 @@
         """
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.incarnation)
-        self._report_to_crashes(flight, ending, now)
+        self._endings.report_to_crashes(flight, ending, now)
         self._carriers.note_end(flight, ending, now)
-        self._note_ending(flight, row, ending, now)
+        self._endings.note(flight, row, ending, now)
         self._release(flight)
         maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
@@ -280,7 +264,7 @@
         if flight.sent_at is not None:
             self._crashes.record_answer(flight.incarnation, flight.sent_at)
         row.sent_by_request.pop(request_id, None)
-        _note_result(row, False)
+        endings.note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
             _note_service_time(row, now - flight.sent_at)
 
@@ -327,7 +311,7 @@
         if flight.has_passed:
             return
         is_direct = flight.sent_at is not None
-        if is_direct and now - flight.begun_at >= _BEGINS_WELL_AFTER:
+        if is_direct and now - flight.begun_at >= endings.BEGINS_WELL_AFTER:
             self._note_parts_passed(flight)
 
     def _note_success(self, flight, now):
@@ -406,7 +390,7 @@
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
         if flight.sent_at is not None:
-            for key in _suspect_keys(flight, now):
+            for key in endings.suspect_keys(flight, now):
                 self._crashes.record_abandoned_run(key, flight.incarnation, now)
         self._release(flight)
 
@@ -421,7 +405,7 @@
         """Record that an answer broke off and can't be continued."""
         flight = self.flight_by_request.get(request_id)
         if flight is not None:
-            self._report_to_crashes(flight, sends.Ending.LOST, now)
+            self._endings.report_to_crashes(flight, sends.Ending.LOST, now)
             self._release(flight)
 
     def note_signals(self, request_id, signals, now):
@@ -613,57 +597,6 @@
     def _spend_retry(self, flight):
         return self._budgets.spend(flight.service, self._count_live_entries())
 
-    def _report_to_crashes(self, flight, ending, now):
-        """Report what a send's end shows about whether its target has crashed."""
-        if flight.sent_at is None:
-            return
-        match ending:
-            case sends.Ending.LOST:
-                for key in _suspect_keys(flight, now):
-                    self._crashes.record_broken_run(
-                        key, flight.incarnation, flight.sent_at, now
-                    )
-            case sends.Ending.SILENT | sends.Ending.WITHDRAWN:
-                for key in _suspect_keys(flight, now):
-                    self._crashes.record_abandoned_run(key, flight.incarnation, now)
-            case sends.Ending.REFUSED:
-                self._crashes.note_refusal(flight.incarnation)
-            case sends.Ending.WRONG_TARGET:
-                self._crashes.record_end(flight.incarnation, "another is there")
-            case (
-                sends.Ending.FAILED
-                | sends.Ending.TURNED_AWAY
-                | sends.Ending.WRONG_VERSION
-            ):
-                self._crashes.record_answer(flight.incarnation, flight.sent_at)
-
-    def _note_ending(self, flight, row, ending, now):
-        """Record what a send's end shows about the health and weights of its target."""
-        if row is None or flight.sent_at is None:
-            return
-        if ending is sends.Ending.TURNED_AWAY:
-            self._brittle.note_rejected(row.incarnation, flight.request.request_id, now)
-        if ending in _DOUBTED_AFTER:
-            flight.failed_from = flight.failed_from or flight.sent_at
-            self._reach.note_failure(row, now)
-        match ending:
-            case sends.Ending.UNREACHABLE:
-                catalogue.note_failure(self._state, row, now)
-            case sends.Ending.REFUSED:
-                row.refused_at = now
-                catalogue.note_failure(self._state, row, now)
-            case sends.Ending.TURNED_AWAY:
-                row.ejected_until = now + _BUSY_EJECTION_TIME
-                if self._weights.is_behind(row, flight.request.model):
-                    row.loading_until = now + _WEIGHT_LOADING_TIME
-            case sends.Ending.WRONG_TARGET:
-                self._state.refute_target(row, now)
-            case sends.Ending.WRONG_VERSION:
-                self._weights.note_refused(row, flight.request.model, flight.version)
-                flight.tried.discard(row.incarnation)
-            case sends.Ending.FAILED | sends.Ending.LOST | sends.Ending.SILENT:
-                _note_result(row, True)
-
     def _release(self, flight):
         """Release the connection and memory accounted to a send at its target."""
         row = self._state.target_in(flight.incarnation)
@@ -777,16 +710,6 @@
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
 
 
-def _suspect_keys(flight, now):
-    """Return the keys of a request that its target may have crashed by.
-
-    Those of its parts are left out if its answer has long begun.
-    """
-    if flight.has_begun and now - flight.begun_at >= _BEGINS_WELL_AFTER:
-        return flight.keys[:1] if flight.fingerprint else ()
-    return flight.keys
-
-
 def _urgency(flight):
     """Return the urgency that a target sorts the request by, 0 first.
 
@@ -800,14 +723,8 @@
     return account_rank * _ROUTE_RANKS + min(route_rank, _ROUTE_RANKS - 1)
 
 
-def _note_result(row, failed):
-    row.failure_rate += _NEWEST_WEIGHT * ((1.0 if failed else 0.0) - row.failure_rate)
-    if not failed:
-        catalogue.note_success(row)
-
-
 def _note_service_time(row, duration):
     if row.service_time is None:
         row.service_time = duration
     else:
-        row.service_time += (duration - row.service_time) * _NEWEST_WEIGHT
+        row.service_time += (duration - row.service_time) * endings.NEWEST_WEIGHT
