Requests that no target has room for wait at their host, in one order

Callers saw refusals although a place was free 50 ms later, no order by rank or account, and one short Retry-After for all. Cause: a request was sent or refused at once, and each target that turned it away used up one of four sends and of the retry budget.

Where the part `queues` is on, such requests wait (decide/waitingroom.py, waitqueue.py): rank, then the account with least tokens of late, then arrival. What a full target takes is found by additive increase (fulltargets.py). Who can't be in time by the rate of the last seconds is refused at once, and Retry-After follows from the backlog (backlog.py). Turned-away sends count against the retry budget still, as the platform counts them.

--- a/packages/daemon/sesamespindle/daemon/measures.py
+++ b/packages/daemon/sesamespindle/daemon/measures.py
@@ -15,6 +15,8 @@
         self._answers_by_end = collections.Counter()
         self._taken_up_by_source = collections.Counter()
         self._first_bytes_by_route = {}
+        self._waits_by_service = {}
+        self._labelled_gauges = {}
         self._ages_by_kind = {}
         self._gauges = {}
 
@@ -50,6 +52,10 @@
         """
         _count(self._first_bytes_by_route, route, duration)
 
+    def waited(self, service, duration):
+        """Record how long a request waited until a target of a service had room."""
+        _count(self._waits_by_service, service, duration)
+
     def knowledge_age(self, kind, age):
         """Record how long ago a kind of object was last proved complete.
 
@@ -74,6 +80,18 @@
         """
         self._gauges[name] = read
 
+    def labelled_gauge(self, name, read):
+        """Register a gauge with labels that aren't known before.
+
+        Parameters
+        ----------
+        name : str
+            The metric's name, without the prefix ``sesamespindle_``.
+        read : callable
+            Returns the current value by the text of the labels.
+        """
+        self._labelled_gauges[name] = read
+
     def text(self):
         """Return all metrics in the Prometheus text format."""
         lines = [
@@ -90,6 +108,11 @@
         ]
         for route, histogram in sorted(self._first_bytes_by_route.items()):
             lines += _histogram_lines("first_byte", "route", route, histogram)
+        for service, histogram in sorted(self._waits_by_service.items()):
+            lines += _histogram_lines("waited", "service", service, histogram)
+        for name, read in sorted(self._labelled_gauges.items()):
+            for labels, value in sorted(read().items()):
+                lines.append(f"sesamespindle_{name}{{{labels}}} {value}")
         for kind, histogram in sorted(self._ages_by_kind.items()):
             lines += _histogram_lines("knowledge_age", "kind", kind, histogram)
         for name, read in sorted(self._gauges.items()):
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -21,6 +21,7 @@
     reachcheck,
     relayed,
     silences,
+    waits,
 )
 from sesamespindle.decide import carriers, commands, events, routes, sends
 from sesamespindle.wire import answers
@@ -101,6 +102,7 @@
         self._is_ending = False
         self.in_flight = 0
         driver.on(sends.Withdraw, self._withdraw)
+        self._waits = waits.Waits(driver, measures)
 
     def end(self):
         """Give all requests in flight their final answers, as the host ends now.
@@ -113,6 +115,7 @@
         """
         self._is_ending = True
         self._driver.feed(events.ShutdownStarted())
+        self._waits.end()
         now = asyncio.get_running_loop().time()
         for send_timeout in self._send_timeouts:
             if not send_timeout.expired():
@@ -160,7 +163,7 @@
         """Answer one request, which arrived at a given time."""
         request = self._dialect.read_request(http, arrived)
         if not request.request_id or self._is_id_in_use(request):
-            return self._refuse(http, _refusal_of_reused_id(request), passport)
+            return self._refuse(http, relayed.refusal_of_reused_id(request), passport)
         body = await relayed.read_body(http)
         request = dataclasses.replace(
             request, content=relayed.content_digest(http, body), passport=passport
@@ -240,6 +243,8 @@
                     if answer.response is not None:
                         raise _CutOffError
                     return self._close_if_leaving(answer.failure)
+                case sends.Wait():
+                    command = await self._waits.wait(command)
                 case sends.Forward():
                     command = await self._send(http, body, command, answer)
                     if command is None:
@@ -712,17 +717,3 @@
     if forward.passport is not None and status == 503:
         return sends.Ending.DECLINED
     return sends.Ending.LOST
-
-
-def _refusal_of_reused_id(request):
-    """Return the refusal of a request without an id, or with one in use.
-
-    A request with the id of one in flight may be a duplicate of it, so the refusal
-    doesn't promise that the request has not run.
-    """
-    return commands.Refuse(
-        request.request_id,
-        commands.Code.KEY_REUSED,
-        commands.Outcome.UNKNOWN,
-        "The request has no id, or the id of another request in flight.",
-    )
--- a/packages/daemon/sesamespindle/daemon/relayed.py
+++ b/packages/daemon/sesamespindle/daemon/relayed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sesamespindle.decide import fingerprints
+from sesamespindle.decide import commands, fingerprints
 from sesamespindle.wire import eventstream
 
 # Request bodies and answers up to this size are buffered whole, so that a body can
@@ -176,3 +176,17 @@
         if self.withdrawal_reason and not self._timeout.expired():
             self._timeout.reschedule(self._ends_at)
             self.withdrawal_reason = ""
+
+
+def refusal_of_reused_id(request):
+    """Return the refusal of a request without an id, or with one in use.
+
+    A request with the id of one in flight may be a duplicate of it, so the refusal
+    doesn't promise that the request has not run.
+    """
+    return commands.Refuse(
+        request.request_id,
+        commands.Code.KEY_REUSED,
+        commands.Outcome.UNKNOWN,
+        "The request has no id, or the id of another request in flight.",
+    )
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -131,6 +131,10 @@
         The software version of the target of its last send.
     is_retry_paid : bool
         Whether its next send is already taken from the retry budget.
+    rejections : int
+        Number of sends that targets turned away, counted where requests may wait.
+    forgiven_sends : int
+        How many of them don't count as tries, as it has waited since.
     """
 
     request: Request
@@ -155,6 +159,8 @@
     is_retry_paid: bool = False
     software: str = ""
     sent_software: str = ""
+    rejections: int = 0
+    forgiven_sends: int = 0
 
     @property
     def has_begun(self):
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -12,6 +12,7 @@
     routes,
     sendlog,
     sends,
+    waitingroom,
     world,
 )
 
@@ -113,6 +114,9 @@
             state, weights, crashes, service_reach, brittle_targets
         )
         self._origins = stream_origins
+        self.waiting_room = waitingroom.WaitingRoom(
+            state, self._send, self._refuse_waiting, self._spend_retry
+        )
         self.configuration = None
         self.flight_by_request = {}
 
@@ -128,7 +132,7 @@
 
         Returns
         -------
-        command : sends.Forward or commands.Refuse
+        command : sends.Forward, sends.Wait or commands.Refuse
         """
         configuration = self.configuration
         if configuration is None:
@@ -195,7 +199,8 @@
         else:
             flight.runs = request.passport.runs
             self._carriers.carried_here += 1
-        return self._send(flight, now)
+        waiting = self.waiting_room.begin(flight, _urgency(flight), now)
+        return waiting or self._send(flight, now)
 
     def ended(self, request_id, ending, now):
         """Return what follows a send that ended without an answer to relay.
@@ -211,21 +216,40 @@
 
         Returns
         -------
-        command : sends.Forward, sends.PassOn or commands.Refuse
+        command : sends.Forward, sends.PassOn, sends.Wait or commands.Refuse
         """
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.incarnation)
         self._endings.report_to_crashes(flight, ending, now)
         self._carriers.note_end(flight, ending, now)
         self._endings.note(flight, row, ending, now)
+        self.waiting_room.note_ending(flight, row, ending, now)
         self._release(flight)
         maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
         if self._may_retry(flight, ending, maybe_ran, now):
             return self._send(flight, now, ending)
+        if ending is sends.Ending.TURNED_AWAY:
+            code = commands.Code.OVERLOADED
+            return self._without_room(flight, ending, now, code, is_paid=False)
         return self._final_answer(flight, ending, now)
 
+    def resumed(self, request_id, now):
+        """Return what follows the wait of a request, which must be in flight.
+
+        It ended by a `sends.Resume` or because its time is over.
+        """
+        flight = self.flight_by_request[request_id]
+        command = self.waiting_room.take_decided(request_id)
+        code = self.waiting_room.leave(flight, now)
+        if command is None:
+            return self._final_answer(flight, None, now, code)
+        if flight.sent_at is not None and flight.until - now < _MIN_TIME_LEFT:
+            self._release(flight)
+            return self._final_answer(flight, None, now)
+        return command
+
     def ends_silent(self, request_id, now):
         """Return whether a send to a silent target ends, as another may follow it.
 
@@ -258,6 +282,7 @@
         if flight is None:
             return
         flight.begun_at = now
+        self.waiting_room.note_through(flight, now)
         row = self._state.target_in(flight.incarnation)
         if row is None:
             return
@@ -291,7 +316,8 @@
         return flight.software if flight.request.passport is not None else ""
 
     def tick(self, now):
-        """Withdraw sends whose answer can't begin in time where they are."""
+        """Withdraw sends whose answer can't begin in time, and resume waits."""
+        self.waiting_room.tick(now)
         for flight in self.flight_by_request.values():
             if flight.has_begun:
                 self._note_passed(flight, now)
@@ -389,10 +415,13 @@
             return
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
-        if flight.sent_at is not None:
+        is_unsent = self.waiting_room.take_decided(request_id) is not None
+        self.waiting_room.leave(flight, now)
+        if flight.sent_at is not None and not is_unsent:
             for key in endings.suspect_keys(flight, now):
                 self._crashes.record_abandoned_run(key, flight.incarnation, now)
         self._release(flight)
+        self.waiting_room.wake(flight.service, now)
 
     def served(self, request_id, now):
         """Record that a caller has received a target's complete answer."""
@@ -400,6 +429,7 @@
         if flight is not None:
             self._note_success(flight, now)
             self._release(flight)
+            self.waiting_room.note_served(flight, now)
 
     def answer_broken(self, request_id, now):
         """Record that an answer broke off and can't be continued."""
@@ -469,6 +499,9 @@
         if not rows:
             code = self._candidates.code_without(flight, now)
             return self._without_room(flight, ending, now, code)
+        rows = self.waiting_room.with_room(rows, now)
+        if not rows:
+            return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
         if not flight.is_engine_prompt(service):
             row = placement.choose_service_target(rows, self._state.me.data_centre, now)
             return self._start(flight, row, None, now)
@@ -479,9 +512,17 @@
             return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
         return self._start(flight, place.row, place, now)
 
-    def _without_room(self, flight, ending, now, code):
+    def _without_room(self, flight, ending, now, code, is_paid=True):
         """Return what follows where no target has room for a request now."""
-        return self._final_answer(flight, ending, now, code)
+        waiting = None
+        if not self._reach.is_unreached(flight.service):
+            waiting = self.waiting_room.lacks_room(
+                flight, _urgency(flight), ending, is_paid, code, now
+            )
+        return waiting or self._final_answer(flight, ending, now, code)
+
+    def _refuse_waiting(self, flight, code, now):
+        return self._final_answer(flight, None, now, code)
 
     def _must_decline(self, flight):
         """Return whether a peer's request goes back, as this host is cut off too."""
@@ -510,6 +551,7 @@
         flight.tried.add(row.incarnation)
         row.running_here += 1
         self._reach.note_sent(row, now)
+        self.waiting_room.note_sent(flight, now)
         self._candidates.note_sent(row, request.request_id, now)
         if place:
             sent = world.SentWork(now, place.prefill_tokens)
@@ -584,7 +626,9 @@
             return False
         if maybe_ran and flight.runs >= flight.route.max_attempts:
             return False
-        if flight.sends >= _MAX_SENDS or flight.until - now < _MIN_TIME_LEFT:
+        if flight.sends - flight.forgiven_sends >= _MAX_SENDS:
+            return False
+        if flight.until - now < _MIN_TIME_LEFT:
             return False
         if ending in sends.NOT_ARRIVED:
             # Nothing reached a target, so it doesn't count against the retry budget.
@@ -618,12 +662,14 @@
         if ending is sends.Ending.FAILED:
             return sends.PassOn(request.request_id)
         if flight.runs == 0:
-            return self._refuse(
+            refuse = self._refuse(
                 request,
                 code or commands.Code.OVERLOADED,
                 self._describe_targets(flight, now),
                 earliest=self._candidates.rest_left(flight.service, now),
             )
+            rank = _urgency(flight)
+            return self.waiting_room.schedule_return(refuse, flight, rank, now)
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
@@ -663,13 +709,21 @@
             outcome,
         )
 
-    def refuse_shutting_down(self, request_id):
-        """Return the final answer of a request in flight when the host shuts down."""
+    def refuse_shutting_down(self, request_id, sent=True):
+        """Return the final answer of a request in flight when the host shuts down.
+
+        Parameters
+        ----------
+        sent : bool
+            Whether it is at a target; if not, it waits here.
+        """
+        flight = self.flight_by_request[request_id]
+        is_unrun = not sent and flight.runs == 0
         return self._refuse(
-            self.flight_by_request[request_id].request,
+            flight.request,
             commands.Code.SHUTTING_DOWN,
             "The host shuts down before the target has answered.",
-            commands.Outcome.UNKNOWN,
+            commands.Outcome.NOT_RUN if is_unrun else commands.Outcome.UNKNOWN,
         )
 
     def _must_refuse_when_leaving(self, route, until, now):
--- a/packages/decide/sesamespindle/decide/sends.py
+++ b/packages/decide/sesamespindle/decide/sends.py
@@ -132,3 +132,28 @@
     request_id: str
     attempt: int
     reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Wait until a `Resume` comes for the request, or until a time.
+
+    Attributes
+    ----------
+    until : datetime.datetime
+        When the request gets its final answer if it wasn't resumed.
+    reason : str
+        Why no target has room, and the request's place, for the log.
+    """
+
+    request_id: str
+    until: datetime.datetime
+    service: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """End the wait of a request: a target has room, or it is refused."""
+
+    request_id: str
