Merge queues at the host; a request that a keeper declines keeps its place

A request that waits and is asked for at a keeper left the queue, and entered it anew behind later ones if the keeper declined. It now keeps its number, and a wake asks for few requests at once, as a question is no send yet.

--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -141,6 +141,13 @@
         which it is counted, by target incarnation.
     is_retry_paid : bool
         Whether its next send is already taken from the retry budget.
+    rejections : int
+        Number of sends that targets turned away, counted where requests may wait.
+    forgiven_sends : int
+        How many of them don't count as tries, as it has waited since.
+    place : tuple of (int, datetime.datetime) or None
+        Its place among the requests that wait at this host: a number that rises with
+        each, and since when it waits; None if it never did.
     """
 
     request: Request
@@ -167,6 +174,9 @@
     sent_software: str = ""
     asked: object | None = None
     counted: dict = dataclasses.field(default_factory=dict)
+    rejections: int = 0
+    forgiven_sends: int = 0
+    place: tuple[int, datetime.datetime] | None = None
 
     @property
     def has_begun(self):
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -3,8 +3,8 @@
 import datetime
 
 from sesamespindle.decide import (
-    catalogue,
     commands,
+    endings,
     firstbytes,
     flights,
     kvstores,
@@ -13,6 +13,7 @@
     routes,
     sendlog,
     sends,
+    waitingroom,
     world,
 )
 
@@ -22,11 +23,6 @@
 # A request is refused at once if its expected queueing time exceeds this share of
 # the time that it has left, since the target would then answer too late.
 _MAX_WAIT_SHARE = 0.8
-# How long an engine that still has superseded weights counts as loading the new
-# ones after it turned a request away. Loading takes 0.4 s.
-_WEIGHT_LOADING_TIME = datetime.timedelta(milliseconds=300)
-# How long a target gets no new work after it turned a request away.
-_BUSY_EJECTION_TIME = datetime.timedelta(milliseconds=100)
 # The most sends of one request, including those that targets turned away without
 # running it; after that it is refused.
 _MAX_SENDS = 4
@@ -37,20 +33,9 @@
 # the next tick. It occupies an engine for 40 ms or more, and in that time peers
 # that don't know of it would send the same engine another prompt.
 _ANNOUNCED_AT_ONCE_TOKENS = 2000
-# The endings after which this host doubts that it reaches the target.
-_DOUBTED_AFTER = frozenset(
-    (
-        sends.Ending.UNREACHABLE,
-        sends.Ending.REFUSED,
-        sends.Ending.LOST,
-        sends.Ending.SILENT,
-    )
-)
 # A request that may be repeated is withdrawn from a service that has been unreached for
 # this long, and carried by a peer. Sound targets may be silent for a second.
 _WITHDRAWN_AFTER = datetime.timedelta(milliseconds=1500)
-# A target that a part of a prompt crashes ends within this time of the first byte.
-_BEGINS_WELL_AFTER = datetime.timedelta(milliseconds=250)
 
 
 class Forwarding:
@@ -124,9 +109,15 @@
         self._reach = service_reach
         self._carriers = peer_carriers
         self._brittle = brittle_targets
+        self._endings = endings.Endings(
+            state, weights, crashes, service_reach, brittle_targets
+        )
         self._origins = stream_origins
         self._asking = keeper_asking
         self._learning = target_learning
+        self.waiting_room = waitingroom.WaitingRoom(
+            state, self._send, self._refuse_waiting, self._spend_retry
+        )
         self.configuration = None
         self.flight_by_request = {}
 
@@ -142,7 +133,7 @@
 
         Returns
         -------
-        command : sends.Forward or commands.Refuse
+        command : sends.Forward, sends.Wait or commands.Refuse
         """
         configuration = self.configuration
         if configuration is None:
@@ -210,7 +201,8 @@
         else:
             flight.runs = request.passport.runs
             self._carriers.carried_here += 1
-        return self._send(flight, now)
+        waiting = self.waiting_room.begin(flight, flight.urgency, now)
+        return waiting or self._send(flight, now)
 
     def ended(self, request_id, ending, now):
         """Return what follows a send that ended without an answer to relay.
@@ -226,21 +218,40 @@
 
         Returns
         -------
-        command : sends.Forward, sends.PassOn or commands.Refuse
+        command : sends.Forward, sends.PassOn, sends.Wait or commands.Refuse
         """
         flight = self.flight_by_request[request_id]
         row = self._state.target_in(flight.incarnation)
-        self._report_to_crashes(flight, ending, now)
+        self._endings.report_to_crashes(flight, ending, now)
         self._carriers.note_end(flight, ending, now)
-        self._note_ending(flight, row, ending, now)
+        self._endings.note(flight, row, ending, now)
+        self.waiting_room.note_ending(flight, row, ending, now)
         self._release(flight)
         maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
         if self._may_retry(flight, ending, maybe_ran, now):
             return self._send(flight, now, ending)
+        if ending is sends.Ending.TURNED_AWAY:
+            code = commands.Code.OVERLOADED
+            return self._without_room(flight, ending, now, code, is_paid=False)
         return self._final_answer(flight, ending, now)
 
+    def resumed(self, request_id, now):
+        """Return what follows the wait of a request, which must be in flight.
+
+        It ended by a `sends.Resume` or because its time is over.
+        """
+        flight = self.flight_by_request[request_id]
+        command = self.waiting_room.take_decided(request_id)
+        code = self.waiting_room.leave(flight, now)
+        if command is None:
+            return self._final_answer(flight, None, now, code)
+        if flight.sent_at is not None and flight.until - now < _MIN_TIME_LEFT:
+            self._release(flight)
+            return self._final_answer(flight, None, now)
+        return command
+
     def ends_silent(self, request_id, now):
         """Return whether a send to a silent target ends, as another may follow it.
 
@@ -273,6 +284,7 @@
         if flight is None:
             return
         flight.begun_at = now
+        self.waiting_room.note_through(flight, now)
         row = self._state.target_in(flight.incarnation)
         if row is None:
             return
@@ -281,7 +293,7 @@
         sent = row.sent_by_request.pop(request_id, None)
         if sent is not None and flight.sent_at is not None:
             self._asking.begun(flight, row, sent.tokens, now)
-        _note_result(row, False)
+        endings.note_result(row, False)
         if not flight.route.streaming and flight.sent_at is not None:
             firstbytes.note_service_time(row, now - flight.sent_at)
             self._learning.note_call(flight, now)
@@ -309,7 +321,8 @@
         return flight.software if flight.request.passport is not None else ""
 
     def tick(self, now):
-        """Withdraw sends whose answer can't begin in time where they are."""
+        """Withdraw sends whose answer can't begin in time, and resume waits."""
+        self.waiting_room.tick(now)
         for flight in self.flight_by_request.values():
             if flight.has_begun:
                 self._note_passed(flight, now)
@@ -329,7 +342,7 @@
         if flight.has_passed:
             return
         is_direct = flight.sent_at is not None
-        if is_direct and now - flight.begun_at >= _BEGINS_WELL_AFTER:
+        if is_direct and now - flight.begun_at >= endings.BEGINS_WELL_AFTER:
             self._note_parts_passed(flight)
 
     def _note_success(self, flight, now):
@@ -407,10 +420,13 @@
             return
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
-        if flight.sent_at is not None:
-            for key in _suspect_keys(flight, now):
+        is_unsent = self.waiting_room.take_decided(request_id) is not None
+        self.waiting_room.leave(flight, now)
+        if flight.sent_at is not None and not is_unsent:
+            for key in endings.suspect_keys(flight, now):
                 self._crashes.record_abandoned_run(key, flight.incarnation, now)
         self._release(flight)
+        self.waiting_room.wake(flight.service, now)
 
     def served(self, request_id, now):
         """Record that a caller has received a target's complete answer."""
@@ -418,12 +434,13 @@
         if flight is not None:
             self._note_success(flight, now)
             self._release(flight)
+            self.waiting_room.note_served(flight, now)
 
     def answer_broken(self, request_id, now):
         """Record that an answer broke off and can't be continued."""
         flight = self.flight_by_request.get(request_id)
         if flight is not None:
-            self._report_to_crashes(flight, sends.Ending.LOST, now)
+            self._endings.report_to_crashes(flight, sends.Ending.LOST, now)
             self._release(flight)
 
     def note_signals(self, request_id, signals, now):
@@ -475,6 +492,9 @@
             code = self._candidates.code_without(flight, now)
             self._asking.release(flight)
             return self._without_room(flight, ending, now, code)
+        rows = self.waiting_room.with_room(rows, now)
+        if not rows:
+            return self._without_room(flight, ending, now, commands.Code.OVERLOADED)
         if not flight.is_engine_prompt(service):
             here = self._state.me.data_centre
             usual = self._learning.service_seconds(flight.service, now)
@@ -520,9 +540,17 @@
             return self._final_answer(flight, ending, now, code)
         return self._send(flight, now, ending)
 
-    def _without_room(self, flight, ending, now, code):
+    def _without_room(self, flight, ending, now, code, is_paid=True):
         """Return what follows where no target has room for a request now."""
-        return self._final_answer(flight, ending, now, code)
+        waiting = None
+        if not self._reach.is_unreached(flight.service):
+            waiting = self.waiting_room.lacks_room(
+                flight, flight.urgency, ending, is_paid, code, now
+            )
+        return waiting or self._final_answer(flight, ending, now, code)
+
+    def _refuse_waiting(self, flight, code, now):
+        return self._final_answer(flight, None, now, code)
 
     def _must_decline(self, flight):
         """Return whether a peer's request goes back, as this host is cut off too."""
@@ -551,6 +579,7 @@
         flight.tried.add(row.incarnation)
         row.running_here += 1
         self._reach.note_sent(row, now)
+        self.waiting_room.note_sent(flight, now)
         self._candidates.note_sent(row, request.request_id, now)
         if place:
             sent = world.SentWork(now, place.prefill_tokens)
@@ -612,7 +641,9 @@
             return False
         if maybe_ran and flight.runs >= flight.route.max_attempts:
             return False
-        if flight.sends >= _MAX_SENDS or flight.until - now < _MIN_TIME_LEFT:
+        if flight.sends - flight.forgiven_sends >= _MAX_SENDS:
+            return False
+        if flight.until - now < _MIN_TIME_LEFT:
             return False
         if ending in sends.NOT_ARRIVED:
             # Nothing reached a target, so it doesn't count against the retry budget.
@@ -625,57 +656,6 @@
     def _spend_retry(self, flight):
         return self._budgets.spend(flight.service, self._count_live_entries())
 
-    def _report_to_crashes(self, flight, ending, now):
-        """Report what a send's end shows about whether its target has crashed."""
-        if flight.sent_at is None:
-            return
-        match ending:
-            case sends.Ending.LOST:
-                for key in _suspect_keys(flight, now):
-                    self._crashes.record_broken_run(
-                        key, flight.incarnation, flight.sent_at, now
-                    )
-            case sends.Ending.SILENT | sends.Ending.WITHDRAWN:
-                for key in _suspect_keys(flight, now):
-                    self._crashes.record_abandoned_run(key, flight.incarnation, now)
-            case sends.Ending.REFUSED:
-                self._crashes.note_refusal(flight.incarnation)
-            case sends.Ending.WRONG_TARGET:
-                self._crashes.record_end(flight.incarnation, "another is there")
-            case (
-                sends.Ending.FAILED
-                | sends.Ending.TURNED_AWAY
-                | sends.Ending.WRONG_VERSION
-            ):
-                self._crashes.record_answer(flight.incarnation, flight.sent_at)
-
-    def _note_ending(self, flight, row, ending, now):
-        """Record what a send's end shows about the health and weights of its target."""
-        if row is None or flight.sent_at is None:
-            return
-        if ending is sends.Ending.TURNED_AWAY:
-            self._brittle.note_rejected(row.incarnation, flight.request.request_id, now)
-        if ending in _DOUBTED_AFTER:
-            flight.failed_from = flight.failed_from or flight.sent_at
-            self._reach.note_failure(row, now)
-        match ending:
-            case sends.Ending.UNREACHABLE:
-                catalogue.note_failure(self._state, row, now)
-            case sends.Ending.REFUSED:
-                row.refused_at = now
-                catalogue.note_failure(self._state, row, now)
-            case sends.Ending.TURNED_AWAY:
-                row.ejected_until = now + _BUSY_EJECTION_TIME
-                if self._weights.is_behind(row, flight.request.model):
-                    row.loading_until = now + _WEIGHT_LOADING_TIME
-            case sends.Ending.WRONG_TARGET:
-                self._state.refute_target(row, now)
-            case sends.Ending.WRONG_VERSION:
-                self._weights.note_refused(row, flight.request.model, flight.version)
-                flight.tried.discard(row.incarnation)
-            case sends.Ending.FAILED | sends.Ending.LOST | sends.Ending.SILENT:
-                _note_result(row, True)
-
     def _release(self, flight):
         """Release the connection and memory accounted to a send at its target."""
         self._asking.release(flight)
@@ -698,12 +678,14 @@
         if ending is sends.Ending.FAILED:
             return sends.PassOn(request.request_id)
         if flight.runs == 0:
-            return self._refuse(
+            refuse = self._refuse(
                 request,
                 code or commands.Code.OVERLOADED,
                 self._describe_targets(flight, now),
                 earliest=self._candidates.rest_left(flight.service, now),
             )
+            rank = flight.urgency
+            return self.waiting_room.schedule_return(refuse, flight, rank, now)
         code = commands.Code.TARGET_FAILED
         if now >= flight.until:
             code = commands.Code.TIMEOUT
@@ -743,13 +725,21 @@
             outcome,
         )
 
-    def refuse_shutting_down(self, request_id):
-        """Return the final answer of a request in flight when the host shuts down."""
+    def refuse_shutting_down(self, request_id, sent=True):
+        """Return the final answer of a request in flight when the host shuts down.
+
+        Parameters
+        ----------
+        sent : bool
+            Whether it is at a target; if not, it waits here.
+        """
+        flight = self.flight_by_request[request_id]
+        is_unrun = not sent and flight.runs == 0
         return self._refuse(
-            self.flight_by_request[request_id].request,
+            flight.request,
             commands.Code.SHUTTING_DOWN,
             "The host shuts down before the target has answered.",
-            commands.Outcome.UNKNOWN,
+            commands.Outcome.NOT_RUN if is_unrun else commands.Outcome.UNKNOWN,
         )
 
     def _must_refuse_when_leaving(self, route, until, now):
@@ -788,21 +778,3 @@
             )
             retry_after = retries.with_jitter(base, self._state.random)
         return commands.Refuse(request.request_id, code, outcome, message, retry_after)
-
-
-def _suspect_keys(flight, now):
-    """Return the keys of a request that its target may have crashed by.
-
-    Those of its parts are left out if its answer has long begun.
-    """
-    if flight.has_begun and now - flight.begun_at >= _BEGINS_WELL_AFTER:
-        return flight.keys[:1] if flight.fingerprint else ()
-    return flight.keys
-
-
-def _note_result(row, failed):
-    row.failure_rate += firstbytes.NEWEST_WEIGHT * (
-        (1.0 if failed else 0.0) - row.failure_rate
-    )
-    if not failed:
-        catalogue.note_success(row)
