--- a/packages/decide/sesamespindle/decide/loadparts.py
+++ b/packages/decide/sesamespindle/decide/loadparts.py
@@ -18,8 +18,6 @@
     QUEUES = "queues"
     # One host counts the work at each engine, and others ask it before they send.
     KEEPERS = "keepers"
-    # KV stores free the parts of prompts that save the least, where room is short.
-    STORE_ROOM = "store_room"
     # Callers are told of hosts by what each can carry.
     WEIGHTED_HOSTS = "weighted_hosts"
 
@@ -33,7 +31,7 @@
 
 
 # The parts that targets call for which share their machines with other work.
-_FOR_SHARED_MACHINES = frozenset((Part.QUEUES, Part.KEEPERS, Part.STORE_ROOM))
+_FOR_SHARED_MACHINES = frozenset((Part.QUEUES, Part.KEEPERS))
 
 
 class LoadParts:
--- a/packages/declare/sesamespindle/declare/partchoices.py
+++ b/packages/declare/sesamespindle/declare/partchoices.py
@@ -13,7 +13,6 @@
 
     queues: loadparts.Choice = loadparts.Choice.AUTO
     keepers: loadparts.Choice = loadparts.Choice.AUTO
-    store_room: loadparts.Choice = loadparts.Choice.AUTO
     weighted_hosts: loadparts.Choice = loadparts.Choice.AUTO
 
 
