Short prompts that fit into what grants leave free aren't asked for

A question, its answer and two tells take some 0.2 ms at each end. The weight of the newest sample stands once.

--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -18,8 +18,8 @@
 # suspected some seconds later.
 _LEFT_ALONE_FOR = datetime.timedelta(seconds=1)
 # Prompts are neither asked for nor counted if as many of them as an engine has slots
-# hold at most this share of its memory: a question costs more than they can do harm.
-_UNCOUNTED_SHARE = 0.05
+# fit into the memory that grants leave free. A question costs more than their harm.
+_UNCOUNTED_SHARE = 1.0 - ledgers.GRANTED_SHARE
 # An engine that was declined for memory is not asked for as much again for this time,
 # while there are others.
 _FULL_FOR = datetime.timedelta(milliseconds=100)
--- a/packages/decide/sesamespindle/decide/endings.py
+++ b/packages/decide/sesamespindle/decide/endings.py
@@ -2,11 +2,8 @@
 
 import datetime
 
-from sesamespindle.decide import catalogue, sends
+from sesamespindle.decide import catalogue, firstbytes, sends
 
-# Weight of the newest sample in the moving averages of failure rate and service
-# time: about the last ten answers count.
-NEWEST_WEIGHT = 0.1
 # How long an engine that still has superseded weights counts as loading the new
 # ones after it turned a request away. Loading takes 0.4 s.
 _WEIGHT_LOADING_TIME = datetime.timedelta(milliseconds=300)
@@ -113,6 +110,7 @@
 
 def note_result(row, failed):
     """Record whether a send to a target failed."""
-    row.failure_rate += NEWEST_WEIGHT * ((1.0 if failed else 0.0) - row.failure_rate)
+    newest = 1.0 if failed else 0.0
+    row.failure_rate += firstbytes.NEWEST_WEIGHT * (newest - row.failure_rate)
     if not failed:
         catalogue.note_success(row)
