--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -26,6 +26,7 @@
 # The share of the time left that the wait for the first token may take, where the
 # route states no goal or all engines are late.
 _MAX_WAIT_SHARE = 0.8
+_NO_TIME = datetime.timedelta(0)
 _FOR_MEMORY = frozenset((ledgers.Reason.MEMORY, ledgers.Reason.URGENCY))
 
 
@@ -358,9 +359,6 @@
         return [row for row in rows if self._is_silent(row, now)]
 
 
-_NO_TIME = datetime.timedelta(0)
-
-
 def _until(value):
     return value[1] if isinstance(value, tuple) else value
 
