A send is counted at keepers before its log text is made; twins are gone

Behaviour unchanged. Telling keepers of a send stood inside the expression that makes the text of a log line. Lines about waits go the way of all lines about requests, and what keepers' answers leave behind is forgotten without asking values for their type.

--- a/packages/daemon/sesamespindle/daemon/waits.py
+++ b/packages/daemon/sesamespindle/daemon/waits.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import functools
 
 from sesamespindle.daemon import logs
 from sesamespindle.decide import commands, sends
 
-_log = logs.part("relay")
+_note_request = functools.partial(logs.note_request, "relay")
 
 
 class Waits:
@@ -43,8 +44,7 @@
             The wait.
         """
         began = self._driver.clock.now()
-        log = _log.bind(request=wait.request_id)
-        log.info("Waits for {}: {}.", wait.service, wait.reason)
+        _note_request(wait.request_id, "Waits for {}: {}.", wait.service, wait.reason)
         seconds = max((wait.until - began).total_seconds(), 0.001)
         resumed = self._resumed_by_request[wait.request_id] = asyncio.Event()
         if self._is_ending:
@@ -58,7 +58,8 @@
         now = self._driver.clock.now()
         command = self._follow(wait.request_id, now)
         self._measures.waited(wait.service, now - began)
-        log.info(
+        _note_request(
+            wait.request_id,
             "Waited {:.0f} ms for {}. Next: {}.",
             (now - began).total_seconds() * 1000,
             wait.service,
--- a/packages/decide/sesamespindle/decide/asking.py
+++ b/packages/decide/sesamespindle/decide/asking.py
@@ -246,10 +246,16 @@
 
     def tick(self, now):
         """Forget what is no longer valid."""
-        for known in (self._silent_until_by_host, self._full_by_incarnation):
-            over = [key for key, value in known.items() if _until(value) <= now]
-            for key in over:
-                del known[key]
+        self._silent_until_by_host = {
+            host: until
+            for host, until in self._silent_until_by_host.items()
+            if now < until
+        }
+        self._full_by_incarnation = {
+            incarnation: full
+            for incarnation, full in self._full_by_incarnation.items()
+            if now < full[1]
+        }
 
     def _tell_ended(self, flight):
         counted, flight.counted = flight.counted, {}
@@ -359,10 +365,6 @@
         return [row for row in rows if self._is_silent(row, now)]
 
 
-def _until(value):
-    return value[1] if isinstance(value, tuple) else value
-
-
 def _tokens_before(row):
     """Return the tokens sent to an engine from here whose first token is awaited."""
     return sum(work.tokens for work in row.sent_by_request.values())
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -587,6 +587,7 @@
             row.held_by_request[request.request_id] = request.held_tokens
             if place.prefill_tokens >= _ANNOUNCED_AT_ONCE_TOKENS:
                 self._state.must_announce_pending = True
+        keeper_text = self._asking.sent(flight, row, engines)
         account = flight.account
         return sends.Forward(
             request.request_id,
@@ -611,7 +612,7 @@
                 self._target_limits.describe(row, now),
                 now,
             )
-            + self._asking.sent(flight, row, engines),
+            + keeper_text,
             row.born,
         )
 
