A request that a keeper declines keeps its place and who has passed it

Callers of large prompts could be passed without bound where both queues and keepers are on, and the first of its account was judged, and refused, as the last: it left the queue with each question and entered it anew, at the end of its line.

What is known of a wait now belongs to the request until it is sent, a line is kept in the order of arrival, and its place is counted from there. While a keeper is asked of one that isn't passed any more, the others wait as they do when it finds no room. A place that has become free wakes the queue once, not twice.

--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -145,9 +145,8 @@
         Number of sends that targets turned away, counted where requests may wait.
     forgiven_sends : int
         How many of them don't count as tries, as it has waited since.
-    place : tuple of (int, datetime.datetime) or None
-        Its place among the requests that wait at this host: a number that rises with
-        each, and since when it waits; None if it never did.
+    waiter : waitqueue.Waiter or None
+        What is known of its wait at this host; None if it never waited.
     """
 
     request: Request
@@ -176,7 +175,7 @@
     counted: dict = dataclasses.field(default_factory=dict)
     rejections: int = 0
     forgiven_sends: int = 0
-    place: tuple[int, datetime.datetime] | None = None
+    waiter: object | None = None
 
     @property
     def has_begun(self):
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -420,8 +420,7 @@
             return
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
-        is_unsent = self.waiting_room.take_decided(request_id) is not None
-        self.waiting_room.leave(flight, now)
+        is_unsent = self.waiting_room.close(flight, now)
         if flight.sent_at is not None and not is_unsent:
             for key in endings.suspect_keys(flight, now):
                 self._crashes.record_abandoned_run(key, flight.incarnation, now)
@@ -587,8 +586,8 @@
             row.held_by_request[request.request_id] = request.held_tokens
             if place.prefill_tokens >= _ANNOUNCED_AT_ONCE_TOKENS:
                 self._state.must_announce_pending = True
-        keeper_text = self._asking.sent(flight, row, engines)
         account = flight.account
+        keeper_text = self._asking.sent(flight, row, engines)
         return sends.Forward(
             request.request_id,
             flight.sends,
--- a/packages/decide/sesamespindle/decide/waitingroom.py
+++ b/packages/decide/sesamespindle/decide/waitingroom.py
@@ -129,7 +129,9 @@
     def note_sent(self, flight, now):
         """Count a send for its account."""
         if self._is_on():
-            self._queue_by_service[flight.service].charge(flight, 1, now)
+            queue = self._queue_by_service[flight.service]
+            queue.asking_by_request.pop(flight.request.request_id, None)
+            queue.charge(flight, 1, now)
 
     def note_ending(self, flight, row, ending, now):
         """Record how a send ended that brought no answer."""
@@ -146,10 +148,12 @@
             self._queue_by_service[flight.service].rate.note(now)
 
     def note_served(self, flight, now):
-        """Record that a request has its whole answer, so that its place is free."""
+        """Record that a request has its whole answer, so that its place is free.
+
+        Others are woken as the request is closed, which follows at once.
+        """
         if self._is_on():
             self._full.note_served(flight.incarnation, now)
-            self.wake(flight.service, now)
 
     # Requests that wait.
 
@@ -159,7 +163,7 @@
         tried, asked = set(), 0
         while queue is not None and len(tried) + asked < _MAX_FAILED_TRIES:
             waiter = queue.first(tried, now)
-            if waiter is None:
+            if waiter is None or queue.is_held_by_question(now):
                 return
             if not self._pays(waiter):
                 tried.add(waiter.line)
@@ -197,12 +201,29 @@
         """
         self.take_decided(flight.request.request_id)
         queue = self._queue_by_service.get(flight.service)
-        waiter = queue and queue.waiter_by_request.get(flight.request.request_id)
-        if not waiter:
+        if queue is None:
+            return None
+        waiter = queue.waiter_by_request.get(flight.request.request_id)
+        if waiter is None:
             return None
         queue.remove(waiter, now)
         return waiter.code
 
+    def close(self, flight, now):
+        """Take out a request that has its final answer, or whose caller has left.
+
+        Returns
+        -------
+        is_unsent : bool
+            Whether something was decided of it that isn't carried out any more.
+        """
+        is_unsent = self.take_decided(flight.request.request_id) is not None
+        self.leave(flight, now)
+        queue = self._queue_by_service.get(flight.service)
+        if queue is not None:
+            queue.asking_by_request.pop(flight.request.request_id, None)
+        return is_unsent
+
     def schedule_return(self, refuse, flight, rank, now):
         """Return a refusal with the time after which its caller may return."""
         if not self._is_on():
@@ -249,18 +270,20 @@
         return any(row.stays for row in self._state.targets.where("pool", service))
 
     def _add(self, queue, flight, rank, code, now):
-        if flight.place is None:
+        if flight.waiter is None:
             self._arrivals += 1
-            flight.place = self._arrivals, now
-        # One that waits again, as a keeper declined it, keeps its place.
-        waiter = waitqueue.Waiter(flight, rank, *flight.place, code)
+            flight.waiter = waitqueue.Waiter(flight, rank, self._arrivals, now, code)
+        # One that waits again keeps its place, and who has passed it, as a question
+        # that a keeper declines is no send.
+        waiter = flight.waiter
+        waiter.code = code
         queue.add(waiter, now)
         flight.forgiven_sends = flight.rejections
         return waiter
 
     def _judge_new(self, queue, waiter, now):
         """Return the wait of a new request, or its refusal if waiting is of no use."""
-        place = queue.place_of_last(waiter.line)
+        place = queue.place(waiter)
         interval = queue.rate.interval(now)
         count = len(queue.waiter_by_request)
         if count > _MAX_WAITING:
@@ -307,7 +330,10 @@
         queue.remove(waiter, now)
         if isinstance(command, sends.Forward):
             queue.note_passed_by(waiter)
+            waiter.flight.waiter = None
             waiter.flight.is_retry_paid = False
+        elif isinstance(command, sends.AskKeeper):
+            queue.asking_by_request[waiter.request_id] = waiter
         self._decided_by_request[waiter.request_id] = command
         if waiter is not self._arriving:
             self._state.emit(sends.Resume(waiter.request_id))
--- a/packages/decide/sesamespindle/decide/waitqueue.py
+++ b/packages/decide/sesamespindle/decide/waitqueue.py
@@ -103,6 +103,8 @@
     def __init__(self):
         self._line_by_key = {}
         self.waiter_by_request = {}
+        # Those of which a keeper of an engine is asked just now; they don't wait.
+        self.asking_by_request = {}
         self.shares = accountshares.AccountShares()
         self.rate = backlog.Rate()
         self.returns = backlog.Returns()
@@ -112,9 +114,14 @@
         self.shares.charge(_account(flight), count * _tokens(flight), now)
 
     def add(self, waiter, now):
-        """Add a request, which is the last of its line."""
+        """Add a request at its place in its line."""
+        self.asking_by_request.pop(waiter.request_id, None)
         self.waiter_by_request[waiter.request_id] = waiter
-        self._line_by_key.setdefault(waiter.line, {})[waiter.request_id] = waiter
+        line = self._line_by_key.setdefault(waiter.line, {})
+        line[waiter.request_id] = waiter
+        after = [other for other in line.values() if other.number > waiter.number]
+        for other in after:
+            line[other.request_id] = line.pop(other.request_id)
         self.rate.note_busy(True, now)
 
     def remove(self, waiter, now):
@@ -156,15 +163,15 @@
             len(line) for (other, _), line in self._line_by_key.items() if other <= rank
         )
 
-    def place_of_last(self, key):
-        """Return how many requests are sent before the last of a line, about."""
-        rank, _ = key
-        length = len(self._line_by_key[key])
+    def place(self, waiter):
+        """Return how many requests are sent before one that waits, about."""
+        own_line = self._line_by_key[waiter.line].values()
+        length = sum(other.number <= waiter.number for other in own_line)
         before = -1
         for (other, _), line in self._line_by_key.items():
-            if other < rank:
+            if other < waiter.rank:
                 before += len(line)
-            elif other == rank:
+            elif other == waiter.rank:
                 before += min(len(line), length)
         return before
 
@@ -179,10 +186,14 @@
 
     def note_passed_by(self, sent):
         """Record that a request is sent before others that came before it."""
-        for line in self._line_by_key.values():
-            head = next(iter(line.values()))
-            if head.number < sent.number and head.rank <= sent.rank:
-                head.passes += 1
+        heads = [next(iter(line.values())) for line in self._line_by_key.values()]
+        for waiter in (*heads, *self.asking_by_request.values()):
+            if waiter.number < sent.number and waiter.rank <= sent.rank:
+                waiter.passes += 1
+
+    def is_held_by_question(self, now):
+        """Return whether all others wait for the answer to a question for one."""
+        return any(waiter.holds_line(now) for waiter in self.asking_by_request.values())
 
     def _key(self, waiter, now):
         if waiter.is_overdue:
--- a/tests/decide/test_waitingroom.py
+++ b/tests/decide/test_waitingroom.py
@@ -195,40 +195,90 @@
     assert fleet.repeats == 0
 
 
-def test_a_large_prompt_is_passed_by_a_bounded_number_of_others():
-    """Guards against large prompts that starve, as smaller ones always find room."""
-    fleet = queuefleet.Fleet(True)
-    order, has_room = [], set()
-    room = waitingroom.WaitingRoom(
-        fleet.core.state, lambda flight, now: answer(flight), None, lambda flight: True
-    )
-
-    def answer(flight):
-        if flight.request.request_id not in has_room:
-            return sends.Wait(flight.request.request_id, flight.until, "desk", "")
-        order.append(flight.request.request_id)
-        return sends.Forward(
-            flight.request.request_id, 1, "desk-0", "", flight.until, 4, None,
-            flight.route.repeats, False,
-        )  # fmt: skip
-
-    def wait(request_id, account):
+class Room:
+    """A waiting room alone, whose requests are sent as soon as they have room."""
+
+    def __init__(self):
+        self.core = queuefleet.Fleet(True).core
+        self.order = []
+        self.has_room = set()
+        self.asks = set()
+        self.alone = waitingroom.WaitingRoom(
+            self.core.state, self._answer, None, lambda flight: True
+        )
+
+    def wait(self, request_id, account):
+        """Let a new request wait; return its flight."""
         request = gateways.make_request("/r1/1", request_id)
-        route = fleet.core.forwarding.configuration.routes[1]
+        route = self.core.forwarding.configuration.routes[1]
         flight = flights.Flight(
             request, route, "desk", routes.Account(account), gateways.NOW,
             gateways.NOW + 60 * gateways.SECOND,
         )  # fmt: skip
+        self.lack_room(flight)
+        return flight
+
+    def lack_room(self, flight):
+        """Tell that no target has room for a request; return its wait."""
         code = commands.Code.OVERLOADED
-        room.lacks_room(flight, 4, None, True, code, gateways.NOW)
+        return self.alone.lacks_room(flight, 4, None, True, code, gateways.NOW)
+
+    def wake(self):
+        """Send those that have room."""
+        self.alone.wake("desk", gateways.NOW)
+
+    def _answer(self, flight, now):
+        request_id = flight.request.request_id
+        if request_id in self.asks:
+            return sends.AskKeeper(request_id, "entry-1", "", None)
+        if request_id not in self.has_room:
+            return sends.Wait(request_id, flight.until, "desk", "")
+        self.order.append(request_id)
+        return sends.Forward(
+            request_id, 1, "desk-0", "", flight.until, 4, None,
+            flight.route.repeats, False,
+        )  # fmt: skip
+
 
-    wait("large", "a")
+def test_a_large_prompt_is_passed_by_a_bounded_number_of_others():
+    """Guards against large prompts that starve, as smaller ones always find room."""
+    room = Room()
+    room.wait("large", "a")
+    for number in range(100):
+        room.wait(f"small-{number}", "b")
+        room.has_room.add(f"small-{number}")
+        room.wake()
+    assert 0 < len(room.order) < 50
+    room.has_room.add("large")
+    room.wake()
+    assert room.order[-1] != "large"
+    assert "large" in room.order
+
+
+def test_a_request_that_a_keeper_declines_is_still_the_first_of_its_account():
+    """Guards against a wait that begins anew with each question to a keeper."""
+    room = Room()
+    flights_by_id = {name: room.wait(name, "a") for name in ("r1", "r2", "r3")}
+    room.asks.add("r1")
+    room.wake()
+    room.asks.clear()
+    again = room.lack_room(flights_by_id["r1"])
+    assert "place 1 of 3" in again.reason
+    room.has_room |= set(flights_by_id)
+    room.wake()
+    assert room.order == ["r1", "r2", "r3"]
+
+
+def test_a_request_that_a_keeper_declines_is_not_passed_more_often():
+    """Guards against large prompts that starve, as each question forgets who passed."""
+    room = Room()
+    large = room.wait("large", "a")
     for number in range(100):
-        wait(f"small-{number}", "b")
-        has_room.add(f"small-{number}")
-        room.wake("desk", gateways.NOW)
-    assert 0 < len(order) < 50
-    has_room.add("large")
-    room.wake("desk", gateways.NOW)
-    assert order[-1] != "large"
-    assert "large" in order
+        room.asks.add("large")
+        room.wake()
+        room.asks.clear()
+        room.lack_room(large)
+        room.wait(f"small-{number}", "b")
+        room.has_room.add(f"small-{number}")
+        room.wake()
+    assert 0 < len(room.order) < 50
