--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -119,7 +119,11 @@
     async def _serve(self, reader, writer):
         self.writers.append(writer)
         with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            asyncio.LimitOverrunError,
+            # The case has ended.
+            asyncio.CancelledError,
         ):
             while True:
                 words, headers = head_of(await reader.readuntil(b"\r\n\r\n"))
