--- a/review/standins/engines.py
+++ b/review/standins/engines.py
@@ -7,6 +7,9 @@
 
 MODEL = "m"
 LOAD_SECONDS = 0.4
+KV_CAPACITY = 99503
+# The way to an engine of another zone and back, which a refusal takes.
+LINK_SECONDS = 0.0028
 EVENTS = 3
 EVENT_SECONDS = 0.02
 
@@ -148,6 +151,7 @@
             writer.extra = b""
         refusal = self._refusal(attempt, headers)
         if refusal:
+            await asyncio.sleep(LINK_SECONDS)
             writer.write(refusal)
             if not writer.extra:
                 writer.extra, writer.extra_of = self.spoil(refusal), attempt
@@ -164,6 +168,11 @@
             self.running -= 1
 
     def _refusal(self, attempt, headers):
+        counts = headers.get("x-token-count", "0,0").split(",")
+        if sum(int(count) for count in counts) > KV_CAPACITY:
+            self.record.note(f"{self.name}: {attempt} is larger than the memory: full")
+            sent = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
+            return fleet.answer(503, sent)
         if self.is_busy:
             self.record.note(f"{self.name}: {attempt} turned away, as it loads")
             sent = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
@@ -204,7 +213,7 @@
         "HealthPath": "/healthz",
         "Engine": {
             "Slots": 64,
-            "KvCapacity": 99503,
+            "KvCapacity": KV_CAPACITY,
             "KvTokenBytes": 163840,
             "LinkMbps": 260000,
             "Models": [{"Name": MODEL}],
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -469,6 +469,76 @@
     return found
 
 
+class KeptClient:
+    """A client that sends one request after the other on a kept connection.
+
+    Attributes
+    ----------
+    unanswered : list of str
+        The ids of requests whose connection was closed without any byte of an answer.
+    answered : int
+        The number of whole answers with status 200.
+    """
+
+    def __init__(self, address, path, name, **headers):
+        self._address, self._path, self._name = address, path, name
+        self._headers = headers
+        self.unanswered = []
+        self.answered = 0
+
+    async def run(self, record):
+        """Send requests until cancelled; connect again after a loss."""
+        number = 0
+        while True:
+            try:
+                host, port = self._address.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while True:
+                    number += 1
+                    attempt = f"{self._name}-{number}"
+                    if not await self._ask(attempt, reader, writer, record):
+                        break
+            finally:
+                writer.transport.abort()
+            await asyncio.sleep(0.1)
+
+    async def _ask(self, attempt, reader, writer, record):
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": "5000",
+            "X-Api-Key": KEY,
+            "Content-Length": "1",
+        } | self._headers
+        lines = [
+            f"POST {self._path} HTTP/1.1",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
+        raw = b""
+        try:
+            writer.write("\r\n".join([*lines, "", ""]).encode() + b"x")
+            await writer.drain()
+            raw = await reader.readuntil(b"\r\n\r\n")
+            words, found = head_of(raw)
+            await read_body(reader, found)
+        except asyncio.IncompleteReadError as error:
+            if not raw and not error.partial:
+                record.note(f"client: {attempt}: connection closed, no answer")
+                self.unanswered.append(attempt)
+            return False
+        except OSError:
+            if not raw:
+                record.note(f"client: {attempt}: connection reset, no answer")
+                self.unanswered.append(attempt)
+            return False
+        self.answered += words[1] == "200"
+        return found.get("connection", "").lower() != "close"
+
+
 def main(play, folder):
     """Play a case, and exit as the issue asks.
 
