--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -456,7 +456,7 @@
     found = Answer()
     try:
         async with asyncio.timeout(deadline_ms / 1000 + 2):
-            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+            writer.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
             await writer.drain()
             words, found.headers = head_of(await reader.readuntil(b"\r\n\r\n"))
             found.status = int(words[1])
