--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""Prompts that ask for more tokens than an engine's memory end the hosts' processes.
+"""A spoiled number in an answer's header ends the host that reads it.
 
-One client allows each of its prompts as many output tokens as an unsigned 64-bit
-integer holds, to say that it sets no limit. Engines reject such a prompt as if they were
-full. Meanwhile other clients make calls to a plain service on kept connections.
+One of two model engines is faulty for 5.5 s: of at most one in twenty of its answers it
+spoils the number in X-Weight-Versions. Meanwhile other clients make calls to a plain
+service on kept connections.
 """
 
 import asyncio
@@ -15,26 +15,57 @@
 
 HOSTS = 2
 KEPT_CLIENTS_PER_HOST = 8
-SECONDS = 75.0
-PROMPTS_PER_SECOND_PER_HOST = 25
-NO_LIMIT = 2**64 - 1
-USUAL_LIMIT = 64
-# The pause after which the platform starts a process again that has ended.
+SECONDS = 20.0
+PROMPTS_PER_SECOND = 20
+# The dose of the site file for `garble`: 0.05 of the answers, for 5.5 s, at 0.6 of the
+# engines; here it is one engine of two.
+FAULTY_SHARE = 0.05
+FAULTY_FROM, FAULTY_UNTIL = 4.0, 9.5
+SPOILED_VERSION = "1" * 24
 RESTART_SECONDS = 0.3
 # LOST is broken by more than so many calls.
 ALLOWED_LOST = 3
-# The day has a fault if so many machines have so many ends by themselves.
-FAULT_MACHINES, FAULT_ENDS = 2, 3
+
+
+class Engine(engines.ModelEngine):
+    """A model engine that may be faulty.
+
+    Attributes
+    ----------
+    started_at : float
+        The start of the prompts, from which its fault is timed.
+    """
+
+    def __init__(self, name, record, runs, is_faulty):
+        super().__init__(name, record, runs)
+        self.started_at = 0.0
+        self._is_faulty = is_faulty
+        self._answers = self._spoiled = 0
+
+    def version_text(self):
+        """Return the number that it puts into X-Weight-Versions."""
+        self._answers += 1
+        time = self.record.now() - self.started_at
+        may_spoil = (self._spoiled + 1) / self._answers <= FAULTY_SHARE
+        if not self._is_faulty or not FAULTY_FROM <= time < FAULTY_UNTIL or not may_spoil:
+            return super().version_text()
+        self._spoiled += 1
+        self.record.note(
+            f"{self.name}: spoils X-Weight-Versions, answer {self._spoiled} of "
+            f"{self._answers}"
+        )
+        return SPOILED_VERSION
 
 
 async def play(record, has_trouble):
     """Play it; return the breaches."""
+    runs = collections.Counter()
     async with fleet.Fleet(record) as system:
         model_engines = [
-            engines.ModelEngine(f"i-llm-{number}", record, collections.Counter())
-            for number in (1, 2)
+            Engine("i-llm-1", record, runs, has_trouble),
+            Engine("i-llm-2", record, runs, False),
         ]
-        desk_engines = [desk.DeskEngine(f"i-desk-{number}", record) for number in (1, 2)]
+        desk_engines = [desk.DeskEngine(f"i-desk-{n}", record) for n in (1, 2)]
         routes = [
             fleet.route("/terms/", "streaming", "llm", MaxAttempts=1, Sticky=True),
             fleet.route("/once/", "unsafe", "desk", MaxAttempts=1),
@@ -53,44 +84,33 @@
             for number in range(KEPT_CLIENTS_PER_HOST)
         ]
         ends = collections.Counter()
-        limit = NO_LIMIT if has_trouble else USUAL_LIMIT
         tasks = [asyncio.create_task(client.run(record)) for client in clients]
         tasks += [
             asyncio.create_task(_restart(host, ends, record)) for host in system.daemons
         ]
         await asyncio.sleep(2.0)
-        tasks += [
-            asyncio.create_task(_send_prompts(host, limit, record))
-            for host in system.daemons
-        ]
-        start = record.now()
-        while record.now() - start < SECONDS and not _has_fault(ends):
-            await asyncio.sleep(0.2)
+        for engine in model_engines:
+            engine.started_at = record.now()
+        await _send_prompts(system.daemons, record)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for engine in [*model_engines, *desk_engines]:
             engine.stop()
-    if not sum(client.answered for client in clients):
-        raise fleet.CannotRunError("No call was served.")
+    if not runs:
+        raise fleet.CannotRunError("No prompt was run.")
     breaches = []
-    if _has_fault(ends):
-        breaches.append(f"Fault: processes ended by themselves: {dict(ends)}")
     ran = {attempt for engine in desk_engines for attempt in engine.ran}
     unanswered = [name for client in clients for name in client.unanswered]
     lost = [name for name in unanswered if name in ran]
     if len(lost) > ALLOWED_LOST:
         breaches.append(
             f"LOST: {len(lost)} calls ran at sound engines, and their kept connections "
-            f"were closed without an answer: {', '.join(sorted(lost))}"
+            f"were closed without an answer; processes ended: {dict(ends)}"
         )
     return breaches
 
 
-def _has_fault(ends):
-    return sum(count >= FAULT_ENDS for count in ends.values()) >= FAULT_MACHINES
-
-
 async def _restart(host, ends, record):
     """Start a host's process again whenever it has ended, as the platform does."""
     while True:
@@ -103,28 +123,25 @@
         await host.start()
 
 
-async def _send_prompts(host, limit, record):
-    """Send prompts with a limit of output tokens."""
-    number = 0
+async def _send_prompts(hosts, record):
     async with asyncio.TaskGroup() as group:
-        while True:
-            number += 1
-            attempt = f"prompt-{host.name}-{number}"
-            group.create_task(_send_prompt(host, attempt, number, limit, record))
-            await asyncio.sleep(1 / PROMPTS_PER_SECOND_PER_HOST)
+        for number in range(int(SECONDS * PROMPTS_PER_SECOND)):
+            host = hosts[number % len(hosts)]
+            group.create_task(_send_prompt(host, f"prompt-{number}", record))
+            await asyncio.sleep(1 / PROMPTS_PER_SECOND)
 
 
-async def _send_prompt(host, attempt, number, limit, record):
+async def _send_prompt(host, attempt, record):
     got = await fleet.ask(
         host.front,
         "/terms/1",
         attempt,
         deadline_ms=3000,
         X_Model=engines.MODEL,
-        X_Token_Count=f"120,{limit}",
-        X_Prompt_Prefix=f"5c1e07a2:100,{number:x}:20",
+        X_Token_Count="120,3",
+        X_Prompt_Prefix=f"c{int(attempt[7:]) % 9}:100,{attempt[7:]}a:20",
     )
-    record.note(f"client: {attempt}, {limit} output tokens: {got.status}")
+    record.note(f"client: {attempt} by {host.name}: {got.status}, whole {got.is_whole}")
 
 
 fleet.main(play, pathlib.Path(__file__).parent)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,148 +1,130 @@
-"""One entry of another writer hides all news of engines, so that work is lost.
+"""Prompts that ask for more tokens than an engine's memory end the hosts' processes.
 
-Another writer stores an entry among the engines' in which a field is of another type: a
-list that holds a list, and so on. Later an engine reports that it drains, serves on for
-longer than DrainMs, and exits.
+One client allows each of its prompts as many output tokens as an unsigned 64-bit
+integer holds, to say that it sets no limit. Engines reject such a prompt as if they were
+full. Meanwhile other clients make calls to a plain service on kept connections.
 """
 
 import asyncio
 import collections
 import pathlib
-import sys
 
+import desk
+import engines
 import fleet
 
-REQUESTS_PER_SECOND = 30
 HOSTS = 2
-DRAIN_SECONDS = 2.0
-# How much longer the engine serves than DrainMs.
-SERVES_ON_SECONDS = 1.5
-WORK_SECONDS = 0.15
-# Lists in lists of the foreign entry, which has 3 KB; values may have ValueBytes, 1 MiB.
-NESTING = 1500
-# The stand-in store writes such a value too.
-sys.setrecursionlimit(20_000)
-
-
-class Engine(fleet.Server):
-    """An engine of a plain service."""
-
-    def __init__(self, name, record):
-        super().__init__()
-        self.name, self.record = name, record
-        self.ran = collections.Counter()
-        self.arrived_at = {}
-        self.cut = set()
-        self._running = set()
-
-    def entry(self, state="ready"):
-        """Return its record in the store."""
-        return {
-            "Service": "desk",
-            "Address": self.address,
-            "Zone": "zone-a",
-            "Version": "v1",
-            "Slots": 16,
-            "State": state,
-            "ColdRemainingMs": 0,
-            "Seq": 1,
-        }
-
-    async def handle(self, words, headers, reader, writer):
-        """Run a request."""
-        await fleet.read_body(reader, headers)
-        attempt = headers.get("x-attempt-id", "")
-        if headers.get("x-expect-instance", self.name) != self.name:
-            identity = {"X-Attempt-Id": attempt, "X-Instance-Id": self.name}
-            writer.write(fleet.answer(421, identity))
-            return True
-        if words[1] == "/healthz":
-            writer.write(fleet.answer(200, {"X-Instance-Id": self.name}))
-            return True
-        self.arrived_at[attempt] = self.record.now()
-        self.ran[attempt] += 1
-        self.record.note(f"{self.name}: {attempt} runs")
-        self._running.add(attempt)
-        await asyncio.sleep(WORK_SECONDS)
-        self._running.discard(attempt)
-        proof = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"{self.name}.{attempt}"}
-        writer.write(fleet.answer(200, proof, f"ran {attempt}".encode()))
-        return True
-
-    def exit(self):
-        """End; what runs is lost."""
-        self.cut = set(self._running)
-        self.record.note(f"{self.name}: exits, {len(self.cut)} requests are running")
-        self.stop()
-
-
-def foreign_entry():
-    """Return an entry with a field of another type."""
-    nested = []
-    for _ in range(NESTING):
-        nested = [nested]
-    return {"Service": "desk", "Address": nested, "Seq": 1}
+KEPT_CLIENTS_PER_HOST = 8
+SECONDS = 75.0
+PROMPTS_PER_SECOND_PER_HOST = 25
+NO_LIMIT = 2**64 - 1
+USUAL_LIMIT = 64
+# The pause after which the platform starts a process again that has ended.
+RESTART_SECONDS = 0.3
+# LOST is broken by more than so many calls.
+ALLOWED_LOST = 3
+# The day has a fault if so many machines have so many ends by themselves.
+FAULT_MACHINES, FAULT_ENDS = 2, 3
 
 
 async def play(record, has_trouble):
     """Play it; return the breaches."""
-    status_by_attempt = {}
     async with fleet.Fleet(record) as system:
-        engines = [Engine(f"i-desk-{number}", record) for number in (1, 2)]
-        leaving = engines[0]
-        routes = [fleet.route("/once/", "unsafe", "desk", MaxAttempts=1)]
-        services = [{"Name": "desk", "MaxConnections": 96, "HealthPath": "/healthz"}]
+        model_engines = [
+            engines.ModelEngine(f"i-llm-{number}", record, collections.Counter())
+            for number in (1, 2)
+        ]
+        desk_engines = [desk.DeskEngine(f"i-desk-{number}", record) for number in (1, 2)]
+        routes = [
+            fleet.route("/terms/", "streaming", "llm", MaxAttempts=1, Sticky=True),
+            fleet.route("/once/", "unsafe", "desk", MaxAttempts=1),
+        ]
+        services = [engines.service(), desk.service()]
         await system.store.put("config", "main", fleet.manifest(routes, services))
-        for engine in engines:
+        version = {"Model": engines.MODEL, "Version": 1}
+        await system.store.put("versions", engines.MODEL, version)
+        for engine in [*model_engines, *desk_engines]:
             await engine.listen()
             await system.store.put("servers", engine.name, engine.entry())
         await system.add_daemons(HOSTS)
-        sending = asyncio.create_task(_send(system.daemons, record, status_by_attempt))
-        await asyncio.sleep(4.0)
-        if has_trouble:
-            record.note("another writer: stores servers/other, a field of another type")
-            await system.store.put("servers", "other", foreign_entry())
-        await asyncio.sleep(2.0)
-        await system.store.put("servers", leaving.name, leaving.entry("draining"))
-        acked_at = record.now()
-        record.note(f"{leaving.name}: the store has acknowledged that it drains")
-        await asyncio.sleep(DRAIN_SECONDS + SERVES_ON_SECONDS)
-        leaving.exit()
-        await system.store.remove("servers", leaving.name)
+        clients = [
+            fleet.KeptClient(host.front, "/once/1", f"call-{host.name}-{number}")
+            for host in system.daemons
+            for number in range(KEPT_CLIENTS_PER_HOST)
+        ]
+        ends = collections.Counter()
+        limit = NO_LIMIT if has_trouble else USUAL_LIMIT
+        tasks = [asyncio.create_task(client.run(record)) for client in clients]
+        tasks += [
+            asyncio.create_task(_restart(host, ends, record)) for host in system.daemons
+        ]
         await asyncio.sleep(2.0)
-        sending.cancel()
-        await asyncio.gather(sending, return_exceptions=True)
-        engines[1].stop()
-    if list(status_by_attempt.values()).count(200) < len(status_by_attempt) / 2:
-        raise fleet.CannotRunError("Less than half was served.")
-    late = [at for at in leaving.arrived_at.values() if at > acked_at + DRAIN_SECONDS]
-    lost = [name for name in leaving.cut if status_by_attempt.get(name) != 200]
+        tasks += [
+            asyncio.create_task(_send_prompts(host, limit, record))
+            for host in system.daemons
+        ]
+        start = record.now()
+        while record.now() - start < SECONDS and not _has_fault(ends):
+            await asyncio.sleep(0.2)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for engine in [*model_engines, *desk_engines]:
+            engine.stop()
+    if not sum(client.answered for client in clients):
+        raise fleet.CannotRunError("No call was served.")
     breaches = []
-    if late:
+    if _has_fault(ends):
+        breaches.append(f"Fault: processes ended by themselves: {dict(ends)}")
+    ran = {attempt for engine in desk_engines for attempt in engine.ran}
+    unanswered = [name for client in clients for name in client.unanswered]
+    lost = [name for name in unanswered if name in ran]
+    if len(lost) > ALLOWED_LOST:
         breaches.append(
-            f"DRAIN {len(late)} requests reached {leaving.name} later than DrainMs after "
-            f"the ack, the last {max(late) - acked_at:.2f} s after it"
+            f"LOST: {len(lost)} calls ran at sound engines, and their kept connections "
+            f"were closed without an answer: {', '.join(sorted(lost))}"
         )
-        breaches += [
-            f"lost: {name} ran at {leaving.name} and was answered "
-            f"{status_by_attempt.get(name)}"
-            for name in lost
-        ]
     return breaches
 
 
-async def _send(daemons, record, status_by_attempt):
-    async def send(number):
-        attempt = f"{number + 1:016x}"
-        daemon = daemons[number % len(daemons)]
-        got = await fleet.ask(daemon.front, "/once/1", attempt, deadline_ms=1500)
-        record.note(f"client: {attempt} by {daemon.name} answered {got.status}")
-        status_by_attempt[attempt] = got.status
+def _has_fault(ends):
+    return sum(count >= FAULT_ENDS for count in ends.values()) >= FAULT_MACHINES
+
+
+async def _restart(host, ends, record):
+    """Start a host's process again whenever it has ended, as the platform does."""
+    while True:
+        exit_code = await host.wait()
+        ends[host.name] += 1
+        record.note(
+            f"{host.name} has ended by itself, time {ends[host.name]}, code {exit_code}"
+        )
+        await asyncio.sleep(RESTART_SECONDS)
+        await host.start()
+
 
+async def _send_prompts(host, limit, record):
+    """Send prompts with a limit of output tokens."""
+    number = 0
     async with asyncio.TaskGroup() as group:
-        for number in range(10_000):
-            group.create_task(send(number))
-            await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+        while True:
+            number += 1
+            attempt = f"prompt-{host.name}-{number}"
+            group.create_task(_send_prompt(host, attempt, number, limit, record))
+            await asyncio.sleep(1 / PROMPTS_PER_SECOND_PER_HOST)
+
+
+async def _send_prompt(host, attempt, number, limit, record):
+    got = await fleet.ask(
+        host.front,
+        "/terms/1",
+        attempt,
+        deadline_ms=3000,
+        X_Model=engines.MODEL,
+        X_Token_Count=f"120,{limit}",
+        X_Prompt_Prefix=f"5c1e07a2:100,{number:x}:20",
+    )
+    record.note(f"client: {attempt}, {limit} output tokens: {got.status}")
 
 
 fleet.main(play, pathlib.Path(__file__).parent)
--- a/review/standins/engines.py
+++ b/review/standins/engines.py
@@ -186,6 +186,10 @@
             return fleet.answer(421, sent)
         return b""
 
+    def version_text(self):
+        """Return the number that it puts into X-Weight-Versions."""
+        return str(self.version)
+
     async def _stream(self, attempt, headers, writer):
         lines = [
             "HTTP/1.1 200 OK",
@@ -193,7 +197,7 @@
             "Transfer-Encoding: chunked",
             f"X-Attempt-Id: {attempt}",
             f"X-Server-Stamp: {self.name}.{attempt}",
-            f"X-Weight-Versions: {self.version}",
+            f"X-Weight-Versions: {self.version_text()}",
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(headers.get("last-event-id", 0)) + 1
