--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """A late second copy of a refusal is taken for the refusal of the request's next send.
 
-Of two engines one is full for moments and the other for longer. The first is faulty for
-5.5 s: of at most one in twenty of its answers it sends a second copy, late, at the point
-where the answer to the next request on the connection is expected.
+Of two engines one is full for moments and the other for longer. The first is faulty
+for 5.5 s: of at most one in twenty of its answers it sends a second copy, late, at the
+point where the answer to the next request on the connection is expected.
 """
 
 import asyncio
@@ -13,8 +13,8 @@
 
 REQUESTS_PER_SECOND = 25
 SECONDS = 9.0
-# One request in so many comes as the engines are full: the first turns it away once, the
-# second each time.
+# One request in so many comes as the engines are full: the first turns it away once,
+# the second each time.
 FULL_FOR_EVERY = 10
 WORK_SECONDS = 0.005
 # The dose of the site file for `garble`: 0.05 of the answers, for 5.5 s, at 0.6 of the
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -55,7 +55,9 @@
         fleet_engines = [
             Engine(f"i-llm-{number}", record, runs) for number in range(ENGINES)
         ]
-        routes = [fleet.route("/terms/", "streaming", "llm", MaxAttempts=1, Sticky=True)]
+        routes = [
+            fleet.route("/terms/", "streaming", "llm", MaxAttempts=1, Sticky=True)
+        ]
         services = [engines.service()]
         await system.store.put("config", "main", fleet.manifest(routes, services))
         await system.store.put("versions", engines.MODEL, _version(1))
@@ -66,7 +68,9 @@
         await asyncio.sleep(1.0)
         async with asyncio.TaskGroup() as group:
             group.create_task(_send(system.daemons, record, status_by_attempt))
-            group.create_task(_name_versions(system, record, fleet_engines, has_trouble))
+            group.create_task(
+                _name_versions(system, record, fleet_engines, has_trouble)
+            )
         await asyncio.sleep(0.5)
         for engine in fleet_engines:
             engine.stop()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -47,7 +47,11 @@
         self._answers += 1
         time = self.record.now() - self.started_at
         may_spoil = (self._spoiled + 1) / self._answers <= FAULTY_SHARE
-        if not self._is_faulty or not FAULTY_FROM <= time < FAULTY_UNTIL or not may_spoil:
+        if (
+            not self._is_faulty
+            or not FAULTY_FROM <= time < FAULTY_UNTIL
+            or not may_spoil
+        ):
             return super().version_text()
         self._spoiled += 1
         self.record.note(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,8 @@
 """Prompts that ask for more tokens than an engine's memory end the hosts' processes.
 
 One client allows each of its prompts as many output tokens as an unsigned 64-bit
-integer holds, to say that it sets no limit. Engines reject such a prompt as if they were
-full. Meanwhile other clients make calls to a plain service on kept connections.
+integer holds, to say that it sets no limit. Engines reject such a prompt as if they
+were full. Meanwhile other clients make calls to a plain service on kept connections.
 """
 
 import asyncio
@@ -34,7 +34,9 @@
             engines.ModelEngine(f"i-llm-{number}", record, collections.Counter())
             for number in (1, 2)
         ]
-        desk_engines = [desk.DeskEngine(f"i-desk-{number}", record) for number in (1, 2)]
+        desk_engines = [
+            desk.DeskEngine(f"i-desk-{number}", record) for number in (1, 2)
+        ]
         routes = [
             fleet.route("/terms/", "streaming", "llm", MaxAttempts=1, Sticky=True),
             fleet.route("/once/", "unsafe", "desk", MaxAttempts=1),
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -291,7 +291,9 @@
     async def start(self):
         """Start the process."""
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         } | {
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "SESAMESPINDLE_NODE_FILE": str(self._settings),
@@ -320,11 +322,15 @@
         end = time.monotonic() + READY_SECONDS
         while time.monotonic() < end:
             if not self.is_running:
-                raise CannotRunError(f"{self.name} ended: {self.log_path.read_text()[-2000:]}")
+                raise CannotRunError(
+                    f"{self.name} ended: {self.log_path.read_text()[-2000:]}"
+                )
             if await asyncio.to_thread(_is_ready, f"http://{self.ready}/v1/ready"):
                 return
             await asyncio.sleep(0.05)
-        raise CannotRunError(f"{self.name} isn't ready: {self.log_path.read_text()[-2000:]}")
+        raise CannotRunError(
+            f"{self.name} isn't ready: {self.log_path.read_text()[-2000:]}"
+        )
 
 
 def _is_ready(url):
@@ -376,9 +382,7 @@
         for number, ip in enumerate(ips, 1):
             store = (store_by_number or {}).get(number)
             store = store or await self.store.add_door(ip)
-            daemon = Daemon(
-                self.folder, number, ip, self._ports, store, seeds, changes
-            )
+            daemon = Daemon(self.folder, number, ip, self._ports, store, seeds, changes)
             self.daemons.append(daemon)
             await daemon.start()
         for daemon in self.daemons:
@@ -437,7 +441,9 @@
         self.body, self.is_whole = body, is_whole
 
 
-async def ask(address, path, attempt, body=b"x", method="POST", deadline_ms=5000, **more):
+async def ask(
+    address, path, attempt, body=b"x", method="POST", deadline_ms=5000, **more
+):
     """Send a request on a new connection; return its `Answer`."""
     host, port = address.split(":")
     headers = {
@@ -551,7 +557,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         breaches = asyncio.run(_limited(play, record, has_trouble))
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         record.note(f"The case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(NOT_RUN)
