--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -481,7 +481,8 @@
     Attributes
     ----------
     unanswered : list of str
-        The ids of requests whose connection was closed without any byte of an answer.
+        The ids of requests whose connection was closed without any byte of an answer,
+        and that weren't the first on it.
     answered : int
         The number of whole answers with status 200.
     """
@@ -502,17 +503,19 @@
             except OSError:
                 await asyncio.sleep(0.1)
                 continue
+            is_kept = False
             try:
                 while True:
                     number += 1
                     attempt = f"{self._name}-{number}"
-                    if not await self._ask(attempt, reader, writer, record):
+                    if not await self._ask(attempt, reader, writer, is_kept, record):
                         break
+                    is_kept = True
             finally:
                 writer.transport.abort()
             await asyncio.sleep(0.1)
 
-    async def _ask(self, attempt, reader, writer, record):
+    async def _ask(self, attempt, reader, writer, is_kept, record):
         headers = {
             "Host": HOST,
             "X-Attempt-Id": attempt,
@@ -533,17 +536,21 @@
             await read_body(reader, found)
         except asyncio.IncompleteReadError as error:
             if not raw and not error.partial:
-                record.note(f"client: {attempt}: connection closed, no answer")
-                self.unanswered.append(attempt)
+                self._note_unanswered(attempt, is_kept, record)
             return False
         except OSError:
             if not raw:
-                record.note(f"client: {attempt}: connection reset, no answer")
-                self.unanswered.append(attempt)
+                self._note_unanswered(attempt, is_kept, record)
             return False
         self.answered += words[1] == "200"
         return found.get("connection", "").lower() != "close"
 
+    def _note_unanswered(self, attempt, is_kept, record):
+        kept = "kept" if is_kept else "new"
+        record.note(f"client: {attempt}: {kept} connection closed, no answer")
+        if is_kept:
+            self.unanswered.append(attempt)
+
 
 def main(play, folder):
     """Play a case, and exit as the issue asks.
