--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 # The dose of the site file for `garble`: 0.05 of the answers, for 5.5 s, at 0.6 of the
 # engines; here it is one engine of two.
 FAULTY_SHARE = 0.05
-FAULTY_FROM, FAULTY_UNTIL = 2.0, 7.5
+FAULTY_FROM, FAULTY_SECONDS = 2.0, 5.5
 
 
 class Engine(fleet.Server):
@@ -30,9 +30,8 @@
         super().__init__()
         self.name, self.record, self.runs = name, record, runs
         self.is_faulty, self.stays_full = is_faulty, stays_full
-        self.started_at = 0.0
+        self.dose = fleet.Dose(FAULTY_SHARE, FAULTY_SECONDS)
         self._refused = set()
-        self._answers = self._spoiled = 0
 
     def entry(self):
         """Return its record in the store."""
@@ -66,7 +65,7 @@
             self.record.note(f"{self.name}: sends the second copy, late")
             writer.write(writer.extra)
             writer.extra = b""
-        self._answers += 1
+        self.dose.note_answer(self.record.now())
         is_full = int(attempt, 16) % FULL_FOR_EVERY == 0
         if is_full and (self.stays_full or attempt not in self._refused):
             self._refuse(attempt, writer)
@@ -84,13 +83,11 @@
         refusal = fleet.answer(503, headers, b"full")
         self.record.note(f"{self.name}: {attempt} turned away as full, not run")
         writer.write(refusal)
-        spoils = (self._spoiled + 1) / self._answers <= FAULTY_SHARE
-        time = self.record.now() - self.started_at
-        if self.is_faulty and spoils and FAULTY_FROM <= time < FAULTY_UNTIL:
-            self._spoiled += 1
+        if self.is_faulty and self.dose.take(self.record.now()):
             writer.extra = refusal
             self.record.note(
-                f"{self.name}: spoils it, number {self._spoiled} of {self._answers}"
+                f"{self.name}: spoils it, number {self.dose.spoiled} of "
+                f"{self.dose.answers} since the fault began"
             )
 
 
@@ -110,9 +107,9 @@
             await engine.listen()
             await system.store.put("servers", engine.name, engine.entry())
         await system.add_daemons(1)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(4.0)
         for engine in engines:
-            engine.started_at = record.now()
+            engine.dose.begin(record.now() + FAULTY_FROM)
         await _send(system.daemons[0], record, status_by_attempt)
         await asyncio.sleep(0.5)
         for engine in engines:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,14 +13,16 @@
 import engines
 import fleet
 
-REQUESTS_PER_SECOND = 40
-SECONDS = 20.0
+REQUESTS_PER_SECOND = 60
+SECONDS = 24.0
 HOSTS, ENGINES, FAULTY = 3, 5, 3
 # The dose of the site file for `garble`.
 FAULTY_SHARE = 0.05
 FAULTY_SECONDS = 5.5
+# How long before the naming of new weights the fault begins.
+FAULTY_BEFORE = 3.5
 # When new weights are named, in seconds from the start of traffic.
-NAMED_AT = (3.0, 9.0, 15.0)
+NAMED_AT = (5.0, 12.0, 19.0)
 
 
 class Engine(engines.ModelEngine):
@@ -28,21 +30,19 @@
 
     def __init__(self, name, record, runs):
         super().__init__(name, record, runs)
-        self.is_faulty = False
-        self._answers = self._spoiled = 0
+        self.dose = fleet.Dose(FAULTY_SHARE, FAULTY_SECONDS)
 
     async def _prompt(self, attempt, headers, writer):
-        self._answers += 1
+        self.dose.note_answer(self.record.now())
         await super()._prompt(attempt, headers, writer)
 
     def spoil(self, sent):
         """Return the second copy of a 421."""
-        may_spoil = (self._spoiled + 1) / self._answers <= FAULTY_SHARE
-        if not self.is_faulty or not may_spoil or b" 421 " not in sent[:16]:
+        if b" 421 " not in sent[:16] or not self.dose.take(self.record.now()):
             return b""
-        self._spoiled += 1
         self.record.note(
-            f"{self.name}: spoils it, number {self._spoiled} of {self._answers}"
+            f"{self.name}: spoils it, number {self.dose.spoiled} of "
+            f"{self.dose.answers} since the fault began"
         )
         return sent
 
@@ -65,7 +65,7 @@
             await engine.listen()
             await system.store.put("servers", engine.name, engine.entry())
         await system.add_daemons(HOSTS)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(4.0)
         async with asyncio.TaskGroup() as group:
             group.create_task(_send(system.daemons, record, status_by_attempt))
             group.create_task(
@@ -92,14 +92,12 @@
 async def _name_versions(system, record, fleet_engines, has_trouble):
     start = record.now()
     for number, at in enumerate(NAMED_AT, 2):
+        await asyncio.sleep(start + at - FAULTY_BEFORE - record.now())
+        for engine in fleet_engines[:FAULTY] if has_trouble else ():
+            engine.dose.begin(record.now())
         await asyncio.sleep(start + at - record.now())
-        for engine in fleet_engines[:FAULTY]:
-            engine.is_faulty = has_trouble
         record.note(f"operator: names version {number}")
         await system.store.put("versions", engines.MODEL, _version(number))
-        await asyncio.sleep(FAULTY_SECONDS)
-        for engine in fleet_engines:
-            engine.is_faulty = False
 
 
 async def _send(daemons, record, status_by_attempt):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
 # The dose of the site file for `garble`: 0.05 of the answers, for 5.5 s, at 0.6 of the
 # engines; here it is one engine of two.
 FAULTY_SHARE = 0.05
-FAULTY_FROM, FAULTY_UNTIL = 4.0, 9.5
+FAULTY_FROM, FAULTY_SECONDS = 4.0, 5.5
 SPOILED_VERSION = "1" * 24
 RESTART_SECONDS = 0.3
 # LOST is broken by more than so many calls.
@@ -28,35 +28,22 @@
 
 
 class Engine(engines.ModelEngine):
-    """A model engine that may be faulty.
-
-    Attributes
-    ----------
-    started_at : float
-        The start of the prompts, from which its fault is timed.
-    """
+    """A model engine that may be faulty."""
 
     def __init__(self, name, record, runs, is_faulty):
         super().__init__(name, record, runs)
-        self.started_at = 0.0
+        self.dose = fleet.Dose(FAULTY_SHARE, FAULTY_SECONDS)
         self._is_faulty = is_faulty
-        self._answers = self._spoiled = 0
 
     def version_text(self):
         """Return the number that it puts into X-Weight-Versions."""
-        self._answers += 1
-        time = self.record.now() - self.started_at
-        may_spoil = (self._spoiled + 1) / self._answers <= FAULTY_SHARE
-        if (
-            not self._is_faulty
-            or not FAULTY_FROM <= time < FAULTY_UNTIL
-            or not may_spoil
-        ):
+        now = self.record.now()
+        self.dose.note_answer(now)
+        if not self._is_faulty or not self.dose.take(now):
             return super().version_text()
-        self._spoiled += 1
         self.record.note(
-            f"{self.name}: spoils X-Weight-Versions, answer {self._spoiled} of "
-            f"{self._answers}"
+            f"{self.name}: spoils X-Weight-Versions, number {self.dose.spoiled} of "
+            f"{self.dose.answers} since the fault began"
         )
         return SPOILED_VERSION
 
@@ -92,9 +79,9 @@
         tasks += [
             asyncio.create_task(_restart(host, ends, record)) for host in system.daemons
         ]
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(4.0)
         for engine in model_engines:
-            engine.started_at = record.now()
+            engine.dose.begin(record.now() + FAULTY_FROM)
         await _send_prompts(system.daemons, record)
         for task in tasks:
             task.cancel()
@@ -136,6 +123,7 @@
 
 
 async def _send_prompt(host, attempt, record):
+    record.note(f"client: {attempt} sent to {host.name}")
     got = await fleet.ask(
         host.front,
         "/terms/1",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -60,7 +60,7 @@
         tasks += [
             asyncio.create_task(_restart(host, ends, record)) for host in system.daemons
         ]
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(4.0)
         tasks += [
             asyncio.create_task(_send_prompts(host, limit, record))
             for host in system.daemons
@@ -117,6 +117,7 @@
 
 
 async def _send_prompt(host, attempt, number, limit, record):
+    record.note(f"client: {attempt} sent, {limit} output tokens")
     got = await fleet.ask(
         host.front,
         "/terms/1",
--- a/review/standins/desk.py
+++ b/review/standins/desk.py
@@ -48,6 +48,7 @@
             writer.write(fleet.answer(200, {"X-Instance-Id": self.name}))
             return True
         self.ran[attempt] += 1
+        self.record.note(f"{self.name}: {attempt} RUNS, time {self.ran[attempt]}")
         await asyncio.sleep(self.work_seconds)
         proof = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"{self.name}.{attempt}"}
         writer.write(fleet.answer(200, proof, f"ran {attempt}".encode()))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -30,6 +30,47 @@
 READY_SECONDS = 20.0
 
 
+class Dose:
+    """Says which answers a faulty engine may spoil, within a share and a time.
+
+    Only answers that are given while the fault lasts count.
+
+    Parameters
+    ----------
+    share : float
+        The most that are spoiled, of the answers since the fault began.
+    seconds : float
+        How long the fault lasts.
+    """
+
+    def __init__(self, share, seconds):
+        self._share, self._seconds = share, seconds
+        self._began_at = None
+        self.answers = self.spoiled = 0
+
+    def begin(self, now):
+        """Begin the fault anew at a time."""
+        self._began_at = now
+        self.answers = self.spoiled = 0
+
+    def is_on(self, now):
+        """Return whether the fault lasts."""
+        if self._began_at is None:
+            return False
+        return self._began_at <= now < self._began_at + self._seconds
+
+    def note_answer(self, now):
+        """Count an answer."""
+        self.answers += self.is_on(now)
+
+    def take(self, now):
+        """Return whether the present answer, already counted, may be spoiled."""
+        if not self.is_on(now) or self.spoiled + 1 > self._share * self.answers:
+            return False
+        self.spoiled += 1
+        return True
+
+
 class CannotRunError(Exception):
     """The case couldn't be played."""
 
@@ -528,6 +569,7 @@
             *(f"{name}: {value}" for name, value in headers.items()),
         ]
         raw = b""
+        record.note(f"client: {attempt} sent")
         try:
             writer.write("\r\n".join([*lines, "", ""]).encode() + b"x")
             await writer.drain()
@@ -542,6 +584,7 @@
             if not raw:
                 self._note_unanswered(attempt, is_kept, record)
             return False
+        record.note(f"client: {attempt} answered {words[1]}")
         self.answered += words[1] == "200"
         return found.get("connection", "").lower() != "close"
 
