Log and count answers that belong to another request

An engine's late second copy of an answer comes where the next answer is expected, and nothing in the log told whose it was, so that three causes of prompts that run twice couldn't be told apart. An answer whose id isn't that of the request, or that has none, is now logged with the id and its status, and counted as foreign_answers_total. How it is judged is unchanged.

--- a/packages/daemon/sesamespindle/daemon/answerends.py
+++ b/packages/daemon/sesamespindle/daemon/answerends.py
@@ -1,4 +1,4 @@
-"""Logs and counts how the answers of targets ended."""
+"""Logs and counts whose the answers of targets were, and how they ended."""
 
 import functools
 
@@ -6,6 +6,8 @@
 from sesamespindle.wire import answers
 
 _note_request = functools.partial(logs.note_request, "relay")
+# Longer ids are cut in the log.
+_MAX_LOGGED_CHARACTERS = 80
 
 
 class AnswerEnds:
@@ -40,6 +42,28 @@
                 forward.target,
             )
 
+    def note_foreign(self, forward, status, ids):
+        """Count and log an answer that isn't that to a send.
+
+        Parameters
+        ----------
+        forward : sends.Forward
+            The send.
+        status : int
+            Its status.
+        ids : sequence of str
+            The ids of the requests that it names.
+        """
+        self._measures.foreign_answer(status)
+        _note_request(
+            forward.request_id,
+            "What {} {} sent isn't the answer: it is for {}, with status {}.",
+            kind_of(forward),
+            forward.target,
+            ", ".join(ids)[:_MAX_LOGGED_CHARACTERS] or "no request",
+            status,
+        )
+
     def note_broken(self, forward, response, error):
         """Count an answer that isn't whole, and log why.
 
--- a/packages/daemon/sesamespindle/daemon/measures.py
+++ b/packages/daemon/sesamespindle/daemon/measures.py
@@ -14,6 +14,7 @@
         self._refused_by_code = collections.Counter()
         self._answers_by_end = collections.Counter()
         self._taken_up_by_source = collections.Counter()
+        self._foreign_answers_by_status = collections.Counter()
         self._first_bytes_by_route = {}
         self._waits_by_service = {}
         self._labelled_gauges = {}
@@ -40,6 +41,10 @@
         """Count a stream that a caller takes up, by how its version was known."""
         self._taken_up_by_source[source] += 1
 
+    def foreign_answer(self, status):
+        """Count an answer that belongs to another request than the one it came for."""
+        self._foreign_answers_by_status[status] += 1
+
     def first_byte(self, route, duration):
         """Record the time to the first byte of an answer.
 
@@ -106,6 +111,10 @@
             f'sesamespindle_answers_total{{framing="{framing}",end="{end}"}} {count}'
             for (framing, end), count in sorted(self._answers_by_end.items())
         ]
+        lines += [
+            f'sesamespindle_foreign_answers_total{{status="{status}"}} {count}'
+            for status, count in sorted(self._foreign_answers_by_status.items())
+        ]
         for route, histogram in sorted(self._first_bytes_by_route.items()):
             lines += _histogram_lines("first_byte", "route", route, histogram)
         for service, histogram in sorted(self._waits_by_service.items()):
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -438,6 +438,9 @@
             As `_exchange` returns it.
         """
         self._heard(forward)
+        if not self._dialect.belongs(forward, response.headers):
+            ids = self._dialect.answered_ids(response.headers)
+            self._answer_ends.note_foreign(forward, response.status, ids)
         signals = self._dialect.signals(forward, response.status, response.headers)
         if signals is not None:
             now = self._clock.now()
