Nothing is read from an answer before it is known whose it is

Callers saw prompts that may run once run twice, or got 503 for prompts that had run: an engine's late second copy of a 421 to one prompt came where the answer to the next was expected, and was taken for its refusal. The status 421 was judged before the id was compared, for the end of the send and for what the target says of itself; an answer without an id counted as the send's own.

One question now comes first, asked in one place: the answer names this request's id, once. Anything else ends the send as foreign: it may have run, so that only what may be repeated is sent again, the connection is closed with all that it may still bring, and neither a crash nor a broken path is concluded. A peer that carries a request has no id in its own refusals.

The test that a 200 of another id counts as lost is part of a stricter one: every status, another id, none, or two.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -438,9 +438,6 @@
             As `_exchange` returns it.
         """
         self._heard(forward)
-        if not self._dialect.belongs(forward, response.headers):
-            ids = self._dialect.answered_ids(response.headers)
-            self._answer_ends.note_foreign(forward, response.status, ids)
         signals = self._dialect.signals(forward, response.status, response.headers)
         if signals is not None:
             now = self._clock.now()
@@ -459,15 +456,18 @@
             if ending is sends.Ending.FAILED:
                 answer.failure = await self._read_failure(forward, response)
                 return ending if answer.failure is not None else sends.Ending.LOST
+            if ending is sends.Ending.FOREIGN:
+                ids = self._dialect.answered_ids(response.headers)
+                self._answer_ends.note_foreign(forward, response.status, ids)
             if ending is not None:
-                if ending is not sends.Ending.LOST:
+                if ending not in sends.UNUSABLE_AFTER:
                     await self._discard(forward, response)
                 return ending
             if forward.streaming and response.status == 200:
                 return await self._relay_stream(http, forward, response, answer)
             return await self._relay_plain(http, forward, response, answer)
         finally:
-            if not is_reusable or ending is sends.Ending.LOST:
+            if not is_reusable or ending in sends.UNUSABLE_AFTER:
                 response.close()
 
     async def _discard(self, forward, response):
--- a/packages/decide/sesamespindle/decide/endings.py
+++ b/packages/decide/sesamespindle/decide/endings.py
@@ -56,7 +56,7 @@
                     self._crashes.record_broken_run(
                         key, flight.incarnation, flight.sent_at, now
                     )
-            case sends.Ending.SILENT | sends.Ending.WITHDRAWN:
+            case sends.Ending.FOREIGN | sends.Ending.SILENT | sends.Ending.WITHDRAWN:
                 for key in suspect_keys(flight, now):
                     self._crashes.record_abandoned_run(key, flight.incarnation, now)
             case sends.Ending.REFUSED:
@@ -94,7 +94,12 @@
             case sends.Ending.WRONG_VERSION:
                 self._weights.note_refused(row, flight.request.model, flight.version)
                 flight.tried.discard(row.incarnation)
-            case sends.Ending.FAILED | sends.Ending.LOST | sends.Ending.SILENT:
+            case (
+                sends.Ending.FAILED
+                | sends.Ending.LOST
+                | sends.Ending.FOREIGN
+                | sends.Ending.SILENT
+            ):
                 note_result(row, True)
 
 
--- a/packages/decide/sesamespindle/decide/sends.py
+++ b/packages/decide/sesamespindle/decide/sends.py
@@ -27,6 +27,8 @@
     FAILED = "failed"
     # The answer was lost or unusable, so it isn't known whether the request ran.
     LOST = "lost"
+    # What came belongs to another request, so it isn't known whether this one ran.
+    FOREIGN = "foreign"
     # No answer began within the timeout of the send.
     SILENT = "silent"
     # A `Withdraw` cancelled it before its answer had begun.
@@ -38,7 +40,11 @@
 # The endings after which nothing of the request has reached a target.
 NOT_ARRIVED = frozenset((Ending.UNREACHABLE, Ending.REFUSED, Ending.DECLINED))
 # The endings after which a target may have begun to run the request.
-MAYBE_RAN = frozenset((Ending.FAILED, Ending.LOST, Ending.SILENT, Ending.WITHDRAWN))
+MAYBE_RAN = frozenset(
+    (Ending.FAILED, Ending.LOST, Ending.FOREIGN, Ending.SILENT, Ending.WITHDRAWN)
+)
+# The endings after which the connection may bring more that can't be told apart.
+UNUSABLE_AFTER = frozenset((Ending.LOST, Ending.FOREIGN))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -92,8 +92,36 @@
     return dialect.Dialect().ending_of(forward, status, answer_headers)
 
 
-def test_an_answer_to_another_request_counts_as_lost():
-    assert judge(200, X_Attempt_Id="r0", X_Server_Stamp="s") is sends.Ending.LOST
+@pytest.mark.parametrize("ids", [("r0",), (), ("r1", "r0")])
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (200, {"X-Server-Stamp": "s"}),
+        (421, {"X-Instance-Id": "i-1"}),
+        (421, {}),
+        (429, {"X-Not-Executed": "1"}),
+        (500, {}),
+        (503, {"X-Not-Executed": "1"}),
+    ],
+)
+def test_nothing_is_read_from_an_answer_to_another_request(status, headers, ids):
+    """Guards against a request that is sent again as another's refusal came."""
+    forward = make_forward(version=1)
+    answer_headers = multidict.CIMultiDict(headers)
+    for name in ids:
+        answer_headers.add("X-Attempt-Id", name)
+    foreign = dialect.Dialect().ending_of(forward, status, answer_headers)
+    assert foreign is sends.Ending.FOREIGN
+    assert dialect.Dialect().signals(forward, status, answer_headers) is None
+
+
+def test_a_peers_own_refusal_needs_no_id():
+    forward = make_forward(passport=sends.Passport("entry-2", 1, 0))
+    judged = [
+        dialect.Dialect().ending_of(forward, 503, multidict.CIMultiDict(headers))
+        for headers in ({}, {"X-Attempt-Id": "r1"}, {"X-Attempt-Id": "r0"})
+    ]
+    assert judged == [None, None, sends.Ending.FOREIGN]
 
 
 def test_a_refusal_without_the_targets_mark_does_not_mean_not_run():
