A refused request isn't sent again over the connection that refused it

Callers saw a call that may run once run twice, or got 503 for a call that had run: an engine refused it, the host sent it again over the same kept connection, and a late second copy of the refusal came before the answer. Both sends have the same id, so the copy was taken for the refusal of the second.

A connection now knows the requests that were refused on it, and the connector gives such a request another kept connection, or a new one; so an id is unique on each connection, whoever sends. A connection that has refused 64 requests isn't used again, so that its memory is bounded. Weighed and not built: not to keep a connection after a refusal (a new one for most sends under overload), and not to go back to the engine (refusals though it has room).

--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from sesamespindle.daemon import targetpool
 from sesamespindle.wire import answers
 
 # A healthy host accepts a connection within a few ms. The timeout bounds the delay
@@ -29,6 +30,10 @@
 # that is silent for a second or so must not lose its requests by it.
 _USER_TIMEOUT_MILLISECONDS = 2500
 MAX_HEADER_BYTES = 65536
+# The status from which on an answer may be followed by another send of its request.
+_FIRST_REFUSAL_STATUS = 400
+# A connection on which more requests than this were refused isn't used again.
+_MAX_REFUSED = 64
 # The value of SO_LINGER with which closing a socket resets its connection at once.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -41,6 +46,9 @@
     all that was given up meanwhile would arrive at once. A request without a byte of
     its answer is therefore given up by a reset, after which nothing is sent.
 
+    It knows which requests were refused on it, so that `targetpool.TargetConnector` can
+    send them again over other connections.
+
     Attributes
     ----------
     on_received : callable or None
@@ -49,8 +57,30 @@
     """
 
     _awaits_answer = False
+    _request_id = None
     on_received = None
 
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._refused_ids = set()
+
+    def begin(self, request_id):
+        """Note which request the connection carries now; None for a call without id."""
+        self._request_id = request_id
+
+    def has_refused(self, request_id):
+        """Return whether a request was refused on this connection."""
+        return request_id in self._refused_ids
+
+    def feed_data(self, data, size=0):
+        """Take the head of an answer, and its body's reader."""
+        message, _ = data
+        if message.code >= _FIRST_REFUSAL_STATUS and self._request_id is not None:
+            self._refused_ids.add(self._request_id)
+            if len(self._refused_ids) > _MAX_REFUSED:
+                self.force_close()
+        super().feed_data(data, size)
+
     def set_response_params(self, **params):
         """Prepare for the answer to a request that is about to be sent."""
         self._awaits_answer = True
@@ -106,7 +136,7 @@
     return f"{target}.{born}"
 
 
-def make_session(reuse=True, own_ip=None):
+def make_session(reuse=True, own_ip=None, id_header=""):
     """Return an `aiohttp.ClientSession` for relaying to targets.
 
     It adds no headers or cookies of its own, and leaves compressed bodies as they
@@ -118,11 +148,14 @@
         Whether connections stay open for further calls.
     own_ip : str, optional
         The IP address to connect from, by which peers recognise this host.
+    id_header : str
+        The header that holds the id of a request; empty if requests have none.
     """
     keepalive = {"keepalive_timeout": _IDLE_TIMEOUT_SECONDS}
     if not reuse:
         keepalive = {"force_close": True}
-    connector = aiohttp.TCPConnector(
+    connector = targetpool.TargetConnector(
+        id_header,
         limit=0,
         **keepalive,
         ssl=False,
--- a/tests/support/relays.py
+++ b/tests/support/relays.py
@@ -104,7 +104,7 @@
     for kind in _IGNORED_COMMANDS:
         relay_driver.on(kind, lambda command: None)
     async with (
-        connections.make_session() as session,
+        connections.make_session(id_header=dialect.REQUEST_ID) as session,
         targetprobe.TargetProbe(relay_driver, servers.make_question) as probe,
         opinions.Opinions(relay_driver, _NoPeers(), probe),
     ):
