A figure of a target's answer that fits no message can't end a host

Callers lost calls that sound engines had run: all hosts ended by themselves, exit code 1, one after the other. An engine had told a weight version of 24 digits; each host that relayed it put it into a 64-bit field of its next message to peers, and the error ended the tick, and with it the daemon, which raised again as it left.

Evidence: 'ValueError: Value out of range' in version_to_wire, on the standard error only, as the line that tells why a task failed waited for the task that had failed.

Messages between hosts are made and read entry by entry; one that doesn't fit is left out, logged and counted. A command whose handler fails no longer ends the task that fed the event. Related paths: a peer's heartbeats, pulses and starts that no host could count up from, its stamps far ahead of every clock, its times that no date holds, and states of another release.

--- a/packages/daemon/sesamespindle/daemon/crashmessages.py
+++ b/packages/daemon/sesamespindle/daemon/crashmessages.py
@@ -5,6 +5,7 @@
 
 import datetime
 
+from sesamespindle.daemon import messageentries
 from sesamespindle.decide import gossip, incarnations, revisions
 from sesamespindle.wire import peers_pb2
 
@@ -23,26 +24,11 @@
     -------
     fields : dict of str to list
     """
+    convert_each = messageentries.convert_each
     return {
-        "crashes": [_crash_to_wire(item, now) for item in news.crashes],
-        "cleared": [
-            peers_pb2.ClearedRequest(
-                fingerprint=bytes.fromhex(item.fingerprint),
-                seconds_ago=_age_seconds(item.at, now),
-            )
-            for item in news.cleared
-        ],
-        "quarantined": [
-            peers_pb2.QuarantinedRequest(
-                fingerprint=bytes.fromhex(item.fingerprint),
-                seconds_ago=_age_seconds(item.decided_at, now),
-                crashes=item.crashes,
-                tries=item.tries,
-                revision=item.revision.number,
-                era=item.revision.era,
-            )
-            for item in news.quarantined
-        ],
+        "crashes": convert_each(_crash_to_wire, news.crashes, now),
+        "cleared": convert_each(_cleared_to_wire, news.cleared, now),
+        "quarantined": convert_each(_quarantined_to_wire, news.quarantined, now),
     }
 
 
@@ -60,22 +46,11 @@
     -------
     news : gossip.CrashNews
     """
+    convert_each = messageentries.convert_each
     return gossip.CrashNews(
-        tuple(_crash_from_wire(item, sent_at) for item in message.crashes),
-        tuple(
-            gossip.ClearedRequest(item.fingerprint.hex(), _time_of(sent_at, item))
-            for item in message.cleared
-        ),
-        tuple(
-            gossip.QuarantinedRequest(
-                item.fingerprint.hex(),
-                _time_of(sent_at, item),
-                item.crashes,
-                item.tries,
-                revisions.Revision(item.era, item.revision),
-            )
-            for item in message.quarantined
-        ),
+        tuple(convert_each(_crash_from_wire, message.crashes, sent_at)),
+        tuple(convert_each(_cleared_from_wire, message.cleared, sent_at)),
+        tuple(convert_each(_quarantined_from_wire, message.quarantined, sent_at)),
     )
 
 
@@ -100,6 +75,38 @@
     )
 
 
+def _cleared_to_wire(item, now):
+    return peers_pb2.ClearedRequest(
+        fingerprint=bytes.fromhex(item.fingerprint),
+        seconds_ago=_age_seconds(item.at, now),
+    )
+
+
+def _cleared_from_wire(message, sent_at):
+    return gossip.ClearedRequest(message.fingerprint.hex(), _time_of(sent_at, message))
+
+
+def _quarantined_to_wire(item, now):
+    return peers_pb2.QuarantinedRequest(
+        fingerprint=bytes.fromhex(item.fingerprint),
+        seconds_ago=_age_seconds(item.decided_at, now),
+        crashes=item.crashes,
+        tries=item.tries,
+        revision=item.revision.number,
+        era=item.revision.era,
+    )
+
+
+def _quarantined_from_wire(message, sent_at):
+    return gossip.QuarantinedRequest(
+        message.fingerprint.hex(),
+        _time_of(sent_at, message),
+        message.crashes,
+        message.tries,
+        revisions.Revision(message.era, message.revision),
+    )
+
+
 def _age_seconds(at, now):
     return (now - at).total_seconds()
 
--- a/packages/daemon/sesamespindle/daemon/driver.py
+++ b/packages/daemon/sesamespindle/daemon/driver.py
@@ -43,6 +43,8 @@
     ----------
     exchange_by_request : dict of str to Exchange
         The exchanges of requests that have no final answer yet, by request id.
+    failed_commands : int
+        The number of commands whose handler has raised an error.
     """
 
     def __init__(self, core, clock, event_log, note_level="DEBUG"):
@@ -50,6 +52,7 @@
         self.clock = clock
         self.event_log = event_log
         self.exchange_by_request = {}
+        self.failed_commands = 0
         self._handler_by_command = {}
         self._note_level = note_level
 
@@ -117,8 +120,22 @@
                 )
         handler = self._handler_by_command.get(type(command))
         if handler is not None:
-            handler(command)
+            self._carry_out(handler, command)
             return
         exchange = self.exchange_by_request.get(command.request_id)
         if exchange is not None:
             exchange.put(command)
+
+    def _carry_out(self, handler, command):
+        """Call a handler; if it fails, log that and go on with the other commands.
+
+        Guards against a host that ends, with all that it has under way, as one command
+        holds a value that its handler can't work with: the error would end the task
+        that has fed the event, such as the one that ticks.
+        """
+        try:
+            handler(command)
+        except Exception as error:
+            self.failed_commands += 1
+            name = type(command).__name__
+            _log.opt(exception=error).error("A command failed: {}. {!r}", name, error)
--- a/packages/daemon/sesamespindle/daemon/eventlog.py
+++ b/packages/daemon/sesamespindle/daemon/eventlog.py
@@ -5,6 +5,8 @@
 
 _COUNTER_BITS = 16
 _COUNTER_MASK = (1 << _COUNTER_BITS) - 1
+# No clock of a host is ahead of another by more than this.
+_MAX_LEAD_MILLISECONDS = 24 * 3600 * 1000
 
 
 class HybridClock:
@@ -33,13 +35,21 @@
             Milliseconds since the Unix epoch in the upper bits, and a counter in the
             lower 16 bits.
         """
-        milliseconds = int(self._clock.now().timestamp() * 1000)
-        self._last = max(self._last + 1, milliseconds << _COUNTER_BITS)
+        self._last = max(self._last + 1, self._milliseconds() << _COUNTER_BITS)
         return self._last
 
     def merge(self, other):
-        """Advance the clock to the stamp of a received message, if that is larger."""
-        self._last = max(self._last, other)
+        """Advance the clock to the stamp of a received message, if that is larger.
+
+        Guards against a peer whose stamp is far ahead of every clock: all hosts would
+        adopt it, until no message could hold what follows it.
+        """
+        latest = self._milliseconds() + _MAX_LEAD_MILLISECONDS
+        if milliseconds_of(other) <= latest:
+            self._last = max(self._last, other)
+
+    def _milliseconds(self):
+        return int(self._clock.now().timestamp() * 1000)
 
 
 def milliseconds_of(stamp):
--- a/packages/daemon/sesamespindle/daemon/membermessages.py
+++ b/packages/daemon/sesamespindle/daemon/membermessages.py
@@ -3,6 +3,7 @@
 None of it has a time, so the time of sending, which all conversions get, isn't used.
 """
 
+from sesamespindle.daemon import messageentries
 from sesamespindle.decide import events, gossip, incarnations, revisions
 from sesamespindle.wire import peers_pb2
 
@@ -20,7 +21,10 @@
 def digest_from_wire(item, sent_at):
     """Return a member's heartbeat of a protobuf message."""
     return gossip.MemberDigest(
-        item.name, item.incarnation, item.heartbeat, item.revision
+        item.name,
+        messageentries.rising(item.incarnation),
+        messageentries.rising(item.heartbeat),
+        item.revision,
     )
 
 
@@ -33,7 +37,8 @@
 
 def data_centre_from_wire(item, sent_at):
     """Return the digest of a data centre of a protobuf message."""
-    return gossip.DataCentreDigest(item.name, item.digest, item.pulse)
+    pulse = messageentries.rising(item.pulse)
+    return gossip.DataCentreDigest(item.name, item.digest, pulse)
 
 
 def leaving_to_wire(item, now):
@@ -112,8 +117,8 @@
         item.url,
         item.peer_address,
         item.admin_url,
-        item.incarnation,
-        item.heartbeat,
+        messageentries.rising(item.incarnation),
+        messageentries.rising(item.heartbeat),
         events.HostState(item.state),
         item.revision,
         tuple(item.unreached),
--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -6,9 +6,10 @@
 
 import dataclasses
 import datetime
+import functools
 import math
 
-from sesamespindle.daemon import crashmessages, membermessages
+from sesamespindle.daemon import crashmessages, membermessages, messageentries
 from sesamespindle.decide import (
     announcements,
     events,
@@ -82,9 +83,12 @@
         for name, (to_wire, _) in _CODECS.items()
         if (items := getattr(message, name))
     }
-    fields["known"] = [_known_to_wire(item, now) for item in message.known]
+    convert_each = messageentries.convert_each
+    fields["known"] = convert_each(_known_to_wire, message.known, now)
     if message.lease_release is not None:
-        fields["lease_release"] = _lease_release_to_wire(message.lease_release, now)
+        released = [message.lease_release]
+        for item in convert_each(_lease_release_to_wire, released, now):
+            fields["lease_release"] = item
     if message.crash_news != _NO_CRASHES:
         fields |= crashmessages.to_wire(message.crash_news, now)
     return peers_pb2.GossipMessage(
@@ -129,8 +133,14 @@
     }
     if message.known:
         fields["known"] = tuple(
-            _known_from_wire(item, sent_after) for item in message.known
+            messageentries.convert_each(_known_from_wire, message.known, sent_after)
         )
+    if message.HasField("lease_release"):
+        released = [message.lease_release]
+        for item in messageentries.convert_each(
+            _lease_release_from_wire, released, now
+        ):
+            fields["lease_release"] = item
     if message.crashes or message.cleared or message.quarantined:
         fields["crash_news"] = crashmessages.from_wire(message, sent_at)
     return gossip.GossipMessage(
@@ -139,7 +149,6 @@
         wanted=tuple(message.wanted),
         revision=message.revision,
         seen=tuple(gossip.SeenRevision(*item) for item in message.seen.items()),
-        lease_release=_lease_release_from_wire(message, now),
         brief=message.brief,
         store_era=message.store_era,
         adopts_heartbeats=message.adopts_heartbeats,
@@ -149,7 +158,7 @@
 
 def _each(convert):
     """Return a function that converts a list of items, each with one time."""
-    return lambda items, at: [convert(item, at) for item in items]
+    return functools.partial(messageentries.convert_each, convert)
 
 
 def _known_to_wire(known, now):
@@ -189,10 +198,8 @@
 
 
 def _lease_release_from_wire(message, now):
-    if not message.HasField("lease_release"):
-        return None
-    quiet_for = datetime.timedelta(seconds=message.lease_release.quiet_seconds)
-    return gossip.LeaseRelease(message.lease_release.epoch, now - quiet_for)
+    quiet_for = datetime.timedelta(seconds=message.quiet_seconds)
+    return gossip.LeaseRelease(message.epoch, now - quiet_for)
 
 
 def _naming_to_wire(naming, now):
@@ -216,19 +223,14 @@
     )
 
 
-def _store_words_to_wire(store_words, now):
-    now_ms = now.timestamp() * 1000.0
-    return [_store_word_to_wire(item, now, now_ms) for item in store_words]
-
-
-def _store_word_to_wire(store_word, now, now_ms):
+def _store_word_to_wire(store_word, now):
     """Return the known position of a KV store, with the age of its last check.
 
     The engines' clock, if known, is sent as its reading in milliseconds at `now`.
     """
     clock_ms = None
     if store_word.clock_lead is not None:
-        clock_ms = now_ms + store_word.clock_lead
+        clock_ms = now.timestamp() * 1000.0 + store_word.clock_lead
     return peers_pb2.StoreWord(
         store=store_word.store,
         boot=store_word.boot,
@@ -239,15 +241,10 @@
     )
 
 
-def _store_words_from_wire(messages, sent_at):
-    sent_at_ms = sent_at.timestamp() * 1000.0
-    return [_store_word_from_wire(item, sent_at, sent_at_ms) for item in messages]
-
-
-def _store_word_from_wire(message, sent_at, sent_at_ms):
+def _store_word_from_wire(message, sent_at):
     clock_lead = None
     if message.HasField("clock_ms"):
-        clock_lead = message.clock_ms - sent_at_ms
+        clock_lead = message.clock_ms - sent_at.timestamp() * 1000.0
     return gossip.StoreWord(
         message.store,
         message.boot,
@@ -411,7 +408,7 @@
         _each(membermessages.pending_from_wire),
     ),
     "named": (_each(_naming_to_wire), _each(_naming_from_wire)),
-    "store_words": (_store_words_to_wire, _store_words_from_wire),
+    "store_words": (_each(_store_word_to_wire), _each(_store_word_from_wire)),
     "store_news": (_each(_store_news_to_wire), _each(_store_news_from_wire)),
     "target_limits": (_each(_limit_to_wire), _each(_limit_from_wire)),
     "brittle": (_each(_brittle_to_wire), _each(_brittle_from_wire)),
--- a/tests/platform/test_signalheaders.py
+++ b/tests/platform/test_signalheaders.py
@@ -15,7 +15,7 @@
 
 
 def test_an_answer_without_signals():
-    signals = read(("X-Server-Load", "busy"), ("X-Weight-Versions", "?"))
+    signals = read(("X-Server-Load", "busy"))
     assert (signals.load, signals.weight_version) == (None, None)
     assert signals.limit == math.inf
     assert signals.unreadable == ()
@@ -26,6 +26,17 @@
     assert (signals.load, signals.weight_version) == (5, 4)
 
 
+@pytest.mark.parametrize(
+    "value",
+    ["?", "", "-1", "+1", " 1 ", "1_0", "1.0", "\u0661", "\xb2", "1" * 24, str(2**63)],
+)
+def test_a_bad_weight_version_is_named_and_means_none(value):
+    """Guards against a version that no message to other hosts can hold."""
+    signals = read(("X-Weight-Versions", value))
+    assert signals.weight_version is None
+    assert signals.unreadable == (f"X-Weight-Versions: {value}",)
+
+
 @pytest.mark.parametrize(
     ("value", "load", "speed", "is_readable"),
     [
--- /dev/null
+++ b/tests/platform/test_spoiled_figures.py
@@ -0,0 +1,44 @@
+"""Figures that can't be right, in answers of targets and requests of callers."""
+
+import pytest
+
+PROMPT = {"X-Model": "m", "X-Prompt-Prefix": "c1:100,1:10", "X-Token-Count": "110,3"}
+
+
+async def add_hosts(world):
+    """Start two hosts that tell each other what they know."""
+    first = await world.add_daemon()
+    return [first, await world.add_daemon(seeds=(first.ip,))]
+
+
+async def greet_another(world, hosts):
+    """Start one more host, and wait until the others have exchanged messages with it.
+
+    A host that ended by a value did so as it made its next message.
+    """
+    new = await world.add_daemon(seeds=tuple(host.ip for host in hosts))
+
+    async def has_met(host):
+        assert host.is_running
+        return any(f"entry_live {new.name}." in line for line in host.lines())
+
+    for host in hosts:
+        await world.until(lambda host=host: has_met(host))
+
+
+@pytest.mark.parametrize("version", ["1" * 24, "9" * 5000, "\xb2", "-1"])
+def test_a_spoiled_weight_version_ends_no_host(play, version):
+    """Guards against hosts that end as they tell each other what a target wrote."""
+
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        target.signals = {"X-Weight-Versions": version}
+        hosts = await add_hosts(world)
+        for number, host in enumerate(hosts):
+            status, _, _ = await world.ask(host, "/chat/1", f"r{number}", **PROMPT)
+            assert status == 200
+        await greet_another(world, hosts)
+        for host in hosts:
+            assert any("target_signal_unreadable" in line for line in host.lines())
+
+    play(scenario)
