Tokens that a caller states stay in a range that messages can carry

Callers lost calls that sound engines had run, and all hosts ended by themselves again and again: one client allowed its prompts 2^64 - 1 output tokens, as one that sets no limit may. The sum of the tokens at an engine didn't fit into a message to peers that was made while such a prompt was there, and the error ended the tick.

The border reads tokens as 2^31 - 1 at most, digits of ASCII only; the prompt goes to its engine unchanged. A request holds no more of an engine than the engine has, in what a host counts, places by and tells, so that one prompt no longer makes an engine look full. A prompt that alone exceeds an engine's memory is refused at once, not run, instead of going to up to four engines. Related paths, read by the same functions: deadlines (signs, underscores and digits of other scripts were read), Keep-Alive and the counts of a peer's request, whose odd digits made a host answer 500, and the tokens that a peer tells.

--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -47,6 +47,7 @@
         "The host was leaving and would have stopped before it could answer.",
     ),
     ("Refused: overloaded", "All targets were too busy to answer in time."),
+    ("Refused: prompt_too_large", "No engine of the service can hold the prompt."),
     (
         "Refused: limited",
         "All targets limit their requests, and this host's part of that was used.",
@@ -69,6 +70,10 @@
         "ended: withdrawn",
         "The request waited at its target until the target's weights were too old.",
     ),
+    (
+        "ended: foreign",
+        "The target sent an answer to another request instead of this one's.",
+    ),
     (
         "ended: lost",
         "The connection to the target broke before the answer was complete.",
--- a/packages/daemon/sesamespindle/daemon/membermessages.py
+++ b/packages/daemon/sesamespindle/daemon/membermessages.py
@@ -89,7 +89,11 @@
 def pending_from_wire(item, sent_at):
     """Return pending work at a target of a protobuf message."""
     incarnation = incarnations.TargetIncarnation(item.target, item.born)
-    return gossip.PendingWork(incarnation, item.tokens, item.held_tokens)
+    return gossip.PendingWork(
+        incarnation,
+        messageentries.work(item.tokens),
+        messageentries.work(item.held_tokens),
+    )
 
 
 def member_to_wire(item, now):
--- a/packages/daemon/sesamespindle/daemon/messageentries.py
+++ b/packages/daemon/sesamespindle/daemon/messageentries.py
@@ -17,6 +17,8 @@
 _MAX_LOGGED_CHARACTERS = 200
 # Counters that only rise are told in 64 bits, and each host adds to the highest.
 _MAX_RISING = 2**62
+# More tokens than all requests of a host have. An engine reads them in two years.
+_MAX_WORK_TOKENS = 2**40
 
 # How many entries were left out since the start of the process.
 lost_by_kind = collections.Counter()
@@ -56,6 +58,19 @@
     return number
 
 
+def work(tokens):
+    """Return the received tokens of a peer's requests at an engine.
+
+    Raises
+    ------
+    ValueError
+        If no host can have as many there.
+    """
+    if tokens > _MAX_WORK_TOKENS:
+        raise ValueError(f"A peer has {tokens} tokens at an engine.")
+    return tokens
+
+
 def _note_lost(item, error):
     """Count an entry that is left out; log the first, second, fourth... of a kind."""
     kind = type(item).__name__
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -50,6 +50,7 @@
     QUARANTINED = "quarantined"
     VERSION_GONE = "version_gone"
     ORIGIN_UNKNOWN = "origin_unknown"
+    PROMPT_TOO_LARGE = "prompt_too_large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -502,6 +502,9 @@
         return self._send_prompt(flight, service.engines, rows, now, ending)
 
     def _send_prompt(self, flight, engines, rows, now, ending):
+        if not engines.can_hold(flight.request.prompt_tokens):
+            code = commands.Code.PROMPT_TOO_LARGE
+            return self._final_answer(flight, ending, now, code)
         rows = self._asking.narrow(flight, rows, now)
         choice = self._prompt_placement.choose(flight, engines, rows, now)
         if choice is None:
@@ -583,7 +586,8 @@
         if place:
             sent = world.SentWork(now, place.prefill_tokens)
             row.sent_by_request[request.request_id] = sent
-            row.held_by_request[request.request_id] = request.held_tokens
+            held_tokens = engines.most_held(request.held_tokens)
+            row.held_by_request[request.request_id] = held_tokens
             if place.prefill_tokens >= _ANNOUNCED_AT_ONCE_TOKENS:
                 self._state.must_announce_pending = True
         account = flight.account
--- a/packages/decide/sesamespindle/decide/promptplacement.py
+++ b/packages/decide/sesamespindle/decide/promptplacement.py
@@ -180,7 +180,7 @@
         import_times = self._stores.import_times(engines, now)
         tokens = flight.request.prompt_tokens
         return placement.Work(
-            flight.request.held_tokens,
+            engines.most_held(flight.request.held_tokens),
             engines.kv_capacity,
             flight.route.latency_goal.total_seconds(),
             lambda row: self._effort_at(
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -99,6 +99,14 @@
     kv_token_bytes: int
     link_bits_per_second: float
 
+    def can_hold(self, tokens):
+        """Return whether the KV cache of so many tokens fits into an empty engine."""
+        return not self.kv_capacity or tokens <= self.kv_capacity
+
+    def most_held(self, tokens):
+        """Return how many of a prompt's tokens an engine holds at most."""
+        return min(tokens, self.kv_capacity) if self.kv_capacity else tokens
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KvStore:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sesamespindle.decide import commands, kvstores, routes, sends
-from sesamespindle.platform import dialect
+from sesamespindle.platform import dialect, figures
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 
@@ -168,3 +168,41 @@
     assert refusal(commands.Code.TIMEOUT, unknown).status == 504
     assert refusal(commands.Code.TIMEOUT, not_run).status == 503
     assert refusal(commands.Code.UNKNOWN_KEY, not_run).status == 401
+
+
+@pytest.mark.parametrize(
+    ("count", "tokens"),
+    [
+        ("5,7", 7),
+        ("5, 7", 7),
+        (f"5,{2**64 - 1}", figures.MAX_TOKENS),
+        ("5," + "9" * 5000, figures.MAX_TOKENS),
+        ("5,-1", 0),
+        ("5,\xb2", 0),
+        ("5,\u0661", 0),
+        ("5,1_0", 0),
+        ("5", 0),
+    ],
+)
+def test_the_most_tokens_of_an_answer(count, tokens):
+    """Guards against a number that no message between hosts can hold."""
+    http = FakeRequest(X_Token_Count=count)
+    assert dialect.Dialect().read_request(http, NOW).answer_tokens == tokens
+
+
+@pytest.mark.parametrize(
+    "value", ["-1", "nan", "inf", "1e3", "1_000", "\u0661", "", "9" * 400, "1000000000"]
+)
+def test_a_deadline_that_cannot_be_right_is_none(value):
+    """Guards against a deadline that is read where the page names no such form."""
+    http = FakeRequest(X_Deadline_Ms=value)
+    assert dialect.Dialect().read_request(http, NOW).deadline is None
+
+
+@pytest.mark.parametrize(
+    "value", ["timeout=\xb2", "timeout=" + "9" * 5000, "timeout=-1"]
+)
+def test_an_idle_time_that_cannot_be_read_is_none(value):
+    """Guards against an answer that is lost as its target spoils a figure."""
+    headers = multidict.CIMultiDict({"Keep-Alive": value})
+    assert dialect.Dialect().keep_alive_seconds(headers) is None
--- a/tests/platform/test_spoiled_figures.py
+++ b/tests/platform/test_spoiled_figures.py
@@ -1,5 +1,7 @@
 """Figures that can't be right, in answers of targets and requests of callers."""
 
+import asyncio
+
 import pytest
 
 PROMPT = {"X-Model": "m", "X-Prompt-Prefix": "c1:100,1:10", "X-Token-Count": "110,3"}
@@ -42,3 +44,39 @@
             assert any("target_signal_unreadable" in line for line in host.lines())
 
     play(scenario)
+
+
+@pytest.mark.parametrize("limit", [2**64 - 1, 10**30, 2**31, "9" * 3000])
+def test_a_prompt_without_a_limit_ends_no_host(play, limit):
+    """Guards against hosts that end as they add up what callers allow answers."""
+
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        hosts = await add_hosts(world)
+        target.release.clear()
+        headers = PROMPT | {"X-Token-Count": f"110,{limit}"}
+        asked = [
+            asyncio.create_task(world.ask(host, "/chat/1", f"r{number}", **headers))
+            for number, host in enumerate(hosts)
+        ]
+        await target.began.wait()
+        await greet_another(world, hosts)
+        target.release.set()
+        assert [(await answer)[0] for answer in asked] == [200, 200]
+        assert {run["x-token-count"] for run in target.runs} == {f"110,{limit}"}
+
+    play(scenario)
+
+
+def test_a_prompt_that_no_engine_can_hold_is_refused_at_once(play):
+    """Guards against prompts that wander from engine to engine until their deadline."""
+
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        host = await world.add_daemon()
+        headers = PROMPT | {"X-Prompt-Prefix": "c1:1001"}
+        status, _, body = await world.ask(host, "/chat/1", "r1", **headers)
+        assert (status, target.arrivals) == (503, [])
+        assert b"prompt_too_large" in body
+
+    play(scenario)
