A weight version that was never announced is not believed

Callers were refused, truthfully, from one spoiled answer on: an engine that runs version 1 told 11, all hosts took that for its version, expected it, got 421 and sent each prompt there again. It would not have been ordered to load newer weights either.

Cause: what is known of a version only rose, whoever said it, and the engine's own refusal led back to what was wrongly known.

A version that an answer or a peer tells counts up to the highest one that is known to be announced; and a version that its target refuses gives way to that of the target's record. Two of the three new cases of test_weights.py failed before. test_incarnations.py announces the version that a peer tells in it: without that it can't be true.

--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -468,7 +468,8 @@
             row.reported_load = signals.load
         self._learning.note_stated(row, signals, now)
         if signals.weight_version is not None and flight.request.model:
-            row.learn_version(flight.request.model, signals.weight_version)
+            model = flight.request.model
+            self._weights.note_seen(row, model, signals.weight_version)
 
     def _count_live_entries(self):
         """Return the number of live entry hosts, at least 1."""
--- a/packages/decide/sesamespindle/decide/targetnews.py
+++ b/packages/decide/sesamespindle/decide/targetnews.py
@@ -96,7 +96,13 @@
             self._state.emit(commands.Note("target_leaving", row.name, "heard"))
 
     def _merge_version(self, running):
-        """Learn a target's version, unless its record has listed an older one since."""
+        """Learn a target's version, unless its record has listed an older one since.
+
+        Guards also against a version that one host was wrongly told, and that all
+        would expect: nothing runs what was never announced.
+        """
         row = self._state.target_in(running.incarnation)
-        if row is not None and running.revision >= row.fell_at_revision:
+        if row is None or running.revision < row.fell_at_revision:
+            return
+        if running.version <= self._state.announcements.newest(running.model):
             row.learn_version(running.model, running.version)
--- a/packages/decide/sesamespindle/decide/weights.py
+++ b/packages/decide/sesamespindle/decide/weights.py
@@ -212,12 +212,36 @@
             since + allowed * _BEGIN_SHARE,
         )
 
+    def note_seen(self, row, model, version):
+        """Record a weight version that an answer or a peer says a target runs.
+
+        Guards against a target of which a version is expected that it never had, as
+        one answer was spoiled: targets load only versions that were announced.
+
+        Parameters
+        ----------
+        row : world.TargetRow
+            The target.
+        model : str
+            The model.
+        version : int
+            The version.
+        """
+        if version <= self.named(model):
+            row.learn_version(model, version)
+            return
+        if version != row.disbelieved_version:
+            row.disbelieved_version = version
+            detail = f"{version} of {model}, which is not known to be announced"
+            self._state.emit(commands.Note("version_disbelieved", row.name, detail))
+
     def note_refused(self, row, model, refused):
         """Guess the version of a target that refused a request for its version.
 
         The answer doesn't say which version the target runs. It can only have loaded
         a newer one, so the guess is the next version. After the newest version the
-        guesses start again from the version that the target was last known to run.
+        guesses start again from the version that the target was last known to run. If
+        that is the one that it has refused, it is no longer believed.
 
         Parameters
         ----------
@@ -232,6 +256,7 @@
             row.guessed_version = refused + 1
         else:
             row.guessed_version = None
+            row.doubt_version(model, refused)
 
     def _predecessor(self, model, version):
         """Return the version that was active when a given one was announced.
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -187,6 +187,8 @@
     # The weight version that it probably runs, after it refused requests for the one
     # that it was known to run.
     guessed_version: int | None = None
+    # The latest version that it was said to run and that was never announced.
+    disbelieved_version: int | None = None
     loading_until: datetime.datetime | None = None
     reported_load: int = 0
     service_time: datetime.timedelta | None = None
@@ -242,6 +244,16 @@
                 self._set_version(model, version)
             self.learn_version(model, version)
 
+    def doubt_version(self, model, version):
+        """Go back to the version of the target's record, as it doesn't run this one.
+
+        Guards against a target that is lost for good: a version that was seen only
+        rises, so that one which was told wrongly would be expected of it in vain.
+        """
+        listed = self.listed_version_by_model.get(model, 1)
+        if self.version_by_model.get(model) == version and listed < version:
+            self._set_version(model, listed)
+
     def _set_version(self, model, version):
         self.version_by_model[model] = version
         self.guessed_version = None
--- a/tests/decide/test_incarnations.py
+++ b/tests/decide/test_incarnations.py
@@ -16,6 +16,7 @@
     sends,
     targetlist,
     targetsignals,
+    weights,
 )
 
 NOW = gateways.NOW
@@ -161,6 +162,7 @@
     )
     gossip_of(core, target_versions=(late,))
     assert row_of(core).version_by_model == {"m": 2}
+    core.step(NOW, [weights.VersionAnnounced("m", 4)])
     current = gossip.TargetVersion(
         incarnations.TargetIncarnation("llm-3", BORN_AGAIN), "m", 4, places.at(3)
     )
--- a/tests/decide/test_weights.py
+++ b/tests/decide/test_weights.py
@@ -17,7 +17,11 @@
     events,
     gateway,
     gossip,
+    incarnations,
+    kvstores,
+    sends,
     targetlist,
+    targetsignals,
     weights,
 )
 
@@ -261,3 +265,51 @@
         announcements.Naming("m", 2, 1, NOW - datetime.timedelta(seconds=1), False)
     )
     assert known.get("m", 2) == announcements.Naming("m", 2, 1, NOW, False)
+
+
+def begin(core, request_id):
+    prompt = (kvstores.Part("c1", 100), kvstores.Part(request_id, 10))
+    return gateways.begin(
+        core, "/chat/1", request_id=request_id, model="m", prompt=prompt
+    )
+
+
+def answer_with(core, request_id, version):
+    signals = targetsignals.TargetSignals(weight_version=version)
+    core.forwarding.note_signals(request_id, signals, NOW)
+
+
+def test_a_version_that_was_never_announced_is_not_believed():
+    """Guards against an engine that is lost for good as one answer was spoiled."""
+    core = make_core()
+    assert begin(core, "r1").version == 1
+    answer_with(core, "r1", 11)
+    told = gossip.TargetVersion(incarnations.TargetIncarnation("llm-3"), "m", 11)
+    message = gossip.GossipMessage("entry-2", "dc-1", target_versions=(told,))
+    core.step(NOW, [gossip.GossipAnswered("10.0.0.2:81", message)])
+    assert begin(core, "r2").version == 1
+    core.step(NOW, [weights.VersionAnnounced("m", 11)])
+    answer_with(core, "r2", 11)
+    assert begin(core, "r3").version == 11
+
+
+def test_a_version_that_its_target_refuses_is_no_longer_believed():
+    """Guards against an engine that never gets an order, as it seems to be current."""
+    core = make_core()
+    core.step(NOW, [weights.VersionAnnounced("m", 2)])
+    assert begin(core, "r1").version == 1
+    answer_with(core, "r1", 2)
+    assert begin(core, "r2").version == 2
+    again = core.forwarding.ended("r2", sends.Ending.WRONG_VERSION, now=NOW)
+    assert again.version == 1
+    row = core.state.targets.get("llm-3")
+    assert core.weights.is_behind(row, "m")
+
+
+def test_the_version_of_a_targets_record_is_not_doubted():
+    core = make_core(version=2)
+    core.step(NOW, [weights.VersionAnnounced("m", 2)])
+    begin(core, "r1")
+    core.forwarding.ended("r1", sends.Ending.WRONG_VERSION, now=NOW)
+    row = core.state.targets.get("llm-3")
+    assert row.version_by_model == {"m": 2}
