Which versions a service had outlives the loss of all hosts

Callers got streams that held events of two software versions, with nothing to show it: after all hosts were killed at once, beside a change of version, none of them knew that there had been another one, and streams went on anywhere.

A record of each service in the platform's store holds the versions that it has had lately. Hosts read it as they start and take what it names as just seen, so that the service counts as mixed and a stream whose version isn't known is refused. A host that has read no record continues no stream; a version begins streams once it is recorded, if another may begin them meanwhile. A fleet of one version goes on as before.

--- a/packages/decide/sesamespindle/decide/freshness.py
+++ b/packages/decide/sesamespindle/decide/freshness.py
@@ -21,6 +21,8 @@
         How long after its acknowledgement a change of each kind must be in force.
     configuration, targets : str
         The kinds that requests depend on.
+    software : str
+        The kind of the records of software versions; empty if there are none.
     """
 
     bound_by_kind: dict[str, datetime.timedelta] = dataclasses.field(
@@ -28,6 +30,7 @@
     )
     configuration: str = "configuration"
     targets: str = "targets"
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -35,6 +35,7 @@
     rollout,
     routes,
     senders,
+    softwarerecords,
     storechecks,
     streamorigins,
     streamversions,
@@ -152,6 +153,7 @@
             self.state,
             bool(seeds),
             contact.Contact(self.state, terms.kinds.targets, self._is_reachable),
+            softwarerecords.SoftwareRecords(self.state, terms.kinds.software),
         )
         self.origins = streamorigins.StreamOrigins(self.state, self.stream_versions)
         self.carriers = carriers.Carriers(
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -41,10 +41,13 @@
         Whether the host is configured to have peers.
     contact : contact.Contact
         Whether this host would have heard of a new version.
+    records : softwarerecords.SoftwareRecords
+        The versions that the platform's store has.
     """
 
-    def __init__(self, state, has_seeds, contact):
+    def __init__(self, state, has_seeds, contact, records):
         self._state = state
+        self._records = records
         self._has_seeds = has_seeds
         self._contact = contact
         self._seen_by_service = {}
@@ -52,10 +55,16 @@
         self._has_heard_peers = False
 
     def handle(self, event, now):
-        """Note the versions of listed targets; leave the event to `TargetList`.
+        """Handle events of `softwarerecords`; return whether it was one.
 
-        Guards against streams that begin at a new version before it counts as one.
+        The versions of listed targets are noted too, and the event is left to
+        `TargetList`. Guards against streams that begin at a new version before it
+        counts as one.
         """
+        records = self._records.handle(event, now)
+        if records is not None:
+            self._note_recorded(records, now)
+            return True
         match event:
             case targetlist.TargetsListed():
                 listed = event.targets
@@ -68,9 +77,21 @@
                 self._note(target.service, target.software, now, now)
         return False
 
+    def _note_recorded(self, records, now):
+        """Take recorded versions that this host doesn't know as just seen.
+
+        Guards against streams that hold events of two versions after all hosts were
+        lost at once: none of them remembers a version that has gone meanwhile.
+        """
+        for record in records:
+            for software in record.versions:
+                if software not in self._seen_by_service.get(record.service, ()):
+                    self._note(record.service, software, now, now)
+
     def tick(self, now):
         """Look at the table of targets, and forget versions that are long gone."""
         self._first_tick_at = self._first_tick_at or now
+        self._records.tick(self._seen_by_service, now)
         if self._looked_at is not None and now - self._looked_at < _LOOK_INTERVAL:
             return
         self._looked_at = now
@@ -98,6 +119,8 @@
         while its peers remember that a version was replaced, or at one out of touch,
         while the others have begun them at a new version.
         """
+        if not self._records.is_known():
+            return False
         if not self._contact.is_kept(_SPREAD_FOR, now):
             return False
         if self._has_heard_peers:
@@ -112,7 +135,8 @@
         Guards against a stream that holds events of two software versions. One that
         has begun goes on at its own version alone. A new one that callers may resume
         begins at a version of which all hosts know, so that each of them asks which
-        version began a stream that it is to continue.
+        version began a stream that it is to continue; and at one that is recorded, so
+        that hosts which start later know of it.
         """
         if flight.software:
             return [row for row in rows if row.software == flight.software]
@@ -122,7 +146,10 @@
             return rows
         spread = [row for row in rows if now - self._first_at(row, now) >= _SPREAD_FOR]
         if spread:
-            return spread
+            recorded = [
+                row for row in spread if self._records.has(row.pool, row.software)
+            ]
+            return recorded or spread
         # A host that has just started knows none for long.
         earliest = min((self._first_at(row, now) for row in rows), default=now)
         return [row for row in rows if self._first_at(row, now) == earliest]
--- /dev/null
+++ b/tests/platform/test_forgetful_fleets.py
@@ -0,0 +1,112 @@
+"""Streams of several software versions, and hosts that all forget them at once."""
+
+import asyncio
+
+import pytest
+import versionfleet
+
+_PER_SECOND = 36
+# Of the streams that callers take up, as many go on as new ones begin, half of that by
+# the rule of the platform.
+_LEAST_SHARE = 0.5
+
+
+async def begin_fleet(world, versions, hosts=6):
+    """Return a fleet with engines of some versions."""
+    fleet = versionfleet.Fleet(world)
+    for software in versions:
+        await fleet.add_engine(software)
+    await fleet.add_hosts(hosts)
+    return fleet
+
+
+async def replace_all(fleet, software):
+    """Have the listed engines go without a word, and others take their place."""
+    for name in list(fleet.world.target_by_name):
+        engine = fleet.world.target_by_name.pop(name)
+        await fleet.world.store.remove("servers", engine.name)
+        engine.crash()
+    for _ in range(4):
+        await fleet.add_engine(software)
+
+
+async def _replaced_before(fleet):
+    """Replace the version, the last of it just before all hosts are killed."""
+    old = list(fleet.world.target_by_name)
+    for _ in range(4):
+        await fleet.add_engine("v1.2")
+    await asyncio.sleep(0.6)
+    for name in old:
+        await fleet.world.store.remove("servers", name)
+        fleet.world.target_by_name.pop(name)
+    await asyncio.sleep(0.3)
+    await fleet.kill_all()
+
+
+async def _replaced_meanwhile(fleet):
+    """Replace the version while no host lives."""
+    await fleet.kill_all(lambda: replace_all(fleet, "v1.2"))
+
+
+async def _listed_just_before(fleet):
+    """Kill all hosts as another version has just been listed."""
+    await fleet.add_engine("v1.2")
+    await fleet.kill_all()
+
+
+async def _killed_twice(fleet):
+    """Kill all hosts twice, with another version each time."""
+    await fleet.kill_all(lambda: replace_all(fleet, "v1.2"))
+    await fleet.kill_all(lambda: replace_all(fleet, "v1.3"))
+
+
+async def _all_but_a_new_one(fleet):
+    """Kill all hosts but one, which has just started."""
+    await fleet.restart(fleet.hosts[0])
+    spared = fleet.hosts.pop(0)
+    await fleet.kill_all(lambda: replace_all(fleet, "v1.2"))
+    fleet.hosts.insert(0, spared)
+    fleet.serving.append(spared)
+
+
+@pytest.mark.parametrize(
+    "happens",
+    [
+        _replaced_before,
+        _replaced_meanwhile,
+        _listed_just_before,
+        _killed_twice,
+        _all_but_a_new_one,
+    ],
+    ids=lambda happens: happens.__name__.strip("_"),
+)
+def test_streams_are_not_mixed_by_hosts_that_have_all_forgotten(play, happens):
+    """Guards against streams of two versions as no host knows of the other."""
+
+    async def scenario(world):
+        fleet = await begin_fleet(world, ["v1.1"] * 4)
+        async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+            await asyncio.sleep(2.5)
+            await happens(fleet)
+            await asyncio.sleep(3)
+        assert not clients.mixed, clients.summary()
+        assert clients.began_share() > 0.8, clients.summary()
+
+    play(scenario)
+
+
+def test_a_fleet_of_one_version_takes_streams_up_after_all_hosts_were_lost(play):
+    """Guards against hosts that refuse all streams as none remembers anything."""
+
+    async def scenario(world):
+        fleet = await begin_fleet(world, ["v1.1"] * 4)
+        async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+            await asyncio.sleep(2.5)
+            marks = clients.marks()
+            await fleet.kill_all()
+            await asyncio.sleep(3)
+        share, count = clients.resumed_since(marks)
+        assert count > 5
+        assert share >= 0.95 * clients.began_share(), clients.summary()
+
+    play(scenario)
--- a/tests/support/versionfleet.py
+++ b/tests/support/versionfleet.py
@@ -47,7 +47,8 @@
         )
         first = int(headers.get("last-event-id", 0)) + 1
         breaks_at = None
-        if self.chance is not None and self.chance.random() < _BREAKS:
+        is_over = first > EVENTS
+        if self.chance is not None and not is_over and self.chance.random() < _BREAKS:
             breaks_at = self.chance.randint(first, EVENTS)
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {self.software}\n\n".encode()
@@ -147,8 +148,35 @@
                 return
             await asyncio.sleep(wait)
 
+    def resumed_since(self, marks):
+        """Return the share of streams begun before a moment that went on after it.
+
+        Parameters
+        ----------
+        marks : list of int
+            From `marks` at that moment.
+
+        Returns
+        -------
+        share : float
+            Of those that were taken up at all after it.
+        count : int
+            How many were.
+        """
+        later = [
+            any(stream.resumed[mark:])
+            for stream, mark in zip(self.streams, marks, strict=False)
+            if stream.resumed[mark:]
+        ]
+        return sum(later) / max(len(later), 1), len(later)
+
+    def marks(self):
+        """Return how often each stream has been taken up so far."""
+        return [len(stream.resumed) for stream in self.streams]
+
     async def _try(self, stream, attempt, number, leaves_after):
         """Make one try; return how long to wait before the next."""
+        await standins.until(self._fleet.has_hosts)
         host = self._chance.choice(self._fleet.serving)
         headers = {
             "Host": "a.example",
@@ -258,6 +286,31 @@
             await self.world.until(lambda host=host: self.world.is_ready(host))
         self.serving = list(self.hosts)
 
+    async def has_hosts(self):
+        """Return whether clients can connect to any daemon."""
+        return bool(self.serving)
+
+    async def kill_all(self, meanwhile=None):
+        """Kill all daemons at once and start them again; return once they are ready.
+
+        Parameters
+        ----------
+        meanwhile : callable, optional
+            A coroutine function that is run while no daemon lives.
+        """
+        self.serving.clear()
+        for host in self.hosts:
+            host.send_signal(9)
+        for host in self.hosts:
+            await host.ended()
+        if meanwhile is not None:
+            await meanwhile()
+        for host in self.hosts:
+            await host.start()
+        for host in self.hosts:
+            await self.world.until(lambda host=host: self.world.is_ready(host))
+        self.serving.extend(self.hosts)
+
     async def restart(self, host):
         """Kill a daemon, start it again, and wait until it is ready."""
         self.serving.remove(host)
