Which version began a stream outlives the loss of all hosts

Callers that took up streams after all hosts had been killed at once were all refused where two software versions serve, though engines of both were there: which version began an attempt was remembered by hosts alone.

What is recorded stays true, so nothing in it needs a time.

Derived versions were weighed: each exception, and each change of the versions, would have to be written all the same. Engines drop what they run as a host is killed.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -49,10 +49,14 @@
         Its decision logic has the `streamorigins.StreamOrigins`.
     measures : sesamespindle.daemon.measures.Measures
         Counts streams that are taken up.
+    record : object, optional
+        Finds out what is recorded of an attempt, by a coroutine function `find` that
+        takes its key; left out where nothing is recorded.
     """
 
-    def __init__(self, driver, measures):
+    def __init__(self, driver, measures, record=None):
         self._driver = driver
+        self._record = record
         self._measures = measures
         self._peers = None
         self._questions_by_key = collections.defaultdict(list)
@@ -85,6 +89,8 @@
         origin, source = core.origins.known(key, now), "remembered"
         if origin is None and request.resumes and self._peers is not None:
             origin, source = await self._ask(key), "asked"
+        if origin is None and request.resumes and self._record is not None:
+            origin, source = await self._record.find(key), "recorded"
         if origin is None:
             source = "unknown"
         self._measures.taken_up(source)
@@ -130,11 +136,17 @@
     def _tell(self, command):
         for address in command.addresses:
             self._peers.send_origin("told", command.key, command.origin, address)
+        if command.recorder:
+            key, origin = command.key, command.origin
+            self._peers.send_origin("record", key, origin, command.recorder)
 
     def _receive(self, kind, key, origin, address):
         match kind:
-            case "told" if origin is not None:
-                self._driver.feed(streamorigins.OriginTold(key, origin))
+            case "told" | "record" if origin is not None:
+                is_to_be_recorded = kind == "record"
+                self._driver.feed(
+                    streamorigins.OriginTold(key, origin, is_to_be_recorded)
+                )
             case "asked":
                 known = self._driver.core.origins.known(key, self._driver.clock.now())
                 self._peers.send_origin("answered", key, known, address)
--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -399,7 +399,7 @@
         Parameters
         ----------
         kind : str
-            ``told``, ``asked`` or ``answered``.
+            ``told``, ``record``, ``asked`` or ``answered``.
         key : bytes
             The key of the attempt, from `streamorigins.key_of`.
         origin : streamorigins.Origin or None
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -29,6 +29,7 @@
     lease,
     ledgers,
     membership,
+    originrecords,
     promptplacement,
     quarantine,
     reach,
@@ -155,7 +156,11 @@
             contact.Contact(self.state, terms.kinds.targets, self._is_reachable),
             softwarerecords.SoftwareRecords(self.state, terms.kinds.software),
         )
-        self.origins = streamorigins.StreamOrigins(self.state, self.stream_versions)
+        self.origins = streamorigins.StreamOrigins(
+            self.state,
+            self.stream_versions,
+            originrecords.OriginRecords(self.state, bool(terms.kinds.software)),
+        )
         self.carriers = carriers.Carriers(
             self.state, self.reach, self.brittle, self._is_reachable, carry_port
         )
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -3,16 +3,16 @@
 A caller comes back to any host with the id of the attempt that brought its first event.
 While a service has several software versions, the host that begins a stream tells two
 keepers, which rendezvous hashing names for each attempt, and hosts that are to continue
-it ask them. A stream whose version isn't known isn't continued.
+it ask them. It also tells the recorder of its data centre; see `originrecords`. A
+stream whose version isn't known isn't continued.
 """
 
 import dataclasses
 import hashlib
 import itertools
 
-from sesamespindle.decide import hashing, routes, streamversions
+from sesamespindle.decide import hashing, originrecords, routes, streamversions
 
-_KEY_BYTES = 8
 _KEEPERS = 2
 # Hosts that are asked at once: the keepers, and those that took their place while hosts
 # came and went.
@@ -35,10 +35,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OriginTold:
-    """A peer tells where an attempt's stream began."""
+    """A peer tells where an attempt's stream began.
+
+    Attributes
+    ----------
+    is_to_be_recorded : bool
+        Whether this host is told as the recorder of its data centre.
+    """
 
     key: bytes
     origin: Origin
+    is_to_be_recorded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,18 +55,21 @@
     Attributes
     ----------
     addresses : tuple of str
-        The peers' addresses, as ``host:port``.
+        The addresses of the keepers, as ``host:port``.
+    recorder : str
+        The address of the recorder; empty if this host is it, or there is none.
     """
 
     key: bytes
     origin: Origin
     addresses: tuple[str, ...]
+    recorder: str = ""
 
 
 def key_of(account, attempt):
     """Return the key of an attempt; another account's attempt has another one."""
     text = f"{account}\0{attempt}".encode("utf-8", "surrogateescape")
-    return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
+    return hashlib.blake2b(text, digest_size=originrecords.KEY_BYTES).digest()
 
 
 def taken_up(configuration, request):
@@ -101,11 +111,14 @@
         The shared tables.
     versions : streamversions.StreamVersions
         Which services have several software versions.
+    records : originrecords.OriginRecords
+        Has attempts recorded in the platform's store.
     """
 
-    def __init__(self, state, versions):
+    def __init__(self, state, versions, records):
         self._state = state
         self._versions = versions
+        self._records = records
         # (origin, until when it is kept), oldest first.
         self._kept_by_key = {}
         self._mixed_services = set()
@@ -115,8 +128,10 @@
     def handle(self, event, now):
         """Handle one of this module's events; return whether it was one."""
         if not isinstance(event, OriginTold):
-            return False
+            return self._records.handle(event, now)
         self._keep(event.key, event.origin, now)
+        if event.is_to_be_recorded:
+            self._records.add(event.key, event.origin, now)
         return True
 
     def tick(self, flights, now):
@@ -128,6 +143,7 @@
             The requests in flight.
         """
         self._forget(now)
+        self._records.write_if_due(now)
         mixed = self._versions.mixed_services()
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
@@ -150,7 +166,11 @@
         origin = Origin(flight.service, flight.software)
         self._keep(key, origin, now)
         addresses = _addresses(self._ordered(key)[:_KEEPERS])
-        self._state.emit(TellOrigin(key, origin, addresses))
+        recorder = self._records.recorder()
+        if recorder == self._state.me.peer_address:
+            self._records.add(key, origin, now)
+            recorder = ""
+        self._state.emit(TellOrigin(key, origin, addresses, recorder))
 
     def known(self, key, now):
         """Return the `Origin` that is remembered for a key, or None."""
--- a/tests/platform/test_forgetful_fleets.py
+++ b/tests/platform/test_forgetful_fleets.py
@@ -110,3 +110,21 @@
         assert share >= 0.95 * clients.began_share(), clients.summary()
 
     play(scenario)
+
+
+def test_streams_go_on_after_all_hosts_were_lost_beside_two_versions(play):
+    """Guards against hosts that refuse all streams as none knows what began them."""
+
+    async def scenario(world):
+        fleet = await begin_fleet(world, ["v1.1", "v1.2"] * 2)
+        async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+            await asyncio.sleep(4)
+            marks = clients.marks()
+            await fleet.kill_all()
+            await asyncio.sleep(3)
+        assert not clients.mixed, clients.summary()
+        share, count = clients.resumed_since(marks)
+        assert count >= 12
+        assert share >= _LEAST_SHARE * clients.began_share(), (share, count)
+
+    play(scenario)
