An item of the store's that is nested too deeply hides no others

An engine that reported that it drains got requests until it ended: beside one foreign entry with lists nested 1,500 deep no host learned anything of any engine, as the whole page was refused.

--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -10,13 +10,16 @@
     {"Metadata": {"Name": f"t-{number}", "Revision": number}, "Spec": {"Models": [1]}}
     for number in range(3)
 ]
-MALFORMED = b'{"Metadata": {"Name": "t-9", "Revision": 9}, "Spec": {not json}}'
+HEAD = b'{"Metadata": {"Name": "t-9", "Revision": 9}, "Spec": '
+DEEP = b"[" * 100_000 + b"]" * 100_000
+MALFORMED = HEAD + b"{not json}}"
+TOO_DEEP = HEAD + b'{"Address": ' + DEEP + b"}}"
 
 
-def make_page(revision_first):
+def make_page(revision_first, malformed=MALFORMED):
     """Return the bytes of a page with a malformed item among others."""
     items = [json.dumps(item).encode() for item in ITEMS]
-    listed = b", ".join([*items[:1], MALFORMED, *items[1:]])
+    listed = b", ".join([*items[:1], malformed, *items[1:]])
     parts = [b'"items": [' + listed + b"]", b'"CurrentRev": 7, "MorePages": false']
     return b"{" + b", ".join(reversed(parts) if revision_first else parts) + b"}"
 
@@ -29,3 +32,11 @@
     for cut in range(1, len(page)):
         with pytest.raises(ValueError, match="The"):
             pages.load(page[:cut])
+
+
+@pytest.mark.parametrize("revision_first", [False, True])
+def test_an_item_that_is_nested_too_deeply_hides_no_others(revision_first):
+    """Guards against hosts that hear nothing of targets beside one foreign entry."""
+    page = pages.load(make_page(revision_first, TOO_DEEP))
+    assert page["items"] == ITEMS
+    assert page["CurrentRev"] == 7
