The soak kills all hosts at once beside changes of software version

Where versions are mixed, all daemons are lost at once beside two versions in five, at a random moment after the new one is listed.

--- a/tests/support/soak/play.py
+++ b/tests/support/soak/play.py
@@ -72,6 +72,8 @@
 _LONGEST_STREAM_SECONDS = 6.0
 _BREAKING_SHARE = 0.03
 _ENDING_SHARE = 0.6
+# The share of versions beside which all daemons are lost at once.
+_ALL_LOST_SHARE = 0.4
 # The longest time between two spans in which targets say what they need.
 _SIGNAL_INTERVAL_SECONDS = 2.0
 
@@ -363,11 +365,15 @@
 async def _mix_versions(fleet, seed):
     """Start engines of further versions while streams break off and daemons end."""
     source = random.Random(f"versions {seed}")
+    losses = random.Random(f"losses beside versions {seed}")
     await asyncio.sleep(_UNDISTURBED_SECONDS)
     fleet.takes_up = True
     for number in range(_VERSIONS):
         fleet.software = f"v{number + 2}"
         await asyncio.gather(*(fleet.add_target("llm") for _ in range(2)))
+        if losses.random() < _ALL_LOST_SHARE:
+            await asyncio.sleep(losses.uniform(0, _SIDE_BY_SIDE_SECONDS))
+            await faults.inject(faults.KillAllDaemons(losses.uniform(0, 1)), fleet)
         engines = [item for item in fleet.target_by_name.values() if item.is_engine]
         for place, engine in enumerate(engines):
             engine.breaking_share = _BREAKING_SHARE
