--- a/packages/daemon/sesamespindle/daemon/membermessages.py
+++ b/packages/daemon/sesamespindle/daemon/membermessages.py
@@ -22,8 +22,8 @@
     """Return a member's heartbeat of a protobuf message."""
     return gossip.MemberDigest(
         item.name,
-        messageentries.rising(item.incarnation),
-        messageentries.rising(item.heartbeat),
+        messageentries.bounded_counter(item.incarnation),
+        messageentries.bounded_counter(item.heartbeat),
         item.revision,
     )
 
@@ -37,7 +37,7 @@
 
 def data_centre_from_wire(item, sent_at):
     """Return the digest of a data centre of a protobuf message."""
-    pulse = messageentries.rising(item.pulse)
+    pulse = messageentries.bounded_counter(item.pulse)
     return gossip.DataCentreDigest(item.name, item.digest, pulse)
 
 
@@ -91,8 +91,8 @@
     incarnation = incarnations.TargetIncarnation(item.target, item.born)
     return gossip.PendingWork(
         incarnation,
-        messageentries.work(item.tokens),
-        messageentries.work(item.held_tokens),
+        messageentries.bounded_tokens(item.tokens),
+        messageentries.bounded_tokens(item.held_tokens),
     )
 
 
@@ -121,8 +121,8 @@
         item.url,
         item.peer_address,
         item.admin_url,
-        messageentries.rising(item.incarnation),
-        messageentries.rising(item.heartbeat),
+        messageentries.bounded_counter(item.incarnation),
+        messageentries.bounded_counter(item.heartbeat),
         events.HostState(item.state),
         item.revision,
         tuple(item.unreached),
--- a/packages/daemon/sesamespindle/daemon/messageentries.py
+++ b/packages/daemon/sesamespindle/daemon/messageentries.py
@@ -16,9 +16,9 @@
 _UNFIT_ERRORS = (ValueError, TypeError, AttributeError, ArithmeticError)
 _MAX_LOGGED_CHARACTERS = 200
 # Counters that only rise are told in 64 bits, and each host adds to the highest.
-_MAX_RISING = 2**62
+_MAX_COUNTER = 2**62
 # More tokens than all requests of a host have. An engine reads them in two years.
-_MAX_WORK_TOKENS = 2**40
+_MAX_TOKENS = 2**40
 
 # How many entries were left out since the start of the process.
 lost_by_kind = collections.Counter()
@@ -45,7 +45,7 @@
     return converted
 
 
-def rising(number):
+def bounded_counter(number):
     """Return a received counter that this host may raise and tell again.
 
     Raises
@@ -53,12 +53,12 @@
     ValueError
         If it is so high that this host couldn't.
     """
-    if number > _MAX_RISING:
+    if number > _MAX_COUNTER:
         raise ValueError(f"The counter {number} is out of range.")
     return number
 
 
-def work(tokens):
+def bounded_tokens(tokens):
     """Return the received tokens of a peer's requests at an engine.
 
     Raises
@@ -66,7 +66,7 @@
     ValueError
         If no host can have as many there.
     """
-    if tokens > _MAX_WORK_TOKENS:
+    if tokens > _MAX_TOKENS:
         raise ValueError(f"A peer has {tokens} tokens at an engine.")
     return tokens
 
