A request with a header that can't be forwarded unchanged is refused

Engines ran prompts whose X-Model lacked a byte of the caller's: the HTTP library writes headers in UTF-8 and leaves out bytes that aren't, as the review saw with a model named with a Latin-1 letter. Such a request is now refused at once, not run. Two of the three new cases failed before. What a target's answer has in such headers is changed as before.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -167,6 +167,8 @@
         request = self._dialect.read_request(http, arrived)
         if not request.request_id or self._is_id_in_use(request):
             return self._refuse(http, relayed.refusal_of_reused_id(request), passport)
+        if not self._dialect.can_forward(http):
+            return self._refuse(http, relayed.refusal_of_headers(request), passport)
         body = await relayed.read_body(http)
         request = dataclasses.replace(
             request, content=relayed.content_digest(http, body), passport=passport
--- a/packages/daemon/sesamespindle/daemon/relayed.py
+++ b/packages/daemon/sesamespindle/daemon/relayed.py
@@ -233,3 +233,13 @@
         commands.Outcome.UNKNOWN,
         "The request has no id, or the id of another request in flight.",
     )
+
+
+def refusal_of_headers(request):
+    """Return the refusal of a request with a header that can't be forwarded."""
+    return commands.Refuse(
+        request.request_id,
+        commands.Code.HEADER_NOT_UTF8,
+        commands.Outcome.NOT_RUN,
+        "A header has bytes that aren't UTF-8, and can't be forwarded unchanged.",
+    )
--- a/packages/decide/sesamespindle/decide/commands.py
+++ b/packages/decide/sesamespindle/decide/commands.py
@@ -51,6 +51,7 @@
     VERSION_GONE = "version_gone"
     ORIGIN_UNKNOWN = "origin_unknown"
     PROMPT_TOO_LARGE = "prompt_too_large"
+    HEADER_NOT_UTF8 = "header_not_utf8"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform/test_spoiled_figures.py
+++ b/tests/platform/test_spoiled_figures.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import standins
 
 PROMPT = {"X-Model": "m", "X-Prompt-Prefix": "c1:100,1:10", "X-Token-Count": "110,3"}
 
@@ -80,3 +81,44 @@
         assert b"prompt_too_large" in body
 
     play(scenario)
+
+
+async def send_raw(host, headers):
+    """Send a prompt with headers of any bytes; return the status."""
+    lines = [
+        b"POST /chat/1 HTTP/1.1",
+        b"Host: a.example",
+        b"X-Attempt-Id: r1",
+        b"X-Api-Key: " + standins.KEY.encode(),
+        b"X-Prompt-Prefix: c1:100,1:10",
+        b"Content-Length: 0",
+        b"Connection: close",
+        *headers,
+    ]
+    reader, writer = await asyncio.open_connection(host.ip, host.front_port)
+    writer.write(b"\r\n".join([*lines, b"", b""]))
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split()[1])
+
+
+@pytest.mark.parametrize(
+    ("header", "status"),
+    [
+        (b"X-Model: m\xe9", 503),
+        (b"X-Other: \xff", 503),
+        (b"X-Other: \xc3\xa9", 200),
+    ],
+)
+def test_a_header_that_cannot_be_forwarded_unchanged_is_refused(play, header, status):
+    """Guards against a prompt that runs at another model, as a byte was left out."""
+
+    async def scenario(world):
+        target = await world.add_target("llm-1", "llm")
+        host = await world.add_daemon()
+        model = [] if header.startswith(b"X-Model") else [b"X-Model: m"]
+        assert await send_raw(host, [header, *model]) == status
+        assert len(target.runs) == (status == 200)
+        assert (await world.ask(host, "/chat/1", "r2", **PROMPT))[0] == 200
+
+    play(scenario)
