--- a/tests/platform/test_forgetful_fleets.py
+++ b/tests/platform/test_forgetful_fleets.py
@@ -9,6 +9,8 @@
 # Of the streams that callers take up, as many go on as new ones begin, half of that by
 # the rule of the platform.
 _LEAST_SHARE = 0.5
+# Of those that one version alone can have begun.
+_LEAST_GOING_ON = 0.9
 
 
 async def begin_fleet(world, versions, hosts=6):
@@ -128,3 +130,57 @@
         assert share >= _LEAST_SHARE * clients.began_share(), (share, count)
 
     play(scenario)
+
+
+async def _joined_meanwhile(fleet):
+    """Add a second version while no host lives."""
+
+    async def add():
+        for _ in range(4):
+            await fleet.add_engine("v1.2")
+
+    await fleet.kill_all(add)
+
+
+async def _joined_just_before(fleet):
+    """Add a second version that hosts have seen for a moment as they are killed."""
+    for _ in range(4):
+        await fleet.add_engine("v1.2")
+    await asyncio.sleep(0.2)
+    await fleet.kill_all()
+
+
+async def _joined(fleet):
+    """Add a second version; no host is lost."""
+    for _ in range(4):
+        await fleet.add_engine("v1.2")
+
+
+@pytest.mark.parametrize(
+    "happens",
+    [_joined_meanwhile, _joined_just_before, _joined],
+    ids=lambda happens: happens.__name__.strip("_"),
+)
+def test_streams_of_the_only_version_go_on_once_there_is_a_second(play, happens):
+    """Guards against hosts that refuse streams which one version alone can have begun.
+
+    Those that new hosts begin at the second version go on there.
+    """
+
+    async def scenario(world):
+        fleet = await begin_fleet(world, ["v1.1"] * 4)
+        async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+            await asyncio.sleep(2.5)
+            marks = clients.marks()
+            await happens(fleet)
+            await asyncio.sleep(7)
+        assert not clients.mixed, clients.summary()
+        share, count = clients.resumed_since(marks)
+        assert count >= 5
+        assert share >= _LEAST_GOING_ON * clients.began_share(), (share, count)
+        versions = {
+            version for stream in clients.streams for version in stream.versions
+        }
+        assert versions == {"v1.1", "v1.2"}
+
+    play(scenario)
