Streams of the only version go on once there is a second

What callers saw: streams that had broken off, or whose callers had left a moment early, were refused at every host as origin_unknown as soon as a second software version was listed, although no other version can have begun them.

Cause: which version began an attempt was kept only from the moment at which it mattered, and that one version was the only one was nobody's knowledge: a new version was recorded as soon as it was seen, so that a host that started took it for one that may have begun anything.

A version that joins a recorded one is written into the record of its service only as it is about to begin streams: 2 s after it was seen, and not in the first 4 s of a host, in which the callers come back that a loss of all hosts has cut off. It begins none before the record is known. So while a record names one version, that one began every stream, and a host to which nobody can tell what began an attempt concludes it from the record, if a read that began after the caller came back proves the record complete. Where no recorded version is left the new one is recorded at once, and new streams wait for that up to 0.2 s, unless the store doesn't answer. Each host also keeps what it began while its service had one version, for a minute, and tells keepers and recorder of it as a second one appears, 100 attempts in a tick. What a host has concluded is told to keepers, too.

Why it works: the attempt began before its caller came back, the read begins after that, and a version begins nothing before its record is in the store. No clock decides.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -6,12 +6,15 @@
 import dataclasses
 
 from sesamespindle.daemon import logs
-from sesamespindle.decide import streamorigins
+from sesamespindle.decide import softwarerecords, streamorigins
 
 _log = logs.part("relay")
 # A peer in another region answers within 100 ms; a lost question is asked again.
 _PATIENCE_SECONDS = 0.2
 _ASK_AGAIN_SECONDS = 0.06
+# How long a new stream waits until a version that may begin it is recorded. A write to
+# the store, and what tells other hosts of it, fit into this time.
+_RECORD_PATIENCE_SECONDS = 0.2
 
 
 class _Question:
@@ -52,14 +55,23 @@
     record : object, optional
         Finds out what is recorded of an attempt, by a coroutine function `find` that
         takes its key; left out where nothing is recorded.
+    proofs : sesamespindle.daemon.proofs.Proofs, optional
+        Proves what is known of the records of software versions; left out where
+        nothing is recorded.
+    kind : str
+        The platform's name for the kind of these records.
     """
 
-    def __init__(self, driver, measures, record=None):
+    def __init__(self, driver, measures, record=None, proofs=None, kind=""):
         self._driver = driver
         self._record = record
+        self._proofs = proofs
+        self._kind = kind
         self._measures = measures
         self._peers = None
         self._questions_by_key = collections.defaultdict(list)
+        self._records_read = asyncio.Event()
+        driver.on(softwarerecords.RecordsRead, self._wake)
 
     def use_peers(self, peers):
         """Exchange datagrams with peers, by a `sesamespindle.daemon.peering.Peering`.
@@ -73,26 +85,32 @@
     async def find(self, request):
         """Return a request with the origin of the stream that it takes up.
 
-        Nothing is asked while the stream's services have one software version.
+        Nothing is asked while the stream's services have one software version, and this
+        host would know of another. A new stream waits until the version that may begin
+        it is recorded, unless the store doesn't answer.
         """
         core = self._driver.core
         stream = streamorigins.taken_up(core.forwarding.configuration, request)
         if stream is None:
+            await self._await_record(request)
             return request
         services, account = stream
         now = self._driver.clock.now()
-        if not core.origins.matters(services):
-            is_informed = core.origins.is_informed(now)
-            self._measures.taken_up("one_version" if is_informed else "out_of_touch")
+        is_informed = core.origins.is_informed(now)
+        is_mixed = core.origins.matters(services)
+        if is_informed and not is_mixed:
+            self._measures.taken_up("one_version")
             return request
         key = streamorigins.key_of(account, request.resumes)
-        origin, source = core.origins.known(key, now), "remembered"
-        if origin is None and request.resumes and self._peers is not None:
-            origin, source = await self._ask(key), "asked"
-        if origin is None and request.resumes and self._record is not None:
-            origin, source = await self._record.find(key), "recorded"
+        origin, source = None, "unknown" if is_informed else "out_of_touch"
+        if is_mixed:
+            origin, source = await self._find_told(key, request, now)
         if origin is None:
-            source = "unknown"
+            origin = await self._find_sole(services, now)
+            source = "sole_version" if origin is not None else source
+            if origin is not None and request.resumes:
+                core.origins.learned(key, origin, now)
+                self._driver.feed()
         self._measures.taken_up(source)
         _log.bind(request=request.request_id).info(
             "Takes up the stream begun as {}, at software version {} ({}).",
@@ -102,6 +120,66 @@
         )
         return dataclasses.replace(request, origin=origin)
 
+    async def _find_told(self, key, request, now):
+        """Return what this host, its peers or the store were told of an attempt.
+
+        Returns
+        -------
+        origin : streamorigins.Origin or None
+        source : str
+            How it is known, for the metric.
+        """
+        origin = self._driver.core.origins.known(key, now)
+        if origin is not None or not request.resumes:
+            return origin, "remembered" if origin is not None else "unknown"
+        if self._peers is not None:
+            origin = await self._ask(key)
+        if origin is not None:
+            return origin, "asked"
+        if self._record is not None:
+            origin = await self._record.find(key)
+        return origin, "recorded" if origin is not None else "unknown"
+
+    async def _find_sole(self, services, now):
+        """Return the `streamorigins.Origin` of a stream that one version alone began.
+
+        Parameters
+        ----------
+        services : tuple of str
+            The services that may have begun it.
+        now : datetime.datetime
+            A time at which it had begun.
+        """
+        origins = self._driver.core.origins
+        if self._proofs is None or origins.sole(services) is None:
+            return None
+        if not await self._proofs.prove(self._kind, now):
+            return None
+        return origins.sole(services)
+
+    async def _await_record(self, request):
+        """Wait until a new stream can begin at a version that is recorded.
+
+        Returns at once for other requests, and if the store doesn't answer.
+        """
+        core = self._driver.core
+        versions = core.stream_versions
+        if request.takes_up or not versions.may_await_records():
+            return
+        services = streamorigins.resumable_services(
+            core.forwarding.configuration, request
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RECORD_PATIENCE_SECONDS):
+                while any(map(versions.awaits_record, services)):
+                    if not core.store_checks.is_store_answering():
+                        return
+                    await self._records_read.wait()
+
+    def _wake(self, command):
+        self._records_read.set()
+        self._records_read = asyncio.Event()
+
     async def _ask(self, key):
         """Return the `streamorigins.Origin` that a peer remembers, or None."""
         addresses = self._driver.core.origins.addresses_to_ask(key)
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -67,6 +67,8 @@
         Finds out which software version began a stream; may be left out in tests.
     keeper_links : sesamespindle.daemon.keeperlinks.KeeperLinks, optional
         Asks the keepers of engines; may be left out in tests.
+    store_proofs : sesamespindle.daemon.proofs.Proofs, optional
+        Has the store checked for requests; made here if left out.
 
     Attributes
     ----------
@@ -83,6 +85,7 @@
         peer_session=None,
         origin_lookup=None,
         keeper_links=None,
+        store_proofs=None,
     ):
         self._driver = driver
         self._forwarding = driver.core.forwarding
@@ -94,7 +97,7 @@
         self._keeper_links = keeper_links
         self._measures = measures
         self._answer_ends = answerends.AnswerEnds(measures)
-        self._proofs = proofs.Proofs(driver)
+        self._proofs = store_proofs or proofs.Proofs(driver)
         self._reach_check = reachcheck.ReachCheck(driver)
         self._requests_by_connection = weakref.WeakKeyDictionary()
         # The timeouts of all sends in flight.
--- a/packages/decide/sesamespindle/decide/softwarerecords.py
+++ b/packages/decide/sesamespindle/decide/softwarerecords.py
@@ -5,6 +5,9 @@
 that callers take up again. It is written only as the versions change, a few times a
 day. It holds no times: a version stays in it until a host has not seen it for as long
 as a stream may be taken up.
+
+A version begins no stream before it is recorded, as long as a recorded one is there or
+the store answers. So while a record names one version, that one began every stream.
 """
 
 import dataclasses
@@ -64,6 +67,11 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """Records were read or written, and streams that wait for them may begin."""
+
+
 class SoftwareRecords:
     """Keeps the records, and has them written as versions come and go.
 
@@ -96,6 +104,7 @@
                 self._record_by_service = {
                     record.service: record for record in event.records
                 }
+                self._state.emit(RecordsRead())
                 return event.records
             case SoftwareRead():
                 return self._read(event.record)
@@ -109,6 +118,7 @@
         if known is None or record.revision >= known.revision:
             self._record_by_service[record.service] = record
         self._not_before_by_service.pop(record.service, None)
+        self._state.emit(RecordsRead())
         return (record,)
 
     def is_known(self):
@@ -122,13 +132,26 @@
         record = self._record_by_service.get(service)
         return record is not None and software in record.versions
 
+    def sole(self, service):
+        """Return the only version of a service that is recorded.
+
+        Returns
+        -------
+        software : str or None
+            None if no version is recorded, or several are.
+        """
+        record = self._record_by_service.get(service)
+        if record is None or len(record.versions) != 1:
+            return None
+        return record.versions[0]
+
     def tick(self, versions_by_service, now):
-        """Have the records written that differ from the versions that are seen.
+        """Have the records written that differ from what is to be recorded.
 
         Parameters
         ----------
         versions_by_service : dict of str to collection of str
-            The versions that each service has had lately, as this host knows.
+            The versions of each service that are to be recorded.
         """
         if not self._kind or not self.is_known():
             return
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -3,10 +3,13 @@
 A caller comes back to any host with the id of the attempt that brought its first event.
 While a service has several software versions, the host that begins a stream tells two
 keepers, which rendezvous hashing names for each attempt, and hosts that are to continue
-it ask them. It also tells the recorder of its data centre; see `originrecords`. A
-stream whose version isn't known isn't continued.
+it ask them. It also tells the recorder of its data centre; see `originrecords`. Of what
+it began while there was one version it tells them as a second one appears. What nobody
+knows began at the only version that is recorded, if there is but one; otherwise it
+isn't continued.
 """
 
+import collections
 import dataclasses
 import hashlib
 import itertools
@@ -23,6 +26,8 @@
 _MOST_KEPT = 20_000
 # Attempts that are dropped in one tick at most.
 _FORGOTTEN_AT_ONCE = 200
+# Attempts of earlier that peers are told of in one tick at most.
+_TOLD_AT_ONCE = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +77,25 @@
     return hashlib.blake2b(text, digest_size=originrecords.KEY_BYTES).digest()
 
 
+def resumable_services(configuration, request):
+    """Return the services of a request for a stream that may be resumed.
+
+    Parameters
+    ----------
+    configuration : routes.Configuration or None
+        The active configuration.
+    request : flights.Request
+        The caller's request.
+
+    Returns
+    -------
+    services : tuple of str
+        Empty if its route is unknown, or its streams can't be resumed.
+    """
+    route = _resumable_route(configuration, request)
+    return _services(route) if route is not None else ()
+
+
 def taken_up(configuration, request):
     """Return the services and the account of a stream that a caller takes up.
 
@@ -90,16 +114,29 @@
 
     None if the request takes up no stream, or its route or key is unknown.
     """
-    if not request.takes_up or request.passport is not None or configuration is None:
+    if not request.takes_up or request.passport is not None:
         return None
-    route = configuration.match(request.host, request.path)
-    if route is None or route.repeats is not routes.Repeats.RESUMABLE:
+    route = _resumable_route(configuration, request)
+    if route is None:
         return None
-    services = tuple(share.service for share in route.shares)
     if not configuration.needs_keys or route.public:
-        return services, ""
+        return _services(route), ""
     account = configuration.account_by_key.get(request.key or "")
-    return (services, account.name) if account is not None else None
+    return (_services(route), account.name) if account is not None else None
+
+
+def _resumable_route(configuration, request):
+    """Return the route of a stream that may be resumed, or None."""
+    if configuration is None:
+        return None
+    route = configuration.match(request.host, request.path)
+    if route is None or route.repeats is not routes.Repeats.RESUMABLE:
+        return None
+    return route
+
+
+def _services(route):
+    return tuple(share.service for share in route.shares)
 
 
 class StreamOrigins:
@@ -121,6 +158,8 @@
         self._records = records
         # (origin, until when it is kept), oldest first.
         self._kept_by_key = {}
+        # The same of attempts that began here while their service had one version.
+        self._untold_by_service = collections.defaultdict(dict)
         self._mixed_services = set()
         self._peer_by_name = {}
         self._peers_of_view = None
@@ -135,7 +174,10 @@
         return True
 
     def tick(self, flights, now):
-        """Tell keepers of the streams under way as their service becomes mixed.
+        """Tell keepers of earlier streams as their service becomes mixed.
+
+        Those under way are first. Guards against streams that are refused as their
+        callers left just before their service got a second version.
 
         Parameters
         ----------
@@ -147,11 +189,18 @@
         mixed = self._versions.mixed_services()
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
-        if not newly_mixed:
-            return
-        for flight in flights:
-            if flight.service in newly_mixed:
-                self.begun(flight, now)
+        if newly_mixed:
+            for flight in flights:
+                if flight.service in newly_mixed:
+                    self.begun(flight, now)
+        for service in mixed & self._untold_by_service.keys():
+            self._tell_earlier(self._untold_by_service[service], now)
+
+    def _tell_earlier(self, untold_by_key, now):
+        """Tell keepers of attempts that began while their service had one version."""
+        for key in list(itertools.islice(untold_by_key, _TOLD_AT_ONCE)):
+            origin, _ = untold_by_key.pop(key)
+            self.learned(key, origin, now)
 
     def begun(self, flight, now):
         """Remember where a stream began, if it may matter, and have keepers told."""
@@ -159,11 +208,18 @@
             return
         if flight.request.passport is not None:
             return
-        if not self._versions.is_mixed(flight.service):
-            return
         account = flight.account.name if flight.account is not None else ""
         key = key_of(account, flight.request.request_id)
         origin = Origin(flight.service, flight.software)
+        untold_by_key = self._untold_by_service[flight.service]
+        if self._versions.is_mixed(flight.service):
+            untold_by_key.pop(key, None)
+            self.learned(key, origin, now)
+        elif len(untold_by_key) < _MOST_KEPT:
+            untold_by_key[key] = (origin, now + streamversions.SEEN_FOR)
+
+    def learned(self, key, origin, now):
+        """Remember where an attempt's stream began, and have keepers told."""
         self._keep(key, origin, now)
         addresses = _addresses(self._ordered(key)[:_KEEPERS])
         recorder = self._records.recorder()
@@ -174,8 +230,30 @@
 
     def known(self, key, now):
         """Return the `Origin` that is remembered for a key, or None."""
-        kept = self._kept_by_key.get(key)
-        return kept[0] if kept is not None and now <= kept[1] else None
+        for kept_by_key in (self._kept_by_key, *self._untold_by_service.values()):
+            kept = kept_by_key.get(key)
+            if kept is not None and now <= kept[1]:
+                return kept[0]
+        return None
+
+    def sole(self, services):
+        """Return the `Origin` of a stream of which nobody knows where it began.
+
+        Parameters
+        ----------
+        services : tuple of str
+            The services that may have begun it.
+
+        Returns
+        -------
+        origin : Origin or None
+            None if more than one version may have. See `StreamVersions.sole_version`
+            for what must be proved.
+        """
+        if len(services) != 1:
+            return None
+        software = self._versions.sole_version(services[0])
+        return Origin(services[0], software) if software is not None else None
 
     def matters(self, services):
         """Return whether a stream of these services must go on where it began."""
@@ -193,8 +271,7 @@
             return False
         if route.repeats is not routes.Repeats.RESUMABLE:
             return False
-        services = [share.service for share in route.shares]
-        return not self.is_informed(now) or self.matters(services)
+        return not self.is_informed(now) or self.matters(_services(route))
 
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
@@ -207,9 +284,10 @@
 
     def _forget(self, now):
         """Drop the oldest attempts, some at a time, once their time is over."""
-        oldest = itertools.islice(self._kept_by_key.items(), _FORGOTTEN_AT_ONCE)
-        for key in [key for key, (_, until) in oldest if until < now]:
-            del self._kept_by_key[key]
+        for kept_by_key in (self._kept_by_key, *self._untold_by_service.values()):
+            oldest = itertools.islice(kept_by_key.items(), _FORGOTTEN_AT_ONCE)
+            for key in [key for key, (_, until) in oldest if until < now]:
+                del kept_by_key[key]
 
     def _ordered(self, key):
         """Return the peers that may remember an attempt, its keepers first.
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -14,9 +14,12 @@
 # How long after its last target was seen a version still counts: the longest time in
 # which a caller comes back for the rest of a stream.
 SEEN_FOR = datetime.timedelta(seconds=60)
-# A version begins streams this long after it was first seen beside another one. By then
-# every host that hears the platform or its peers knows of it.
+# A version is recorded, and begins streams, this long after it was first seen beside
+# another one. By then every host that hears the platform or its peers knows of it.
 _SPREAD_FOR = datetime.timedelta(seconds=2)
+# Callers whose streams broke off as all hosts were lost come back within this time of
+# the hosts' start.
+_RETURN_FOR = datetime.timedelta(seconds=4)
 # A host that has heard no peer for this long after its start takes itself for alone.
 _ALONE_AFTER = datetime.timedelta(seconds=3)
 _LOOK_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -91,7 +94,7 @@
     def tick(self, now):
         """Look at the table of targets, and forget versions that are long gone."""
         self._first_tick_at = self._first_tick_at or now
-        self._records.tick(self._seen_by_service, now)
+        self._records.tick(self._versions_to_record(now), now)
         if self._looked_at is not None and now - self._looked_at < _LOOK_INTERVAL:
             return
         self._looked_at = now
@@ -134,9 +137,9 @@
 
         Guards against a stream that holds events of two software versions. One that
         has begun goes on at its own version alone. A new one that callers may resume
-        begins at a version of which all hosts know, so that each of them asks which
-        version began a stream that it is to continue; and at one that is recorded, so
-        that hosts which start later know of it.
+        begins at a version that is recorded, so that hosts which start later know of
+        it; and at one of which all hosts know, so that each of them asks which version
+        began a stream that it is to continue.
         """
         if flight.software:
             return [row for row in rows if row.software == flight.software]
@@ -144,21 +147,77 @@
             return rows
         if not self.is_mixed(flight.service):
             return rows
+        rows = self._recorded(rows) or rows
         spread = [row for row in rows if now - self._first_at(row, now) >= _SPREAD_FOR]
         if spread:
-            recorded = [
-                row for row in spread if self._records.has(row.pool, row.software)
-            ]
-            return recorded or spread
+            return spread
         # A host that has just started knows none for long.
         earliest = min((self._first_at(row, now) for row in rows), default=now)
         return [row for row in rows if self._first_at(row, now) == earliest]
 
+    def sole_version(self, service):
+        """Return the version that began every stream of unknown origin of a service.
+
+        Returns
+        -------
+        software : str or None
+            None if several may have. What this host knows of the records must be proved
+            complete as of a time at which the stream had begun.
+        """
+        return self._records.sole(service)
+
+    def may_await_records(self):
+        """Return whether new streams of any service may have to await its record."""
+        if not self._records.is_known():
+            return True
+        return any(len(seen) > 1 for seen in self._seen_by_service.values())
+
+    def awaits_record(self, service):
+        """Return whether a new stream would begin at a version that isn't recorded.
+
+        Guards against a version that begins streams as the last recorded one has left,
+        and is gone or has company again before hosts that start can know of it.
+        """
+        if not self._records.is_known():
+            return True
+        rows = self._staying(service)
+        return bool(rows) and self.is_mixed(service) and not self._recorded(rows)
+
+    def _staying(self, service):
+        return [row for row in self._state.targets.where("pool", service) if row.stays]
+
+    def _recorded(self, rows):
+        return [row for row in rows if self._records.has(row.pool, row.software)]
+
+    def _versions_to_record(self, now):
+        """Return the versions of each service that its record is to name.
+
+        One that isn't recorded yet is named once it is about to begin streams. Guards
+        against streams that nobody continues, as each host that starts takes a version
+        that has just appeared for one that may have begun them.
+        """
+        return {
+            service: [
+                software
+                for software, when in seen.items()
+                if self._records.has(service, software)
+                or self._is_about_to_begin(when, now)
+                or not self._recorded(self._staying(service))
+            ]
+            for service, seen in self._seen_by_service.items()
+        }
+
     def _first_at(self, row, now):
         """Return when a target's version was first seen here."""
         when = self._seen_by_service.get(row.pool, {}).get(row.software)
         return when.first_at if when is not None else now
 
+    def _is_about_to_begin(self, when, now):
+        """Return whether a version that joined another is to begin streams."""
+        if now - self._first_tick_at < _RETURN_FOR:
+            return False
+        return now - when.first_at >= _SPREAD_FOR
+
     def records_to_announce(self, now):
         """Return the `gossip.SoftwareSeen` of all services with several versions."""
         return tuple(
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -173,6 +173,24 @@
     assert [command.origin.software for command in told] == ["v1"]
 
 
+def test_streams_under_way_for_long_are_told_as_a_second_version_appears():
+    """Guards against streams that began longer ago than attempts are remembered."""
+    core = make_gateway()
+    add_peers(core)
+    list_engines(core, "v1")
+    tick(core, NOW)
+    begin(core, NOW, deadline=NOW + 2 * _LONG)
+    serve(core, "r1", NOW)
+    tick(core, NOW + _LONG)
+    list_engines(core, "v1", "v2", at=NOW + _LONG, revision=2)
+    told = [
+        command
+        for command in core.step(NOW + _LONG, [events.Tick()])
+        if isinstance(command, streamorigins.TellOrigin)
+    ]
+    assert [command.origin.software for command in told] == ["v1"]
+
+
 def test_a_new_version_begins_no_streams_until_all_hosts_can_know_of_it():
     """Guards against streams whose next host knows of one version alone."""
     core = make_gateway()
