Streams begin at listed targets once a version is no longer listed

What callers saw: after all hosts lost power at once, streams that they took up again were refused as version_gone at every host and every try, until they gave up.

Cause: while a service has two software versions, a new stream begins at a version that was seen for two seconds. That choice is made first, and the preference for targets that are still listed later, among the targets of the chosen version. Once the other targets of the older version had said that they leave, the one that went without a word (its record is removed) was the only one of a version that was seen for long enough. For the second for which hosts keep it, all new streams went there, beside five listed targets of the next version. Its end breaks them off, and no target of their version is left at which they could go on.

The change: where only targets that are no longer listed are permitted, the version is chosen among those that are listed. So a target that leaves without a word counts as one that says so, for which the same is done at once. It doesn't while the platform may list missing targets again, within 2.5 s of its return: a version that is new would otherwise begin streams before hosts that still hear no platform know of it. A stream that has begun goes on at its version's missing target as before.

Why it holds: the version is chosen by the same rule, only without targets that have ended; whether one has is decided where they are dropped, by the same time.

Tests: before the change the first of decide failed, and so did the one with six real daemons, where none of the first 18 streams after the removal began at the next version; at least half has to. With it that one passed 7 of 7 times, at a load of 20 to 29 on eight cores, and the tests of several versions with real daemons, 23, passed once: no stream was mixed. The other two of decide bound the change: a stream that goes on, and a platform that is just back; the latter fails without its condition.

--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -1,6 +1,6 @@
 """Finds the targets that a request may be sent to."""
 
-from sesamespindle.decide import commands, placement
+from sesamespindle.decide import commands, placement, targetlist
 
 
 class Candidates:
@@ -75,7 +75,7 @@
         rows : list of world.TargetRow
         """
         rows = self.staying(flight.service)
-        rows = self._stream_versions.permitted_targets(rows, flight, now)
+        rows = self._at_permitted_versions(rows, flight, now)
         rows = self._held_targets.permitted_targets(rows, now)
         rows = self._target_limits.permitted_targets(rows, now)
         if self._brittle.is_brittle(flight.service):
@@ -95,6 +95,22 @@
             rows = [row for row in rows if row.running_here < connection_limit]
         return self._quarantine.permitted_targets(flight.keys, rows, now)
 
+    def _at_permitted_versions(self, rows, flight, now):
+        """Return the targets at which a stream may begin or go on, by their version.
+
+        Guards against streams that all begin at the last target of a version, which is
+        no longer listed, while listed ones of the next version could take them. They
+        break off as it ends, and can't go on anywhere. A target that leaves without a
+        word counts as one that says so, unless it may be listed again.
+        """
+        permitted = self._stream_versions.permitted_targets(rows, flight, now)
+        if flight.software or any(row.missing_since is None for row in permitted):
+            return permitted
+        if targetlist.may_be_incomplete(self._state, now):
+            return permitted
+        listed = [row for row in rows if row.missing_since is None]
+        return self._stream_versions.permitted_targets(listed, flight, now) or permitted
+
     def staying(self, service):
         """Return the targets of a service that are listed and don't leave."""
         return [row for row in self._state.targets.where("pool", service) if row.stays]
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -149,7 +149,6 @@
 
     def __init__(self, state):
         self._state = state
-        self._platform_back_at = None
         self._ended_by_incarnation = {}
         # Records that may be from before what is known of their targets, by name.
         self._doubtful_by_name = {}
@@ -167,7 +166,7 @@
             case TargetUnreadable():
                 self._set_aside(event.name, event.revision)
             case PlatformAvailable() | eras.StoreRestored():
-                self._platform_back_at = now
+                self._state.platform_back_at = now
             case _:
                 return False
         return True
@@ -240,8 +239,8 @@
         )
         kept_for = _EXPIRED_KEPT_FOR if all_missing else _MISSING_KEPT_FOR
         until = row.missing_since + kept_for
-        if self._platform_back_at is not None:
-            until = max(until, self._platform_back_at + _EXPIRED_KEPT_FOR)
+        if self._state.platform_back_at is not None:
+            until = max(until, self._state.platform_back_at + _EXPIRED_KEPT_FOR)
         return until
 
     def _adopt_all(self, listed_targets, now):
@@ -391,6 +390,20 @@
         _note_if_cold(self._state, row, before, now)
 
 
+def may_be_incomplete(state, now):
+    """Return whether the platform may yet list targets that serve and are missing.
+
+    Parameters
+    ----------
+    state : world.World
+        The shared tables.
+    now : datetime.datetime
+        The current time.
+    """
+    back_at = state.platform_back_at
+    return back_at is not None and now < back_at + _EXPIRED_KEPT_FOR
+
+
 def _note_if_cold(state, row, before, now):
     """Log a target that has become cold."""
     if row.cold_until is not None and (before is None or before <= now):
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -374,6 +374,8 @@
         self.cold_start_by_service: dict[str, routes.ColdStart] = {}
         # The data centres whose targets get no requests.
         self.evacuated_data_centres: frozenset[str] = frozenset()
+        # When the platform's store was last available again; None if it never was away.
+        self.platform_back_at: datetime.datetime | None = None
         # The revision of a refuted record, and when it was refuted, by incarnation.
         self._refuted_by_incarnation = {}
         self.region_by_data_centre: dict[str, str] = {}
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -295,3 +295,52 @@
         if isinstance(again, sends.Forward):
             assert software_of(core, again) == began_by_request[resumed]
         core.forwarding.close(f"{request_id}.again", now=at)
+
+
+@pytest.fixture
+def replaced():
+    """Return a host before which a version of one second replaces the other."""
+    made = make_gateway()
+    list_engines(made, "v1", "v1")
+    for seconds in range(4):
+        tick(made, NOW + seconds * SECOND)
+    list_engines(made, "v1", "v1", "v2", "v2", at=NOW + 4 * SECOND, revision=2)
+    return made
+
+
+def replace(core, at):
+    """Have one engine of the older version say that it leaves, and the other go."""
+    leaving = make_engine("llm-1", "v1", revision=3, leaving=True)
+    removed = targetlist.TargetRemoved("llm-2")
+    core.step(at, [targetlist.TargetChanged(leaving), removed])
+
+
+def begun_at(core, at):
+    return {software_of(core, begin(core, at, request_id=f"r{n}")) for n in range(20)}
+
+
+def test_a_version_that_is_no_longer_listed_begins_no_streams(replaced):
+    """Guards against streams that begin where they can neither end nor go on."""
+    at = NOW + 5 * SECOND
+    replace(replaced, at)
+    assert begun_at(replaced, at) == {"v2"}
+
+
+def test_a_stream_goes_on_at_a_target_that_is_no_longer_listed(replaced):
+    """Guards against streams that are refused while a target of theirs still serves."""
+    at = NOW + 5 * SECOND
+    replace(replaced, at)
+    command = take_up(replaced, streamorigins.Origin("llm", "v1"), at=at)
+    assert command.target == "llm-2"
+
+
+@pytest.mark.parametrize("is_back_first", [True, False])
+def test_a_version_that_may_be_listed_again_begins_streams(replaced, is_back_first):
+    """Guards against streams of a new version when a platform just back lists few."""
+    at = NOW + 5 * SECOND
+    if is_back_first:
+        replaced.step(at, [targetlist.PlatformAvailable()])
+    replace(replaced, at)
+    if not is_back_first:
+        replaced.step(at, [targetlist.PlatformAvailable()])
+    assert begun_at(replaced, at) == {"v1"}
--- a/tests/platform/test_forgetful_fleets.py
+++ b/tests/platform/test_forgetful_fleets.py
@@ -3,12 +3,15 @@
 import asyncio
 
 import pytest
+import standins
 import versionfleet
 
 _PER_SECOND = 36
 # Of the streams that callers take up, as many go on as new ones begin, half of that by
 # the rule of the platform.
 _LEAST_SHARE = 0.5
+# So many streams begin in half of the time that hosts keep a target no longer listed.
+_BEGUN = 18
 
 
 async def begin_fleet(world, versions, hosts=6):
@@ -95,6 +98,45 @@
     play(scenario)
 
 
+def test_streams_begin_at_listed_engines_as_a_version_is_replaced(play):
+    """Guards against streams that begin at engines which have gone without a word."""
+
+    async def scenario(world):
+        fleet = await begin_fleet(world, ["v1.1"] * 4)
+        async with versionfleet.Clients(fleet, _PER_SECOND) as clients:
+            await asyncio.sleep(2.5)
+            old = list(fleet.world.target_by_name)
+            added = [await fleet.add_engine("v1.2") for _ in range(4)]
+            await standins.until(lambda: _have_listed(fleet.hosts, added))
+            for name in old:
+                await fleet.world.store.remove("servers", name)
+            first = len(clients.streams)
+            await standins.until(lambda: _have_begun(clients, first))
+        versions = _begun(clients, first)[:_BEGUN]
+        assert versions.count("v1.2") >= _BEGUN / 2, versions
+        assert not clients.mixed, clients.summary()
+
+    play(scenario)
+
+
+async def _have_listed(hosts, engines):
+    """Return whether all hosts have read the records of some engines."""
+    return all(
+        any(f"target_listed {engine.name}." in line for line in host.lines())
+        for host in hosts
+        for engine in engines
+    )
+
+
+async def _have_begun(clients, first):
+    return len(_begun(clients, first)) >= _BEGUN
+
+
+def _begun(clients, first):
+    """Return the versions at which streams began, from one of them on, in order."""
+    return [stream.versions[0] for stream in clients.streams[first:] if stream.versions]
+
+
 def test_a_fleet_of_one_version_takes_streams_up_after_all_hosts_were_lost(play):
     """Guards against hosts that refuse all streams as none remembers anything."""
 
