The parts of a request's own prompt don't excuse it from its crashes

Callers saw: a request that crashes its engine was not quarantined after the third crash, but crashed the fourth engine, the last one of its service; then nobody is served.

Cause: crashes within 0.03 s count as one event, as of a loss of power, if each engine ran several requests. That was asked by the number of suspects of a crash. Since parts of prompts are suspects too, a request with one part counts as two, so that any request with a listed part was excused if three engines crashed under it within 0.03 s. The retry of the host comes after 4 ms, and a caller that tries again after 20 ms makes the third.

Change: of a whole request, other whole requests have to have run in each crash. A part is judged as before.

The first new test, these crashes in `decide`, failed before; the second, a popular request beside other ones in one event, passed before and after.

Why it holds: what is asked is whether another request may be the cause, and a part of a request's own prompt runs wherever that request runs, so it says nothing about it.

--- a/packages/decide/sesamespindle/decide/culprits.py
+++ b/packages/decide/sesamespindle/decide/culprits.py
@@ -231,7 +231,7 @@
                 return True
             return self._is_worst(fingerprint, crashes, crashes)
         uncorrelated = self.uncorrelated_crashes(fingerprint, crashes)
-        if _are_one_event(uncorrelated):
+        if _are_one_event(fingerprint, uncorrelated):
             return False
         is_main_suspect = self._is_worst(fingerprint, crashes, uncorrelated)
         return len(uncorrelated) >= _MIN_UNCORRELATED and is_main_suspect
@@ -397,9 +397,18 @@
     return count
 
 
-def _are_one_event(crashes):
-    """Return whether targets crashed together, each while it ran several requests."""
+def _are_one_event(fingerprint, crashes):
+    """Return whether targets crashed together, each while it ran other requests.
+
+    The parts of a request's own prompt ran wherever it ran, and show no other one.
+    """
     times = [crash.at for crash in crashes]
     if not times or max(times) - min(times) > _ONE_EVENT_WITHIN:
         return False
-    return all(len(crash.suspects) > 1 for crash in crashes)
+    if fingerprints.is_of_part(fingerprint):
+        return all(len(crash.suspects) > 1 for crash in crashes)
+    return all(_count_whole(crash.suspects) > 1 for crash in crashes)
+
+
+def _count_whole(suspects):
+    return sum(not fingerprints.is_of_part(suspect) for suspect in suspects)
--- a/tests/decide/test_quarantine.py
+++ b/tests/decide/test_quarantine.py
@@ -28,7 +28,9 @@
 )
 
 MINUTE = 60 * SECOND
-BAD, OTHER, THIRD = "a" * 32, "b" * 32, "c" * 32
+BAD, OTHER, THIRD, FOURTH = "a" * 32, "b" * 32, "c" * 32, "d" * 32
+# The fingerprint of a prompt part.
+PART = "5" * 30
 
 
 @pytest.fixture
@@ -199,6 +201,24 @@
     assert code_of(core, after=6.0) is None
 
 
+def test_a_part_of_its_own_prompt_does_not_excuse_a_request(core):
+    """Guards against a request that crashes a fourth target, sent again at once.
+
+    Its three crashes lie within 30 ms, and the only other suspects are its own parts.
+    """
+    for number, after in ((1, 0.0), (2, 0.004), (3, 0.029)):
+        crash(core, number, BAD, PART, after=after)
+    assert judge(core, 1.0)[0] == {BAD}
+    assert code_of(core, after=1.0) is commands.Code.QUARANTINED
+
+
+def test_crashes_at_one_moment_beside_other_requests_quarantine_nobody(core):
+    """Guards against a popular request that is refused after a loss of power."""
+    for number, beside in ((1, OTHER), (2, THIRD), (3, FOURTH)):
+        crash(core, number, BAD, beside, PART, after=0.01 * number)
+    assert judge(core, 1.0)[0] == set()
+
+
 def test_equal_requests_that_succeed_quarantine_nobody(core):
     """Targets crash by themselves under equal requests that succeed elsewhere."""
     for number in (1, 2, 3, 4):
