A probe of a target that may have crashed isn't used up if it shows nothing

Callers saw: under a request that crashes its engine all four engines ended, one after the other, on a busy machine; then nobody was served.

Cause: a target at which a run broke is probed twice, 0.1 s apart, and counts as crashed once it refuses a connection. A probe that ran into its time limit of 0.25 s was counted as one that was accepted, and nothing was reported. On a busy machine both ran into it, so the end of that engine stayed unknown until the target list had its successor; the third crash counted as the second, and the request was sent to one engine more. With that one the service had no engine left that answers, so that further ends couldn't be confirmed.

Change: such a probe is reported as undecided and doesn't count. It is repeated after 0.1 s, then with pauses that double up to 3.2 s, within the 6 s in which an end may be confirmed.

The new tests can't run on the code before, as the event is new. A target that accepts connections is probed twice as before, and a test bounds those that are undecided.

--- a/packages/daemon/sesamespindle/daemon/targetprobe.py
+++ b/packages/daemon/sesamespindle/daemon/targetprobe.py
@@ -17,7 +17,8 @@
     ----------
     driver : sesamespindle.daemon.driver.Driver
         Receives `crashes.TargetRefusesConnections` for targets that refuse the
-        connection, and the `reach.TargetProbed` of each `reach.ProbeReach`.
+        connection, `crashes.ProbeUndecided` for those of which nothing is heard, and
+        the `reach.TargetProbed` of each `reach.ProbeReach`.
     make_question : callable
         Takes a target's address, as ``host:port``, and returns the bytes of an HTTP
         request that each target answers at once, without a slot and without running
@@ -38,10 +39,17 @@
 
         Only a refusal shows that this incarnation of the target has ended. If the
         connection is made, the target's next incarnation may already listen at the
-        address; if there is no answer, the network may be interrupted.
+        address; if there is no answer, the network may be interrupted or slow, and
+        the probe is reported as undecided.
         """
-        if await self.is_refused(command.address):
-            self._driver.feed(crashes.TargetRefusesConnections(command.incarnation))
+        match await self.is_refused(command.address):
+            case True:
+                event = crashes.TargetRefusesConnections(command.incarnation)
+            case False:
+                return
+            case None:
+                event = crashes.ProbeUndecided(command.incarnation)
+        self._driver.feed(event)
 
     async def _probe_reach(self, command):
         """Ask a target for any answer, and report whether one came in time."""
--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -12,6 +12,10 @@
 # Connection attempts that check whether a target's incarnation has ended. The second
 # is for a target that closes its connections before it closes its listening port.
 _MAX_PROBES = 2
+# The pause before an incarnation is probed again whose probe was undecided, as it took
+# longer to connect than a probe waits. It doubles each time, up to the second number.
+_REPROBE_AFTER = datetime.timedelta(seconds=0.1)
+_MAX_REPROBE_DOUBLINGS = 5
 # Peers that are asked whether a target which refuses connections has ended.
 _OPINIONS = 3
 # Other targets of its service that show whether a host has lost its paths. A request
@@ -87,6 +91,13 @@
     incarnation: incarnations.TargetIncarnation
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeUndecided:
+    """A `ProbeTarget` showed nothing: it was not refused, and nothing accepted it."""
+
+    incarnation: incarnations.TargetIncarnation
+
+
 @dataclasses.dataclass(slots=True)
 class _BrokenRuns:
     """Runs whose connections broke at an incarnation that may have ended."""
@@ -96,6 +107,9 @@
     at: datetime.datetime
     fingerprints: set[str] = dataclasses.field(default_factory=set)
     probes: int = 0
+    # How many probes were undecided, and when the next one after them is due.
+    undecided: int = 0
+    probe_at: datetime.datetime | None = None
     # Whether peers were asked and have not answered yet.
     is_asked: bool = False
 
@@ -137,6 +151,8 @@
         match event:
             case TargetRefusesConnections():
                 self.note_refusal(event.incarnation)
+            case ProbeUndecided():
+                self._note_undecided(event.incarnation, now)
             case OpinionsHeard():
                 self._note_opinions(event)
             case _:
@@ -239,6 +255,18 @@
         asked = self._state.random.sample(peers, min(_OPINIONS, len(peers)))
         self._state.emit(AskOpinions(incarnation, broken.address, tuple(asked)))
 
+    def _note_undecided(self, incarnation, now):
+        """Let an incarnation be probed again, after a pause.
+
+        Guards against a crash that isn't known for as long as the target is down: both
+        probes were sent while a connection took longer than a probe waits.
+        """
+        broken = self._broken_runs_by_incarnation.get(incarnation)
+        if broken is not None:
+            doublings = min(broken.undecided, _MAX_REPROBE_DOUBLINGS)
+            broken.probe_at = now + _REPROBE_AFTER * 2**doublings
+            broken.undecided += 1
+
     def _note_opinions(self, event):
         broken = self._broken_runs_by_incarnation.get(event.incarnation)
         if broken is None:
@@ -301,13 +329,19 @@
             elif row.leaving or now - broken.at > _CONFIRMATION_TIMEOUT:
                 del self._broken_runs_by_incarnation[incarnation]
             else:
-                self._probe(incarnation, broken)
+                self._probe_if_due(incarnation, broken, now)
         self._abandoned_at_by_incarnation = {
             incarnation: at_by_request
             for incarnation, at_by_request in self._abandoned_at_by_incarnation.items()
             if now - max(at_by_request.values()) <= _ABANDONED_SHORTLY_BEFORE
         }
 
+    def _probe_if_due(self, incarnation, broken, now):
+        if broken.probe_at is not None and now >= broken.probe_at:
+            broken.probe_at = None
+            broken.probes -= 1
+        self._probe(incarnation, broken)
+
     def _probe(self, incarnation, broken):
         if broken.probes < _MAX_PROBES:
             broken.probes += 1
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -140,6 +140,34 @@
     assert len(core.crashes.possible_crash_times("aa")) == 0
 
 
+def test_an_incarnation_whose_probes_time_out_is_probed_again(core):
+    """Guards against a crash that isn't known, as both probes of it were slow."""
+    break_off(core, "aa")
+    core.step(NOW, [])
+    core.step(NOW + 0.1 * SECOND, [events.Tick()])
+    late = NOW + 0.35 * SECOND
+    core.step(late, [crashes.ProbeUndecided(INCARNATION)] * 2)
+    found = core.step(late + 0.3 * SECOND, [events.Tick()])
+    assert [item for item in found if _is_probe(item)] == [
+        crashes.ProbeTarget(INCARNATION, "10.1.0.1:80")
+    ]
+    core.step(late + 0.4 * SECOND, confirmed_end())
+    assert suspects(core) == [{"aa"}]
+
+
+def test_probes_that_time_out_are_bounded(core):
+    """Guards against a host whose paths are slow and that probes without end."""
+    break_off(core, "aa")
+    found = core.step(NOW, [])
+    count = 0
+    for number in range(1, 80):
+        ended = [crashes.ProbeUndecided(INCARNATION) for _ in filter(_is_probe, found)]
+        count += len(ended)
+        found = core.step(NOW + number * 0.1 * SECOND, [*ended, events.Tick()])
+    assert 3 <= count <= 8
+    assert core.crashes.possible_crash_times("aa") == []
+
+
 @pytest.mark.parametrize(
     ("own", "others"),
     [
