A test of callers that wait at a host which has loaded just before its end

Callers whose connections wait in the backlog of a host that was ordered to stop while it loads are reset if the host starts in the last 0.4 s before its planned end. It waits for up to 0.4 s until it can serve before it opens its ports to callers, and by then it has left: `Daemon._send_final_answers` waits for the opening only if the planned end had passed as the host began to leave.

Evidence: the usual host of the tests, its start held until 7.3 to 7.6 s after the order (grace time 8 s): 6 of 6 resets, "ends in 0.3 s" to "0.1 s" and then "Has left" without "Listens at"; held until 6.9 to 7.1 s, 5 of 5 were refused as they should be.

The test holds the start until 0.2 s before the planned end, by the daemon's own reckoning.

--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -1,6 +1,7 @@
 """What callers get from a leaving host, with a real daemon and simulated targets."""
 
 import asyncio
+import pathlib
 import signal
 import time
 
@@ -278,6 +279,30 @@
     play(scenario)
 
 
+def test_a_host_that_has_loaded_just_before_its_end_answers_who_waits(
+    play, monkeypatch
+):
+    """Guards against connections in the backlog that are reset by an end in time."""
+    launcher = str(pathlib.Path(standins.__file__).with_name("latelaunch.py"))
+    monkeypatch.setattr(standins.Daemon, "_program", lambda daemon: (launcher,))
+
+    async def scenario(world):
+        world.store.is_away = True
+        daemon = await world.start_daemon(grace=12)
+        reader, writer = await _connect_early(daemon)
+        writer.write(
+            b"GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+            b"X-Api-Key: " + standins.KEY.encode() + b"\r\n\r\n"
+        )
+        daemon.terminate()
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        assert await daemon.ended() == 0
+
+    play(scenario)
+
+
 async def _connect_early(daemon):
     """Connect to a daemon's caller port as soon as it is open."""
     while True:
