A reading of where streams began outlasts the callers who wait for it

Callers saw: all hosts were lost at once and started beside a store of which each call took 0.8 s. New streams began, but nearly none that they took up again went on: each of their tries got 503 origin_unknown.

Cause, from the logs of one host: the first who came began to read the records; the reading was given up after 0.7 s, just before its answer, and its seven callers were refused. Their later tries, 0.15 to 0.23 s after each refusal, came within the second in which no other reading may begin, or while the last check of the store had failed by its own first limit of 0.7 s, so that none was tried. The next reading would have been given up at 0.7 s too.

A host that has read nothing yet reads whatever the last check says; one that has read keeps to the check as before.

The stand-in client of test_originlog.py takes the arguments of the real one; what it checks is unchanged.

--- a/tests/platform/test_originlog.py
+++ b/tests/platform/test_originlog.py
@@ -1,5 +1,6 @@
 """Which software versions began streams, in the platform's store."""
 
+import asyncio
 import datetime
 
 import places
@@ -12,6 +13,8 @@
 ORIGIN = streamorigins.Origin("llm", "v1")
 KEYS = b"attempt1attempt2"
 SEGMENT = originrecords.OriginSegment({ORIGIN: KEYS})
+# The time limit of a call that sets none.
+TIMEOUT = datetime.timedelta(milliseconds=700)
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 
 
@@ -24,6 +27,8 @@
         The names of the objects that were written, and the revisions to replace.
     lists : int
         How often all objects were listed.
+    is_silent : bool
+        Whether a list waits for `answers`.
     """
 
     def __init__(self, *items):
@@ -31,11 +36,25 @@
         self.error = None
         self.written = []
         self.lists = 0
+        self.is_silent = False
+        self.answers = asyncio.Event()
 
-    async def list(self, kind):
+    async def repeated(self, call, try_timeout):
+        return await call(None)
+
+    async def list(self, kind, session=None, timeout=TIMEOUT):
         self.lists += 1
+        if self.is_silent:
+            await self._until_answering(timeout)
         return objects.Listing(self._items, places.at(9))
 
+    async def _until_answering(self, timeout):
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self.answers.wait()
+        except TimeoutError as error:
+            raise platform.PlatformUnavailableError("silent") from error
+
     async def write(self, kind, name, spec, replaces):
         self.written.append((name, replaces))
         if self.error is not None:
@@ -50,6 +69,7 @@
         self.core = self.store_checks = self.clock = self
         self.fed = []
         self.time = NOW
+        self.answered = True
 
     def on(self, kind, handler):
         self.handler = handler
@@ -61,7 +81,7 @@
         return self.time
 
     def is_store_answering(self):
-        return True
+        return self.answered
 
 
 def stored(name, number, spec=None):
@@ -130,3 +150,37 @@
             assert client.lists == 2
 
     go(scenario())
+
+
+def test_a_host_that_has_read_nothing_reads_though_a_check_failed(go):
+    """Guards against hosts at a slow store that refuse all streams at their start."""
+
+    async def scenario():
+        client, driver = Client(stored("dc-2.3", 4)), Driver()
+        driver.answered = False
+        async with originlog.OriginLog(driver, client, "dc-1") as log:
+            assert await log.find(b"attempt2") == ORIGIN
+            driver.time += datetime.timedelta(seconds=1)
+            assert await log.find(b"unknown1") is None
+        assert client.lists == 1
+
+    go(scenario())
+
+
+def test_a_reading_outlasts_those_who_wait_for_it(go):
+    """Guards against a store of which each answer comes after its caller has gone."""
+
+    async def scenario():
+        client, driver = Client(stored("dc-2.3", 4)), Driver()
+        client.is_silent = True
+        async with originlog.OriginLog(driver, client, "dc-1") as log:
+            assert await log.find(b"attempt2") is None
+            driver.time += datetime.timedelta(seconds=2)
+            assert await log.find(b"attempt2") is None
+            client.answers.set()
+            for task in tuple(log._tasks):
+                await task
+            assert await log.find(b"attempt2") == ORIGIN
+        assert client.lists == 1
+
+    go(scenario())
