--- a/tests/platform/test_starts_without_store.py
+++ b/tests/platform/test_starts_without_store.py
@@ -1,12 +1,24 @@
 """Hosts that all start again while the platform's store is slow or away."""
 
 import asyncio
+import random
 
+import gateways
 import places
+import standins
 import versionfleet
 
-from sesamespindle.decide import originrecords, streamorigins
-from sesamespindle.platform import objects, records
+from sesamespindle.daemon import driver, eventlog
+from sesamespindle.decide import originrecords, readings, streamorigins
+from sesamespindle.platform import (
+    adoption,
+    availability,
+    feeds,
+    objects,
+    records,
+    storelinks,
+)
+from sesamespindle.wire import clock
 
 _PER_SECOND = 36
 # Longer than the time limits that a call to the store has at first.
@@ -151,3 +163,54 @@
         killed.check()
 
     play(scenario)
+
+
+class _SlowClient:
+    """A client of a store whose first list is answered once another has begun."""
+
+    def __init__(self):
+        self._lists = 0
+        self._second_began = asyncio.Event()
+
+    async def list(self, kind, timeout):
+        self._lists += 1
+        if self._lists > 1:
+            self._second_began.set()
+            await asyncio.get_running_loop().create_future()
+        await self._second_began.wait()
+        return objects.Listing((), places.at(10))
+
+    async def until_era_raised(self):
+        await asyncio.get_running_loop().create_future()
+
+
+def test_a_list_is_not_given_up_as_the_next_try_begins(go):
+    """Guards against hosts that start a second late, as they give up first lists."""
+
+    async def scenario():
+        core = gateways.make_gateway()
+        moment = clock.SystemClock()
+        log = eventlog.EventLog("entry-1", eventlog.HybridClock(moment), 1)
+        host = driver.Driver(core, moment, log)
+        followed = feeds.Feeds(
+            host,
+            _SlowClient(),
+            storelinks.StoreLinks(),
+            adoption.Adoption(host),
+            availability.Availability(host),
+            readings.Readings(core.state.pauses),
+            random.Random(1),
+        )
+        task = asyncio.create_task(followed.follow(adoption.EVACUATIONS))
+        freshness = core.state.freshness
+
+        async def is_known():
+            return freshness.revision(adoption.EVACUATIONS) == places.at(10)
+
+        try:
+            await standins.until(is_known)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    go(scenario())
