Where versions begin streams is asked alike by what records and what sends

A target whose record is gone counts as staying for a moment. Streams are begun at listed ones by then, so that a version which isn't recorded yet would begin them, unrecorded, as long as the last target of the recorded one is kept. Both now ask for the targets that are listed, unless the platform may list missing ones again.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -171,11 +171,16 @@
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_RECORD_PATIENCE_SECONDS):
-                while any(map(versions.awaits_record, services)):
+                while self._awaits_any(services):
                     if not core.store_checks.is_store_answering():
                         return
                     await self._records_read.wait()
 
+    def _awaits_any(self, services):
+        now = self._driver.clock.now()
+        versions = self._driver.core.stream_versions
+        return any(versions.awaits_record(service, now) for service in services)
+
     def _wake(self, command):
         self._records_read.set()
         self._records_read = asyncio.Event()
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -172,7 +172,7 @@
             return True
         return any(len(seen) > 1 for seen in self._seen_by_service.values())
 
-    def awaits_record(self, service):
+    def awaits_record(self, service, now):
         """Return whether a new stream would begin at a version that isn't recorded.
 
         Guards against a version that begins streams as the last recorded one has left,
@@ -180,11 +180,15 @@
         """
         if not self._records.is_known():
             return True
-        rows = self._staying(service)
+        rows = self._staying(service, now)
         return bool(rows) and self.is_mixed(service) and not self._recorded(rows)
 
-    def _staying(self, service):
-        return [row for row in self._state.targets.where("pool", service) if row.stays]
+    def _staying(self, service, now):
+        """Return the targets at which streams begin, whatever their version."""
+        rows = [row for row in self._state.targets.where("pool", service) if row.stays]
+        if targetlist.may_be_incomplete(self._state, now):
+            return rows
+        return [row for row in rows if row.missing_since is None] or rows
 
     def _recorded(self, rows):
         return [row for row in rows if self._records.has(row.pool, row.software)]
@@ -202,7 +206,7 @@
                 for software, when in seen.items()
                 if self._records.has(service, software)
                 or self._is_about_to_begin(when, now)
-                or not self._recorded(self._staying(service))
+                or not self._recorded(self._staying(service, now))
             ]
             for service, seen in self._seen_by_service.items()
         }
--- a/tests/decide/test_softwarerecords.py
+++ b/tests/decide/test_softwarerecords.py
@@ -114,10 +114,10 @@
     core = make_host()
     read(core, record("v1.1"))
     list_versions(core, "v1.2")
-    assert core.stream_versions.awaits_record("llm")
+    assert core.stream_versions.awaits_record("llm", NOW)
     assert writes(core, NOW) == [record("v1.1", "v1.2")]
     core.step(NOW, [softwarerecords.SoftwareRead(record("v1.1", "v1.2", number=4))])
-    assert not core.stream_versions.awaits_record("llm")
+    assert not core.stream_versions.awaits_record("llm", NOW)
     assert begins_at(core, NOW) == {"v1.2"}
 
 
--- a/tests/decide/test_sole_versions.py
+++ b/tests/decide/test_sole_versions.py
@@ -99,7 +99,7 @@
         record first.
         """
         core = self.hosts[number]
-        if core.stream_versions.awaits_record("llm"):
+        if core.stream_versions.awaits_record("llm", self.now):
             self._tick(core)
             self._read(core)
         return self._send(core, None)
