A caller whose stream's origin the store may know returns once it may tell

Callers saw: all tries used up within 0.7 s, each refused as origin_unknown, while the store was away just after all hosts had started: each refusal named 0.15 to 0.23 s.

Cause: the time named didn't look at the store. Change: while the last check of the store got no answer such a refusal names 1 to 1.5 s. The test failed before. How many streams go on with it was not measured.

--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -186,6 +186,7 @@
                 commands.Code.ORIGIN_UNKNOWN,
                 "It isn't known which software version began the stream, or whether "
                 "there are several.",
+                earliest=self._origins.earliest_return(),
             )
         begun_by = request.origin.service if request.origin is not None else None
         service = route.draw_service(self._state.random, begun_by)
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -150,6 +150,7 @@
         )
         self.reach = reach.Reach(self.state)
         self.brittle = brittle.BrittleTargets(self.state)
+        self.store_checks = storechecks.StoreChecks(self.state, terms.kinds)
         self.stream_versions = streamversions.StreamVersions(
             self.state,
             bool(seeds),
@@ -160,6 +161,7 @@
             self.state,
             self.stream_versions,
             originrecords.OriginRecords(self.state, bool(terms.kinds.software)),
+            self.store_checks,
         )
         self.carriers = carriers.Carriers(
             self.state, self.reach, self.brittle, self._is_reachable, carry_port
@@ -195,7 +197,6 @@
             self.asking,
             self.learning,
         )
-        self.store_checks = storechecks.StoreChecks(self.state, terms.kinds)
         self.membership = membership.Membership(
             self.state,
             seeds,
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import datetime
 import hashlib
 import itertools
 
@@ -26,6 +27,9 @@
 _MOST_KEPT = 20_000
 # Attempts that are dropped in one tick at most.
 _FORGOTTEN_AT_ONCE = 200
+# The shortest time after which a caller is to come back whose stream's origin the store
+# may know, while it doesn't answer.
+_STORE_AWAY_RETRY_AFTER = datetime.timedelta(seconds=1)
 # Attempts of earlier that peers are told of in one tick at most.
 _TOLD_AT_ONCE = 100
 
@@ -150,10 +154,13 @@
         Which services have several software versions.
     records : originrecords.OriginRecords
         Has attempts recorded in the platform's store.
+    store_checks : storechecks.StoreChecks
+        Whether the platform's store answers.
     """
 
-    def __init__(self, state, versions, records):
+    def __init__(self, state, versions, records, store_checks):
         self._state = state
+        self._store_checks = store_checks
         self._versions = versions
         self._records = records
         # (origin, until when it is kept), oldest first.
@@ -273,6 +280,14 @@
             return False
         return not self.is_informed(now) or self.matters(_services(route))
 
+    def earliest_return(self):
+        """Return after how long a caller is to come back; None if that doesn't matter.
+
+        Guards against callers that use up their tries while nobody can tell them more.
+        """
+        is_answering = self._store_checks.is_store_answering()
+        return None if is_answering else _STORE_AWAY_RETRY_AFTER
+
     def addresses_to_ask(self, key):
         """Return the addresses of the peers that may remember a key."""
         return _addresses(self._ordered(key)[:_ASKED])
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -14,6 +14,7 @@
     events,
     gossip,
     sends,
+    storechecks,
     streamorigins,
     streamversions,
     targetlist,
@@ -93,6 +94,18 @@
     assert command.retry_after is not None
 
 
+def test_a_caller_returns_later_while_the_store_does_not_answer(core):
+    """Guards against tries that are all used up before the store can tell."""
+    shortly = dataclasses.replace(core.state.policy, retry_after=0.2 * SECOND)
+    core.state.policy = shortly
+    assert take_up(core, None).retry_after < SECOND
+    core.step(NOW + 4 * SECOND, [storechecks.CheckEnded(False)])
+    command = take_up(core, None, request_id="r2")
+    assert SECOND <= command.retry_after <= 1.5 * SECOND
+    core.step(NOW + 4 * SECOND, [storechecks.CheckEnded(True)])
+    assert take_up(core, None, request_id="r3").retry_after < SECOND
+
+
 def test_a_stream_whose_version_is_gone_is_refused_as_not_run(core):
     """Guards against callers that wait for targets which can't come back."""
     command = take_up(core, streamorigins.Origin("llm", "v0"))
