--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -14,6 +14,7 @@
     events,
     gossip,
     sends,
+    storechecks,
     streamorigins,
     streamversions,
     targetlist,
@@ -93,6 +94,18 @@
     assert command.retry_after is not None
 
 
+def test_a_caller_returns_later_while_the_store_does_not_answer(core):
+    """Guards against tries that are all used up before the store can tell."""
+    shortly = dataclasses.replace(core.state.policy, retry_after=0.2 * SECOND)
+    core.state.policy = shortly
+    assert take_up(core, None).retry_after < SECOND
+    core.step(NOW + 4 * SECOND, [storechecks.CheckEnded(False)])
+    command = take_up(core, None, request_id="r2")
+    assert SECOND <= command.retry_after <= 1.5 * SECOND
+    core.step(NOW + 4 * SECOND, [storechecks.CheckEnded(True)])
+    assert take_up(core, None, request_id="r3").retry_after < SECOND
+
+
 def test_a_stream_whose_version_is_gone_is_refused_as_not_run(core):
     """Guards against callers that wait for targets which can't come back."""
     command = take_up(core, streamorigins.Origin("llm", "v0"))
@@ -173,6 +186,24 @@
     assert [command.origin.software for command in told] == ["v1"]
 
 
+def test_streams_under_way_for_long_are_told_as_a_second_version_appears():
+    """Guards against streams that began longer ago than attempts are remembered."""
+    core = make_gateway()
+    add_peers(core)
+    list_engines(core, "v1")
+    tick(core, NOW)
+    begin(core, NOW, deadline=NOW + 2 * _LONG)
+    serve(core, "r1", NOW)
+    tick(core, NOW + _LONG)
+    list_engines(core, "v1", "v2", at=NOW + _LONG, revision=2)
+    told = [
+        command
+        for command in core.step(NOW + _LONG, [events.Tick()])
+        if isinstance(command, streamorigins.TellOrigin)
+    ]
+    assert [command.origin.software for command in told] == ["v1"]
+
+
 def test_a_new_version_begins_no_streams_until_all_hosts_can_know_of_it():
     """Guards against streams whose next host knows of one version alone."""
     core = make_gateway()
@@ -295,3 +326,52 @@
         if isinstance(again, sends.Forward):
             assert software_of(core, again) == began_by_request[resumed]
         core.forwarding.close(f"{request_id}.again", now=at)
+
+
+@pytest.fixture
+def replaced():
+    """Return a host before which a version of one second replaces the other."""
+    made = make_gateway()
+    list_engines(made, "v1", "v1")
+    for seconds in range(4):
+        tick(made, NOW + seconds * SECOND)
+    list_engines(made, "v1", "v1", "v2", "v2", at=NOW + 4 * SECOND, revision=2)
+    return made
+
+
+def replace(core, at):
+    """Have one engine of the older version say that it leaves, and the other go."""
+    leaving = make_engine("llm-1", "v1", revision=3, leaving=True)
+    removed = targetlist.TargetRemoved("llm-2")
+    core.step(at, [targetlist.TargetChanged(leaving), removed])
+
+
+def begun_at(core, at):
+    return {software_of(core, begin(core, at, request_id=f"r{n}")) for n in range(20)}
+
+
+def test_a_version_that_is_no_longer_listed_begins_no_streams(replaced):
+    """Guards against streams that begin where they can neither end nor go on."""
+    at = NOW + 5 * SECOND
+    replace(replaced, at)
+    assert begun_at(replaced, at) == {"v2"}
+
+
+def test_a_stream_goes_on_at_a_target_that_is_no_longer_listed(replaced):
+    """Guards against streams that are refused while a target of theirs still serves."""
+    at = NOW + 5 * SECOND
+    replace(replaced, at)
+    command = take_up(replaced, streamorigins.Origin("llm", "v1"), at=at)
+    assert command.target == "llm-2"
+
+
+@pytest.mark.parametrize("is_back_first", [True, False])
+def test_a_version_that_may_be_listed_again_begins_streams(replaced, is_back_first):
+    """Guards against streams of a new version when a platform just back lists few."""
+    at = NOW + 5 * SECOND
+    if is_back_first:
+        replaced.step(at, [targetlist.PlatformAvailable()])
+    replace(replaced, at)
+    if not is_back_first:
+        replaced.step(at, [targetlist.PlatformAvailable()])
+    assert begun_at(replaced, at) == {"v1"}
