--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -97,15 +97,13 @@
         services, account = stream
         now = self._driver.clock.now()
         is_informed = core.origins.is_informed(now)
-        is_mixed = core.origins.matters(services)
-        if is_informed and not is_mixed:
+        if is_informed and not core.origins.matters(services):
             self._measures.taken_up("one_version")
             return request
         key = streamorigins.key_of(account, request.resumes)
-        origin, source = None, "unknown" if is_informed else "out_of_touch"
-        if is_mixed:
-            origin, source = await self._find_told(key, request, now)
+        origin, source = await self._find_told(key, request, now)
         if origin is None:
+            source = "unknown" if is_informed else "out_of_touch"
             origin = await self._find_sole(services, now)
             source = "sole_version" if origin is not None else source
             if origin is not None and request.resumes:
--- a/packages/daemon/sesamespindle/daemon/proofs.py
+++ b/packages/daemon/sesamespindle/daemon/proofs.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import datetime
 
 from sesamespindle.decide import storechecks
 
 # How long a request waits for a check of the store, which reads it up to twice.
 _PATIENCE_SECONDS = 0.6
+# The shortest time between two checks that callers who come back ask for.
+_CHECK_INTERVAL = datetime.timedelta(seconds=0.1)
 
 
 class Proofs:
@@ -21,6 +24,7 @@
     def __init__(self, driver):
         self._driver = driver
         self._check_ended = asyncio.Event()
+        self._not_before = driver.clock.now()
         driver.on(storechecks.CheckSettled, self._wake)
 
     async def confirm(self, begin):
@@ -64,11 +68,26 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_PATIENCE_SECONDS):
                 while not self._is_proved(kind, since):
-                    ended = self._check_ended
-                    self._driver.feed(storechecks.CheckWanted((kind,)))
-                    await ended.wait()
+                    await self._check(kind)
         return self._is_proved(kind, since)
 
+    async def _check(self, kind):
+        """Wait until a check has ended, or until another one may be asked for.
+
+        Guards against calls to the store that grow with the callers who come back.
+        """
+        ended = self._check_ended
+        now = self._driver.clock.now()
+        pause = (self._not_before - now).total_seconds()
+        if pause <= 0:
+            self._not_before = now + _CHECK_INTERVAL
+            self._driver.feed(storechecks.CheckWanted((kind,)))
+            await ended.wait()
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await ended.wait()
+
     def _is_proved(self, kind, since):
         known = self._driver.core.state.freshness.knowledge_by_kind.get(kind)
         return (
--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -119,7 +119,8 @@
         """Return the code of the refusal of a request that no target may get."""
         rows = self.staying(flight.service)
         if rows and not self._stream_versions.permitted_targets(rows, flight, now):
-            return commands.Code.VERSION_GONE
+            is_gone = bool(flight.software)
+            return commands.Code.VERSION_GONE if is_gone else commands.Code.NOT_READY
         if self._quarantine.possible_crash_count(flight.keys) > 1:
             return commands.Code.SUSPECTED
         if self._held_targets.rest_left(rows, now) is not None:
--- a/packages/decide/sesamespindle/decide/softwarerecords.py
+++ b/packages/decide/sesamespindle/decide/softwarerecords.py
@@ -115,7 +115,8 @@
 
     def _read(self, record):
         known = self._record_by_service.get(record.service)
-        if known is None or record.revision >= known.revision:
+        # A record that was removed has no versions, and its revision is unknown.
+        if known is None or not record.versions or record.revision >= known.revision:
             self._record_by_service[record.service] = record
         self._not_before_by_service.pop(record.service, None)
         self._state.emit(RecordsRead())
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -20,6 +20,8 @@
 # Callers whose streams broke off as all hosts were lost come back within this time of
 # the hosts' start.
 _RETURN_FOR = datetime.timedelta(seconds=4)
+# How long after its start a host that doesn't know the records yet begins no stream.
+_RECORDS_WITHIN = datetime.timedelta(seconds=2)
 # A host that has heard no peer for this long after its start takes itself for alone.
 _ALONE_AFTER = datetime.timedelta(seconds=3)
 _LOOK_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -145,6 +147,8 @@
             return [row for row in rows if row.software == flight.software]
         if flight.route.repeats is not routes.Repeats.RESUMABLE:
             return rows
+        if self._must_know_records(now):
+            return []
         if not self.is_mixed(flight.service):
             return rows
         rows = self._recorded(rows) or rows
@@ -216,6 +220,18 @@
         when = self._seen_by_service.get(row.pool, {}).get(row.software)
         return when.first_at if when is not None else now
 
+    def _must_know_records(self, now):
+        """Return whether streams can't begin as this host doesn't know the records yet.
+
+        Guards against streams that a host which has just started begins at a version
+        that isn't recorded, while others conclude from the record that no such stream
+        can exist.
+        """
+        if self._records.is_known():
+            return False
+        started = self._first_tick_at
+        return started is None or now - started < _RECORDS_WITHIN
+
     def _is_about_to_begin(self, when, now):
         """Return whether a version that joined another is to begin streams."""
         if now - self._first_tick_at < _RETURN_FOR:
--- a/tests/daemon/test_originlookup.py
+++ b/tests/daemon/test_originlookup.py
@@ -67,12 +67,15 @@
 def find(go):
     """Return a function that looks a stream's origin up with given peers."""
 
-    def run(peers, mixed=True, recorded=(), store_proofs=None, **changed):
+    def run(
+        peers, mixed=True, informed=True, recorded=(), store_proofs=None, **changed
+    ):
         system_clock = clock.SystemClock()
         core = gateways.make_gateway()
         for name in PEERS:
             core.state.put_entry(gateways.make_entry(name))
-        core.stream_versions.merge((), system_clock.now())
+        if informed:
+            core.stream_versions.merge((), system_clock.now())
         for software in ("v1", "v2")[: 2 if mixed else 1]:
             now = system_clock.now()
             core.stream_versions._note("llm", software, now, now)
@@ -147,3 +150,14 @@
     peers = FakePeers({"entry-3:81": ORIGIN})
     assert find(peers, recorded=("v1",), store_proofs=store_proofs) == ORIGIN
     assert not store_proofs.asked
+
+
+def test_a_host_out_of_touch_asks_peers_before_it_concludes(find):
+    """Guards against a conclusion where a keeper knows what began a stream."""
+    other = streamorigins.Origin("llm", "v2")
+    peers = FakePeers({"entry-3:81": other})
+    proved = FakeProofs(True)
+    found = find(
+        peers, mixed=False, informed=False, recorded=("v1",), store_proofs=proved
+    )
+    assert found == other
--- a/tests/daemon/test_proofs.py
+++ b/tests/daemon/test_proofs.py
@@ -82,3 +82,17 @@
 def test_a_store_that_fails_proves_nothing(go, make_store):
     store = make_store(answers=False)
     assert go(store.prove_all(3, store.now())) == [False] * 3
+
+
+def test_callers_who_come_back_one_after_the_other_have_few_checks_made(go, make_store):
+    """Guards against calls to the store that grow with the callers who come back."""
+    store = make_store()
+
+    async def come_back():
+        began = store.now()
+        while store.now() - began < SECOND:
+            assert await store.prove_all(1, store.now()) == [True]
+        return (store.now() - began) / SECOND
+
+    seconds = go(come_back())
+    assert store.checks <= 10 * seconds + 1
--- a/tests/decide/test_sole_versions.py
+++ b/tests/decide/test_sole_versions.py
@@ -13,6 +13,7 @@
 from sesamespindle.decide import (
     events,
     freshness,
+    revisions,
     sends,
     softwarerecords,
     streamorigins,
@@ -38,11 +39,12 @@
         self.versions = ["v1"]
         self.hosts = [self._start(number) for number in range(_HOSTS)]
 
-    def _start(self, number):
+    def _start(self, number, reads=True):
         me = events.Host(f"entry-{number}", "entry", "dc-1", f"e{number}:80", "e:81")
         core = gateways.make_gateway(1e6, me, kinds=freshness.Kinds(software=KIND))
         core.stream_versions.merge((), self.now)
-        self._read(core)
+        if reads:
+            self._read(core)
         self._list(core)
         return core
 
@@ -199,6 +201,46 @@
     assert fleet.take_up(1) is None
 
 
+def test_a_version_begins_no_unrecorded_stream_beside_a_target_that_is_missing(fleet):
+    """Guards against streams of a version whose record waits for one that has gone."""
+    fleet.pass_time(60)
+    fleet.versions = ["v1", "v2"]
+    fleet.pass_time(5)
+    for core in fleet.hosts:
+        core.step(fleet.now, [targetlist.TargetRemoved("llm-v1")])
+    core = fleet.hosts[0]
+    assert core.stream_versions.awaits_record("llm", fleet.now)
+    for command in core.step(fleet.now, [events.Tick()]):
+        if isinstance(command, softwarerecords.WriteSoftware):
+            fleet._write(core, command.record)
+    assert fleet._send(core, None) == "v2"
+    other = fleet.hosts[1]
+    fleet._read(other)
+    assert other.origins.sole(("llm",)) is None
+
+
+def test_a_host_that_does_not_know_the_records_begins_no_stream_at_first(fleet):
+    """Guards against streams that begin at a version which nobody takes for one."""
+    fleet.versions = ["v1", "v2"]
+    core = fleet._start(0, reads=False)
+    assert core.stream_versions.awaits_record("llm", fleet.now)
+    assert fleet._send(core, None) is None
+    fleet._read(core)
+    assert {fleet._send(core, None) for _ in range(20)} == {"v1"}
+
+
+@pytest.mark.parametrize("revision", [places.at(99), revisions.NEVER])
+def test_nothing_is_concluded_from_a_record_that_was_spoiled_or_removed(
+    fleet, revision
+):
+    """Guards against a conclusion from what a record was before."""
+    core = fleet.hosts[0]
+    assert core.origins.sole(("llm",)) is not None
+    spoiled = softwarerecords.SoftwareRecord("llm", (), revision)
+    core.step(fleet.now, [softwarerecords.SoftwareRead(spoiled)])
+    assert core.origins.sole(("llm",)) is None
+
+
 def test_a_version_that_came_and_went_before_its_record_began_no_stream(fleet):
     fleet.versions.append("v2")
     fleet.pass_time(5)
