--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -33,7 +33,11 @@
         "stale_configuration",
         "The host could not find out whether its configuration was current.",
     ),
-    ("not_ready", "The host had just started and had no configuration yet."),
+    (
+        "not_ready",
+        "The host had just started and had no configuration yet, or, for a new stream, "
+        "no records of software versions.",
+    ),
     (
         "Refused: quarantined",
         "Targets crash under this request, so it is sent to none.",
