Daemons of the tests run from compiled code, as those of the platform do

Tests saw hosts that weren't ready within 15 s of their start and had logged nothing, where many processes ran beside them.

Cause: where PYTHONDONTWRITEBYTECODE is set, Python compiles all 700 modules again at each start of a daemon, as neither the checkout nor its libraries have compiled code. The platform's hosts start from a bundle of compiled code.

Change: the launcher of the lab and the stand-ins start processes without that variable, so the first start leaves the compiled code for all others.

--- a/packages/lab/sesamespindle/lab/fleet.py
+++ b/packages/lab/sesamespindle/lab/fleet.py
@@ -8,7 +8,6 @@
 import contextlib
 import dataclasses
 import json
-import os
 import pathlib
 import shutil
 
@@ -221,7 +220,7 @@
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
-            env=os.environ | self.environment | (environment or {}),
+            env=processes.environment_with(self.environment | (environment or {})),
         )
         output, _ = await child.communicate()
         return child.returncode, output.decode()
--- a/packages/lab/sesamespindle/lab/processes.py
+++ b/packages/lab/sesamespindle/lab/processes.py
@@ -11,6 +11,10 @@
 _STOP_TIMEOUT = 15.0
 
 
+# If set, Python compiles all modules again at each start.
+_COMPILES_AGAIN = "PYTHONDONTWRITEBYTECODE"
+
+
 class StartError(Exception):
     """Raised when a process ends or times out before it announces its address."""
 
@@ -80,6 +84,23 @@
         return await self._child.wait()
 
 
+def environment_with(added):
+    """Return the environment variables of a process that runs Python.
+
+    Guards against processes that compile all their modules at each start, which takes
+    longer than the rest of the start: on a busy machine daemons that start at once are
+    then not ready in time. Those of the platform run from code that was compiled
+    before.
+
+    Parameters
+    ----------
+    added : dict
+        Variables to add.
+    """
+    kept = {name: os.environ[name] for name in os.environ if name != _COMPILES_AGAIN}
+    return kept | added
+
+
 async def start(name, arguments, folder, environment=None):
     """Start a Python module as a process and return it once it has announced itself.
 
@@ -106,7 +127,7 @@
         stdin=asyncio.subprocess.DEVNULL,
         stdout=asyncio.subprocess.PIPE,
         stderr=log,
-        env=os.environ | (environment or {}),
+        env=environment_with(environment or {}),
     )
     try:
         async with asyncio.timeout(_START_TIMEOUT):
--- a/tests/lab/test_processes.py
+++ b/tests/lab/test_processes.py
@@ -19,3 +19,17 @@
         processes.StartError, match=r"a did not announce its address within 0 s "
     ):
         go(processes.start("a", ["http.server", "0"], tmp_path))
+
+
+def test_processes_keep_the_compiled_code_of_modules(go, tmp_path, monkeypatch):
+    """Guards against daemons that compile all modules at each start.
+
+    Those of a fleet that starts on a busy machine were then not ready in time.
+    """
+    monkeypatch.setenv("PYTHONDONTWRITEBYTECODE", "1")
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    (tmp_path / "imported.py").write_text("")
+    (tmp_path / "announcing.py").write_text("import imported\nprint('{}', flush=True)")
+    process = go(processes.start("a", ["announcing"], tmp_path))
+    go(process.stop())
+    assert list(tmp_path.glob("__pycache__/imported.*.pyc"))
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -17,7 +17,7 @@
 import limits
 import standinstore
 
-from sesamespindle.lab import proxy
+from sesamespindle.lab import processes, proxy
 
 # Waits end when their condition holds; this time-out only ends a test in which that
 # never happens.
@@ -437,10 +437,11 @@
             *self._program(),
             stdout=self.log,
             stderr=self.log,
-            env=os.environ
-            | {"SESAMESPINDLE_NODE_FILE": self._settings_path}
-            | ({"DETOURS_PATH": self._detours} if self._detours else {})
-            | ({"HELD_UNTIL_PATH": self._held_until} if self._held_until else {}),
+            env=processes.environment_with(
+                {"SESAMESPINDLE_NODE_FILE": self._settings_path}
+                | ({"DETOURS_PATH": self._detours} if self._detours else {})
+                | ({"HELD_UNTIL_PATH": self._held_until} if self._held_until else {})
+            ),
         )
 
     def _program(self):
