--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -98,7 +98,8 @@
         now = self._driver.clock.now()
         is_informed = core.origins.is_informed(now)
         if is_informed and not core.origins.matters(services):
-            self._measures.taken_up("one_version")
+            only = core.stream_versions.only_seen_version(services[0])
+            self._note_taken_up(request, only, "one_version")
             return request
         key = streamorigins.key_of(account, request.resumes)
         origin, source = await self._find_told(key, request, now)
@@ -109,14 +110,18 @@
             if origin is not None and request.resumes:
                 core.origins.learned(key, origin, now)
                 self._driver.feed()
+        self._note_taken_up(request, origin.software if origin else "", source)
+        return dataclasses.replace(request, origin=origin)
+
+    def _note_taken_up(self, request, software, source):
+        """Count and log a stream that is taken up, and how its version is known."""
         self._measures.taken_up(source)
         _log.bind(request=request.request_id).info(
             "Takes up the stream begun as {}, at software version {} ({}).",
             request.resumes or "-",
-            origin.software if origin else "-",
+            software or "-",
             source,
         )
-        return dataclasses.replace(request, origin=origin)
 
     async def _find_told(self, key, request, now):
         """Return what this host, its peers or the store were told of an attempt.
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -280,6 +280,21 @@
             return False
         return not self.is_informed(now) or self.matters(_services(route))
 
+    def only_version(self, route, service):
+        """Return the version at which a stream goes on whose origin needn't be asked.
+
+        Guards against a stream that a caller takes up while its service has one
+        version, and that is sent again, or sent late, once there is another.
+
+        Returns
+        -------
+        software : str
+            Empty if the stream may go on anywhere, or no version is known.
+        """
+        if route.repeats is not routes.Repeats.RESUMABLE:
+            return ""
+        return self._versions.only_seen_version(service)
+
     def earliest_return(self):
         """Return after how long a caller is to come back; None if that doesn't matter.
 
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -113,6 +113,11 @@
         """Return whether a service has, or had lately, several software versions."""
         return len(self._seen_by_service.get(service, ())) > 1
 
+    def only_seen_version(self, service):
+        """Return the version of a service that isn't mixed; empty if none is known."""
+        seen = self._seen_by_service.get(service, {})
+        return next(iter(seen)) if len(seen) == 1 else ""
+
     def mixed_services(self):
         """Return the names of all services that are mixed."""
         return {name for name, seen in self._seen_by_service.items() if len(seen) > 1}
--- a/tests/decide/test_sole_versions.py
+++ b/tests/decide/test_sole_versions.py
@@ -291,3 +291,26 @@
 def _engine(name, software):
     listed = gateways.make_target(name, "llm", versions={"m": 1})
     return dataclasses.replace(listed, software=software)
+
+
+@pytest.mark.parametrize(
+    "ending", [sends.Ending.REFUSED, sends.Ending.LOST, sends.Ending.TURNED_AWAY]
+)
+def test_a_stream_taken_up_at_the_only_version_is_sent_to_no_later_one(fleet, ending):
+    """Guards against a retry that takes a stream which was taken up for a new one."""
+    core = fleet.hosts[0]
+    command = gateways.begin(
+        core,
+        "/chat/1",
+        fleet.now,
+        request_id="a1",
+        model="m",
+        resumes="a0",
+        last_event_id="3",
+        deadline=fleet.now + 60 * SECOND,
+    )
+    assert command.target == "llm-v1"
+    fleet.versions = ["v2"]
+    fleet.pass_time(3)
+    command = core.forwarding.ended("a1", ending, now=fleet.now)
+    assert not isinstance(command, sends.Forward) or command.target == "llm-v1"
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -5,6 +5,7 @@
 
 import cutfleet
 import pytest
+import standins
 import versionfleet
 
 _PER_SECOND = 30
@@ -115,6 +116,65 @@
     play(scenario)
 
 
+class _HoldingEngine(versionfleet.Engine):
+    """An engine at which streams that are taken up bring no event, and break off.
+
+    Attributes
+    ----------
+    held : asyncio.Event
+        Set once such a stream has arrived.
+    breaks : asyncio.Event
+        Set to have it break off.
+    """
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.held = asyncio.Event()
+        self.breaks = asyncio.Event()
+
+    async def _stream(self, headers, writer):
+        if headers.get("last-event-id"):
+            self.held.set()
+            await self.breaks.wait()
+            writer.transport.abort()
+            return
+        await super()._stream(headers, writer)
+
+
+def test_a_stream_taken_up_before_a_release_goes_on_at_no_other_version(play):
+    """Guards against a stream that is sent again once its service has two versions."""
+
+    async def scenario(world):
+        fleet = versionfleet.Fleet(world, breaks=False)
+        address = f"127.0.0.1:{standins.free_ports(1)[0]}"
+        engine = _HoldingEngine("llm-0", address, "v1")
+        await world.list_target(engine)
+        await fleet.add_hosts(2)
+        clients = versionfleet.Clients(fleet, 1)
+        stream = await _begin_at("v1", clients)
+        taking_up = asyncio.create_task(clients.send(stream, "a1"))
+        await engine.held.wait()
+        await fleet.add_engine("v1.2", breaks=False)
+        await world.store.put("servers", engine.name, engine.entry("draining"))
+        await _begin_at("v1.2", clients)
+        engine.breaks.set()
+        await taking_up
+        assert set(stream.versions) == {"v1"}
+
+    play(scenario)
+
+
+async def _begin_at(software, clients):
+    """Return a stream that a software version has begun; its client has left."""
+    async with asyncio.timeout(standins.PATIENCE_SECONDS):
+        while True:
+            stream = versionfleet.Stream()
+            await clients.send(stream, "a0", leaves_after=3)
+            if software in stream.versions:
+                return stream
+            await asyncio.sleep(0.02)
+
+
 def test_a_stream_that_loses_its_carrier_goes_on_at_its_version(play):
     """Guards against a host that mixes versions as another peer carries a stream on."""
 
--- a/tests/support/versionfleet.py
+++ b/tests/support/versionfleet.py
@@ -139,7 +139,7 @@
                 await asyncio.sleep(_LATE_SECONDS)
             resumes = stream.last_id > 0
             events_before = len(stream.versions)
-            wait = await self._try(stream, f"c{number}.{attempt}", number, leaves_after)
+            wait = await self.send(stream, f"c{number}.{attempt}", number, leaves_after)
             goes_on = stream.is_complete or len(stream.versions) > events_before
             if resumes and stream.statuses[-1] != 0:
                 stream.resumed.append(goes_on)
@@ -174,8 +174,20 @@
         """Return how often each stream has been taken up so far."""
         return [len(stream.resumed) for stream in self.streams]
 
-    async def _try(self, stream, attempt, number, leaves_after):
-        """Make one try; return how long to wait before the next."""
+    async def send(self, stream, attempt, number=0, leaves_after=None):
+        """Make one try; return how long to wait before the next.
+
+        Parameters
+        ----------
+        stream : Stream
+            What the client has so far; what the try brings is added.
+        attempt : str
+            The id of the try.
+        number : int
+            Names the prompt.
+        leaves_after : int, optional
+            After how many events the client leaves.
+        """
         await standins.until(self._fleet.has_hosts)
         host = self._chance.choice(self._fleet.serving)
         headers = {
