A stream goes on at no other service of its route that has another version

Callers could get one stream from two software versions on a route with two services, each of which has one version only: they took it up, and it was drawn to the other service. The same holds after a manifest has split a route. Nobody has seen that outside of the tests.

Cause: whether it matters where a stream began was asked for each service by itself. With one version each, nobody was asked, nothing was told to keepers, and the service was drawn by weight again.

Change: it matters if the services of the route together have several versions. Keepers are told of the streams of such services, and of earlier ones as a route is split. A stream that needn't be asked for is bound to the version of the route's services, also if it is drawn to one that has no target yet. It was bound to none there, and its log line named the first service's version.

Why it works: a stream can only be drawn to the services of its route, so their versions together are all between which it can change. On routes with one service, or whose services have one version, nothing changes: no message, call or refusal is added. Where they differ for good, each stream costs what it costs in a service with two versions; that price was not measured.

Four of the five tests failed before; the fifth holds that services of one version tell and ask nothing. Each of the three guards was taken out, and its test fails.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -98,7 +98,7 @@
         now = self._driver.clock.now()
         is_informed = core.origins.is_informed(now)
         if is_informed and not core.origins.matters(services):
-            only = core.stream_versions.only_seen_version(services[0])
+            only = core.stream_versions.only_seen_version(*services)
             self._note_taken_up(request, only, "one_version")
             return request
         key = streamorigins.key_of(account, request.resumes)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -198,7 +198,7 @@
         if request.origin is not None:
             flight.software = request.origin.software
         elif request.takes_up and request.passport is None:
-            flight.software = self._origins.only_version(route, service)
+            flight.software = self._origins.only_version(route)
         if request.passport is None:
             self._budgets.earn(flight.service, self._count_live_entries())
         else:
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -436,7 +436,11 @@
         self.rollout.tick(now)
         self.brittle.tick(now)
         self.stream_versions.tick(now)
-        self.origins.tick(self.forwarding.flight_by_request.values(), now)
+        self.origins.tick(
+            self.forwarding.flight_by_request.values(),
+            self.forwarding.configuration,
+            now,
+        )
         self.reach.tick(now)
         self.forwarding.tick(now)
         self.asking.tick(now)
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -180,7 +180,7 @@
             self._records.add(event.key, event.origin, now)
         return True
 
-    def tick(self, flights, now):
+    def tick(self, flights, configuration, now):
         """Tell keepers of earlier streams as their service becomes mixed.
 
         Those under way are first. Guards against streams that are refused as their
@@ -190,10 +190,12 @@
         ----------
         flights : iterable of flights.Flight
             The requests in flight.
+        configuration : routes.Configuration or None
+            The active configuration.
         """
         self._forget(now)
         self._records.write_if_due(now)
-        mixed = self._versions.mixed_services()
+        mixed = self._services_to_tell_of(configuration)
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
         if newly_mixed:
@@ -203,6 +205,19 @@
         for service in mixed & self._untold_by_service.keys():
             self._tell_earlier(self._untold_by_service[service], now)
 
+    def _services_to_tell_of(self, configuration):
+        """Return the services whose streams may be taken up where versions differ.
+
+        These are the mixed ones, and those of routes whose services differ in version.
+        """
+        names = self._versions.mixed_services()
+        for route in configuration.routes if configuration is not None else ():
+            services = _services(route)
+            is_resumable = route.repeats is routes.Repeats.RESUMABLE
+            if is_resumable and len(services) > 1 and self.matters(services):
+                names.update(services)
+        return names
+
     def _tell_earlier(self, untold_by_key, now):
         """Tell keepers of attempts that began while their service had one version."""
         for key in list(itertools.islice(untold_by_key, _TOLD_AT_ONCE)):
@@ -219,7 +234,8 @@
         key = key_of(account, flight.request.request_id)
         origin = Origin(flight.service, flight.software)
         untold_by_key = self._untold_by_service[flight.service]
-        if self._versions.is_mixed(flight.service):
+        is_mixed = self.matters(_services(flight.route))
+        if is_mixed or flight.service in self._mixed_services:
             untold_by_key.pop(key, None)
             self.learned(key, origin, now)
         elif len(untold_by_key) < _MOST_KEPT:
@@ -263,8 +279,12 @@
         return Origin(services[0], software) if software is not None else None
 
     def matters(self, services):
-        """Return whether a stream of these services must go on where it began."""
-        return any(self._versions.is_mixed(service) for service in services)
+        """Return whether a stream of these services must go on where it began.
+
+        Guards against a stream that begins at one service of a route and goes on at
+        another one, whose targets all have another version.
+        """
+        return self._versions.is_mixed(*services)
 
     def is_informed(self, now):
         """Return whether this host would know of another software version."""
@@ -280,7 +300,7 @@
             return False
         return not self.is_informed(now) or self.matters(_services(route))
 
-    def only_version(self, route, service):
+    def only_version(self, route):
         """Return the version at which a stream goes on whose origin needn't be asked.
 
         Guards against a stream that a caller takes up while its service has one
@@ -293,7 +313,7 @@
         """
         if route.repeats is not routes.Repeats.RESUMABLE:
             return ""
-        return self._versions.only_seen_version(service)
+        return self._versions.only_seen_version(*_services(route))
 
     def earliest_return(self):
         """Return after how long a caller is to come back; None if that doesn't matter.
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -109,15 +109,21 @@
             ]:
                 del seen[software]
 
-    def is_mixed(self, service):
-        """Return whether a service has, or had lately, several software versions."""
-        return len(self._seen_by_service.get(service, ())) > 1
+    def is_mixed(self, *services):
+        """Return whether services have, or had lately, several software versions."""
+        return len(self._seen_of(services)) > 1
 
-    def only_seen_version(self, service):
-        """Return the version of a service that isn't mixed; empty if none is known."""
-        seen = self._seen_by_service.get(service, {})
+    def only_seen_version(self, *services):
+        """Return the version of services that aren't mixed; empty if none is known."""
+        seen = self._seen_of(services)
         return next(iter(seen)) if len(seen) == 1 else ""
 
+    def _seen_of(self, services):
+        """Return the versions of some services together."""
+        return set().union(
+            *(self._seen_by_service.get(service, ()) for service in services)
+        )
+
     def mixed_services(self):
         """Return the names of all services that are mixed."""
         return {name for name, seen in self._seen_by_service.items() if len(seen) > 1}
--- /dev/null
+++ b/tests/decide/test_split_routes.py
@@ -0,0 +1,150 @@
+"""Streams of routes that have several services, whose software versions may differ."""
+
+import dataclasses
+
+import gateways
+import pytest
+from gateways import NOW, SECOND
+
+from sesamespindle.decide import (
+    commands,
+    events,
+    gateway,
+    routes,
+    sends,
+    streamorigins,
+    targetlist,
+)
+
+_SOFTWARE_BY_SERVICE = {"llm": "v1", "new": "v2"}
+_AT = NOW + 4 * SECOND
+
+
+def _configure(core, version, *services):
+    """Have a route of resumable streams sent to some services alike."""
+    made = gateways.make_configuration()
+    shares = tuple(routes.Share(service, 1.0) for service in services)
+    changed = tuple(
+        dataclasses.replace(route, shares=shares)
+        if route.repeats is routes.Repeats.RESUMABLE
+        else route
+        for route in made.routes
+    )
+    service_by_name = made.service_by_name | {"new": made.service_by_name["llm"]}
+    configuration = dataclasses.replace(
+        made, version=version, routes=changed, service_by_name=service_by_name
+    )
+    core.step(NOW, [gateway.ConfigurationRead(configuration)])
+
+
+def _list(core, *services, software=""):
+    listed = tuple(
+        dataclasses.replace(
+            gateways.make_target(f"{service}-1", service, versions={"m": 1}),
+            software=software or _SOFTWARE_BY_SERVICE[service],
+        )
+        for service in services
+    )
+    core.step(NOW, [targetlist.TargetsListed(listed)])
+
+
+def _make_core(*services):
+    """Return a host in touch, with targets of both services and peers."""
+    core = gateways.make_gateway(slack=1000.0)
+    _configure(core, 2, *services)
+    _list(core, "llm", "new")
+    for name in ("entry-2", "entry-3"):
+        core.state.put_entry(gateways.make_entry(name))
+    core.stream_versions.merge((), NOW)
+    for seconds in range(4):
+        core.step(NOW + seconds * SECOND, [events.Tick()])
+    return core
+
+
+@pytest.fixture
+def core():
+    return _make_core("llm", "new")
+
+
+def _begin(core, request_id, **changed):
+    fields = {"model": "m", "deadline": _AT + 20 * SECOND} | changed
+    return gateways.begin(core, "/chat/1", _AT, request_id=request_id, **fields)
+
+
+def _stream(core, request_id):
+    """Have a stream begin and its caller leave; return its version."""
+    command = _begin(core, request_id)
+    core.forwarding.stream_begun(request_id, now=_AT)
+    core.forwarding.close(request_id, now=_AT)
+    return core.state.targets.get(command.target).software
+
+
+def _told(core):
+    return [
+        command.origin.software
+        for command in core.step(_AT, [events.Tick()])
+        if isinstance(command, streamorigins.TellOrigin)
+    ]
+
+
+def _take_up(core, number, origin):
+    return _begin(
+        core, f"b{number}", resumes=f"a{number}", last_event_id="3", origin=origin
+    )
+
+
+def test_a_stream_goes_on_at_no_service_of_another_version(core):
+    """Guards against a stream that goes on at another service, of another version."""
+    for number in range(20):
+        began = _stream(core, f"a{number}")
+        unknown = _take_up(core, number, None)
+        assert isinstance(unknown, commands.Refuse)
+        assert unknown.code is commands.Code.ORIGIN_UNKNOWN
+        origin = core.origins.known(streamorigins.key_of("acme", f"a{number}"), _AT)
+        command = _take_up(core, number, origin)
+        assert core.state.targets.get(command.target).software == began
+
+
+def test_keepers_are_told_of_streams_of_services_that_differ_in_version(core):
+    """Guards against streams that are refused as no peer knows where they began."""
+    began = [_stream(core, f"a{number}") for number in range(10)]
+    assert set(began) == {"v1", "v2"}
+    assert _told(core) == began
+
+
+def test_keepers_are_told_of_earlier_streams_as_a_route_is_split():
+    """Guards against streams that are refused as their route gets a second service."""
+    core = _make_core("llm")
+    for number in range(5):
+        _stream(core, f"a{number}")
+    _begin(core, "under-way")
+    core.forwarding.stream_begun("under-way", now=_AT)
+    assert _told(core) == []
+    _configure(core, 3, "llm", "new")
+    assert _told(core) == ["v1"] * 6
+
+
+def test_a_stream_drawn_to_a_service_without_targets_is_bound_to_the_version():
+    """Guards against a stream that is sent late, to targets which came meanwhile."""
+    core = gateways.make_gateway(slack=1000.0)
+    _configure(core, 2, "llm", "new")
+    _list(core, "llm")
+    core.stream_versions.merge((), NOW)
+    core.step(_AT, [events.Tick()])
+    for number in range(20):
+        _take_up(core, number, None)
+    flights = core.forwarding.flight_by_request.values()
+    assert {flight.service for flight in flights} == {"llm", "new"}
+    assert {flight.software for flight in flights} == {"v1"}
+
+
+def test_services_of_one_version_tell_and_ask_nothing():
+    """Guards against messages and refusals where all services have one version."""
+    core = gateways.make_gateway(slack=1000.0)
+    _configure(core, 2, "llm", "new")
+    _list(core, "llm", "new", software="v1")
+    core.stream_versions.merge((), NOW)
+    core.step(_AT, [events.Tick()])
+    _stream(core, "a0")
+    assert _told(core) == []
+    assert isinstance(_take_up(core, 0, None), sends.Forward)
