A version is not forgotten while a stream that it began is under way

Callers could get one stream from two software versions: its target had left the list and went on writing for over a minute, its version was forgotten meanwhile, and as the stream broke off it was taken up at the version that was left.

Cause: a version counts for a minute after its last target was seen in the table. What it still writes was not looked at.

Evidence: in decide, v1 and v2, the target of a stream under way leaves the table, 122 s pass; its host then sends the stream to the other version (the test fails there, before it asks the peer). Now both hosts refuse it as of unknown origin, and a minute after its end the service counts as of one version again.

Change: while a service is mixed, the version of each stream that has begun counts as seen; gossip and the record tell the other hosts, as they do of listed versions. With one version nothing is done. Processor time while mixed, one look into a dictionary for each stream and tick, was not measured.

The test failed before; with its guard taken out it fails. That such a stream could go on where its version still serves, but is refused as attempts are remembered for a minute from their first event, is another matter and stays.

--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -188,7 +188,7 @@
 
         Parameters
         ----------
-        flights : iterable of flights.Flight
+        flights : collection of flights.Flight
             The requests in flight.
         configuration : routes.Configuration or None
             The active configuration.
@@ -202,6 +202,9 @@
             for flight in flights:
                 if flight.service in newly_mixed:
                     self.begun(flight, now)
+        for flight in flights:
+            if flight.service in mixed and flight.has_begun and flight.software:
+                self._versions.note_under_way(flight.service, flight.software, now)
         for service in mixed & self._untold_by_service.keys():
             self._tell_earlier(self._untold_by_service[service], now)
 
--- a/packages/decide/sesamespindle/decide/streamversions.py
+++ b/packages/decide/sesamespindle/decide/streamversions.py
@@ -109,6 +109,16 @@
             ]:
                 del seen[software]
 
+    def note_under_way(self, service, software, now):
+        """Have a version count that writes a stream, though its target isn't listed.
+
+        Guards against a stream that goes on at another version, as it was under way for
+        so long after its target had left the list that its version was forgotten.
+        """
+        when = self._seen_by_service.get(service, {}).get(software)
+        if when is not None:
+            when.last_at = now
+
     def is_mixed(self, *services):
         """Return whether services have, or had lately, several software versions."""
         return len(self._seen_of(services)) > 1
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -12,6 +12,7 @@
 from sesamespindle.decide import (
     commands,
     events,
+    gateway,
     gossip,
     sends,
     storechecks,
@@ -273,6 +274,46 @@
     assert not core.stream_versions.records_to_announce(at)
 
 
+def test_a_version_is_not_forgotten_while_its_stream_is_under_way():
+    """Guards against a stream that goes on elsewhere as its version is forgotten."""
+    core, other = make_gateway(), make_gateway()
+    for host in (core, other):
+        list_engines(host, "v1", "v2")
+        tick(host, NOW)
+    _time_out_after(core, 3 * _LONG)
+    command = begin(core, NOW, request_id="a0", deadline=NOW + 3 * _LONG)
+    core.forwarding.first_byte("a0", now=NOW)
+    core.forwarding.stream_begun("a0", now=NOW)
+    for host in (core, other):
+        host.state.drop_target(command.target)
+    at = NOW
+    while at - NOW < 2 * _LONG:
+        at += SECOND
+        for host, peer in ((core, other), (other, core)):
+            tick(host, at)
+            peer.stream_versions.merge(host.stream_versions.records_to_announce(at), at)
+    core.forwarding.close("a0", now=at)
+    for host in (core, other):
+        again = take_up(host, None, at=at, request_id="b0")
+        assert isinstance(again, commands.Refuse)
+        assert again.code is commands.Code.ORIGIN_UNKNOWN
+    while at - NOW < 4 * _LONG:
+        at += SECOND
+        tick(core, at)
+    assert not core.stream_versions.is_mixed("llm")
+
+
+def _time_out_after(core, timeout):
+    """Have each route allow so much time."""
+    made = gateways.make_configuration(version=2)
+    changed = tuple(
+        dataclasses.replace(route, timeout=timeout) for route in made.routes
+    )
+    core.step(
+        NOW, [gateway.ConfigurationRead(dataclasses.replace(made, routes=changed))]
+    )
+
+
 def test_memory_of_origins_is_bounded_by_time_and_count(core, monkeypatch):
     """Guards against a flood of attempts that fills memory or pushes others out."""
     monkeypatch.setattr(streamorigins, "_MOST_KEPT", 10)
