A stream is drawn to a service of its route that has its version

Callers could be refused as version_gone although their stream could go on: on a route with several services a peer that carries the stream drew the service anew, by weight, as it is told the version but not the service; and so did a host where the service that began the stream had left the route. Nobody has seen that outside of the tests.

Cause: the service was drawn without regard to the version to which the stream is bound. The refusal of a carrying peer is final, so no other peer was asked.

Evidence: in decide, two services of equal weight, v1 at one of them: of 20 streams bound to v1, 12 were refused as version_gone, in either form of the test. Now 20 of 20 are sent to the target that has v1.

Change: a stream that is bound to a version is drawn among the services that have a target of it, by their weights; among all if none has, as before. New streams, and routes with one service, are drawn as before.

The test failed before in both forms; with its guard taken out both fail. What the guard of streams that are bound to the only version puts in its place had to change with the code about it; its test still fails without it.

--- a/packages/decide/sesamespindle/decide/candidates.py
+++ b/packages/decide/sesamespindle/decide/candidates.py
@@ -115,6 +115,18 @@
         """Return the targets of a service that are listed and don't leave."""
         return [row for row in self._state.targets.where("pool", service) if row.stays]
 
+    def services_at(self, route, software):
+        """Return the services of a route that have a target of a software version.
+
+        Guards against a stream that is drawn to a service where it can't go on, though
+        another one of its route has its version.
+        """
+        return [
+            share.service
+            for share in route.shares
+            if any(row.software == software for row in self.staying(share.service))
+        ]
+
     def code_without(self, flight, now):
         """Return the code of the refusal of a request that no target may get."""
         rows = self.staying(flight.service)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -188,16 +188,17 @@
                 "there are several.",
                 earliest=self._origins.earliest_return(),
             )
-        begun_by = request.origin.service if request.origin is not None else None
-        service = route.draw_service(self._state.random, begun_by)
+        begun_by, software = None, request.software
+        if request.origin is not None:
+            begun_by, software = request.origin.service, request.origin.software
+        able = self._candidates.services_at(route, software) if software else ()
+        service = route.draw_service(self._state.random, begun_by, able)
         flight = flights.Flight(
             request, route, service, account, now, until, fingerprint, parts
         )
         self.flight_by_request[request.request_id] = flight
-        flight.software = request.software
-        if request.origin is not None:
-            flight.software = request.origin.software
-        elif request.takes_up and request.passport is None:
+        flight.software = software
+        if request.origin is None and request.takes_up and request.passport is None:
             flight.software = self._origins.only_version(route)
         if request.passport is None:
             self._budgets.earn(flight.service, self._count_live_entries())
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -57,7 +57,7 @@
     shares: tuple[Share, ...]
     public: bool = False
 
-    def draw_service(self, rng, begun_by=None):
+    def draw_service(self, rng, begun_by=None, able=()):
         """Return the name of one of its services, drawn by weight.
 
         A stream that is taken up stays at the service that began it.
@@ -68,13 +68,17 @@
             The source of randomness.
         begun_by : str or None
             The service that began the stream; None if none has.
+        able : collection of str
+            The services at which a stream may go on; empty for any.
         """
         if any(share.service == begun_by for share in self.shares):
             return begun_by
         if len(self.shares) == 1:
             return self.shares[0].service
-        weights = [share.weight for share in self.shares]
-        return rng.choices(self.shares, weights)[0].service
+        shares = [share for share in self.shares if share.service in able]
+        shares = shares or self.shares
+        weights = [share.weight for share in shares]
+        return rng.choices(shares, weights)[0].service
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/decide/test_split_routes.py
+++ b/tests/decide/test_split_routes.py
@@ -138,6 +138,20 @@
     assert {flight.software for flight in flights} == {"v1"}
 
 
+@pytest.mark.parametrize("is_carried", [True, False])
+def test_a_stream_is_drawn_to_a_service_that_has_its_version(core, is_carried):
+    """Guards against a refusal as the service of a stream isn't told, or has gone."""
+    fields = {"resumes": "a0", "last_event_id": "3"}
+    if is_carried:
+        incarnation = core.state.entries.get(core.state.me.name).incarnation
+        passport = sends.Passport("entry-2", incarnation, 0)
+        fields |= {"passport": passport, "software": "v1"}
+    else:
+        fields["origin"] = streamorigins.Origin("gone", "v1")
+    sent = [_begin(core, f"b{number}", **fields) for number in range(20)]
+    assert {command.target for command in sent} == {"llm-1"}
+
+
 def test_services_of_one_version_tell_and_ask_nothing():
     """Guards against messages and refusals where all services have one version."""
     core = gateways.make_gateway(slack=1000.0)
