A stream goes on at no other version as its route is moved to another service

Callers could get one stream from two software versions: an operator moved its route to a service whose targets have another version, and the caller took the stream up there.

Cause: whether it matters where a stream began was asked of the services that its route has now. Those that began it were nobody's knowledge.

Change: a host remembers for a minute, the longest time in which callers come back, which services its routes had, also where a route takes over paths of another one. These count with the route's own: keepers are told of what they began, hosts ask, and a stream of unknown origin or whose version isn't there is refused. `RouteHistory` holds that; `StreamOrigins.services` is asked by whoever asked for a route's services.

Price: none while no route changes its service; a tick looks only at routes that have or had several services. A change costs a comparison of the routes of one host name, not measured. For a minute after a move streams of both services are told to keepers, as those of a service with two versions are.

The tests failed before, as the module was missing; with the guard taken out, `return own`, the first three fail or the history has no effect. Shown in decide only.

--- a/packages/daemon/sesamespindle/daemon/originlookup.py
+++ b/packages/daemon/sesamespindle/daemon/originlookup.py
@@ -90,12 +90,13 @@
         it is recorded, unless the store doesn't answer.
         """
         core = self._driver.core
-        stream = streamorigins.taken_up(core.forwarding.configuration, request)
+        now = self._driver.clock.now()
+        configuration = core.forwarding.configuration
+        stream = core.origins.taken_up(configuration, request, now)
         if stream is None:
             await self._await_record(request)
             return request
         services, account = stream
-        now = self._driver.clock.now()
         is_informed = core.origins.is_informed(now)
         if is_informed and not core.origins.matters(services):
             only = core.stream_versions.only_seen_version(*services)
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -199,7 +199,7 @@
         self.flight_by_request[request.request_id] = flight
         flight.software = software
         if request.origin is None and request.takes_up and request.passport is None:
-            flight.software = self._origins.only_version(route)
+            flight.software = self._origins.only_version(route, now)
         if request.passport is None:
             self._budgets.earn(flight.service, self._count_live_entries())
         else:
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -408,6 +408,7 @@
         current = self.forwarding.configuration
         if current is not None and configuration.version <= current.version:
             return
+        self.origins.note_change(current, configuration, now)
         self.forwarding.configuration = configuration
         self.state.freshness.note_in_force(
             self._kinds.configuration, configuration.version
@@ -436,11 +437,7 @@
         self.rollout.tick(now)
         self.brittle.tick(now)
         self.stream_versions.tick(now)
-        self.origins.tick(
-            self.forwarding.flight_by_request.values(),
-            self.forwarding.configuration,
-            now,
-        )
+        self.origins.tick(self.forwarding.flight_by_request.values(), now)
         self.reach.tick(now)
         self.forwarding.tick(now)
         self.asking.tick(now)
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -15,7 +15,13 @@
 import hashlib
 import itertools
 
-from sesamespindle.decide import hashing, originrecords, routes, streamversions
+from sesamespindle.decide import (
+    hashing,
+    originrecords,
+    routehistory,
+    routes,
+    streamversions,
+)
 
 _KEEPERS = 2
 # Hosts that are asked at once: the keepers, and those that took their place while hosts
@@ -97,36 +103,9 @@
         Empty if its route is unknown, or its streams can't be resumed.
     """
     route = _resumable_route(configuration, request)
-    return _services(route) if route is not None else ()
-
-
-def taken_up(configuration, request):
-    """Return the services and the account of a stream that a caller takes up.
-
-    Parameters
-    ----------
-    configuration : routes.Configuration or None
-        The active configuration.
-    request : flights.Request
-        The caller's request.
-
-    Returns
-    -------
-    services : tuple of str
-    account : str
-        Empty if the route needs none.
-
-    None if the request takes up no stream, or its route or key is unknown.
-    """
-    if not request.takes_up or request.passport is not None:
-        return None
-    route = _resumable_route(configuration, request)
     if route is None:
-        return None
-    if not configuration.needs_keys or route.public:
-        return _services(route), ""
-    account = configuration.account_by_key.get(request.key or "")
-    return (_services(route), account.name) if account is not None else None
+        return ()
+    return tuple(share.service for share in route.shares)
 
 
 def _resumable_route(configuration, request):
@@ -139,10 +118,6 @@
     return route
 
 
-def _services(route):
-    return tuple(share.service for share in route.shares)
-
-
 class StreamOrigins:
     """Remembers where streams began, and knows who else does.
 
@@ -168,6 +143,7 @@
         # The same of attempts that began here while their service had one version.
         self._untold_by_service = collections.defaultdict(dict)
         self._mixed_services = set()
+        self._history = routehistory.RouteHistory()
         self._peer_by_name = {}
         self._peers_of_view = None
 
@@ -180,7 +156,7 @@
             self._records.add(event.key, event.origin, now)
         return True
 
-    def tick(self, flights, configuration, now):
+    def tick(self, flights, now):
         """Tell keepers of earlier streams as their service becomes mixed.
 
         Those under way are first. Guards against streams that are refused as their
@@ -190,12 +166,10 @@
         ----------
         flights : collection of flights.Flight
             The requests in flight.
-        configuration : routes.Configuration or None
-            The active configuration.
         """
         self._forget(now)
         self._records.write_if_due(now)
-        mixed = self._services_to_tell_of(configuration)
+        mixed = self._services_to_tell_of(now)
         newly_mixed = mixed - self._mixed_services
         self._mixed_services = mixed
         if newly_mixed:
@@ -208,16 +182,16 @@
         for service in mixed & self._untold_by_service.keys():
             self._tell_earlier(self._untold_by_service[service], now)
 
-    def _services_to_tell_of(self, configuration):
+    def _services_to_tell_of(self, now):
         """Return the services whose streams may be taken up where versions differ.
 
-        These are the mixed ones, and those of routes whose services differ in version.
+        These are the mixed ones, and those of routes whose services, the earlier ones
+        included, differ in version.
         """
         names = self._versions.mixed_services()
-        for route in configuration.routes if configuration is not None else ():
-            services = _services(route)
-            is_resumable = route.repeats is routes.Repeats.RESUMABLE
-            if is_resumable and len(services) > 1 and self.matters(services):
+        for route in self._history.divided:
+            services = self.services(route, now)
+            if self.matters(services):
                 names.update(services)
         return names
 
@@ -237,7 +211,7 @@
         key = key_of(account, flight.request.request_id)
         origin = Origin(flight.service, flight.software)
         untold_by_key = self._untold_by_service[flight.service]
-        is_mixed = self.matters(_services(flight.route))
+        is_mixed = self.matters(self.services(flight.route, now))
         if is_mixed or flight.service in self._mixed_services:
             untold_by_key.pop(key, None)
             self.learned(key, origin, now)
@@ -293,6 +267,50 @@
         """Return whether this host would know of another software version."""
         return self._versions.is_informed(now)
 
+    def note_change(self, before, after, now):
+        """Adopt a change of the configuration; see `RouteHistory.note_change`."""
+        self._history.note_change(before, after, now)
+
+    def services(self, route, now):
+        """Return the services that may have begun a stream of a route.
+
+        Guards against a stream that its first service began at one version, and that
+        goes on at the service which its route was moved to, at another one.
+        """
+        return self._history.services(route, now)
+
+    def taken_up(self, configuration, request, now):
+        """Return the services and the account of a stream that a caller takes up.
+
+        Parameters
+        ----------
+        configuration : routes.Configuration or None
+            The active configuration.
+        request : flights.Request
+            The caller's request.
+        now : datetime.datetime
+            The current time.
+
+        Returns
+        -------
+        services : tuple of str
+            Those that may have begun it.
+        account : str
+            Empty if the route needs none.
+
+        None if the request takes up no stream, or its route or key is unknown.
+        """
+        if not request.takes_up or request.passport is not None:
+            return None
+        route = _resumable_route(configuration, request)
+        if route is None:
+            return None
+        services = self.services(route, now)
+        if not configuration.needs_keys or route.public:
+            return services, ""
+        account = configuration.account_by_key.get(request.key or "")
+        return (services, account.name) if account is not None else None
+
     def must_refuse(self, request, route, now):
         """Return whether a caller's stream can't go on for lack of knowledge."""
         if not request.takes_up or request.origin is not None:
@@ -301,9 +319,10 @@
             return False
         if route.repeats is not routes.Repeats.RESUMABLE:
             return False
-        return not self.is_informed(now) or self.matters(_services(route))
+        services = self.services(route, now)
+        return not self.is_informed(now) or self.matters(services)
 
-    def only_version(self, route):
+    def only_version(self, route, now):
         """Return the version at which a stream goes on whose origin needn't be asked.
 
         Guards against a stream that a caller takes up while its service has one
@@ -316,7 +335,7 @@
         """
         if route.repeats is not routes.Repeats.RESUMABLE:
             return ""
-        return self._versions.only_seen_version(*_services(route))
+        return self._versions.only_seen_version(*self.services(route, now))
 
     def earliest_return(self):
         """Return after how long a caller is to come back; None if that doesn't matter.
--- a/tests/decide/test_split_routes.py
+++ b/tests/decide/test_split_routes.py
@@ -10,9 +10,11 @@
     commands,
     events,
     gateway,
+    routehistory,
     routes,
     sends,
     streamorigins,
+    streamversions,
     targetlist,
 )
 
@@ -162,3 +164,65 @@
     _stream(core, "a0")
     assert _told(core) == []
     assert isinstance(_take_up(core, 0, None), sends.Forward)
+
+
+@pytest.fixture
+def moved_core():
+    """Provide a host at which a stream began before its route got another service."""
+    core = _make_core("llm")
+    assert _stream(core, "a0") == "v1"
+    _configure(core, 3, "new")
+    return core
+
+
+def test_a_stream_goes_on_at_no_service_that_its_route_was_moved_to(moved_core):
+    """Guards against a stream that goes on at the next service, of another version."""
+    unknown = _take_up(moved_core, 0, None)
+    assert isinstance(unknown, commands.Refuse)
+    assert unknown.code is commands.Code.ORIGIN_UNKNOWN
+    origin = moved_core.origins.known(streamorigins.key_of("acme", "a0"), _AT)
+    gone = _take_up(moved_core, 1, origin)
+    assert isinstance(gone, commands.Refuse)
+    assert gone.code is commands.Code.VERSION_GONE
+    assert isinstance(_begin(moved_core, "c0"), sends.Forward)
+
+
+def test_keepers_are_told_of_earlier_streams_as_a_route_is_moved(moved_core):
+    """Guards against streams of a moved route that each host but one refuses."""
+    assert _told(moved_core) == ["v1"]
+    assert moved_core.origins.sole(("new", "llm")) is None
+
+
+def test_services_that_a_route_had_long_ago_do_not_matter(moved_core):
+    """Guards against streams that are asked for, or refused, for good after a move."""
+    at = _AT + streamversions.SEEN_FOR + SECOND
+    moved_core.step(at, [events.Tick()])
+    route = moved_core.forwarding.configuration.routes[-1]
+    assert moved_core.origins.services(route, _AT) == ("new", "llm")
+    assert moved_core.origins.services(route, at) == ("new",)
+
+
+@pytest.mark.parametrize("prefix", ["/chat/", "/chat/1/", "/"])
+def test_a_route_that_takes_over_paths_has_the_services_of_the_one_before(prefix):
+    """Guards against streams that go on elsewhere as part of their route is moved."""
+    before = _make_route("/chat/", "llm")
+    after = _make_route(prefix, "new")
+    history = routehistory.RouteHistory()
+    history.note_change(_routes(before), _routes(after), NOW)
+    assert history.services(after, NOW) == ("new", "llm")
+    third = _make_route("/chat/", "third")
+    history.note_change(_routes(after), _routes(third), NOW + SECOND)
+    assert set(history.services(third, NOW + SECOND)) == {"third", "new", "llm"}
+    other = _make_route("/other/", "llm")
+    history.note_change(_routes(third), _routes(other), NOW + 2 * SECOND)
+    assert history.services(other, NOW + 2 * SECOND) == ("llm",)
+
+
+def _make_route(prefix, service):
+    route = gateways.make_configuration().routes[-1]
+    shares = (routes.Share(service, 1.0),)
+    return dataclasses.replace(route, prefix=prefix, shares=shares)
+
+
+def _routes(*made):
+    return routes.Configuration(version=1, routes=made)
