A run that was sent after its target had ended is no suspect of that end

Callers of sound prompts got 503 (quarantined) for good: a part that their prompts share was refused, though it had been under way at no end of a target but one.

Cause: every run whose connection broke became a suspect of its target's end, also one that was sent after the end. A host goes on to choose a target until its end is known by the target list, 0.5 to 2 s, where what listens at the address accepts connections and closes them. Each sound prompt that came too late counted as if it had been under way. The class: suspects were chosen by when their loss was seen, not by whether they ran as the target ended.

Change: a run that was sent after the first connection to its target broke isn't a suspect of that end, nor one that was sent after a recorded crash. It still counts as a possible crash of its own until the end is confirmed, so its retries are as before. An answer to a run sent since shows that the target had not ended, and the next break is the first, as before.

The tests failed before: the part was refused, or kept the deadly one from being found. Without its guard the test of the guard fails.

--- a/packages/decide/sesamespindle/decide/crashes.py
+++ b/packages/decide/sesamespindle/decide/crashes.py
@@ -100,12 +100,23 @@
 
 @dataclasses.dataclass(slots=True)
 class _BrokenRuns:
-    """Runs whose connections broke at an incarnation that may have ended."""
+    """Runs whose connections broke at an incarnation that may have ended.
+
+    Attributes
+    ----------
+    at : datetime.datetime
+        When the first connection broke.
+    fingerprints : set of str
+        Those of the runs that were under way then.
+    sent_later : set of str
+        Those of runs that were sent after it.
+    """
 
     service: str
     address: str
     at: datetime.datetime
     fingerprints: set[str] = dataclasses.field(default_factory=set)
+    sent_later: set[str] = dataclasses.field(default_factory=set)
     probes: int = 0
     # How many probes were undecided, and when the next one after them is due.
     undecided: int = 0
@@ -196,7 +207,8 @@
             return
         known = self.records.crash_by_incarnation.get(incarnation)
         if known is not None:
-            self.records.add_suspects(known, {fingerprint})
+            if sent_at <= known.at:
+                self.records.add_suspects(known, {fingerprint})
             return
         row = self._current_row(incarnation)
         if row is None or row.leaving or row.missing_since is not None:
@@ -206,7 +218,9 @@
             broken = _BrokenRuns(row.pool, row.url, now)
             self._broken_runs_by_incarnation[incarnation] = broken
             self._probe(incarnation, broken)
-        broken.fingerprints.add(fingerprint)
+        was_under_way = sent_at <= broken.at
+        runs = broken.fingerprints if was_under_way else broken.sent_later
+        runs.add(fingerprint)
 
     def record_abandoned_run(self, fingerprint, incarnation, now):
         """Record a run that was abandoned by its caller or by this host."""
@@ -311,7 +325,7 @@
         return [
             broken.at
             for broken in self._broken_runs_by_incarnation.values()
-            if fingerprint in broken.fingerprints
+            if fingerprint in broken.fingerprints | broken.sent_later
             and self.records.is_after_success(fingerprint, broken.at)
         ]
 
--- a/tests/decide/test_crashes.py
+++ b/tests/decide/test_crashes.py
@@ -54,6 +54,30 @@
     assert suspects(core) == [{"aa", "bb"}]
 
 
+def test_a_run_sent_after_its_target_had_ended_is_no_suspect(core):
+    """Guards against sound runs blamed for the end of a target they came too late to.
+
+    What listens at its address accepts them, and closes their connections.
+    """
+    break_off(core, "aa")
+    break_off(core, "bb", sent_at=SOON, at=SOON + 0.01 * SECOND)
+    assert core.crashes.possible_crash_times("bb") == [NOW]
+    successor = make_target("llm-9-1", "llm", revision=2)
+    later = NOW + SECOND
+    core.step(later, [targetlist.TargetChanged(successor), events.Tick()])
+    break_off(core, "cc", sent_at=SOON, at=later)
+    assert suspects(core) == [{"aa"}]
+
+
+def test_a_run_sent_after_a_link_broke_is_a_suspect_if_its_target_answered(core):
+    """Guards against a crash that counts for nobody, as a link had broken before."""
+    break_off(core, "aa")
+    core.crashes.record_answer(INCARNATION, SOON)
+    break_off(core, "bb", sent_at=SOON, at=SOON + 0.01 * SECOND)
+    core.step(NOW + SECOND, confirmed_end())
+    assert suspects(core) == [{"bb"}]
+
+
 def test_a_restarted_target_has_crashed(core):
     break_off(core, "aa")
     restarted = make_target("llm-1", "llm", revision=2, born=7)
--- a/tests/decide/test_culprits.py
+++ b/tests/decide/test_culprits.py
@@ -107,6 +107,27 @@
     assert judge(core) == {DEADLY}
 
 
+@pytest.mark.parametrize("causes", [set(), {DEADLY}])
+def test_a_part_of_requests_sent_to_targets_that_had_ended_is_not_refused(core, causes):
+    """Guards against sound prompts refused as each came to a target just after its end.
+
+    The targets end by themselves, or by a part that is under way at each.
+    """
+    for number in range(1, 6):
+        incarnation = incarnations.TargetIncarnation(f"llm-{number}", 1)
+        ended_at = NOW + 0.6 * number * SECOND
+        sent_at = ended_at + 0.2 * SECOND
+        core.step(ended_at, [events.Tick()])
+        for key in (REQUESTS[number], *causes):
+            core.crashes.record_broken_run(key, incarnation, ended_at, ended_at)
+        core.step(sent_at, [events.Tick()])
+        for key in (f"{number:032d}", SOUND):
+            core.crashes.record_broken_run(key, incarnation, sent_at, sent_at)
+        core.crashes.record_end(incarnation, "test")
+    assert judge(core) == causes
+    assert core.quarantine.possible_crash_count((SOUND,)) == 0
+
+
 def test_a_part_is_not_blamed_for_crashes_soon_after_it_ran_well(core):
     core.quarantine.record_success(SOUND, NOW)
     for number in (1, 2, 3):
