--- a/tests/support/corewaits.py
+++ b/tests/support/corewaits.py
@@ -16,16 +16,23 @@
     """
 
     def __init__(self, *process_ids):
-        self._before = {number: _seconds_waited(number) for number in process_ids}
+        self._before = {number: seconds_waited(number) for number in process_ids}
 
     def longest(self):
         """Return the longest time; the processes may have waited at once."""
         return max(
-            _seconds_waited(number) - before for number, before in self._before.items()
+            seconds_waited(number) - before for number, before in self._before.items()
         )
 
 
-def _seconds_waited(process_id):
+def seconds_waited(process_id):
+    """Return how long a process has waited for a core so far.
+
+    Raises
+    ------
+    FileNotFoundError
+        If it has exited.
+    """
     figures = pathlib.Path(f"/proc/{process_id}/schedstat").read_text()
     _, waited_ns, _ = figures.split()
     return int(waited_ns) / 1e9
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 import aiohttp.web
+import corewaits
 import limits
 import standinstore
 
@@ -510,10 +511,9 @@
     def seconds_without_core(self):
         """Return how long the process has waited for a core; 0 if it has exited."""
         try:
-            text = pathlib.Path(f"/proc/{self.process_id}/schedstat").read_text()
+            return corewaits.seconds_waited(self.process_id)
         except FileNotFoundError:
             return 0.0
-        return int(text.split()[1]) / 1e9
 
     def send_signal(self, number):
         """Send a signal, if the process still runs."""
