A route's earlier services are those of the routes that had its paths

After each change of the configuration, streams of a route below another one of the same host name counted as streams of both, so with different versions they were asked for, and refused if unknown, for a minute without need.

Cause: routes were compared by whether one prefix begins with the other. Which of them had a path is told by the longest prefix.

Change: a route's earlier ones are the one that matched its prefix before, and those whose prefix it matches now. Streams under way are looked at only while a service is mixed.

--- a/packages/decide/sesamespindle/decide/routehistory.py
+++ b/packages/decide/sesamespindle/decide/routehistory.py
@@ -5,6 +5,8 @@
 service began.
 """
 
+import collections
+
 from sesamespindle.decide import routes, streamversions
 
 
@@ -40,8 +42,6 @@
     def note_change(self, before, after, now):
         """Adopt a change of the configuration.
 
-        Its cost grows with the routes of one host name, squared.
-
         Parameters
         ----------
         before : routes.Configuration or None
@@ -51,13 +51,11 @@
         now : datetime.datetime
             The current time.
         """
-        earlier_by_host = {}
-        for route in _resumable(before) if before is not None else ():
-            earlier_by_host.setdefault(route.host.lower(), []).append(route)
+        earlier_by_route = _earlier_routes(before, after) if before is not None else {}
         resumable = _resumable(after)
         self._until_by_service_by_route = {
             _key(route): self._earlier_services(
-                route, earlier_by_host.get(route.host.lower(), ()), now
+                route, earlier_by_route.get(_key(route), ()), now
             )
             for route in resumable
         }
@@ -65,12 +63,10 @@
             route for route in resumable if len(self.services(route, now)) > 1
         )
 
-    def _earlier_services(self, route, candidates, now):
+    def _earlier_services(self, route, earlier_routes, now):
         """Return until when each service counts that a route doesn't have any more."""
         until_by_service = {}
-        for earlier in candidates:
-            if not _have_paths_in_common(route, earlier):
-                continue
+        for earlier in earlier_routes:
             known = self._until_by_service_by_route.get(_key(earlier), {})
             until_by_service |= {
                 name: until for name, until in known.items() if now <= until
@@ -82,6 +78,20 @@
         return until_by_service
 
 
+def _earlier_routes(before, after):
+    """Return the resumable routes that had paths of each route before a change."""
+    earlier_by_route = collections.defaultdict(list)
+    for route in _resumable(after):
+        earlier = before.match(route.host, route.prefix)
+        if earlier is not None and earlier.repeats is routes.Repeats.RESUMABLE:
+            earlier_by_route[_key(route)].append(earlier)
+    for earlier in _resumable(before):
+        route = after.match(earlier.host, earlier.prefix)
+        if route is not None:
+            earlier_by_route[_key(route)].append(earlier)
+    return earlier_by_route
+
+
 def _resumable(configuration):
     return [
         route
@@ -92,9 +102,3 @@
 
 def _key(route):
     return route.host.lower(), route.prefix
-
-
-def _have_paths_in_common(first, second):
-    return first.prefix.startswith(second.prefix) or second.prefix.startswith(
-        first.prefix
-    )
--- a/packages/decide/sesamespindle/decide/streamorigins.py
+++ b/packages/decide/sesamespindle/decide/streamorigins.py
@@ -176,11 +176,16 @@
             for flight in flights:
                 if flight.service in newly_mixed:
                     self.begun(flight, now)
+        if mixed:
+            self._note_under_way(flights, mixed, now)
+        for service in mixed & self._untold_by_service.keys():
+            self._tell_earlier(self._untold_by_service[service], now)
+
+    def _note_under_way(self, flights, mixed, now):
+        """Have the versions count that write streams of mixed services."""
         for flight in flights:
             if flight.service in mixed and flight.has_begun and flight.software:
                 self._versions.note_under_way(flight.service, flight.software, now)
-        for service in mixed & self._untold_by_service.keys():
-            self._tell_earlier(self._untold_by_service[service], now)
 
     def _services_to_tell_of(self, now):
         """Return the services whose streams may be taken up where versions differ.
--- a/tests/decide/test_split_routes.py
+++ b/tests/decide/test_split_routes.py
@@ -218,6 +218,15 @@
     assert history.services(other, NOW + 2 * SECOND) == ("llm",)
 
 
+def test_a_route_has_no_services_of_another_route_with_some_of_its_paths():
+    """Guards against streams that are asked for, or refused, at each change."""
+    whole, part = _make_route("/", "llm"), _make_route("/chat/", "new")
+    history = routehistory.RouteHistory()
+    history.note_change(_routes(whole, part), _routes(whole, part), NOW)
+    assert history.services(whole, NOW) == ("llm",)
+    assert history.services(part, NOW) == ("new",)
+
+
 def _make_route(prefix, service):
     route = gateways.make_configuration().routes[-1]
     shares = (routes.Share(service, 1.0),)
