--- a/packages/decide/sesamespindle/decide/brittle.py
+++ b/packages/decide/sesamespindle/decide/brittle.py
@@ -262,11 +262,11 @@
             self._senders_by_key.clear()
         key = row.incarnation, self._known_by_service[row.pool].rejections
         if key not in self._senders_by_key:
-            self._senders_by_key[key] = self._first(row, self._reaching_names())
+            self._senders_by_key[key] = self._senders_among(row, self._reaching_names())
         return self._senders_by_key[key]
 
-    def _first(self, row, names):
-        """Return those of some hosts that send to a target, if these are all."""
+    def _senders_among(self, row, names):
+        """Return the hosts that send to a target, if these reach its service."""
         rejections = self._known_by_service[row.pool].rejections
         count = max(1, min(int(_RISKED_SHARE * rejections), row.slots, _MAX_SENDERS))
         return hashing.rank(f"brittle/{row.name}", names)[:count]
@@ -288,7 +288,8 @@
             return
         for row in self._state.targets:
             if self.is_brittle(row.pool):
-                replaced = set(self._first(row, before)).difference(self._senders(row))
+                earlier = set(self._senders_among(row, before))
+                replaced = earlier.difference(self._senders(row))
                 self._load(row.incarnation).note_replaced(replaced, now)
 
     def _may_send(self, row, now):
