Hosts count and log the sends that aren't the first of their request

The record of the incident couldn't tell what the repeats were: a send's line named neither the send before nor what it cost, and no metric named the budget. Each such send now says after what it follows, and is counted by that; refusals for want of the budget and what is left of it are metrics, and the first refusal and the first retry after it are logged. Nothing else changes.

--- a/packages/decide/sesamespindle/decide/budgets.py
+++ b/packages/decide/sesamespindle/decide/budgets.py
@@ -1,9 +1,10 @@
 """Each daemon's share of a retry budget that applies to the whole fleet."""
 
+import collections
 import dataclasses
 import datetime
 
-from sesamespindle.decide import retries
+from sesamespindle.decide import commands, retries
 
 # The share of the allowed ratio and slack that is used. The rest is a margin for
 # requests that never reach a target, and for entries that start or stop within a
@@ -43,11 +44,17 @@
     ----------
     rule : BudgetRule
         The limits for the whole fleet.
+    state : world.World
+        The shared tables, through which this host's log is written.
     """
 
-    def __init__(self, rule):
+    def __init__(self, rule, state):
         self._rule = rule
+        self._state = state
         self._budget_by_service = {}
+        self._repeats_by_reason = collections.Counter()
+        self._refused_by_service = collections.Counter()
+        self._spent_services = set()
 
     def earn(self, service, entries):
         """Add the tokens that a new request earns for retries.
@@ -66,7 +73,61 @@
 
         For the parameters see `earn`.
         """
-        return self._budget(service, entries).spend()
+        budget = self._budget(service, entries)
+        is_allowed = budget.spend()
+        self._note_decided(service, budget, is_allowed)
+        return is_allowed
+
+    def note_repeat(self, flight):
+        """Count a send that isn't the first of its request, by what it follows.
+
+        Parameters
+        ----------
+        flight : flights.Flight
+            The request, whose last send has ended.
+        """
+        if flight.last_ending is not None:
+            self._repeats_by_reason[flight.service, flight.last_ending] += 1
+
+    def repeats_by_label(self):
+        """Return the number of sends that weren't the first of their request.
+
+        Returns
+        -------
+        count_by_label : dict of str to int
+            By the labels of the metric: the service, and how the send before ended.
+        """
+        return {
+            f'service="{service}",after="{ending.value}"': count
+            for (service, ending), count in self._repeats_by_reason.items()
+        }
+
+    def refused_by_label(self):
+        """Return how many sends the budget didn't allow, by the service's label."""
+        return _by_service(self._refused_by_service)
+
+    def left_by_label(self):
+        """Return how many retries each service has left here, by its label."""
+        return _by_service(
+            {
+                service: round(budget.tokens, 2)
+                for service, budget in self._budget_by_service.items()
+            }
+        )
+
+    def _note_decided(self, service, budget, is_allowed):
+        """Count what the budget refuses, and log when that begins and ends."""
+        self._refused_by_service[service] += not is_allowed
+        if is_allowed != (service in self._spent_services):
+            return
+        if is_allowed:
+            self._spent_services.discard(service)
+            kind = "retry_budget_left"
+        else:
+            self._spent_services.add(service)
+            kind = "retry_budget_spent"
+        text = f"{budget.tokens:.2f} retries are left to this host"
+        self._state.emit(commands.Note(kind, service, text))
 
     def _budget(self, service, entries):
         burst = _USED_SHARE * self._rule.slack / max(entries, 1)
@@ -76,3 +137,9 @@
             self._budget_by_service[service] = budget
         budget.limit(burst)
         return budget
+
+
+def _by_service(value_by_service):
+    return {
+        f'service="{service}"': value for service, value in value_by_service.items()
+    }
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -139,6 +139,8 @@
     counted : dict
         The peer addresses of the keepers that may count it, each with the number under
         which it is counted, by target incarnation.
+    last_ending : sends.Ending or None
+        How its last send ended; None before the first has ended.
     is_retry_paid : bool
         Whether its next send is already taken from the retry budget.
     rejections : int
@@ -168,6 +170,7 @@
     carrier: str = ""
     has_carrier_answered: bool = False
     failed_from: datetime.datetime | None = None
+    last_ending: object | None = None
     is_retry_paid: bool = False
     software: str = ""
     sent_software: str = ""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -231,6 +231,7 @@
         self._endings.note(flight, row, ending, now)
         self.waiting_room.note_ending(flight, row, ending, now)
         self._release(flight)
+        flight.last_ending = ending
         maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
@@ -577,6 +578,7 @@
     def _start(self, flight, row, place, now, engines=None):
         """Record a send at its target, and return it."""
         request = flight.request
+        self._budgets.note_repeat(flight)
         flight.incarnation = row.incarnation
         flight.version = place.version if place else None
         flight.sent_software = row.software
@@ -620,7 +622,8 @@
                 self._target_limits.describe(row, now),
                 now,
             )
-            + keeper_text,
+            + keeper_text
+            + sendlog.explain_repeat(flight),
             row.born,
         )
 
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -169,10 +169,11 @@
         self.ledgers = ledgers.Ledgers()
         self.learning = learning.Learning(self.state)
         self.asking = asking.Asking(self.state, keepers.Keepers(self.state))
+        self.budgets = budgets.SharedBudgets(terms.budget, self.state)
         self.forwarding = forwarding.Forwarding(
             self.state,
             self.weights,
-            budgets.SharedBudgets(terms.budget),
+            self.budgets,
             self.crashes,
             self.quarantine,
             fingerprints.Fingerprints(key),
--- a/packages/decide/sesamespindle/decide/retries.py
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -36,6 +36,11 @@
         self._burst = burst
         self._tokens = burst
 
+    @property
+    def tokens(self):
+        """The tokens that it holds."""
+        return self._tokens
+
     def earn(self):
         """Add the tokens of a first attempt."""
         self._tokens = min(self._tokens + self._ratio, self._burst)
--- a/packages/decide/sesamespindle/decide/sendlog.py
+++ b/packages/decide/sesamespindle/decide/sendlog.py
@@ -51,6 +51,13 @@
     )
 
 
+def explain_repeat(flight):
+    """Return what a send that isn't the first of its request follows, for the log."""
+    if flight.last_ending is None:
+        return ""
+    return f" Sent again after {flight.last_ending.value}."
+
+
 def describe_targets(rows, entries, limited, resting, now):
     """Return a summary of a service's targets, for the message of a refusal.
 
--- a/tests/support/repeatfleet.py
+++ b/tests/support/repeatfleet.py
@@ -1,4 +1,4 @@
-"""Real daemons before targets that answer no request, and what is sent more than once."""
+"""Real daemons before targets in trouble, and what is sent to them more than once."""
 
 import asyncio
 import contextlib
