A request that waits and is asked for pays once for each repeat

What a request has paid for is now kept in one place, on the flight, and used up by the send itself: begin_send takes it, end_send leaves it for the next send if nothing arrived, and close gives back what was never sent. Whether a send has to be paid follows from whether anything of the request has arrived, in place of the ending of the send before it, which a wait could lose.

Price: none; a token that bought nothing is there again.

--- a/packages/decide/sesamespindle/decide/budgets.py
+++ b/packages/decide/sesamespindle/decide/budgets.py
@@ -78,6 +78,13 @@
         self._note_decided(service, budget, is_allowed)
         return is_allowed
 
+    def refund(self, service, entries):
+        """Give back what a retry took that wasn't sent.
+
+        For the parameters see `earn`.
+        """
+        self._budget(service, entries).refund()
+
     def note_repeat(self, flight):
         """Count a send that isn't the first of its request, by what it follows.
 
--- a/packages/decide/sesamespindle/decide/carriers.py
+++ b/packages/decide/sesamespindle/decide/carriers.py
@@ -84,7 +84,7 @@
         flight.begun_at = None
         flight.carrier = peer.name
         flight.has_carrier_answered = False
-        flight.sends += 1
+        flight.begin_send()
         self._in_flight_by_peer[peer.name] = self._count(peer) + 1
         request = flight.request
         may_repeat = flight.route.repeats is routes.Repeats.IDEMPOTENT
--- a/packages/decide/sesamespindle/decide/flights.py
+++ b/packages/decide/sesamespindle/decide/flights.py
@@ -141,8 +141,12 @@
         which it is counted, by target incarnation.
     last_ending : sends.Ending or None
         How its last send ended; None before the first has ended.
-    is_retry_paid : bool
-        Whether its next send is already taken from the retry budget.
+    arrivals : int
+        Number of ended sends that may have reached a target, also one that turned the
+        request away.
+    send_paid_at, retry_paid_at : datetime.datetime or None
+        When its last send, and its next one, were taken from the retry budget; None
+        if they weren't.
     rejections : int
         Number of sends that targets turned away, counted where requests may wait.
     forgiven_sends : int
@@ -171,7 +175,9 @@
     has_carrier_answered: bool = False
     failed_from: datetime.datetime | None = None
     last_ending: object | None = None
-    is_retry_paid: bool = False
+    arrivals: int = 0
+    send_paid_at: datetime.datetime | None = None
+    retry_paid_at: datetime.datetime | None = None
     software: str = ""
     sent_software: str = ""
     asked: object | None = None
@@ -180,6 +186,27 @@
     forgiven_sends: int = 0
     waiter: object | None = None
 
+    def begin_send(self):
+        """Count a send that begins now, which uses up what was paid for it."""
+        self.sends += 1
+        self.send_paid_at, self.retry_paid_at = self.retry_paid_at, None
+
+    def end_send(self, ending):
+        """Record how its last send ended.
+
+        What was paid for a send that reached no target is left for the next one.
+        """
+        self.last_ending = ending
+        if ending in sends.NOT_ARRIVED:
+            self.retry_paid_at = self.retry_paid_at or self.send_paid_at
+        else:
+            self.arrivals += 1
+
+    @property
+    def owes_retry(self):
+        """Whether its next send has to be taken from the retry budget yet."""
+        return self.arrivals > 0 and self.retry_paid_at is None
+
     @property
     def has_begun(self):
         """Whether an answer to its last send has begun to arrive."""
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -116,7 +116,7 @@
         self._asking = keeper_asking
         self._learning = target_learning
         self.waiting_room = waitingroom.WaitingRoom(
-            state, self._send, self._refuse_waiting, self._spend_retry
+            state, self._send, self._refuse_waiting, self._pay
         )
         self.configuration = None
         self.flight_by_request = {}
@@ -231,7 +231,7 @@
         self._endings.note(flight, row, ending, now)
         self.waiting_room.note_ending(flight, row, ending, now)
         self._release(flight)
-        flight.last_ending = ending
+        flight.end_send(ending)
         maybe_ran = ending in sends.MAYBE_RAN
         if maybe_ran:
             flight.runs += 1
@@ -239,7 +239,7 @@
             return self._send(flight, now, ending)
         if ending is sends.Ending.TURNED_AWAY:
             code = commands.Code.OVERLOADED
-            return self._without_room(flight, ending, now, code, is_paid=False)
+            return self._without_room(flight, ending, now, code)
         return self._final_answer(flight, ending, now)
 
     def resumed(self, request_id, now):
@@ -270,8 +270,9 @@
         if row is not None:
             self._reach.note_failure(row, now)
         # Paid here, as several sends may end before what follows the first is decided.
-        flight.is_retry_paid = self._spend_retry(flight)
-        return flight.is_retry_paid
+        if flight.retry_paid_at is None and self._spend_retry(flight):
+            flight.retry_paid_at = now
+        return flight.retry_paid_at is not None
 
     def heard(self, request_id, now):
         """Record that the target of a request sent something."""
@@ -423,6 +424,8 @@
         flight = self.flight_by_request.pop(request_id, None)
         if flight is None:
             return
+        if flight.retry_paid_at is not None:
+            self._budgets.refund(flight.service, self._count_live_entries())
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
         is_unsent = self.waiting_room.close(flight, now)
@@ -548,13 +551,11 @@
             return self._final_answer(flight, ending, now, code)
         return self._send(flight, now, ending)
 
-    def _without_room(self, flight, ending, now, code, is_paid=True):
+    def _without_room(self, flight, ending, now, code):
         """Return what follows where no target has room for a request now."""
         waiting = None
         if not self._reach.is_unreached(flight.service):
-            waiting = self.waiting_room.lacks_room(
-                flight, flight.urgency, ending, is_paid, code, now
-            )
+            waiting = self.waiting_room.lacks_room(flight, flight.urgency, code, now)
         return waiting or self._final_answer(flight, ending, now, code)
 
     def _refuse_waiting(self, flight, code, now):
@@ -582,7 +583,7 @@
         flight.incarnation = row.incarnation
         flight.version = place.version if place else None
         flight.sent_software = row.software
-        flight.sends += 1
+        flight.begin_send()
         flight.sent_at = now
         flight.begun_at = None
         flight.tried.add(row.incarnation)
@@ -657,13 +658,17 @@
             return False
         if flight.until - now < _MIN_TIME_LEFT:
             return False
-        if ending in sends.NOT_ARRIVED:
-            # Nothing reached a target, so it doesn't count against the retry budget.
-            return True
-        if flight.is_retry_paid:
-            flight.is_retry_paid = False
-            return True
-        return self._spend_retry(flight)
+        return self._pay(flight, now)
+
+    def _pay(self, flight, now):
+        """Return whether the next send of a request is within the retry budget.
+
+        It is taken from the budget, unless it is already, or nothing of the request
+        has reached a target yet.
+        """
+        if flight.owes_retry and self._spend_retry(flight):
+            flight.retry_paid_at = now
+        return not flight.owes_retry
 
     def _spend_retry(self, flight):
         return self._budgets.spend(flight.service, self._count_live_entries())
--- a/packages/decide/sesamespindle/decide/retries.py
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -45,6 +45,10 @@
         """Add the tokens of a first attempt."""
         self._tokens = min(self._tokens + self._ratio, self._burst)
 
+    def refund(self):
+        """Put back the token of a retry that wasn't sent."""
+        self._tokens = min(self._tokens + 1.0, self._burst)
+
     def limit(self, burst):
         """Change the capacity of the bucket; tokens above it are lost."""
         self._burst = burst
--- a/packages/decide/sesamespindle/decide/waitingroom.py
+++ b/packages/decide/sesamespindle/decide/waitingroom.py
@@ -51,16 +51,16 @@
         target has room, what `lacks_room` returned.
     refuse : callable
         Takes a flight, a code and the time, and returns its final answer.
-    may_repeat : callable
-        Takes a flight, and returns whether the retry budget has a send for it, which
-        it takes.
+    pay : callable
+        Takes a flight and the time, and returns whether its next send is within the
+        retry budget, from which it is taken.
     """
 
-    def __init__(self, state, send, refuse, may_repeat):
+    def __init__(self, state, send, refuse, pay):
         self._state = state
         self._send = send
         self._refuse = refuse
-        self._may_repeat = may_repeat
+        self._pay = pay
         self._full = fulltargets.FullTargets(state)
         self._queue_by_service = collections.defaultdict(waitqueue.Queue)
         self._decided_by_request = {}
@@ -83,7 +83,7 @@
         decided = self.take_decided(waiter.request_id)
         return decided or self._judge_new(queue, waiter, now)
 
-    def lacks_room(self, flight, rank, ending, is_paid, code, now):
+    def lacks_room(self, flight, rank, code, now):
         """Return the wait of a request that no target has room for.
 
         Parameters
@@ -92,10 +92,6 @@
             The request.
         rank : int
             The urgency of its sends, 0 first.
-        ending : sends.Ending or None
-            How its last send ended; None if there was none, or it waits already.
-        is_paid : bool
-            Whether its next send is already taken from the retry budget.
         code : commands.Code
             Why no target has room.
         now : datetime.datetime
@@ -118,8 +114,6 @@
             waiter.code = code
             return _wait(waiter, "")
         waiter = self._add(queue, flight, rank, code, now)
-        waiter.owes = ending is not None and ending not in sends.NOT_ARRIVED
-        flight.is_retry_paid = waiter.owes and is_paid
         return self._judge_new(queue, waiter, now)
 
     def with_room(self, rows, now):
@@ -165,7 +159,8 @@
             waiter = queue.first(tried, now)
             if waiter is None or queue.is_held_by_question(now):
                 return
-            if not self._pays(waiter):
+            # Targets count repeats that they turn away too.
+            if not self._pay(waiter.flight, now):
                 tried.add(waiter.line)
                 continue
             command = self._send(waiter.flight, now)
@@ -310,28 +305,18 @@
         interval = queue.rate.interval(now)
         place = 0
         for waiter in queue.in_order():
-            waits_in_vain = waiter.is_unpaid and now - waiter.since >= _WAITS_FOR_BUDGET
+            is_unpaid = waiter.flight.owes_retry
+            waits_in_vain = is_unpaid and now - waiter.since >= _WAITS_FOR_BUDGET
             if waits_in_vain or waiter.is_too_late(place, interval, now):
                 self._give_up(queue, waiter, now)
             else:
                 place += 1
 
-    def _pays(self, waiter):
-        """Return whether a request's next send is within the retry budget.
-
-        Guards against targets that get more repeats than a service may get: they
-        count although the targets turned the requests away.
-        """
-        if waiter.is_unpaid:
-            waiter.flight.is_retry_paid = self._may_repeat(waiter.flight)
-        return not waiter.is_unpaid
-
     def _decide(self, queue, waiter, command, now):
         queue.remove(waiter, now)
         if isinstance(command, sends.Forward):
             queue.note_passed_by(waiter)
             waiter.flight.waiter = None
-            waiter.flight.is_retry_paid = False
         elif isinstance(command, sends.AskKeeper):
             queue.asking_by_request[waiter.request_id] = waiter
         self._decided_by_request[waiter.request_id] = command
--- a/packages/decide/sesamespindle/decide/waitqueue.py
+++ b/packages/decide/sesamespindle/decide/waitqueue.py
@@ -27,8 +27,6 @@
         Its place among all arrivals.
     code : commands.Code
         Why no target has room for it.
-    owes : bool
-        Whether its next send counts against the retry budget.
     passes : int
         How many later requests of its rank or a lower one went before it.
     held_since : datetime.datetime or None
@@ -40,7 +38,6 @@
     number: int
     since: datetime.datetime
     code: commands.Code
-    owes: bool = False
     passes: int = 0
     held_since: datetime.datetime | None = None
 
@@ -59,11 +56,6 @@
         """The key of the line in which it stands."""
         return self.rank, self.account
 
-    @property
-    def is_unpaid(self):
-        """Whether its next send has to be taken from the retry budget yet."""
-        return self.owes and not self.flight.is_retry_paid
-
     @property
     def is_overdue(self):
         """Whether it isn't passed any more."""
--- a/tests/decide/test_waitingroom.py
+++ b/tests/decide/test_waitingroom.py
@@ -173,7 +173,7 @@
     flight = flights.Flight(request, route, "desk", None, now, until)
     code = commands.Code.OVERLOADED
     room = forwarding.waiting_room
-    assert room.lacks_room(flight, 4, None, True, code, now) is None
+    assert room.lacks_room(flight, 4, code, now) is None
     assert room.begin(flight, 4, now) is None
 
 
@@ -204,7 +204,7 @@
         self.has_room = set()
         self.asks = set()
         self.alone = waitingroom.WaitingRoom(
-            self.core.state, self._answer, None, lambda flight: True
+            self.core.state, self._answer, None, lambda flight, now: True
         )
 
     def wait(self, request_id, account):
@@ -221,7 +221,7 @@
     def lack_room(self, flight):
         """Tell that no target has room for a request; return its wait."""
         code = commands.Code.OVERLOADED
-        return self.alone.lacks_room(flight, 4, None, True, code, gateways.NOW)
+        return self.alone.lacks_room(flight, 4, code, gateways.NOW)
 
     def wake(self):
         """Send those that have room."""
