--- a/tests/platform/test_repeats.py
+++ b/tests/platform/test_repeats.py
@@ -10,6 +10,8 @@
 
 _SECONDS = 24.0
 _LIVES = 3
+# What an engine says of itself that is full and shares its machine with other work.
+_SHARED_MACHINE = "64,4,64,130"
 
 
 def assert_within_budget(fleet):
@@ -47,3 +49,18 @@
             assert_within_budget(fleet)
 
     play(scenario)
+
+
+def test_prompts_that_wait_and_are_asked_for_get_few_repeats(play):
+    """Guards against repeats that nobody paid for where parts for hard load are on."""
+
+    async def scenario(world):
+        async with repeatfleet.fleet(world, "llm") as fleet:
+            for target in fleet.targets:
+                target.turns_away = True
+                target.signals = {"X-Server-Load": _SHARED_MACHINE}
+            async with repeatfleet.calling(fleet, 60.0):
+                await asyncio.sleep(_SECONDS)
+            assert_within_budget(fleet)
+
+    play(scenario)
