A new life of a host has no share of the retry budget's slack for one window

A host counts the requests for a service and their repeats in a sliding window of the rule's length, in place of a bucket, and may repeat the ratio of the former and its share of the slack. What an earlier process of it has used of the slack isn't known by anyone who is sure to be there, so it has its share only once it has run for a window: then no window holds what both have used. The share is that of all hosts which may live, with those that don't respond or have just left, in place of those that respond now; a host that knows nobody has none.

A bucket also had a capacity below 1 from 0.8 of the slack in hosts on, so that no host of such a fleet ever sent a request again.

Tests of one host that has just started, and are about something else, run it with a short window.

--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -201,7 +201,7 @@
         if request.origin is None and request.takes_up and request.passport is None:
             flight.software = self._origins.only_version(route, now)
         if request.passport is None:
-            self._budgets.earn(flight.service, self._count_live_entries())
+            self._budgets.earn(flight.service, now)
         else:
             flight.runs = request.passport.runs
             self._carriers.carried_here += 1
@@ -270,7 +270,7 @@
         if row is not None:
             self._reach.note_failure(row, now)
         # Paid here, as several sends may end before what follows the first is decided.
-        if flight.retry_paid_at is None and self._spend_retry(flight):
+        if flight.retry_paid_at is None and self._budgets.spend(flight.service, now):
             flight.retry_paid_at = now
         return flight.retry_paid_at is not None
 
@@ -425,7 +425,7 @@
         if flight is None:
             return
         if flight.retry_paid_at is not None:
-            self._budgets.refund(flight.service, self._count_live_entries())
+            self._budgets.refund(flight.service, flight.retry_paid_at)
         if flight.request.passport is not None:
             self._carriers.carried_here -= 1
         is_unsent = self.waiting_room.close(flight, now)
@@ -666,13 +666,10 @@
         It is taken from the budget, unless it is already, or nothing of the request
         has reached a target yet.
         """
-        if flight.owes_retry and self._spend_retry(flight):
+        if flight.owes_retry and self._budgets.spend(flight.service, now):
             flight.retry_paid_at = now
         return not flight.owes_retry
 
-    def _spend_retry(self, flight):
-        return self._budgets.spend(flight.service, self._count_live_entries())
-
     def _release(self, flight):
         """Release the connection and memory accounted to a send at its target."""
         self._asking.release(flight)
--- a/packages/decide/sesamespindle/decide/retries.py
+++ b/packages/decide/sesamespindle/decide/retries.py
@@ -36,24 +36,10 @@
         self._burst = burst
         self._tokens = burst
 
-    @property
-    def tokens(self):
-        """The tokens that it holds."""
-        return self._tokens
-
     def earn(self):
         """Add the tokens of a first attempt."""
         self._tokens = min(self._tokens + self._ratio, self._burst)
 
-    def refund(self):
-        """Put back the token of a retry that wasn't sent."""
-        self._tokens = min(self._tokens + 1.0, self._burst)
-
-    def limit(self, burst):
-        """Change the capacity of the bucket; tokens above it are lost."""
-        self._burst = burst
-        self._tokens = min(self._tokens, burst)
-
     def spend(self):
         """Return whether a retry is allowed, and take its token if so."""
         if self._tokens < 1.0:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -60,6 +60,7 @@
         engines = [await world.add_target(f"llm-{n}", "llm") for n in (1, 2)]
         for engine in engines:
             engine.release.clear()
+        world.budget_seconds = 0.1
         daemon = await world.add_daemon()
         headers = {"X-Model": "m", "X-Prompt-Prefix": "aa:100,bb:10"}
         request_task = asyncio.create_task(
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -102,6 +102,7 @@
     """Guards against a host that mixes versions within one answer."""
 
     async def scenario(world):
+        world.budget_seconds = 1.0
         fleet = versionfleet.Fleet(world)
         for software in ("v1.1", "v1.2", "v1.1", "v1.2"):
             await fleet.add_engine(software)
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -19,6 +19,7 @@
 async def waiting_call(world, grace):
     """Yield daemon, target and the answer to come of a call that waits for room."""
     target = await world.add_target("desk-0")
+    world.budget_seconds = 0.1
     daemon = await world.add_daemon(grace=grace)
     target.turns_away = True
 
--- a/tests/platform/test_whose_answers.py
+++ b/tests/platform/test_whose_answers.py
@@ -95,6 +95,7 @@
         address = f"127.0.0.1:{standins.free_ports(1)[0]}"
         target = LateTarget("desk-1", address, "desk", {"a"}, "a")
         await world.list_target(target)
+        world.budget_seconds = 0.1
         daemon = await world.add_daemon()
         status = await ask(world, daemon, "/once/1", "a")
         assert (status, target.runs_by_attempt["a"]) == (200, 1)
