A peer that gives a request back tells how many of its sends may have arrived

A peer that carries a request for a host which doesn't reach the targets may send it, have it turned away, and give it back as it leaves or loses its own way to them. Read in the code; a play with real daemons that shows it wasn't found. The refusal now has a header with the number of sends that may have arrived; with one the send ends as handed_back, which is paid for like any repeat, and without one as declined. The header isn't passed on to callers.

Before, a request that a peer gave back was sent again at a spent budget; the new test refuses it, not run. Price: none where peers decline without having sent anything.

--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -417,6 +417,18 @@
         except aiohttp.ClientError:
             return sends.Ending.LOST
 
+    def _ending_of_misfit(self, forward, response):
+        """Return the ending of a response that can't continue a stream; None if it can.
+
+        Guards against a refusal that is written to a caller after the events that it
+        has.
+        """
+        if forward.streaming and response.status == 200:
+            return None
+        if forward.passport is not None and response.status == 503:
+            return self._dialect.ending_of_given_back(response.headers)
+        return sends.Ending.LOST
+
     def _first_byte_timeout(self, forward, answer):
         """Return a timeout that runs until the headers of a target's response.
 
@@ -451,7 +463,7 @@
         is_reusable = idle_seconds is None or idle_seconds >= _MIN_IDLE_SECONDS
         ending = self._dialect.ending_of(forward, response.status, response.headers)
         if ending is None and answer.response is not None:
-            ending = _ending_of_misfit(forward, response.status)
+            ending = self._ending_of_misfit(forward, response)
         if ending is not None:
             # The target has already said what became of the request. A withdrawal
             # while the rest of its response is read would lose that, for example
@@ -677,7 +689,10 @@
             That of the request if a peer has this host carry it.
         """
         is_declined = passport is not None and carriers.declines(refuse)
-        refusal = self._dialect.refusal(refuse, is_declined)
+        arrivals = 0
+        if passport is not None:
+            arrivals = self._forwarding.arrivals_of(refuse.request_id)
+        refusal = self._dialect.refusal(refuse, is_declined, arrivals)
         self._measures.refused(refuse.code)
         _note_request(
             refuse.request_id,
@@ -704,15 +719,3 @@
         if http.version < aiohttp.HttpVersion11:
             connections.reset_on_close(http.transport)
         http.transport.abort()
-
-
-def _ending_of_misfit(forward, status):
-    """Return the ending of a response that can't continue a stream; None if it can.
-
-    Guards against a refusal that is written to a caller after the events that it has.
-    """
-    if forward.streaming and status == 200:
-        return None
-    if forward.passport is not None and status == 503:
-        return sends.Ending.DECLINED
-    return sends.Ending.LOST
--- a/packages/decide/sesamespindle/decide/carriers.py
+++ b/packages/decide/sesamespindle/decide/carriers.py
@@ -109,11 +109,12 @@
         """Record that a carried send ended without a whole answer to relay.
 
         Guards against callers who are refused for lack of peers because streams break
-        off at engines: a peer that answers isn't avoided, unless it declines.
+        off at engines: a peer that answers isn't avoided, unless it gives the request
+        back.
         """
         if not flight.carrier:
             return
-        if flight.has_carrier_answered and ending is not sends.Ending.DECLINED:
+        if flight.has_carrier_answered and ending not in sends.GIVEN_BACK:
             return
         self._avoided_until_by_peer[flight.carrier] = now + _AVOIDED_FOR
 
--- a/packages/decide/sesamespindle/decide/forwarding.py
+++ b/packages/decide/sesamespindle/decide/forwarding.py
@@ -257,6 +257,11 @@
             return self._final_answer(flight, None, now)
         return command
 
+    def arrivals_of(self, request_id):
+        """Return how many ended sends of a request may have reached a target."""
+        flight = self.flight_by_request.get(request_id)
+        return flight.arrivals if flight is not None else 0
+
     def ends_silent(self, request_id, now):
         """Return whether a send to a silent target ends, as another may follow it.
 
--- a/packages/decide/sesamespindle/decide/sends.py
+++ b/packages/decide/sesamespindle/decide/sends.py
@@ -35,10 +35,14 @@
     WITHDRAWN = "withdrawn"
     # The peer that was to carry the request didn't send it to a target.
     DECLINED = "declined"
+    # The peer sent it to targets, of which none ran it, and gives it back.
+    HANDED_BACK = "handed_back"
 
 
 # The endings after which nothing of the request has reached a target.
 NOT_ARRIVED = frozenset((Ending.UNREACHABLE, Ending.REFUSED, Ending.DECLINED))
+# The endings by which a peer lets this host ask another one.
+GIVEN_BACK = frozenset((Ending.DECLINED, Ending.HANDED_BACK))
 # The endings after which a target may have begun to run the request.
 MAYBE_RAN = frozenset(
     (Ending.FAILED, Ending.LOST, Ending.FOREIGN, Ending.SILENT, Ending.WITHDRAWN)
--- a/tests/decide/test_carriers.py
+++ b/tests/decide/test_carriers.py
@@ -11,7 +11,11 @@
 
 @pytest.fixture
 def core():
-    made = make_gateway()
+    return make_core()
+
+
+def make_core(slack=50.0):
+    made = make_gateway(slack)
     made.carriers._port = 7700
     made.step(NOW, [targetlist.TargetsListed((make_target("desk-1"),))])
     made.state.region_by_data_centre = {"dc-1": "r", "dc-2": "r"}
@@ -66,6 +70,17 @@
     assert second.passport.runs == 0
 
 
+def test_what_a_peer_gives_back_after_sends_of_its_own_has_to_be_paid():
+    """Guards against repeats beside the retry budget where peers carry requests."""
+    core = make_core(slack=0.0)
+    cut(core)
+    begin(core)
+    core.forwarding.heard("r1", NOW)
+    final = core.forwarding.ended("r1", sends.Ending.HANDED_BACK, now=NOW)
+    assert isinstance(final, commands.Refuse)
+    assert final.outcome is commands.Outcome.NOT_RUN
+
+
 @pytest.mark.parametrize("answers", [False, True])
 def test_a_peer_is_avoided_only_if_it_does_not_answer(core, answers):
     """Guards against callers who are refused because streams break at engines."""
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -206,3 +206,31 @@
     """Guards against an answer that is lost as its target spoils a figure."""
     headers = multidict.CIMultiDict({"Keep-Alive": value})
     assert dialect.Dialect().keep_alive_seconds(headers) is None
+
+
+def refusal_of_peer(is_declined, arrivals):
+    """Return what a host reads of a refusal of the peer that it asked to carry."""
+    not_run = commands.Outcome.NOT_RUN
+    refuse = commands.Refuse("r1", commands.Code.SHUTTING_DOWN, not_run, "message")
+    return dialect.Dialect().refusal(refuse, is_declined, arrivals)
+
+
+@pytest.mark.parametrize("arrivals", [0, 2])
+def test_a_peer_that_gives_a_request_back_tells_whether_targets_got_it(arrivals):
+    """Guards against repeats that the retry budget of no host counts."""
+    refused = refusal_of_peer(True, arrivals)
+    forward = make_forward(passport=sends.Passport("entry-2", 1, 0))
+    ending = dialect.Dialect().ending_of(forward, refused.status, _multi(refused))
+    is_back = sends.Ending.HANDED_BACK if arrivals else sends.Ending.DECLINED
+    assert ending is is_back
+
+
+def test_a_caller_is_not_told_how_often_a_peer_sent_its_request():
+    refused = refusal_of_peer(False, 2)
+    raw = tuple((k.encode(), v.encode()) for k, v in refused.headers.items())
+    names = {name.lower() for name in dialect.Dialect().answer_headers(raw)}
+    assert not any(name.startswith("x-carry") for name in names)
+
+
+def _multi(refused):
+    return multidict.CIMultiDict(refused.headers)
