--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -476,6 +476,11 @@
         """The port for requests that it carries for peers."""
         return self._ports[4]
 
+    @property
+    def peer_ports(self):
+        """The ports at which peers reach it."""
+        return self._ports[3:]
+
     def url(self, path):
         """Return the URL of a path for callers."""
         return f"http://{self.ip}:{self._ports[0]}{path}"
