An entry that is nested deeply no longer keeps peers from handing on all others

A host that the store turned away, and that hears of it through peers, followed nothing any more beside one entry of another writer that is nested some 900 deep: of an engine that left and one that joined it learned neither within 15 s, and callers were refused as no_target. Its peers had read the entry, and kept it as it was; the message with all that they know is nested deeper, beyond what the decoder bears, so it couldn't be made or read.

Content that is nested more than 32 deep counts as none where answers of the store are decoded. Reports, answers to our calls and messages of peers that are nested too deeply are unreadable by one function, in place of an error that each caller met by chance.

Price: a walk over each object that comes from the store, some 10 values each.

--- a/packages/daemon/sesamespindle/daemon/bodies.py
+++ b/packages/daemon/sesamespindle/daemon/bodies.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from sesamespindle.daemon import replies
+from sesamespindle.wire import jsonvalues
 
 DEFAULT_ANSWER_TOKENS = 256
 
@@ -190,26 +191,11 @@
         ) from error
     if not isinstance(value, dict):
         raise replies.CallerError(400, "invalid_json", "The body is not a JSON object.")
-    if _is_nested_deeper(value, limits.json_depth):
+    if jsonvalues.is_nested_deeper(value, limits.json_depth):
         raise _too_deep_error(limits)
     return value
 
 
-def _is_nested_deeper(value, depth):
-    """Return whether a JSON value is nested more than `depth` levels deep."""
-    level = [value]
-    for _ in range(depth):
-        level = [
-            inner
-            for outer in level
-            for inner in (outer.values() if isinstance(outer, dict) else outer)
-            if isinstance(inner, dict | list)
-        ]
-        if not level:
-            return False
-    return True
-
-
 def _too_deep_error(limits):
     message = f"The body is nested more than {limits.json_depth} levels deep."
     return replies.CallerError(400, "json_too_deep", message)
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -10,11 +10,12 @@
 import enum
 import functools
 import http
-import json
 
 import aiohttp
 import aiohttp.client_proto
 
+from sesamespindle.wire import jsonvalues
+
 # Events of tokens have some hundred bytes; a larger one is a stream without an end.
 MAX_EVENT_BYTES = 1024 * 1024
 # Answers to our own calls: lists of the store, reports, the parts of a KV store.
@@ -222,7 +223,7 @@
     """
     body = await read(response)
     try:
-        return json.loads(body)
+        return jsonvalues.load(body)
     except ValueError as error:
         raise BrokenAnswerError("The answer isn't JSON.") from error
 
