--- a/tests/support/brokenanswers.py
+++ b/tests/support/brokenanswers.py
@@ -98,14 +98,19 @@
         if script.is_paused:
             await asyncio.sleep(0.02)
         if script.end is End.RESET:
-            raw_socket = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            reset(writer)
         elif not script.is_whole or script.framing is Framing.CLOSE:
             writer.close()
 
 
+def reset(writer):
+    """End a connection with a reset."""
+    raw_socket = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _head(script, attempt):
     framing = {
         Framing.LENGTH: f"Content-Length: {len(script.body)}\r\n",
