The soak counts repeats against the retry budget

The soak's checker now judges what callers sent and what reached targets by tests/support/repeats.py, in every window and for each service; a test shows it 71 repeats of 100 requests, where 70 are allowed.

--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -517,3 +517,19 @@
     journal = records.Journal(faults=[silent], sent_requests=[lost])
     (violation,) = checker.check(journal)
     assert violation.promise == "a short silence loses nothing"
+
+
+def _arrivals(repeated):
+    """Return the arrivals of requests at a service, of which some come twice."""
+    first = [
+        records.Arrival(f"r{number}", "desk-1", 1, 20.0 + number / 100, math.inf)
+        for number in range(100)
+    ]
+    again = [dataclasses.replace(item, at=item.at + 0.5) for item in first[:repeated]]
+    return first + again
+
+
+def test_more_repeats_than_the_budget_allows_break_a_promise():
+    broken = "repeats stay within the budget"
+    assert broken in _promises(arrivals=_arrivals(71))
+    assert broken not in _promises(arrivals=_arrivals(70))
--- a/tests/support/soak/checker.py
+++ b/tests/support/soak/checker.py
@@ -10,6 +10,7 @@
 
 import held
 import limits
+import repeats
 
 from soak import records, targets
 
@@ -68,7 +69,8 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: (.*)\n")
 _Area = records.Area
 _Kind = records.Kind
-
+# The kinds of request that callers send to each service.
+_KINDS_BY_SERVICE = {"llm": (_Kind.CHAT,), "desk": (_Kind.ONCE, _Kind.READ)}
 
 # Streams that are taken up again, of which at least half must go on.
 _FEWEST_TAKEN_UP = 12
@@ -104,6 +106,7 @@
     violations += _check_salts(journal.runs)
     violations += _check_recovery(journal)
     violations += _check_crashing(journal)
+    violations += _check_repeats(journal)
     violations += _check_signals(journal)
     violations += _check_cuts(journal)
     violations += _check_falls(journal)
@@ -519,6 +522,31 @@
             yield Violation("requests that crash targets are stopped", path, detail)
 
 
+def _check_repeats(journal):
+    """Check that no service gets more repeats than the retry budget allows.
+
+    A request that no caller is recorded for, as it is to crash a target, counts as sent
+    when it first arrives.
+    """
+    arrivals = sorted(journal.arrivals, key=lambda item: item.at)
+    for service, kinds in _KINDS_BY_SERVICE.items():
+        sent_at_by_request = {
+            sent.request_id: sent.sent_at
+            for sent in journal.sent_requests
+            if sent.kind in kinds
+        }
+        seen = repeats.Repeats()
+        for arrival in arrivals:
+            if arrival.target.partition("-")[0] == service:
+                sent_at_by_request.setdefault(arrival.request_id, arrival.at)
+                seen.note_arrival(arrival.request_id, arrival.at)
+        for at in sorted(sent_at_by_request.values()):
+            seen.note_sent(at)
+        worst = seen.worst()
+        if worst.is_broken:
+            yield Violation("repeats stay within the budget", "", f"{service}: {worst}")
+
+
 def _check_cuts(journal):
     """Check that callers of daemons which reach no target are served like the others.
 
