--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -10,6 +10,10 @@
 import pytest
 import standins
 
+from sesamespindle.decide import kvstores
+from sesamespindle.platform import servers
+from sesamespindle.wire import answers
+
 PROMPT = {"X-Model": "m", "X-Prompt-Prefix": "c1:100,1:10"}
 # The stand-in's own JSON encoder has to write values that are nested this deeply.
 _DEEPEST = 20_000
@@ -159,3 +163,32 @@
         await assert_follows(world, hosts, "desk-2")
 
     play(scenario)
+
+
+@pytest.mark.parametrize("body", [b"[]", b"7", b"null", b"[" * 100_000])
+def test_an_odd_answer_of_a_kv_store_counts_as_none(go, body):
+    """Guards against a host that no longer follows a store of KV cache."""
+
+    async def scenario():
+        async with (
+            _Answering(body) as target,
+            answers.make_session() as session,
+        ):
+            client = servers.ServerClient(session, "entry-1")
+            changed, _ = await client.store_changes("s", target.address, 0, 10)
+            listed, _ = await client.store_list("s", target.address)
+            missing = kvstores.StoreUnavailable("s")
+            assert changed == listed == missing
+
+    go(scenario())
+
+
+class _Answering(standins.Target):
+    """A target that answers all calls with the same body."""
+
+    def __init__(self, body):
+        super().__init__("t-1", f"127.0.0.1:{standins.free_ports(1)[0]}")
+        self._answered = body
+
+    async def _answer(self, headers, writer):
+        writer.write(standins.make_answer(200, headers, {}, self._answered))
