--- a/tests/decide/test_budgets.py
+++ b/tests/decide/test_budgets.py
@@ -1,6 +1,7 @@
 """All hosts together keep to the retry budget, and each repeat is paid for once."""
 
 import collections
+import itertools
 import random
 
 import gateways
@@ -37,6 +38,7 @@
         self.state_by_host = {}
         self.now = NOW
         self.sent_again = collections.Counter()
+        self._numbers = itertools.count()
         for name in self.names:
             self.start(name, ran_for=60 * SECOND)
 
@@ -57,8 +59,9 @@
             row.state, row.heard_at = state, self.now
             known_by.note_view_change()
 
-    def ask(self, host, number):
+    def ask(self, host):
         """Let a request come that is to be sent again as often as is allowed."""
+        number = next(self._numbers)
         seconds = (self.now - NOW).total_seconds()
         budget = self.budget_by_host[host]
         budget.earn("desk", self.now)
@@ -70,13 +73,11 @@
 
     def serve(self, seconds, per_second, happens=lambda: None):
         """Let requests come at random times to random hosts."""
-        number = len(self.seen._sent)
         ends = self.now + seconds * SECOND
         while self.now < ends:
             self.now += self.random.expovariate(per_second) * SECOND
             happens()
-            number += 1
-            self.ask(self.random.choice(self.names), number)
+            self.ask(self.random.choice(self.names))
 
     def assert_kept(self):
         """Check the rule in all windows."""
@@ -102,10 +103,10 @@
 def test_a_new_life_has_its_share_once_a_window_has_passed():
     hosts = Hosts(8)
     hosts.start("entry-0")
-    hosts.ask("entry-0", 1)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 0
     hosts.now += 10 * SECOND
-    hosts.ask("entry-0", 2)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 5
 
 
@@ -114,7 +115,7 @@
     hosts = Hosts(8)
     hosts.start("entry-0", ran_for=60 * SECOND, known=("entry-0",))
     hosts.state_by_host["entry-0"].knows_entries = False
-    hosts.ask("entry-0", 1)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 0
 
 
@@ -124,7 +125,7 @@
     for name in hosts.names[1:]:
         hosts.note_state(name, events.HostState.DEAD)
     hosts.now += 60 * SECOND
-    hosts.ask("entry-0", 1)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 5
 
 
@@ -133,10 +134,10 @@
     hosts = Hosts(8)
     for name in hosts.names[4:]:
         hosts.note_state(name, events.HostState.LEFT)
-    hosts.ask("entry-0", 1)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 5
     hosts.now += 11 * SECOND
-    hosts.ask("entry-0", 2)
+    hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] == 5 + 10
 
 
@@ -145,8 +146,8 @@
     """Guards against many hosts of which none ever sends a request again."""
     count, slack = hosts_and_slack
     hosts = Hosts(count, slack=slack)
-    for number in range(10):
-        hosts.ask("entry-0", number)
+    for _ in range(10):
+        hosts.ask("entry-0")
     assert hosts.sent_again["entry-0"] >= 2
 
 
