Crowds of clients that hold much, in tests of real daemons that fail

What callers see: clients that send bodies of legal size but for their last byte, heads or trailers without an end, or that don't read what they get, have a process take more memory than its host has, and the platform kills it.

make test runs these tests apart, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,12 @@
 # The ids of tests in KNOWN-RED.txt: each line up to its first colon and space.
 KNOWN_RED := $(wildcard KNOWN-RED.txt)
 
+# Tests of crowds measure what a process holds, one at a time and apart from others.
 test: setup
 	@mkdir -p .run
 	@cat /dev/null $(KNOWN_RED) | awk -F': ' '{print "--deselect=" $$1}' > .run/deselected
-	$(RUN) -m pytest tests @.run/deselected
+	$(RUN) -m pytest tests --ignore=tests/crowds @.run/deselected
+	$(RUN) -m pytest -n 0 tests/crowds @.run/deselected
 
 test-known-red: setup
 	@mkdir -p .run
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import pytest
+import standins
 import uvloop
 
 from sesamespindle.lab import fleet
@@ -37,6 +38,20 @@
     return loop_runner.run
 
 
+@pytest.fixture
+def play(go):
+    """Provide a function that runs a scenario, a coroutine function, in a new world."""
+
+    def run(scenario):
+        async def run_in_world():
+            async with standins.World() as world:
+                await scenario(world)
+
+        go(run_in_world())
+
+    return run
+
+
 @pytest.fixture
 def seen():
     """Provide a dictionary in which the steps of a scenario pass values on."""
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -386,6 +386,8 @@
     budget_seconds : float, optional
         The window of the retry budget, after which a process has its whole share of
         it; the platform's default if left out.
+    limits : dict, optional
+        Values of the settings' section ``Limits`` by name; the defaults if left out.
     """
 
     def __init__(
@@ -400,8 +402,10 @@
         detours=None,
         held_until=None,
         budget_seconds=None,
+        limits=None,
     ):
         self.name = name
+        self._limits = limits or {}
         self._detours = detours
         self._held_until = held_until
         self._budget_seconds = budget_seconds
@@ -431,6 +435,8 @@
         )
         if self._budget_seconds is not None:
             text += f"Bounds.BudgetWindowS={self._budget_seconds}\n"
+        for key, value in self._limits.items():
+            text += f"Limits.{key}={value}\n"
         with tempfile.NamedTemporaryFile("w", delete=False) as settings:
             settings.write(text)
         self._settings_path = settings.name
@@ -476,6 +482,21 @@
         """The port for requests that it carries for peers."""
         return self._ports[4]
 
+    @property
+    def ready_port(self):
+        """The port for the readiness probe."""
+        return self._ports[1]
+
+    @property
+    def directory_port(self):
+        """The port for callers that look up host addresses."""
+        return self._ports[2]
+
+    @property
+    def control_port(self):
+        """The port for calls of peers."""
+        return self._ports[3]
+
     @property
     def peer_ports(self):
         """The ports at which peers reach it."""
@@ -560,6 +581,8 @@
         The window of the retry budget of daemons that are added from now on; None for
         the platform's default. With a short one a daemon may send a request again as
         soon as it is ready.
+    limits : dict
+        The section ``Limits`` of the settings of daemons that are added from now on.
     """
 
     def __init__(self):
@@ -574,6 +597,7 @@
         self.daemons = []
         self.target_by_name = {}
         self.budget_seconds = None
+        self.limits = {}
 
     async def __aenter__(self):
         self._ports = free_ports(DAEMON_PORTS)
@@ -652,6 +676,7 @@
             detours,
             held_until,
             self.budget_seconds,
+            self.limits,
         )
         await self._stack.enter_async_context(daemon)
         self.daemons.append(daemon)
