Connections of callers count in one quota on all HTTP ports

Cause: what a connection may hold was bounded per connection at best, in places that don't know of each other, and never over all. MemoryMb and MaxFds bounded nothing; heads and idle connections had no time limit; the kernel's buffers tune themselves to megabytes a connection, and the platform counts them.

Each connection tells the quota what it holds where the HTTP library calls it anyway: bytes arrive, a handler begins or ends, writing pauses or resumes. What is counted: decoded heads, trailers, pieces of bodies with what each takes as an object, requests sent ahead, unsent bytes and what waits behind them. Sockets listen with small buffers; a body that isn't whole gets a larger one if there is room. The allowance is half of what MemoryMb leaves above the process at rest, and three eighths of the sockets. Bodies in chunks of single bytes take turns with each other. MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the manifest are kept; our own interface has settings with defaults.

A line at most once a second says what gave way.

--- a/packages/daemon/sesamespindle/daemon/assembly.py
+++ b/packages/daemon/sesamespindle/daemon/assembly.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 
 import aiohttp
 import aiohttp.web
@@ -13,6 +12,8 @@
     admin,
     auth,
     call_runner,
+    callerconnections,
+    callersockets,
     driver,
     eventlog,
     front,
@@ -20,12 +21,13 @@
     metrics,
     opinions,
     peering,
+    processmemory,
     targetprobe,
     tickets,
     tokens,
     watchers,
 )
-from sesamespindle.decide import core, events, world
+from sesamespindle.decide import callerquota, core, events, world
 from sesamespindle.wire import answers, clock, engine, platform
 
 _log = logs.part("daemon")
@@ -36,8 +38,8 @@
 # Pause between the last gossip messages, which announce that this daemon has left, and
 # the closing of its ports.
 _LAST_GOSSIP_SECONDS = 0.3
-# The number of connections that may wait to be accepted, for each port.
-_BACKLOG = 1024
+# What a process opens beside sockets.
+_FILE_DESCRIPTORS = 64
 
 
 @dataclasses.dataclass
@@ -55,6 +57,8 @@
     requests_in_flight : int
         The number of callers' requests that the front has not answered yet, including
         calls that were forwarded to a peer.
+    callers : callerconnections.CallerConnections or None
+        The connections of callers and operators; None before the ports are open.
     """
 
     settings: object
@@ -69,6 +73,7 @@
     stop_requested: asyncio.Event
     leaving: bool = False
     requests_in_flight: int = 0
+    callers: callerconnections.CallerConnections | None = None
 
 
 class Daemon(aiomisc.Service):
@@ -108,12 +113,18 @@
             If the peer port can't be bound.
         """
         settings = self._settings
-        caller_socket = _listen(settings.listen)
-        admin_socket = _listen(settings.admin)
+        caller_socket = callersockets.listen(
+            str(settings.listen.host), settings.listen.port
+        )
+        admin_socket = callersockets.listen(
+            str(settings.admin.host), settings.admin.port
+        )
+        sockets = max(settings.limits.descriptors - _FILE_DESCRIPTORS, 1)
         server, peer_port = peering.bind(
             settings.peers.host,
             settings.peers.port,
             settings.admin_key.get_secret_value(),
+            callerquota.peer_connections(sockets),
         )
         me = events.Host(
             settings.name,
@@ -137,7 +148,7 @@
         self._parts = await self._assemble(
             me, session, client, check_client, server, peer_port
         )
-        await self._serve(caller_socket, admin_socket)
+        await self._serve(caller_socket, admin_socket, sockets)
         self._start_tasks(client)
         self._announce(me)
         _log.info("Listens at {}.", me.url)
@@ -201,13 +212,26 @@
             self._stop_requested,
         )
 
-    async def _serve(self, caller_socket, admin_socket):
+    async def _serve(self, caller_socket, admin_socket, sockets):
+        """Serve HTTP to callers and operators, within what they may hold together."""
         limits = self._settings.limits
+        allowance = callerquota.allowance(
+            limits.memory_bytes, processmemory.resident_bytes(), sockets
+        )
+        client_limits = callerquota.ClientLimits(
+            limits.header_timeout, limits.idle_timeout, limits.header_bytes
+        )
+        callers = await self._stack.enter_async_context(
+            callerconnections.CallerConnections(
+                callerquota.CallerQuota(allowance), self._clock, lambda: client_limits
+            )
+        )
+        self._parts.callers = callers
         servers = (
-            (front.Front(self._parts).application(), caller_socket),
-            (admin.Admin(self._parts).application(), admin_socket),
+            (front.Front(self._parts).application(), caller_socket, "callers"),
+            (admin.Admin(self._parts).application(), admin_socket, "admin"),
         )
-        for application, listening_socket in servers:
+        for application, listening_socket, port_name in servers:
             runner = aiohttp.web.AppRunner(
                 application,
                 handler_cancellation=True,
@@ -218,8 +242,8 @@
             )
             await runner.setup()
             self._stack.push_async_callback(runner.cleanup)
-            await aiohttp.web.SockSite(
-                runner, listening_socket, backlog=_BACKLOG
+            await callerconnections.Site(
+                runner, listening_socket, callers, port_name, callersockets.BACKLOG
             ).start()
 
     def _start_tasks(self, client):
@@ -253,6 +277,7 @@
         while True:
             self._parts.driver.feed(events.Tick())
             self._parts.metrics.in_flight(self._parts.driver.in_flight)
+            self._parts.metrics.callers(self._parts.callers.quota)
             await asyncio.sleep(self._settings.tick_seconds)
 
     async def _finish_in_flight(self):
@@ -291,12 +316,6 @@
     )
 
 
-def _listen(address):
-    return socket.create_server(
-        (str(address.host), address.port), backlog=_BACKLOG, reuse_port=False
-    )
-
-
 def _url(listening_socket):
     host, port = listening_socket.getsockname()[:2]
     return f"http://{host}:{port}"
--- a/packages/daemon/sesamespindle/daemon/bodies.py
+++ b/packages/daemon/sesamespindle/daemon/bodies.py
@@ -1,16 +1,20 @@
 """Reading and validation of request bodies, within limits of size, time and depth."""
 
 import asyncio
+import datetime
 import json
+import random
 import typing
 
 import aiohttp.web
 import pydantic
 
-from sesamespindle.daemon import replies
+from sesamespindle.daemon import callerprotocol, replies
 from sesamespindle.wire import jsonvalues
 
 DEFAULT_ANSWER_TOKENS = 256
+# The shortest time after which a caller may come back that gave way to others.
+_OVERLOADED_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
 class _FirstFault(pydantic.FailFast):
@@ -123,8 +127,8 @@
     """Return the raw body of a request.
 
     Guards against callers whose body is endless or very slow. Each would occupy a
-    connection and memory without limit. The HTTP server bounds the size, and this
-    function the time.
+    connection and memory without limit. The HTTP server bounds the size, this function
+    the time, and the quota of all callers what is held.
 
     Parameters
     ----------
@@ -141,11 +145,19 @@
     Raises
     ------
     replies.CallerError
-        If the body is too large, is not received in time.
+        If the body is too large, is not received in time, or gives way to others.
     """
+    ends_at = asyncio.get_running_loop().time() + limits.body_timeout.total_seconds()
     try:
-        async with asyncio.timeout(limits.body_timeout.total_seconds()):
+        async with callerprotocol.reading(request, ends_at):
             return await request.read()
+    except callerprotocol.GaveWayError as error:
+        raise replies.CallerError(
+            503,
+            error.code,
+            "This entry holds all that it may for its callers.",
+            _OVERLOADED_RETRY_AFTER * (1 + random.random()),
+        ) from error
     except TimeoutError as error:
         raise replies.CallerError(
             408, "body_too_slow", "The body was not received within the time limit."
--- a/packages/daemon/sesamespindle/daemon/connections.py
+++ b/packages/daemon/sesamespindle/daemon/connections.py
@@ -30,6 +30,10 @@
 # that is silent for a second or so must not lose its requests by it.
 _USER_TIMEOUT_MILLISECONDS = 2500
 MAX_HEADER_BYTES = 65536
+# What is read of an answer ahead of its caller, and what the kernel holds of it before:
+# both count as memory of this process while the caller doesn't read.
+_READ_BYTES = 32 * 1024
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 # The status from which on an answer may be followed by another send of its request.
 _FIRST_REFUSAL_STATUS = 400
 # A connection on which more requests than this were refused isn't used again.
@@ -174,6 +178,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
+        read_bufsize=_READ_BYTES,
         trust_env=False,
     )
     # aiohttp would retry idempotent methods itself if a reused connection fails.
@@ -232,6 +237,7 @@
         # Guards against a port of a closed connection from this host's own address at
         # which the host can't listen when it starts again.
         (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1),
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS),
--- a/packages/daemon/sesamespindle/daemon/metrics.py
+++ b/packages/daemon/sesamespindle/daemon/metrics.py
@@ -47,3 +47,18 @@
         """Record the number of requests in flight."""
         if self._client is not None:
             self._client.gauge("in_flight", count)
+
+    def callers(self, quota):
+        """Record what is held for callers, and how many connections gave way so far.
+
+        Parameters
+        ----------
+        quota : sesamespindle.decide.callerquota.CallerQuota
+            Counts it.
+        """
+        if self._client is None:
+            return
+        self._client.gauge("caller_bytes", quota.held_bytes)
+        self._client.gauge("caller_connections", len(quota))
+        for (stage, cause), count in quota.gave_way.items():
+            self._client.gauge(f"caller_connections_closed.{stage}.{cause}", count)
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -199,6 +199,8 @@
     needs_keys: bool = False
     max_body_bytes: int = 4 << 20
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
+    header_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
+    max_header_bytes: int = 64 << 10
 
     @functools.cached_property
     def _route_by_prefix_by_host(self):
--- a/packages/declare/sesamespindle/declare/settings.py
+++ b/packages/declare/sesamespindle/declare/settings.py
@@ -59,12 +59,20 @@
         The deepest nesting of a JSON body.
     body_timeout : datetime.timedelta
         How long the body may take to arrive.
+    header_timeout, idle_timeout : datetime.timedelta
+        How long the headers may take to arrive, and how long a connection may be idle.
+    memory_bytes, descriptors : int
+        What the process may take; callers' connections give way before it takes more.
     """
 
     body_bytes: Positive
     header_bytes: Positive
     json_depth: Positive
     body_timeout: units.Duration
+    header_timeout: units.Duration
+    idle_timeout: units.Duration
+    memory_bytes: Positive
+    descriptors: Positive
 
 
 class Policy(_Section):
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -23,7 +23,7 @@
 # What of an answer isn't its body: heads, sizes and extensions of chunks, trailers. A
 # chunk of one byte has five others.
 MAX_OVERHEAD_BYTES = 256 * 1024
-_OVERHEAD_PER_BODY_BYTE = 8
+OVERHEAD_PER_BODY_BYTE = 8
 # Status lines of 100 before an answer. Each costs as much as an answer's head to read,
 # so that heads are read in pieces.
 _MAX_INTERIM_ANSWERS = 16
@@ -102,7 +102,7 @@
         overhead = self._received_bytes - body_bytes
         if self._interim_answers > _MAX_INTERIM_ANSWERS:
             self._give_up("Too many status lines of 100.")
-        elif overhead > MAX_OVERHEAD_BYTES + _OVERHEAD_PER_BODY_BYTE * body_bytes:
+        elif overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * body_bytes:
             self._give_up(f"{overhead} bytes came beside {body_bytes} of its body.")
         return self.transport is not None and not self.transport.is_closing()
 
