--- a/packages/cli/sesamespindle/cli/explain.py
+++ b/packages/cli/sesamespindle/cli/explain.py
@@ -50,6 +50,11 @@
         "shutting_down",
         "The host was leaving and would have stopped before it could answer.",
     ),
+    (
+        "Refused: host_overloaded",
+        "Its host held all that it may for its callers, and this request gave way.",
+    ),
+    ("Refused: body_late", "Its body was not whole when its time was over."),
     ("Refused: overloaded", "All targets were too busy to answer in time."),
     ("Refused: prompt_too_large", "No engine of the service can hold the prompt."),
     (
--- a/packages/daemon/sesamespindle/daemon/callersockets.py
+++ b/packages/daemon/sesamespindle/daemon/callersockets.py
@@ -4,7 +4,7 @@
 
 # The receive buffer of callers' connections. What the kernel holds of them unread
 # counts as memory of the process, and buffers without a limit grow to megabytes each.
-RECEIVE_BUFFER_BYTES = 8 * 1024
+RECEIVE_BUFFER_BYTES = 24 * 1024
 # The send buffer: an answer that its caller doesn't read is held by this process, which
 # counts it, and not by the kernel.
 SEND_BUFFER_BYTES = 64 * 1024
--- a/packages/daemon/sesamespindle/daemon/logs.py
+++ b/packages/daemon/sesamespindle/daemon/logs.py
@@ -8,6 +8,10 @@
 
 import loguru
 
+# Longer ids, which callers choose, and longer messages are cut in lines: the number of
+# lines that wait to be written is bounded, and so is what they hold.
+_MAX_ID_CHARACTERS = 200
+_MAX_MESSAGE_CHARACTERS = 8000
 _TEXT = "{time:HH:mm:ss.SSS} {level:<7} {extra[part]:<9} {extra[request]:<24} {message}"
 
 
@@ -146,6 +150,8 @@
 
     def _add(self, at, level, part_name, request_id, message, end=""):
         encode = json.dumps
+        request_id = request_id[:_MAX_ID_CHARACTERS]
+        message = message[:_MAX_MESSAGE_CHARACTERS]
         self._lines.add(
             f'{{"time": "{at.isoformat(timespec="milliseconds")}", '
             f'"level": "{level}", "host": {self._host}, '
--- a/packages/decide/sesamespindle/decide/callerquota.py
+++ b/packages/decide/sesamespindle/decide/callerquota.py
@@ -10,8 +10,12 @@
 import datetime
 import enum
 
-# What a connection takes by itself: its objects and the receive buffer of its socket.
-CONNECTION_BYTES = 24 * 1024
+# What a connection takes by itself: its objects, and some bytes that aren't read yet.
+CONNECTION_BYTES = 16 * 1024
+# What the kernel may hold of one connection, and how many times the quota all of them
+# may hold so: they are read before they hold that much, unless all send at once.
+_UNREAD_BYTES = 36 * 1024
+_UNREAD_SHARE = 1.5
 # What a request takes beside its bytes until it has its answer.
 REQUEST_BYTES = 16 * 1024
 # Connections that hold no more than this are the ordinary ones.
@@ -159,9 +163,11 @@
         How many sockets it may have.
     """
     free = (memory_bytes - resting_bytes) * _CALLER_SHARE
-    for_callers = sockets * (1 - _OWN_DESCRIPTOR_SHARE)
+    quota_bytes = max(int(free), _MIN_QUOTA_BYTES)
+    by_sockets = sockets * (1 - _OWN_DESCRIPTOR_SHARE) / 2
+    by_memory = quota_bytes * _UNREAD_SHARE / _UNREAD_BYTES
     return Allowance(
-        max(int(free), _MIN_QUOTA_BYTES), max(int(for_callers / 2), _MIN_CONNECTIONS)
+        quota_bytes, max(int(min(by_sockets, by_memory)), _MIN_CONNECTIONS)
     )
 
 
--- a/tests/crowds/test_platform_crowds.py
+++ b/tests/crowds/test_platform_crowds.py
@@ -7,132 +7,21 @@
 import asyncio
 import contextlib
 
-import aiohttp
 import crowds
+import crowdworld
 import footprint
 import grpc
 import pytest
 import standins
 
-from sesamespindle.platform import assembly
 from sesamespindle.wire import peers_pb2, peers_pb2_grpc
 
-# The smallest host that the platform runs daemons on, in MB, and its descriptors.
-MEMORY_MB = 128
-DESCRIPTORS = 4100
-# Fewer, so that a crowd of some hundred clients exceeds them.
-FEW_DESCRIPTORS = 500
-# The descriptors that the platform keeps for files.
-FILE_DESCRIPTORS = 200
-BODY_BYTES = 1 << 20
-CROWD = 400
+CROWD = crowdworld.CROWD
+BODY_BYTES = crowdworld.BODY_BYTES
 PORTS = ("front", "ready", "directory", "control", "carry", "metrics")
 HTTP_PORTS = ("front", "ready", "directory", "carry", "metrics")
 
 
-def port_of(daemon, name):
-    if name == "metrics":
-        return assembly.METRICS_PORT
-    return getattr(daemon, f"{name}_port")
-
-
-async def start(world, descriptors=DESCRIPTORS):
-    """Start a plain service, an engine and a daemon of few means; return the daemon."""
-    world.limits = {"MemoryMb": MEMORY_MB, "MaxFds": descriptors}
-    await world.add_target("desk-1")
-    await world.add_target("llm-1", "llm")
-    return await world.add_daemon()
-
-
-async def serves(world, daemon, label):
-    """Wait until an ordinary request of each kind is answered.
-
-    A client that is refused or whose connection is closed comes again, on a new
-    connection, as callers do.
-    """
-    kinds = ("/once/1", "/read/1", "/chat/1")
-    for path in kinds:
-        body = b"ordinary " + path.encode()
-        await until_ok(
-            f"{label}{path}",
-            lambda name, path=path, body=body: post(daemon.url(path), name, body),
-        )
-    for url in (
-        daemon.ready_url(),
-        daemon.directory_url(),
-        f"http://{daemon.ip}:{assembly.METRICS_PORT}/",
-    ):
-        await until_ok(url, lambda name, url=url: get(url))
-
-
-async def until_ok(label, ask):
-    numbers = iter(range(1_000_000))
-
-    async def is_answered():
-        with contextlib.suppress(aiohttp.ClientError):
-            return await ask(f"{label}.{next(numbers)}") == 200
-        return False
-
-    try:
-        await standins.until(is_answered)
-    except TimeoutError as error:
-        raise AssertionError(f"{label} isn't answered") from error
-
-
-async def post(url, request_id, body, **headers):
-    sent = {
-        "Host": "a.example",
-        "X-Attempt-Id": request_id,
-        "X-Deadline-Ms": "9000",
-        "X-Api-Key": standins.KEY,
-        "X-Model": "m",
-    } | headers
-    async with (
-        aiohttp.ClientSession() as session,
-        session.post(url, headers=sent, data=body) as response,
-    ):
-        await response.read()
-        return response.status
-
-
-async def get(url):
-    async with aiohttp.ClientSession() as session, session.get(url) as response:
-        await response.read()
-        return response.status
-
-
-@contextlib.asynccontextmanager
-async def bounded(daemon, descriptors=DESCRIPTORS):
-    """Check that a daemon lives and stays within its settings in this context."""
-    async with footprint.watch(daemon.process_id, daemon.ip) as peak:
-        yield
-    assert daemon.is_running
-    assert peak.memory_bytes <= MEMORY_MB * 1_000_000, peak
-    assert peak.descriptors <= descriptors, peak
-    assert peak.sockets <= descriptors - FILE_DESCRIPTORS, peak
-
-
-async def bear(world, daemon, crowd, descriptors=DESCRIPTORS):
-    """Check that a daemon bears a crowd, and serves beside and after it."""
-    await serves(world, daemon, "before")
-    async with bounded(daemon, descriptors):
-        async with crowd:
-            await crowd.settled()
-            await serves(world, daemon, "beside")
-        await serves(world, daemon, "after")
-
-
-def whole(length, path="/once/1"):
-    """Return a function of the bytes of bodies that lack their last byte."""
-    body = b"b" * (length - 1)
-
-    def pieces(number):
-        yield crowds.head(f"held.{number}", path, f"Content-Length: {length}")
-        yield body
-
-    return pieces
-
-
 def in_chunks(length, chunk_bytes, end=b""):
     """Return a function of the bytes of bodies in chunks, without their end."""
     body = crowds.chunked(b"b" * length, chunk_bytes)
@@ -191,10 +80,10 @@
     """Guards against bodies of legal size that stay in memory without an end."""
 
     async def scenario(world):
-        daemon = await start(world)
-        pieces = whole(BODY_BYTES)
-        crowd = crowds.Crowd(daemon.ip, port_of(daemon, port), CROWD, pieces)
-        await bear(world, daemon, crowd)
+        daemon = await crowdworld.start(world)
+        pieces = crowdworld.whole(BODY_BYTES)
+        crowd = crowds.Crowd(daemon.ip, crowdworld.port_of(daemon, port), CROWD, pieces)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -204,10 +93,10 @@
     """Guards against bodies that are buffered whole and stay without an end."""
 
     async def scenario(world):
-        daemon = await start(world)
-        pieces = whole(length)
+        daemon = await crowdworld.start(world)
+        pieces = crowdworld.whole(length)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -216,10 +105,10 @@
     """Guards against bodies that come in chunks and stay in memory without an end."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         pieces = in_chunks(BODY_BYTES, 1024)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -229,10 +118,10 @@
     """Guards against what each piece of a body takes beside its bytes."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         pieces = in_chunks(BODY_BYTES // 16, 2)
-        crowd = crowds.Crowd(daemon.ip, port_of(daemon, port), CROWD, pieces)
-        await bear(world, daemon, crowd)
+        crowd = crowds.Crowd(daemon.ip, crowdworld.port_of(daemon, port), CROWD, pieces)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -241,11 +130,11 @@
     """Guards against header lines behind a body that are kept as they come."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         lines = b"".join(b"X-%d: " % i + b"t" * 16_000 + b"\r\n" for i in range(100))
         pieces = in_chunks(16, 16, b"0\r\n" + lines)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -255,10 +144,10 @@
     """Guards against header lines that are kept until the head ends."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         pieces = header_lines(50, 15_000)
-        crowd = crowds.Crowd(daemon.ip, port_of(daemon, port), CROWD, pieces)
-        await bear(world, daemon, crowd)
+        crowd = crowds.Crowd(daemon.ip, crowdworld.port_of(daemon, port), CROWD, pieces)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -267,16 +156,16 @@
     """Guards against requests with bodies that queue behind an unanswered one."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         world.target_by_name["desk-1"].admits.clear()
         pieces = pipelined(20, 100_000)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces)
-        async with bounded(daemon):
+        async with crowdworld.bounded(daemon):
             async with crowd:
                 await crowd.settled()
                 world.target_by_name["desk-1"].admits.set()
-                await serves(world, daemon, "beside")
-            await serves(world, daemon, "after")
+                await crowdworld.serves(world, daemon, "beside")
+            await crowdworld.serves(world, daemon, "after")
 
     play(scenario)
 
@@ -286,12 +175,12 @@
     """Guards against answers that wait in the process for callers that don't read."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         desk = world.target_by_name["desk-1"]
         desk.unframed_bytes = length
         pieces = questions(4, "/read/1")
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces, reads=False)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -301,12 +190,12 @@
     """Guards against own answers that wait for callers that don't read them."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         path = "/v1/resolve?Name=a.example"
         pieces = questions(2000, path, method="GET")
-        number = port_of(daemon, port)
+        number = crowdworld.port_of(daemon, port)
         crowd = crowds.Crowd(daemon.ip, number, CROWD, pieces, reads=False)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -316,9 +205,11 @@
     """Guards against idle connections that use up the descriptors."""
 
     async def scenario(world):
-        daemon = await start(world, FEW_DESCRIPTORS)
-        crowd = crowds.Crowd(daemon.ip, port_of(daemon, port), 2 * CROWD, nothing)
-        await bear(world, daemon, crowd, FEW_DESCRIPTORS)
+        daemon = await crowdworld.start(world, crowdworld.FEW_DESCRIPTORS)
+        crowd = crowds.Crowd(
+            daemon.ip, crowdworld.port_of(daemon, port), 2 * CROWD, nothing
+        )
+        await crowdworld.bear(world, daemon, crowd, crowdworld.FEW_DESCRIPTORS)
 
     play(scenario)
 
@@ -327,9 +218,9 @@
     """Guards against idle connections that use up the memory."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, 3500, nothing)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
 
     play(scenario)
 
@@ -342,10 +233,10 @@
         services[0]["MaxConnections"] = 4
         manifest = standins.make_manifest(2, Services=services)
         await world.store.put("config", "main", manifest)
-        daemon = await start(world)
-        pieces = whole(BODY_BYTES)
+        daemon = await crowdworld.start(world)
+        pieces = crowdworld.whole(BODY_BYTES)
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD // 4, pieces)
-        await bear(world, daemon, crowd)
+        await crowdworld.bear(world, daemon, crowd)
         assert not [
             run
             for run in world.target_by_name["desk-1"].runs
@@ -359,7 +250,7 @@
     """Guards against what is kept of the parts that requests name."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         world.target_by_name["llm-1"].admits.clear()
 
         def pieces(number):
@@ -375,12 +266,12 @@
                 )
 
         crowd = crowds.Crowd(daemon.ip, daemon.front_port, CROWD, pieces)
-        async with bounded(daemon):
+        async with crowdworld.bounded(daemon):
             async with crowd:
                 await crowd.settled()
                 world.target_by_name["llm-1"].admits.set()
-                await serves(world, daemon, "beside")
-            await serves(world, daemon, "after")
+                await crowdworld.serves(world, daemon, "beside")
+            await crowdworld.serves(world, daemon, "after")
 
     play(scenario)
 
@@ -389,10 +280,10 @@
     """Guards against messages to the port of peers that stay without an end."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         wanted = peers_pb2.DeclarationsWanted(known_digests=["d" * 3_900_000])
         async with contextlib.AsyncExitStack() as stack:
-            await stack.enter_async_context(bounded(daemon))
+            await stack.enter_async_context(crowdworld.bounded(daemon))
             relay = crowds.HeldRelay(daemon.ip, daemon.control_port, 3_800_000)
             await stack.enter_async_context(relay)
             calls = []
@@ -405,11 +296,11 @@
                 stub = peers_pb2_grpc.PeersStub(channel)
                 calls.append(asyncio.ensure_future(_call(stub, wanted)))
             await _quiet(lambda: relay.passed)
-            await serves(world, daemon, "beside")
+            await crowdworld.serves(world, daemon, "beside")
             for call in calls:
                 call.cancel()
             await asyncio.gather(*calls, return_exceptions=True)
-        await serves(world, daemon, "after")
+        await crowdworld.serves(world, daemon, "after")
 
     play(scenario)
 
@@ -428,7 +319,7 @@
         before = now
 
 
-@pytest.mark.parametrize("memory_mb", [MEMORY_MB, 88])
+@pytest.mark.parametrize("memory_mb", [crowdworld.MEMORY_MB, 88])
 @pytest.mark.parametrize("form", ["length", "chunks", "single bytes"])
 def test_a_large_body_is_served_in_calm(play, memory_mb, form):
     """Guards against limits that refuse a request of legal size on a small host."""
@@ -439,7 +330,7 @@
             2, Limits={"MaxBodyBytes": length, "IdleTimeoutMs": 15_000}
         )
         await world.store.put("config", "main", manifest)
-        world.limits = {"MemoryMb": memory_mb, "MaxFds": DESCRIPTORS}
+        world.limits = {"MemoryMb": memory_mb, "MaxFds": crowdworld.DESCRIPTORS}
         desk = await world.add_target("desk-1")
         daemon = await world.add_daemon()
         body = bytes(index % 251 for index in range(length))
@@ -465,9 +356,9 @@
     """Guards against limits that refuse a head of legal size on a small host."""
 
     async def scenario(world):
-        daemon = await start(world)
+        daemon = await crowdworld.start(world)
         filler = "f" * 15_000
-        status = await post(
+        status = await crowdworld.post(
             daemon.url("/once/1"), "calm.1", b"", **{"X-Filler": filler}
         )
         assert status == 200
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -63,3 +63,11 @@
     logs.note_request("relay", "r-1", "{as it is}")
     messages = [json.loads(line)["message"] for line in lines]
     assert messages == ["Sent {x} to 2.", "{as it is}"]
+
+
+def test_long_ids_and_messages_are_cut(lines, json_lines):
+    """Guards against lines that wait to be written and hold what callers send."""
+    json_lines.add_info("relay", "r" * 60_000, "m" * 60_000)
+    assert len(lines[0]) < 9000
+    line = json.loads(lines[0])
+    assert line["request"] == "r" * 200
