Bodies are released as their connections are lost, and callers hold two fifths

What a connection holds is dropped as it is lost; what waits behind an unread answer counts with 256 KiB, and the quota is two fifths of what is left above the process at rest.

--- a/packages/daemon/sesamespindle/daemon/callerprotocol.py
+++ b/packages/daemon/sesamespindle/daemon/callerprotocol.py
@@ -27,7 +27,7 @@
 _PIECE_BYTES = 96
 # What may wait of an answer behind one that its caller doesn't read: what is read of it
 # from the target, and what the kernel holds of that.
-_UNREAD_ANSWER_BYTES = 192 * 1024
+_UNREAD_ANSWER_BYTES = 256 * 1024
 # Answers up to this size are buffered whole, so that they are known to be complete
 # before their callers get them. Larger ones are streamed, as are those for which the
 # quota has no room, but the smallest.
@@ -106,8 +106,13 @@
         self._connections.add(self._id, self)
 
     def connection_lost(self, exc):
-        """Release what it holds."""
+        """Release what it holds.
+
+        Guards against bodies that stay until the garbage collector finds the cycle of
+        the connection, its request and its task.
+        """
         self._connections.remove(self._id)
+        self._drop_bodies()
         super().connection_lost(exc)
 
     def data_received(self, data):
@@ -379,7 +384,7 @@
         if self._handled is not None:
             payloads.append(self._handled.content)
         for payload in payloads:
-            if payload is aiohttp.streams.EMPTY_PAYLOAD:
+            if not _unread_bytes(payload):
                 continue
             payload._buffer.clear()
             payload._size = payload._buffer_offset = 0
--- a/packages/decide/sesamespindle/decide/callerquota.py
+++ b/packages/decide/sesamespindle/decide/callerquota.py
@@ -28,7 +28,7 @@
 # The share of what the process may grow by that its callers may hold. The rest is for
 # what it knows of the fleet, for copies, and for what the kernel holds of connections
 # that aren't accepted yet.
-_CALLER_SHARE = 0.5
+_CALLER_SHARE = 0.4
 # The least quota, with which the largest requests are passed on piece by piece.
 _MIN_QUOTA_BYTES = 4 * 1024 * 1024
 # The share of the quota that one body may take to be held whole.
