Heads that are read as the parser goes on begin a request of their own

A caller that sent nine small requests and a body of 300 KB ahead of their answers had its connection closed: the head of the large one was found in bytes that the library had kept, not in new ones, and its body counted as bytes beside those of a body. Found by reading; the test of requests sent ahead, which mixes lengths now, failed before.

--- a/packages/daemon/sesamespindle/daemon/callerprotocol.py
+++ b/packages/daemon/sesamespindle/daemon/callerprotocol.py
@@ -116,13 +116,13 @@
         super().connection_lost(exc)
 
     def data_received(self, data):
-        """Read bytes of requests."""
+        """Read bytes of requests; none to have the library's parser go on."""
         heads = self._request_count
         super().data_received(data)
         if self.gave_way is not None:
             self._drop_bodies()
             return
-        if not data or self._manager is None:
+        if self._manager is None:
             return
         if self._request_count != heads:
             self._note_head(len(data))
--- a/tests/crowds/test_refusals.py
+++ b/tests/crowds/test_refusals.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 
 import aiohttp
 import crowds
@@ -131,6 +132,28 @@
     play(scenario)
 
 
+def test_a_head_beyond_its_limit_is_closed(play):
+    """Guards against a single head or trailer that takes all that callers may hold."""
+
+    async def scenario(world):
+        daemon = await crowdworld.start(world)
+        lines = b"".join(
+            b"X-%d: " % number + b"f" * 15_000 + b"\r\n" for number in range(20)
+        )
+        begun = crowds.head("a", "/once/1", "Transfer-Encoding: chunked")
+        for sent in (begun.removesuffix(b"\r\n") + lines, begun + b"0\r\n" + lines):
+            reader, writer = await asyncio.open_connection(daemon.ip, daemon.front_port)
+            writer.write(sent)
+            async with asyncio.timeout(standins.PATIENCE_SECONDS):
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
+            writer.close()
+        await until_logged(daemon, "Too many bytes beside those of a body.")
+        assert world.target_by_name["desk-1"].runs == []
+
+    play(scenario)
+
+
 def test_a_body_that_is_late_is_refused_at_the_deadline_of_its_request(play):
     """Guards against requests that get no answer, as their body never ends."""
 
@@ -173,14 +196,13 @@
 
     async def scenario(world):
         daemon = await crowdworld.start(world)
-        for length in (0, 300, 30_000):
+        mixed = ((0,) * 9 + (300_000,)) * 3
+        for lengths in ((0,) * 30, (300,) * 30, (30_000,) * 30, mixed):
             reader, writer = await asyncio.open_connection(daemon.ip, daemon.front_port)
-            body = b"b" * length
-            names = [f"ahead.{length}.{index}" for index in range(60)]
-            framing = f"Content-Length: {length}"
-            writer.write(
-                b"".join(crowds.head(name, "/once/1", framing) + body for name in names)
-            )
+            names = [f"ahead.{sum(lengths)}.{index}" for index in range(len(lengths))]
+            for name, length in zip(names, lengths, strict=True):
+                framing = f"Content-Length: {length}"
+                writer.write(crowds.head(name, "/once/1", framing) + b"b" * length)
             async with asyncio.timeout(standins.PATIENCE_SECONDS):
                 for name in names:
                     answer = await reader.readuntil(b"\r\n\r\n")
