Connections know their port, and idle ones that expire fill no log

An idle connection that expires is no sign of a crowd: it counts in the metric alone. A connection that waits for its turn to read isn't queued twice, as the library's parser went on for it.

--- a/packages/daemon/sesamespindle/daemon/callerconnections.py
+++ b/packages/daemon/sesamespindle/daemon/callerconnections.py
@@ -52,7 +52,6 @@
         self._clock = clock
         self._read_limits = read_limits
         self._numbers = itertools.count()
-        self._port_by_server = {}
         self._by_id = {}
         self._queue = collections.deque()
         self._sweeping = None
@@ -114,18 +113,15 @@
         def make():
             number = next(self._numbers)
             options = {**server._kwargs, "read_bufsize": _READ_BYTES}
-            connection = callerprotocol.CallerProtocol(
-                server, self, number, loop=server._loop, **options
+            return callerprotocol.CallerProtocol(
+                server, self, number, port, loop=server._loop, **options
             )
-            self._port_by_server[number] = port
-            return connection
 
         return make
 
-    def add(self, number, connection):
+    def add(self, number, port, connection):
         """Count a new connection."""
         self._by_id[number] = connection
-        port = self._port_by_server.pop(number)
         self._close(self.quota.open(number, port, self._clock.now()))
 
     def remove(self, number):
@@ -160,12 +156,12 @@
             connection = self._by_id.get(command.connection_id)
             if connection is not None:
                 connection.give_way(command)
-            self._unlogged[command.stage, command.cause] += 1
-        if commands:
-            self._log_closed()
+            if command.cause is not callerquota.Cause.IDLE_TIMEOUT:
+                self._unlogged[command.stage, command.cause] += 1
+        self._log_closed()
 
     def _log_closed(self):
-        """Log what gave way, at most once a second."""
+        """Log what gave way but for idle connections, at most once a second."""
         now = asyncio.get_running_loop().time()
         if not self._unlogged or (
             self._logged_at is not None and now < self._logged_at + _LOG_SECONDS
--- a/packages/daemon/sesamespindle/daemon/callerprotocol.py
+++ b/packages/daemon/sesamespindle/daemon/callerprotocol.py
@@ -54,6 +54,19 @@
     library limits single lines and buffers, but neither a whole head, nor trailers, nor
     the sum of what all connections hold.
 
+    Parameters
+    ----------
+    server : aiohttp.web.Server
+        Handles the requests.
+    connections : sesamespindle.daemon.callerconnections.CallerConnections
+        Counts the connection.
+    number : int
+        Names the connection; new ones have higher numbers.
+    port : str
+        The name of the port.
+    **options
+        Those of the library's class.
+
     Attributes
     ----------
     keeps_body : bool
@@ -73,6 +86,7 @@
         "_head_bytes",
         "_id",
         "_last_payload",
+        "_port",
         "_queued_bytes",
         "_reading",
         "_receive_bytes",
@@ -83,10 +97,11 @@
         "other_bytes",
     )
 
-    def __init__(self, server, connections, number, **options):
+    def __init__(self, server, connections, number, port, **options):
         super().__init__(server, **options)
         self._connections = connections
         self._id = number
+        self._port = port
         self._last_payload = aiohttp.streams.EMPTY_PAYLOAD
         # Bytes that came since the last one of a body, and all but those of the body,
         # since the last head.
@@ -103,7 +118,7 @@
     def connection_made(self, transport):
         """Begin to serve the connection, unless it has to give way at once."""
         super().connection_made(transport)
-        self._connections.add(self._id, self)
+        self._connections.add(self._id, self._port, self)
 
     def connection_lost(self, exc):
         """Release what it holds.
@@ -133,7 +148,7 @@
             return
         self._limit_pipelining()
         self.report()
-        if self._framing_bytes > _LABORIOUS_BYTES and self.gave_way is None:
+        if self._framing_bytes > _LABORIOUS_BYTES and not self._awaits_turn:
             self._connections.queue_for_turn(self)
 
     def _is_plain(self, heads):
