The heads of answers are checked before anything of them is delivered

Callers got bytes of an engine in trouble as its answer: a status of 000, 001, 099, 600 or 101 with body and stamp; "HTTP/2.0", "RTSP/1.0" or "ICE/1.0"; the frames of chunks as a body where the coding was "xchunked", "gzip" or "chunked, gzip", and the decoded chunks where it was "gzip, chunked" or "chunked, chunked"; a 200 with an empty body for a length of 2**64 - 1; fields like "Transfer-Encoding : chunked" or "Content-Length 7: 3", passed on, with a body framed by them. A control byte in a reason or a value made the host answer 500 by itself, or close the connection without a word.

Cause: the HTTP library's parser is lenient with answers, and no check of ours stood where all answers come in. The relay asked only whether a status was below 400, and 0 is. What did hold, held by the parser in use: the library's other one also let through HTTP/9.9, blanks before the status line and two lengths that differ.

Change: `answerheads.check` is asked in `answers.Connection`, through which the answers of targets, peers, the store, KV stores, engines of the own face and the command line come. The bytes of each head, interim ones too, have to be a head of HTTP/1.1 by RFC 9110 and 9112, and the framing that the library has read has to be the one that was sent. What fails is an answer that broke off, of the kind that all readers catch: its send counts as lost, so a request that may run once is neither sent again nor promised as not run; a line says why, and `answers_total` counts it with the framing "unknown". As the bytes are checked, it holds with both parsers alike.

Weighed: 600 to 999 are invalid by RFC 9110, and callers get a 502, which is the 5xx that it asks for. HTTP/1.2 and up don't exist, and one parser refuses them anyway. A control byte in a value is refused as well, as a caller's parser may refuse the whole answer for it.

--- a/packages/daemon/sesamespindle/daemon/answerends.py
+++ b/packages/daemon/sesamespindle/daemon/answerends.py
@@ -64,6 +64,25 @@
             status,
         )
 
+    def note_unreadable(self, forward, error):
+        """Count bytes that are no answer, as their head shows, and log why.
+
+        Parameters
+        ----------
+        forward : sends.Forward
+            The send.
+        error : Exception
+            The reason.
+        """
+        self._measures.answered(answers.Framing.UNKNOWN, is_whole=False)
+        _note_request(
+            forward.request_id,
+            "What {} {} sent is no answer. {}",
+            kind_of(forward),
+            forward.target,
+            error,
+        )
+
     def note_broken(self, forward, response, error):
         """Count an answer that isn't whole, and log why.
 
--- a/packages/daemon/sesamespindle/daemon/relay.py
+++ b/packages/daemon/sesamespindle/daemon/relay.py
@@ -472,6 +472,9 @@
             if not first_byte.has_expired:
                 raise
             return sends.Ending.SILENT
+        except (aiohttp.ClientResponseError, answers.BrokenAnswerError) as error:
+            self._answer_ends.note_unreadable(forward, error)
+            return sends.Ending.LOST
         except aiohttp.ClientError:
             return sends.Ending.LOST
 
--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -5,6 +5,8 @@
 connection ends before it. Without them an answer ends where its connection does: a
 reset is never its end, and an orderly close can't be told from its end, except that a
 stream never ends inside an event.
+
+Nothing is delivered of an answer whose head `answerheads` finds broken.
 """
 
 import enum
@@ -13,8 +15,9 @@
 
 import aiohttp
 import aiohttp.client_proto
+import aiohttp.http_exceptions
 
-from sesamespindle.wire import jsonvalues
+from sesamespindle.wire import answerheads, jsonvalues
 
 # Events of tokens have some hundred bytes; a larger one is a stream without an end.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -31,19 +34,23 @@
 
 
 class BrokenAnswerError(aiohttp.ClientPayloadError):
-    """An answer ended before all of it was received."""
+    """An answer ended before all of it was received, or can't be read."""
 
 
 class Framing(enum.StrEnum):
-    """What marks the end of an answer."""
+    """What marks the end of an answer; unknown if its head can't be read."""
 
     LENGTH = "length"
     CHUNKS = "chunks"
     CLOSE = "close"
+    UNKNOWN = "unknown"
 
 
 class Connection(aiohttp.client_proto.ResponseHandler):
-    """A connection that records whether it was reset, and ends bytes without end.
+    """A connection on which answers are checked as they are received.
+
+    Guards against bytes that are taken for an answer because aiohttp's parser is
+    lenient: each head is checked before it is delivered, interim ones too.
 
     Guards against truncated answers that look complete. An answer without a length
     ends where its connection does, and aiohttp accepts a reset as such an end too.
@@ -63,22 +70,43 @@
     _interim_answers = 0
     _has_head = False
 
+    def __init__(self, loop):
+        super().__init__(loop)
+        # What was received since the last head that was checked, until the last one.
+        self._unchecked = bytearray()
+
     def set_response_params(self, **params):
         """Prepare for the answer to the next request."""
         self._received_bytes = self._interim_answers = 0
         self._has_head = False
+        self._unchecked.clear()
         self._payload = None
         super().set_response_params(**params)
 
     def feed_data(self, data, size=0):
         """Take the head of an answer, and its body's reader."""
         message, _ = data
+        if not self._has_head and not self._is_sound(message):
+            return
         if http.HTTPStatus.CONTINUE <= message.code < http.HTTPStatus.OK:
             self._interim_answers += 1
         else:
             self._has_head = True
+            self._unchecked.clear()
         super().feed_data(data, size)
 
+    def _is_sound(self, message):
+        """Return whether a head is sound; give the connection up if it isn't."""
+        if self.exception() is not None:
+            return False
+        try:
+            size = answerheads.check(self._unchecked, message)
+        except answerheads.BrokenHeadError as error:
+            self._give_up(f"The head of the answer is broken: {error}.")
+            return False
+        del self._unchecked[:size]
+        return True
+
     def data_received(self, data):
         """Read bytes, and abort the connection if too many aren't of a body.
 
@@ -97,6 +125,8 @@
     def _take(self, data):
         """Read bytes; return whether more may follow."""
         self._received_bytes += len(data)
+        if not self._has_head:
+            self._unchecked += data
         super().data_received(data)
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         overhead = self._received_bytes - body_bytes
@@ -141,7 +171,7 @@
 
 def framing_of(response):
     """Return the `Framing` of an `aiohttp.ClientResponse`."""
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+    if "Transfer-Encoding" in response.headers:
         return Framing.CHUNKS
     if "Content-Length" in response.headers:
         return Framing.LENGTH
