An answer whose body can't be read on is ended at once

Callers waited for their deadline and got a 504, and streams hung, where an engine sent a broken size of a chunk or a broken trailer after its head.

Cause: as its parser fails, the HTTP library closes the connection and tells only who awaits a head; the reader of a body that has begun is told nothing, as the parser no longer knows of the body when the connection is lost. The library's other parser tells the body's reader, by an error of a kind that none of our readers catches.

Change: `answers.Connection` ends the body as well, and `answers.chunks` raises such an error as a `BrokenAnswerError`, as it does for each answer that breaks off.

Evidence: seven broken bodies, at once and byte by byte, on four kinds of route and at the border with both parsers.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -31,6 +31,7 @@
 # so that heads are read in pieces.
 _MAX_INTERIM_ANSWERS = 16
 _HEAD_PIECE_BYTES = 4096
+_ParserError = aiohttp.http_exceptions.HttpProcessingError
 
 
 class BrokenAnswerError(aiohttp.ClientPayloadError):
@@ -139,12 +140,21 @@
     def _give_up(self, reason):
         if self.transport is None:
             return
-        error = BrokenAnswerError(reason)
-        self.set_exception(error)
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        self.set_exception(BrokenAnswerError(reason))
         self.transport.abort()
 
+    def set_exception(self, exc, *cause):
+        """End the answer with an error, its body too if that can't be read on.
+
+        Guards against readers that wait until their deadline for the rest of a body
+        that has no rest: aiohttp gives its parser up and tells only who awaits a head.
+        """
+        super().set_exception(exc, *cause)
+        is_unreadable = isinstance(exc, BrokenAnswerError | _ParserError)
+        payload = self._payload
+        if is_unreadable and payload is not None and not payload.is_eof():
+            payload.set_exception(BrokenAnswerError(f"It can't be read: {exc}"))
+
     def connection_lost(self, exc):
         """Record whether the connection ended with an error."""
         self.was_reset = exc is not None
@@ -192,8 +202,11 @@
         After the last bytes, if the answer isn't whole.
     """
     protocol = response.connection.protocol if response.connection else None
-    async for chunk in response.content.iter_any():
-        yield chunk
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except _ParserError as error:
+        raise BrokenAnswerError(f"It can't be read: {error}") from error
     if framing_of(response) is not Framing.CLOSE:
         return
     if protocol is not None and protocol.was_reset:
--- a/tests/platform/test_odd_heads.py
+++ b/tests/platform/test_odd_heads.py
@@ -115,6 +115,32 @@
     play(scenario)
 
 
+def _is_visibly_cut(answer):
+    """Return whether an answer in chunks has no end."""
+    return b"Transfer-Encoding: chunked" in answer and b"\r\n0\r\n" not in answer
+
+
+@pytest.mark.parametrize("bytewise", [False, True], ids=["at-once", "bytewise"])
+@pytest.mark.parametrize("kind", _KINDS)
+def test_an_answer_that_cannot_be_read_on_is_ended_at_once(play, kind, bytewise):
+    """Guards against callers that wait for the rest of a body until their deadline."""
+
+    async def scenario(world):
+        target, daemon = await _start(world, _KINDS[kind])
+        target.is_bytewise = bytewise
+        got = await _ask_all(daemon, _KINDS[kind], oddheads.BROKEN_BODIES)
+        others = {
+            case: answer
+            for case, answer in got.items()
+            if not _is_failure_of_ours(answer) and not _is_visibly_cut(answer)
+        }
+        assert not others, _describe(others)
+        if not _KINDS[kind].may_repeat:
+            assert len(target.runs) == len(oddheads.BROKEN_BODIES)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("bytewise", [False, True], ids=["at-once", "bytewise"])
 @pytest.mark.parametrize("kind", _KINDS)
 def test_a_valid_answer_with_an_unusual_head_is_delivered(play, kind, bytewise):
--- a/tests/support/oddheads.py
+++ b/tests/support/oddheads.py
@@ -172,7 +172,7 @@
     "chunk-size-sign": _chunked(body=b"+" + _CHUNKS),
     "chunk-size-hex": _chunked(body=b"0x" + _CHUNKS),
     "chunk-size-empty": _chunked(body=b"\r\n" + _CHUNKS),
-    "chunk-size-huge": _chunked(body=b"1" + b"0" * 16 + _CHUNKS),
+    "chunk-size-huge": _with_coding(_CHUNKED, body=b"1" + b"0" * 16 + _CHUNKS),
     "chunk-too-long": _chunked(body=b"%x\r\n%sX\r\n0\r\n\r\n" % (len(BODY), BODY)),
     "trailer-name-blank": _chunked(
         body=_CHUNKS.removesuffix(b"\r\n") + b"X Any: z\r\n\r\n"
--- a/tests/wire/test_answerheads.py
+++ b/tests/wire/test_answerheads.py
@@ -96,3 +96,15 @@
     found = go(read_all(_SESSIONS[session], oddheads.VALID, bytewise))
     served = (200, oddheads.BODY)
     assert {name: got for name, got in found.items() if got != served} == {}
+
+
+@pytest.mark.parametrize("session", _SESSIONS)
+def test_a_body_that_cannot_be_read_on_is_an_error_at_once(go, parser, session):
+    """Guards against readers that wait for the rest of a body that has no rest."""
+    found = go(read_all(_SESSIONS[session], oddheads.BROKEN_BODIES, bytewise=True))
+    waited = {
+        name: got
+        for name, got in found.items()
+        if got is TimeoutError or not isinstance(got, type)
+    }
+    assert not waited
