A reset before an answer is read is no end of it either

A reader that came once the connection was gone took the part of an answer that had no length for all of it.

Cause: whether the connection was reset was asked of the response's connection as the reader began, and a response whose end has been received has none any more.

Change: it is asked, after the last byte, of the protocol, which the response keeps. A connection whose end ends an answer carries no other one.

Evidence: the new test failed before with both kinds of session.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -201,7 +201,6 @@
     aiohttp.ClientPayloadError
         After the last bytes, if the answer isn't whole.
     """
-    protocol = response.connection.protocol if response.connection else None
     try:
         async for chunk in response.content.iter_any():
             yield chunk
@@ -209,7 +208,8 @@
         raise BrokenAnswerError(f"It can't be read: {error}") from error
     if framing_of(response) is not Framing.CLOSE:
         return
-    if protocol is not None and protocol.was_reset:
+    # `response.connection` is None if the answer's end has been received already.
+    if response._protocol.was_reset:
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
 
 
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -125,6 +125,27 @@
     go(scenario())
 
 
+@pytest.mark.parametrize(
+    "make_session", [answers.make_session, connections.make_session]
+)
+def test_an_answer_that_was_reset_before_it_is_read_is_lost(go, make_session):
+    """Guards against a reader that comes once the connection is gone."""
+
+    async def scenario():
+        async with (
+            serve_bytes(b"half", resets=True) as url,
+            make_session() as session,
+            session.get(url) as response,
+        ):
+            async with asyncio.timeout(SECOND.total_seconds()):
+                while not response.content.is_eof():
+                    await asyncio.sleep(0)
+            with pytest.raises(answers.BrokenAnswerError):
+                await answers.read(response)
+
+    go(scenario())
+
+
 def test_a_prompt_of_the_command_line_needs_the_last_line_of_its_answer(go):
     """Guards against half a text that is printed as the whole answer."""
     value = {"choices": [{"delta": {"content": "half"}}]}
