An answer that ends while its request is still on the way isn't whole

Callers got part of an answer as all of it where an engine answered a long upload at once, without a length, and closed the connection: it ended in order, and the reset came when the rest of the upload arrived.

Cause: an answer without a length or chunks ends where its connection does, and an orderly end was always believed. An engine in trouble closes like that while bytes of the request are still on their way to it.

Change: as the other side ends the connection, `answers.Connection` records whether all of the request was written and the other side's system has acknowledged it. If not, the engine can't have read its request, and the end of such an answer ends none. An engine that has read the request has acknowledged it with its answer. Answers with a length or chunks aren't asked.

Weighed: HTTP lets a server answer early and close, so that such an answer may be whole; it can't be told from a part, and half an answer that looks whole is the greater harm. What the engine's system has taken and the engine has not read can't be seen: such an end is still believed.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -17,7 +17,7 @@
 import aiohttp.client_proto
 import aiohttp.http_exceptions
 
-from sesamespindle.wire import answerheads, jsonvalues
+from sesamespindle.wire import answerheads, jsonvalues, unsent
 
 # Events of tokens have some hundred bytes; a larger one is a stream without an end.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -60,13 +60,22 @@
     bytes that are no part of a body: aiohttp reads status lines of 100, extensions of
     chunks and trailers for as long as they come, and delivers nothing of them.
 
+    And against the part of an answer that a target sends as it fails while it gets a
+    long body: without a length, such a part can be told from a whole answer only by
+    that its request was still being written as its connection ended.
+
     Attributes
     ----------
     was_reset : bool
         Whether the connection ended with an error.
+    ended_early : bool
+        Whether the other side ended the connection before its system had taken all of
+        the request.
     """
 
     was_reset = False
+    ended_early = False
+    _is_request_written = False
     _received_bytes = 0
     _interim_answers = 0
     _has_head = False
@@ -79,7 +88,7 @@
     def set_response_params(self, **params):
         """Prepare for the answer to the next request."""
         self._received_bytes = self._interim_answers = 0
-        self._has_head = False
+        self._has_head = self._is_request_written = False
         self._unchecked.clear()
         self._payload = None
         super().set_response_params(**params)
@@ -155,6 +164,25 @@
         if is_unreadable and payload is not None and not payload.is_eof():
             payload.set_exception(BrokenAnswerError(f"It can't be read: {exc}"))
 
+    def start_timeout(self):
+        """Note that the request is written; aiohttp begins its read timeout then."""
+        self._is_request_written = True
+        super().start_timeout()
+
+    def eof_received(self):
+        """Record whether the request was still being written."""
+        if self._payload is not None and not self._payload.is_eof():
+            self.ended_early = not self._is_request_taken()
+        return super().eof_received()
+
+    def _is_request_taken(self):
+        """Return whether the other side's system has all of the request."""
+        if not self._is_request_written or self.transport is None:
+            return False
+        if self.transport.get_write_buffer_size() > 0:
+            return False
+        return unsent.count_bytes(self.transport) == 0
+
     def connection_lost(self, exc):
         """Record whether the connection ended with an error."""
         self.was_reset = exc is not None
@@ -209,8 +237,13 @@
     if framing_of(response) is not Framing.CLOSE:
         return
     # `response.connection` is None if the answer's end has been received already.
-    if response._protocol.was_reset:
+    protocol = response._protocol
+    if protocol.was_reset:
         raise BrokenAnswerError("The connection was reset, which ends no answer.")
+    if protocol.ended_early:
+        raise BrokenAnswerError(
+            "The connection ended before its request was written, which ends no answer."
+        )
 
 
 def read_arrived(response):
