Readers take no status for a success that they don't know

The command line took any JSON body of a service for its answer, ended with a traceback where an entry answered with a status and body that it doesn't know, and failed where the first of several entries was in trouble.

Cause: these readers never asked for the status, or took each other one for a refusal by an entry.

--- a/packages/cli/sesamespindle/cli/main.py
+++ b/packages/cli/sesamespindle/cli/main.py
@@ -12,7 +12,7 @@
 from sesamespindle.cli import changes, context, explain, outcomes, sending, timeline
 from sesamespindle.declare import documents, findings
 from sesamespindle.platform import check
-from sesamespindle.wire import answers, head, platform
+from sesamespindle.wire import head, platform
 
 Json = typing.Annotated[
     bool, cyclopts.Parameter(name="--json", help="Print JSON.", negative="")
@@ -128,17 +128,9 @@
 
     async def run(ctx):
         urls = await ctx.entry_urls(entry)
-        headers = {"Authorization": f"Bearer {ctx.api_key}"}
-        async with ctx.session.get(
-            f"{urls[0]}/v1/entries", headers=headers
-        ) as response:
-            return await answers.read_json(response)
+        return await sending.list_entries(ctx.session, urls[0], ctx.api_key)
 
     value = _run(run)
-    if "error" in value:
-        outcomes.fail(
-            outcomes.CommandError(value["error"]["message"], outcomes.Exit.REFUSED)
-        )
     rows = [
         (item["name"], item["data_centre"], item["url"]) for item in value["entries"]
     ]
--- a/packages/cli/sesamespindle/cli/sending.py
+++ b/packages/cli/sesamespindle/cli/sending.py
@@ -16,6 +16,7 @@
 _DATA_PREFIX = "data: "
 _ID_PREFIX = "id: "
 _LAST_LINE = "data: [DONE]"
+_SUCCESSES = range(200, 300)
 
 
 @dataclasses.dataclass
@@ -47,26 +48,42 @@
 async def choose_entry(session, urls, api_key):
     """Return the entry to use, as JSON values.
 
-    The given URLs are tried in turn. The first one that can be reached names the
-    entries for this account, of which the first is returned.
+    The given URLs are tried in turn. The first one that answers names the entries for
+    this account, of which the first is returned.
 
     Raises
     ------
     outcomes.CommandError
-        If no URL can be reached, or the entry refuses the request.
+        If no URL answers, or the entry refuses the request.
     """
+    reasons = []
     for url in urls:
         try:
-            async with session.get(
-                f"{url}/v1/entries", headers=_headers(api_key)
-            ) as response:
-                value = await answers.read_json(response)
-                if response.status != 200:
-                    raise _refusal_error(value)
-                return value["entries"][0]
-        except aiohttp.ClientConnectionError:
+            value = await list_entries(session, url, api_key)
+        except aiohttp.ClientError as error:
+            reasons.append(f"{url}: {error}")
             continue
-    raise outcomes.CommandError("No entry is reachable.", outcomes.Exit.AWAY)
+        return value["entries"][0]
+    raise outcomes.CommandError(
+        " ".join(["No entry is reachable.", *reasons]), outcomes.Exit.AWAY
+    )
+
+
+async def list_entries(session, url, api_key):
+    """Return the answer to which entries an account should use, as JSON values.
+
+    Raises
+    ------
+    outcomes.CommandError
+        If the entry refuses the request.
+    aiohttp.ClientError
+        If it gives no whole answer.
+    """
+    async with session.get(f"{url}/v1/entries", headers=_headers(api_key)) as response:
+        value = await answers.read_json(response)
+        if response.status != 200:
+            raise _refusal_error(value, response.status)
+        return value
 
 
 async def send_prompt(session, entry, api_key, model, prompt, max_tokens):
@@ -92,7 +109,7 @@
         f"{entry['url']}/v1/chat/completions", json=body, headers=_headers(api_key)
     ) as response:
         if response.status != 200:
-            raise _refusal_error(await answers.read_json(response))
+            raise _refusal_error(await answers.read_json(response), response.status)
         sent.target = response.headers.get("X-Sesamespindle-Target", "")
         async for line in answers.lines(response):
             text = line.decode().strip()
@@ -129,8 +146,8 @@
         f"{entry['url']}/v1/services/{pool}/{path}", json=body, headers=headers
     ) as response:
         value = await answers.read_json(response)
-        if "error" in value:
-            raise _refusal_error(value)
+        if response.status not in _SUCCESSES or "error" in value:
+            raise _refusal_error(value, response.status)
         return value, response.headers.get("Idempotent-Replayed") == "true"
 
 
@@ -147,7 +164,7 @@
     ) as response:
         value = await answers.read_json(response)
         if response.status != 201:
-            raise _refusal_error(value)
+            raise _refusal_error(value, response.status)
         return value["ticket"]
 
 
@@ -156,7 +173,7 @@
         return
     value = json.loads(line[len(_DATA_PREFIX) :])
     if "error" in value:
-        raise _refusal_error(value)
+        raise _refusal_error(value, 200)
     sent.usage = value.get("usage") or sent.usage
     for choice in value["choices"]:
         text = choice["delta"].get("content")
@@ -165,8 +182,21 @@
         sent.text += text or ""
 
 
-def _refusal_error(value):
-    error = value["error"]
+def _refusal_error(value, status):
+    """Return the error for an answer that is no success.
+
+    Parameters
+    ----------
+    value : object
+        The answer's JSON values.
+    status : int
+        Its HTTP status, which is all that is told if an entry didn't make the answer.
+    """
+    error = value.get("error") if isinstance(value, dict) else None
+    if not isinstance(error, dict):
+        return outcomes.CommandError(
+            f"No success: HTTP status {status}.", outcomes.Exit.REFUSED
+        )
     message = f"{error['code']} ({error['outcome']}): {error['message']}"
     if error["retry_after"]:
         message += f" Retry after {error['retry_after']} s."
