--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -20,9 +20,13 @@
 
     HEADER_LINES = "header-lines"
     HEADER_LINE = "header-line"
+    HEADER_NAME = "header-name"
+    REASON = "reason"
+    BLANK_LINES = "blank-lines"
     NO_HTTP = "no-http"
     CONTINUES = "continues"
     EVENT = "event"
+    CHUNK_SIZE = "chunk-size"
     EXTENSION = "extension"
     TRAILERS = "trailers"
     REJECTION = "rejection"
@@ -107,12 +111,20 @@
             return head(200), b"X-More: of it\r\n" * 1000
         case Kind.HEADER_LINE:
             return head(200) + b"X-More: ", filling
+        case Kind.HEADER_NAME:
+            return head(200), filling
+        case Kind.REASON:
+            return b"HTTP/1.1 200 ", filling
+        case Kind.BLANK_LINES:
+            return b"", b"\r\n" * 8000
         case Kind.NO_HTTP:
             return b"", filling
         case Kind.CONTINUES:
             return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500
         case Kind.EVENT:
             return head(200, chunked) + b"6\r\ndata: \r\n", chunk
+        case Kind.CHUNK_SIZE:
+            return head(200, chunked), b"0" * _PIECE_BYTES
         case Kind.EXTENSION:
             return head(200, chunked), b"1;%s\r\na\r\n" % filling[:4000]
         case Kind.TRAILERS:
