--- a/packages/wire/sesamespindle/wire/answerheads.py
+++ b/packages/wire/sesamespindle/wire/answerheads.py
@@ -9,8 +9,8 @@
 
 # Bytes of a broken line that an error shows.
 _MAX_SHOWN_BYTES = 80
-# A longer body can't be counted by all that reads it.
-_MAX_LENGTH = 2**63 - 1
+# A number with more digits doesn't fit what all readers of a body count it in.
+_LENGTH = re.compile("0*[0-9]{1,18}")
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
 _EMPTY_LINES = rb"(?:\r?\n)*+"
@@ -87,7 +87,5 @@
     values = message.headers.getall("Content-Length", ())
     if not values:
         return
-    (value, *others) = values
-    is_number = value.isascii() and value.isdigit()
-    if others or not is_number or int(value) > _MAX_LENGTH:
+    if len(values) > 1 or _LENGTH.fullmatch(values[0]) is None:
         raise BrokenHeadError(f"length {', '.join(values)[:_MAX_SHOWN_BYTES]!r}")
