The list has a valid coding that the compiled parser doesn't know

An engine that writes a tab after `chunked` is valid, and the HTTP library's compiled parser reads its body until the connection ends, frames and all. That was delivered; since heads are checked the answer is refused, as the framing that was read isn't the one that was sent. The tests' two ways to send bytes one by one are one.

--- a/tests/support/oddheads.py
+++ b/tests/support/oddheads.py
@@ -29,7 +29,7 @@
         What follows the head.
     before : bytes
         What precedes the status line.
-    ends_lines : bytes
+    line_end : bytes
         The end of each line of the head.
     closes : bool
         Whether the end of the connection ends the body.
@@ -39,7 +39,7 @@
     fields: tuple[bytes, ...] = (_LENGTH,)
     body: bytes = BODY
     before: bytes = b""
-    ends_lines: bytes = b"\r\n"
+    line_end: bytes = b"\r\n"
     closes: bool = False
 
     def encode(self, attempt="r1", content_type="text/plain"):
@@ -50,7 +50,7 @@
             b"Content-Type: " + content_type.encode(),
         )
         lines = (self.status_line, *self.fields, *own_fields, b"", b"")
-        return self.before + self.ends_lines.join(lines) + self.body
+        return self.before + self.line_end.join(lines) + self.body
 
 
 def _with_status(line):
@@ -191,7 +191,7 @@
     "old-version": Answer(b"HTTP/1.0 200 OK"),
     "old-version-until-close": Answer(b"HTTP/1.0 200 OK", (), closes=True),
     "until-close": Answer(fields=(), closes=True),
-    "fields-lines-end-with-lf": Answer(ends_lines=b"\n"),
+    "fields-lines-end-with-lf": Answer(line_end=b"\n"),
     "name-of-all-characters": _with_field(b"!#$%&'*+-.^_`|~09AZaz: z"),
     "value-empty": _with_field(b"X-Any:"),
     "value-without-blank": _with_field(b"X-Any:z"),
@@ -236,6 +236,8 @@
         before=b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
     ),
 }
+# Valid, and not known to each parser.
+TAB_AFTER_CODING = _chunked(b"Transfer-Encoding: chunked\t")
 # Statuses that are valid though nobody has given them a meaning.
 VALID_STATUSES = (200, 299, 399, 418, 499, 599)
 
@@ -264,10 +266,14 @@
         is_engine = self.service == "llm"
         content_type = "text/event-stream" if is_engine else "text/plain"
         sent = answer.encode(headers["x-attempt-id"], content_type)
-        pieces = [bytes([byte]) for byte in sent] if self.is_bytewise else [sent]
-        for piece in pieces:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0)
+        await send(sent, writer, self.is_bytewise)
         if answer.closes:
             writer.close()
+
+
+async def send(sent, writer, bytewise):
+    """Send bytes, each by itself or all at once."""
+    for piece in [bytes([byte]) for byte in sent] if bytewise else [sent]:
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(0)
--- a/tests/wire/test_answerheads.py
+++ b/tests/wire/test_answerheads.py
@@ -34,21 +34,14 @@
 
     async def handle(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while not writer.is_closing():
+            while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 answer = answer_by_path[head.split()[1].decode()]
-                await send(answer, writer)
+                await oddheads.send(answer.encode(), writer, bytewise)
+                if answer.closes:
+                    break
         writer.close()
 
-    async def send(answer, writer):
-        sent = answer.encode()
-        for piece in [bytes([byte]) for byte in sent] if bytewise else [sent]:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0)
-        if answer.closes:
-            writer.close()
-
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     try:
@@ -98,6 +91,13 @@
     assert {name: got for name, got in found.items() if got != served} == {}
 
 
+def test_a_tab_after_a_coding_is_read(go, parser):
+    """Guards against a valid answer that is refused, or read with its frames."""
+    answer_by_name = {"tab": oddheads.TAB_AFTER_CODING}
+    found = go(read_all(answers.make_session, answer_by_name, bytewise=False))
+    assert found == {"tab": (200, oddheads.BODY)}
+
+
 @pytest.mark.parametrize("session", _SESSIONS)
 def test_a_body_that_cannot_be_read_on_is_an_error_at_once(go, parser, session):
     """Guards against readers that wait for the rest of a body that has no rest."""
