A write that is answered as a read is an unavailable platform

A 404 or 304 to a write of the product's own object API ended its writer by an AttributeError, which no reader catches: both statuses mean "nothing" to a read, and a write took them through the same table. It is unavailable now, so a write is confirmed by reading back, as after each lost answer. Of the two new tests the one with 404 failed before; by a script with no body both did. A docstring of a test said what isn't so.

--- a/packages/wire/sesamespindle/wire/platform.py
+++ b/packages/wire/sesamespindle/wire/platform.py
@@ -74,9 +74,7 @@
         PlatformUnavailableError
             If it is not known whether the write took effect.
         """
-        headers = {"If-None-Match": "*"}
-        written = await self._call("PUT", self._object_url(kind, name), value, headers)
-        return written.version
+        return await self._write(kind, name, value, {"If-None-Match": "*"})
 
     async def replace(self, kind, name, value, version):
         """Replace an object that must be at a version; return its new version.
@@ -88,9 +86,7 @@
         PlatformUnavailableError
             If it is not known whether the write took effect.
         """
-        headers = {"If-Match": str(version)}
-        written = await self._call("PUT", self._object_url(kind, name), value, headers)
-        return written.version
+        return await self._write(kind, name, value, {"If-Match": str(version)})
 
     async def watch(self, kind, name, version, wait):
         """Return the object once its version exceeds the given one.
@@ -125,6 +121,14 @@
             return None
         return Object(listed.version, tuple(_parse_host(item) for item in listed.value))
 
+    async def _write(self, kind, name, value, headers):
+        written = await self._call("PUT", self._object_url(kind, name), value, headers)
+        if written is None:
+            raise PlatformUnavailableError(
+                "The platform answered a write as a read that finds nothing."
+            )
+        return written.version
+
     def _object_url(self, kind, name):
         return f"{self._url}/objects/{kind}/{name}"
 
--- a/tests/wire/test_answerheads.py
+++ b/tests/wire/test_answerheads.py
@@ -30,7 +30,7 @@
 
 @contextlib.asynccontextmanager
 async def serve(answer_by_path, bytewise):
-    """Serve answers by their place in a list, as ``/NUMBER``; yield the URL."""
+    """Serve answers, each at its path; yield the URL."""
 
     async def handle(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
--- a/tests/wire/test_readers.py
+++ b/tests/wire/test_readers.py
@@ -250,6 +250,13 @@
         go(_expect_no_answer(_READERS[name], b"HTTP/1.1 %d Odd" % status))
 
 
+@pytest.mark.parametrize("status", (304, 404))
+def test_a_write_is_not_answered_as_a_read_that_finds_nothing(go, status):
+    """Guards against a writer that ends by an error which nobody catches."""
+    line = b"HTTP/1.1 %d Odd" % status
+    go(_expect_no_answer(_READERS["platform-put"], line))
+
+
 @pytest.mark.parametrize("name", _READERS)
 def test_the_answer_that_a_reader_expects_is_read(go, name):
     """Guards against a test whose answers no reader would take anyway."""
