A body that breaks where a chunk ends is told to its reader

Callers waited for their deadline, and got a 504, where an engine's answer broke in the same segment that ended a chunk: a trailer or the next size that can't be read.

Cause: the end of a chunk wakes the HTTP library's reader though it has no bytes for it. The error that follows in the same segment finds nobody waiting. The reader then finds neither bytes nor the end of the body, and waits again, without a look at the error.

Change: `answers.Connection` ends the body too as it sets its error, so that the reader doesn't wait again; `answers.chunks` asks for the error at a body's end, which would be taken for the end of a whole answer otherwise.

Evidence: the test sends a chunk without its end, and the rest in one piece once the chunk is read: 4 of 4 cases waited until the test's time was over before, with the library's compiled parser; with its other one, which doesn't wake the reader, 4 of 4 passed before and do now. Two guards: the test fails without each.

--- a/packages/wire/sesamespindle/wire/answers.py
+++ b/packages/wire/sesamespindle/wire/answers.py
@@ -163,6 +163,9 @@
         payload = self._payload
         if is_unreadable and payload is not None and not payload.is_eof():
             payload.set_exception(BrokenAnswerError(f"It can't be read: {exc}"))
+            # The end of a chunk wakes a reader without bytes for it; it waits again,
+            # error or not, unless the body has ended.
+            payload.feed_eof()
 
     def start_timeout(self):
         """Note that the request is written; aiohttp begins its read timeout then."""
@@ -234,6 +237,8 @@
             yield chunk
     except _ParserError as error:
         raise BrokenAnswerError(f"It can't be read: {error}") from error
+    if response.content.exception() is not None:
+        raise response.content.exception()
     if framing_of(response) is not Framing.CLOSE:
         return
     # `response.connection` is None if the answer's end has been received already.
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 
+import aiohttp
 import pytest
 
 from sesamespindle import wire
@@ -146,6 +147,55 @@
     go(scenario())
 
 
+@contextlib.asynccontextmanager
+async def serve_in_two(begin, rest):
+    """Serve an answer in two pieces; yield its URL and the event that releases one."""
+    may_go_on = asyncio.Event()
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(begin)
+        await may_go_on.wait()
+        writer.write(rest)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    try:
+        host, port = server.sockets[0].getsockname()
+        yield f"http://{host}:{port}", may_go_on
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [b"\r\n0\r\nX Any: z\r\n\r\n", b"\r\n+1\r\nb\r\n0\r\n\r\n"],
+    ids=["trailer", "size"],
+)
+@pytest.mark.parametrize(
+    "make_session", [answers.make_session, connections.make_session]
+)
+def test_a_break_in_the_segment_that_ends_a_chunk_is_told(go, make_session, rest):
+    """Guards against a reader that the end of a chunk wakes, and that waits again."""
+    begin = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na"
+
+    async def scenario():
+        async with (
+            serve_in_two(begin, rest) as (url, may_go_on),
+            make_session() as session,
+            session.get(url) as response,
+        ):
+            chunks = answers.chunks(response)
+            assert await anext(chunks) == b"a"
+            may_go_on.set()
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async with asyncio.timeout(SECOND.total_seconds()):
+                    await anext(chunks)
+
+    go(scenario())
+
+
 def test_a_prompt_of_the_command_line_needs_the_last_line_of_its_answer(go):
     """Guards against half a text that is printed as the whole answer."""
     value = {"choices": [{"delta": {"content": "half"}}]}
