A test of broken heads waits for the log line that it asks for

A daemon writes its log lines every 0.1 s, and the test read them as soon as its last answer was there. Now the test waits until the line is written; it still fails if it never is.

--- a/tests/platform/test_odd_heads.py
+++ b/tests/platform/test_odd_heads.py
@@ -110,7 +110,11 @@
             assert len(target.runs) == len(oddheads.BROKEN)
         usual = await _ask_raw(daemon, _KINDS[kind], "usual", "usual")
         assert _is_served(usual), usual
-        assert any("is no answer" in line for line in daemon.lines())
+
+        async def is_logged():
+            return any("is no answer" in line for line in daemon.lines())
+
+        await world.until(is_logged)
 
     play(scenario)
 
