The end of a host doesn't wait for idle threads of gRPC

Cause: with its last server or channel gRPC ends its own threads, and waits for each of them while the event loop stands still. A thread that misses the signal is asleep for up to some seconds. Stack dumps of three late ends, native ones of stops in a loop: all were in the server's stop, which waits so. The lonely host of the tests always ends its last user so; hosts with peers do as they close the last channel.

Change: a channel that is never connected is made before the server stops, and lasts as long as the process, so that the library's threads do too.

The test asks for an open channel after the end, and failed before.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -48,6 +48,7 @@
 _ORIGIN_PREFIX = b"\xff"
 # Begins a datagram about the work at an engine; no protobuf message begins so either.
 _KEEPER_PREFIX = b"\xfe"
+_NO_ADDRESS = "127.0.0.1:0"
 _MAX_CONNECTIONS = 512
 # How long a connection may take to say what protocol it speaks, and how long one
 # without calls stays open.
@@ -103,6 +104,17 @@
     return server, server.add_insecure_port(f"{host}:{port}")
 
 
+@functools.cache
+def _keep_library_threads():
+    """Return a channel that is never connected, and lasts as long as the process.
+
+    Guards against a process that outlasts its grace time. As its last server or channel
+    ends, gRPC ends its own threads, and waits for each of them. One that misses the
+    signal is asleep for up to some seconds, in which the event loop stands still.
+    """
+    return grpc.aio.insecure_channel(_NO_ADDRESS)
+
+
 class Peering(peers_pb2_grpc.PeersServicer):
     """Serves requests of peers, and carries out commands that go to peers.
 
@@ -200,6 +212,7 @@
     async def __aexit__(self, *exc_info):
         await self._tasks.close()
         self._datagrams.close()
+        _keep_library_threads()
         await self._server.stop(None)
         for channel in self._channel_by_address.values():
             await channel.close()
--- a/tests/daemon/test_peering.py
+++ b/tests/daemon/test_peering.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import enum
+import gc
 import socket
 
+import grpc
 import pytest
 
 from sesamespindle.daemon import driver, eventlog, peering, peermessages
@@ -124,6 +126,26 @@
     go(run())
 
 
+def _open_channels():
+    gc.collect()
+    channels = [item for item in gc.get_objects() if isinstance(item, grpc.aio.Channel)]
+    return [channel for channel in channels if not channel._channel.closed()]
+
+
+def test_a_channel_outlasts_the_end(go):
+    """Guards against a stopped host that is killed as it waits for gRPC's threads.
+
+    Without any server or channel the library ends them, and waits for one that idles.
+    """
+
+    async def run():
+        async with _Host("entry-1"):
+            pass
+        assert _open_channels()
+
+    go(run())
+
+
 class _LaterVerdict(enum.Enum):
     RESTARTING = "restarting"
 
