--- a/tests/wire/test_answerheads.py
+++ b/tests/wire/test_answerheads.py
@@ -8,6 +8,7 @@
 import aiohttp.http_parser
 import oddheads
 import pytest
+import rawservers
 
 from sesamespindle.daemon import connections
 from sesamespindle.wire import answers
@@ -42,12 +43,8 @@
                     break
         writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield f"http://{host}:{port}"
-    finally:
-        server.close()
+    async with rawservers.serve(handle) as url:
+        yield url
 
 
 async def read_all(make_session, answer_by_name, bytewise):
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 import pytest
+import rawservers
 
 from sesamespindle import wire
 from sesamespindle.cli import sending
@@ -44,12 +45,8 @@
             await asyncio.sleep(0.05)
         writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    try:
-        host, port = server.sockets[0].getsockname()
-        yield f"http://{host}:{port}"
-    finally:
-        server.close()
+    async with rawservers.serve(handle) as url:
+        yield url
 
 
 async def call(url):
@@ -160,12 +157,8 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    try:
-        host, port = server.sockets[0].getsockname()
-        yield f"http://{host}:{port}", may_go_on
-    finally:
-        server.close()
+    async with rawservers.serve(handle) as url:
+        yield url, may_go_on
 
 
 @pytest.mark.parametrize(
--- a/tests/wire/test_readers.py
+++ b/tests/wire/test_readers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import pytest
+import rawservers
 
 from sesamespindle.cli import context, outcomes, sending
 from sesamespindle.daemon import connections
@@ -217,12 +218,8 @@
             await writer.drain()
         writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield f"http://{host}:{port}"
-    finally:
-        server.close()
+    async with rawservers.serve(handle) as url:
+        yield url
 
 
 async def _expect_no_answer(reader, first_lines):
