--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 
 ZONES = ("kacyiru", "remera")
 HOSTS = 13
-SESSIONS = 80
+CONFERENCES = 80
 CLUMPS_PER_SECOND = 11.0
 CLUMP = 10
 CRASHES = 12
@@ -25,6 +25,7 @@
 
 
 def manifest(stores):
+    """Return the configuration."""
     services = [
         {
             "Name": "glossary-llm",
@@ -87,7 +88,7 @@
 
 
 class Clients:
-    """Interpreters of one session ask about it at about the same time."""
+    """Interpreters of one conference ask about it at about the same time."""
 
     def __init__(self, fleet):
         self._fleet = fleet
@@ -97,22 +98,25 @@
         self.statuses = collections.Counter()
 
     async def send(self):
+        """Send requests until cancelled."""
         while True:
-            session = self._random.randrange(SESSIONS)
+            conference = self._random.randrange(CONFERENCES)
             for _ in range(CLUMP):
                 task = asyncio.ensure_future(
-                    self._ask(session, self._random.uniform(0.0, 0.25))
+                    self._ask(conference, self._random.uniform(0.0, 0.25))
                 )
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self._random.expovariate(CLUMPS_PER_SECOND))
 
-    async def _ask(self, session, delay):
+    async def _ask(self, conference, delay):
         await asyncio.sleep(delay)
         number = next(self._numbers)
         host = self._random.choice(self._fleet.daemons)
-        head = session % 3
-        prefix = f"{0xA0 + head:08x}:512,{0xB000 + session:08x}:8610,{number:08x}:300"
+        head = conference % 3
+        prefix = (
+            f"{0xA0 + head:08x}:512,{0xB000 + conference:08x}:8610,{number:08x}:300"
+        )
         headers = {
             "Host": fleets.HOST,
             "X-Attempt-Id": f"{number:016x}",
@@ -133,16 +137,18 @@
             status = type(error).__name__
         self.statuses[status] += 1
         self._fleet.record(
-            f"client: {number:016x} about session {session} to {host.name}: {status}"
+            f"client: {number:016x}, conference {conference}, {host.name}: {status}"
         )
 
     async def stop(self):
+        """Stop serving."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
 async def scenario(fleet, trouble):
+    """Play the case; return the exit code."""
     stores = []
     for service, copies, first_ms, link in (("a", 3, 0.5, 640e3), ("b", 2, 6.0, 400e3)):
         for copy in range(copies):
@@ -176,7 +182,9 @@
     await asyncio.sleep(12.0)
     for number in range(CRASHES):
         if trouble:
-            fleet.record(f"trouble: all KV stores crash, {DOWN_SECONDS} s down ({number + 1})")
+            fleet.record(
+                f"trouble: all KV stores crash, {DOWN_SECONDS} s down ({number + 1})"
+            )
             await asyncio.gather(*(store.stop() for store in stores))
             await asyncio.sleep(DOWN_SECONDS)
             await asyncio.gather(*(store.start() for store in stores))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Requests reach an engine long after its entry was removed, some time after an outage."""
+"""Requests reach an engine long after its removal, some time after an outage."""
 
 import asyncio
 import collections
@@ -32,6 +32,7 @@
 
 
 def manifest():
+    """Return the configuration."""
     route = {
         "Host": fleets.HOST,
         "TimeoutMs": 1500,
@@ -84,6 +85,8 @@
 
 
 class Clients:
+    """Clients that ask hosts chosen at random."""
+
     def __init__(self, fleet):
         self._fleet = fleet
         self._random = random.Random(7)
@@ -92,6 +95,7 @@
         self.statuses = collections.Counter()
 
     async def send(self):
+        """Send requests until cancelled."""
         while True:
             task = asyncio.ensure_future(self._ask())
             self._tasks.add(task)
@@ -120,12 +124,14 @@
         self._fleet.record(f"client: {path} {number:016x} to {host.name}: {status}")
 
     async def stop(self):
+        """Stop serving."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
 async def add_engine(fleet, name, service):
+    """Start an engine and list it."""
     engine = desk.Desk(name, fleet.addresses.ip(), fleet.addresses.port, ZONE)
     await engine.start()
     fleet.on_end(engine.stop)
@@ -151,9 +157,8 @@
 
 
 async def scenario(fleet, trouble):
-    engines = [
-        await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 4)
-    ]
+    """Play the case; return the exit code."""
+    engines = [await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 4)]
     others = [
         await add_engine(fleet, f"i-g-{n}", "glossary") for n in range(2 * RELEASED)
     ]
@@ -185,7 +190,9 @@
     await releasing
     await asyncio.sleep(1.0)
     await clients.stop()
-    after = [(at - removed_at, name) for at, name in leaving.arrived_at if at > removed_at]
+    after = [
+        (at - removed_at, name) for at, name in leaving.arrived_at if at > removed_at
+    ]
     late = [(round(at, 3), name) for at, name in after if at > DRAIN_SECONDS]
     fleet.record(f"answers by status: {dict(clients.statuses)}")
     fleet.record(
--- a/review/standins2/desk.py
+++ b/review/standins2/desk.py
@@ -30,6 +30,7 @@
         self.arrived_at, self.ran = [], []
 
     def entry(self, service="booking-desk", state="ready"):
+        """Return the record under which it is listed."""
         return {
             "Service": service,
             "Address": self.address,
@@ -43,6 +44,7 @@
         }
 
     async def start(self):
+        """Start to serve."""
         application = aiohttp.web.Application()
         application.router.add_route("*", "/{tail:.*}", self._answer)
         self._runner = aiohttp.web.AppRunner(
@@ -52,6 +54,7 @@
         await aiohttp.web.TCPSite(self._runner, self._ip, self._port).start()
 
     async def stop(self):
+        """Stop serving."""
         await self._runner.cleanup()
 
     async def crash(self):
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -1,4 +1,4 @@
-"""Starts the project's daemons, and a stand-in for the platform's store, on loopback."""
+"""Starts the project's daemons, and a stand-in for the platform's store."""
 
 import asyncio
 import collections
@@ -8,7 +8,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -29,9 +28,11 @@
         self._began = time.monotonic()
 
     def __call__(self, text):
+        """Write one line, with the time since the start."""
         self._file.write(f"{time.monotonic() - self._began:9.3f} s  {text}\n")
 
     def close(self):
+        """Close the file."""
         self._file.close()
 
 
@@ -59,6 +60,7 @@
         self.address = f"{ip}:{port}"
 
     async def stop(self):
+        """Stop serving."""
         await self._runner.cleanup()
 
     async def go_down(self):
@@ -69,6 +71,7 @@
         await self._runner.cleanup()
 
     async def come_back(self):
+        """Serve again at the same address, with all that was stored."""
         ip, port = self.address.split(":")
         await self.start(ip, int(port))
 
@@ -77,6 +80,7 @@
         await self._change(kind, name, spec)
 
     async def remove(self, kind, name):
+        """Remove an object, if it exists."""
         if (kind, name) in self._objects:
             await self._delete(kind, name)
 
@@ -186,6 +190,7 @@
         self.port = base + 40
 
     def ip(self):
+        """Return an address that nothing else uses."""
         return f"{self._prefix}.{next(self._numbers)}"
 
 
@@ -243,6 +248,7 @@
         self._settings.write_text(text)
 
     async def start(self):
+        """Start to serve."""
         environment = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -263,16 +269,20 @@
 
     @property
     def is_running(self):
+        """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
     def send_signal(self, number):
+        """Send a signal, if the process runs."""
         if self.is_running:
             self._process.send_signal(number)
 
     async def ended(self):
+        """Wait until the process exits; return its exit code."""
         return await self._process.wait()
 
     async def kill(self):
+        """End the process at once."""
         if self.is_running:
             self._process.send_signal(signal.SIGCONT)
             self._process.kill()
@@ -280,9 +290,11 @@
             await self._process.wait()
 
     def log_lines(self):
+        """Return what it has logged."""
         return self._log.read_text(errors="replace").splitlines()
 
     async def is_ready(self, session):
+        """Return whether the readiness probe succeeds."""
         try:
             async with session.get(self.ready_url) as response:
                 return response.status == 200
@@ -356,9 +368,11 @@
         self._folder.cleanup()
 
     def on_end(self, stop):
+        """Have a coroutine function called at the end."""
         self._stops.append(stop)
 
     def add_daemon(self, zone, zones, name=None):
+        """Return a new daemon, which is not started yet."""
         number = len(self.daemons) + 1
         seeds = [daemon.control for daemon in self.daemons[:3]]
         ip = self.addresses.ip()
@@ -413,4 +427,5 @@
 
 
 def dump(value):
+    """Return a value as JSON."""
     return json.dumps(value, sort_keys=True)
--- a/review/standins2/kv.py
+++ b/review/standins2/kv.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import itertools
-import json
 import time
 
 import aiohttp.web
@@ -13,7 +12,7 @@
 
 
 def clock_ms():
-    """The engines' clock."""
+    """Return the time by the engines' clock, in milliseconds."""
     return int(time.time() * 1000)
 
 
@@ -27,12 +26,13 @@
         self.max_inflight = max_inflight
         self._ip, self._port = ip, port
         self._runner = None
+        self._wakes = set()
         self._reset()
 
     def _reset(self):
         self.boot = next(_boots)
         # Tokens that are complete, and those for which space is reserved.
-        self.complete, self.reserved = {}, {}
+        self.complete, self.reserved, self.makers = {}, {}, {}
         self._events = []
         self._told = 0
         self._inflight = 0
@@ -40,9 +40,11 @@
 
     @property
     def is_up(self):
+        """Whether it serves."""
         return self._runner is not None
 
     async def start(self):
+        """Start to serve."""
         self._reset()
         application = aiohttp.web.Application()
         application.router.add_get("/v1/kv-events", self._answer_events)
@@ -88,7 +90,9 @@
             return
         number = len(self._events) + 1
         self._events.append([number, sign, *key, tokens, "m"])
-        asyncio.ensure_future(self._wake())
+        task = asyncio.ensure_future(self._wake())
+        self._wakes.add(task)
+        task.add_done_callback(self._wakes.discard)
 
     async def _wake(self):
         async with self._more:
@@ -143,7 +147,9 @@
         return aiohttp.web.json_response({})
 
     async def _answer_report(self, request):
-        return aiohttp.web.json_response({"KvUsed": 0, "KvTotal": 1, "BootEpoch": self.boot})
+        return aiohttp.web.json_response(
+            {"KvUsed": 0, "KvTotal": 1, "BootEpoch": self.boot}
+        )
 
 
 class Engine:
@@ -153,6 +159,9 @@
     ----------
     unwhole : list of str
         Requests that went on with memory of a part that a store was still writing.
+    foreign : list of (str, str, str)
+        Requests that used memory which a request of another tenant made, with their
+        tenants and those tenants.
     """
 
     PREFILL_TOKENS_PER_SECOND = 61_200.0
@@ -173,9 +182,12 @@
         self._tasks = set()
         self.running = 0
         self.unwhole = []
+        self.foreign = []
+        self._maker_by_key = {}
         self.counts = collections.Counter()
 
     def entry(self):
+        """Return the record under which it is listed."""
         return {
             "Service": "glossary-llm",
             "Address": self.address,
@@ -190,6 +202,7 @@
         }
 
     async def start(self):
+        """Start to serve."""
         application = aiohttp.web.Application()
         application.router.add_get("/v1/report", self._report)
         application.router.add_get("/healthz", self._health)
@@ -201,6 +214,7 @@
         await aiohttp.web.TCPSite(self._runner, self._ip, self._port).start()
 
     async def stop(self):
+        """Stop serving."""
         for task in list(self._tasks):
             task.cancel()
         await self._runner.cleanup()
@@ -257,16 +271,20 @@
             if boot is not None:
                 saves.append((store, (salt, part), tokens, boot))
                 self._record(f"{self.name}: {attempt} saves {part} at {store.name}")
+        tenant = request.headers.get("X-Tenant", "")
         kept = 0
         while kept < count and (salt, parts[kept][0]) in self._cache:
             self._cache.move_to_end((salt, parts[kept][0]))
+            self._note_maker(attempt, tenant, (salt, parts[kept][0]))
             kept += 1
         until = request.headers.get("X-Kv-Until")
         while kept < count and sources[kept]:
             part, tokens = parts[kept]
             if not await self._fetch(attempt, salt, part, tokens, sources[kept], until):
                 break
-            self._keep((salt, part), tokens)
+            maker = self._store_by_address[sources[kept]].makers.get((salt, part))
+            self._keep((salt, part), tokens, maker)
+            self._note_maker(attempt, tenant, (salt, part))
             kept += 1
         async with self._prefill:
             # Another request may have read some of it meanwhile.
@@ -275,14 +293,28 @@
             rest = sum(tokens for _, tokens in parts[kept:])
             await asyncio.sleep(rest / self.PREFILL_TOKENS_PER_SECOND)
             for part, tokens in parts:
-                self._keep((salt, part), tokens)
+                self._keep((salt, part), tokens, tenant)
         for save in saves:
+            store, key, _, _ = save
+            store.makers[key] = self._maker_by_key.get(key, tenant)
             task = asyncio.ensure_future(self._save(*save))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         return await self._stream(request, attempt)
 
-    def _keep(self, key, tokens):
+    def _note_maker(self, attempt, tenant, key):
+        """Record that a request uses what a request of another tenant made."""
+        maker = self._maker_by_key.get(key, tenant)
+        if maker != tenant:
+            self.foreign.append((attempt, tenant, maker))
+            self._record(
+                f"{self.name}: {attempt} of tenant {tenant} uses part {key[1]} under "
+                f"salt {key[0]!r}, made by a request of tenant {maker}"
+            )
+
+    def _keep(self, key, tokens, maker):
+        if key not in self._cache:
+            self._maker_by_key[key] = maker
         self._cache[key] = tokens
         self._cache.move_to_end(key)
         while sum(self._cache.values()) > self.CAPACITY:
@@ -311,7 +343,9 @@
             if key not in store.reserved:
                 await asyncio.sleep(0.001)
                 self.counts["missed"] += 1
-                self._record(f"{self.name}: {attempt} finds no part {part} at {store.name}")
+                self._record(
+                    f"{self.name}: {attempt} finds no part {part} at {store.name}"
+                )
                 return False
             is_whole = key in store.complete
             await asyncio.sleep(self._seconds(store, tokens))
@@ -362,7 +396,3 @@
     if len(listed) == 1:
         listed = listed * count
     return [None if item == "-" else item for item in listed]
-
-
-def dumps(value):
-    return json.dumps(value)
