--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,208 +1,173 @@
-"""Requests reach an engine long after its removal, some time after an outage."""
+"""A tenant becomes isolated, and others still use what its requests have made."""
 
 import asyncio
 import collections
 import itertools
 import pathlib
-import random
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins2"))
 
-import aiohttp  # noqa: E402
-import desk  # noqa: E402
 import fleet as fleets  # noqa: E402
-
-ZONE = "kacyiru"
-HOSTS = 20
-PER_SECOND = 58.0
-DRAIN_SECONDS = 2.0
-CONTACT_SECONDS = 3.0
-DOWN_SECONDS = 4.5
-# Between the return of the store and the removal.
-CALM_SECONDS = 3.2
-# The release of the other service: so many engines, one each so often.
-RELEASED = 9
-RELEASE_GAP_SECONDS = 1.0
-# A little longer than DrainMs; then the engine exits, with what it has.
-SERVES_ON_SECONDS = 4.0
-WATCHED_SECONDS = 6.0
-
-
-def manifest():
-    """Return the configuration."""
-    route = {
-        "Host": fleets.HOST,
-        "TimeoutMs": 1500,
-        "TargetLatencyMs": 200,
-        "Priority": 2,
-        "AuthExempt": False,
-        "Sticky": False,
-        "Resumable": False,
-    }
+import kv  # noqa: E402
+
+ZONES = ("nyarugenge", "kacyiru", "remera")
+TENANTS = {"ministry": "key-of-ministry", "cooperative": "key-of-cooperative"}
+CONFERENCES = 12
+# ConfigApplyMs is 2,000.
+APPLIED_SECONDS = 4.0
+
+
+def manifest(version, isolated, stores):
+    """Return the configuration of a version."""
+    services = [
+        {
+            "Name": "glossary-llm",
+            "HealthPath": "/healthz",
+            "MaxConnections": 360,
+            "Engine": {
+                "Slots": 64,
+                "KvCapacity": kv.Engine.CAPACITY,
+                "KvTokenBytes": kv.Engine.TOKEN_BYTES,
+                "LinkMbps": kv.Engine.LINK_MBPS,
+                "Managed": True,
+                "MaxInflight": 12,
+                "Models": [{"Name": "m"}],
+            },
+        }
+    ]
+    services += [
+        {
+            "Name": store.name,
+            "KvStoreAddr": store.address,
+            "Zone": store.zone,
+            "KvCapacity": 594_778,
+            "LinkMbps": store.link_mbps,
+            "MaxInflight": store.max_inflight,
+            "Managed": True,
+            "first_ms": store.first_ms,
+        }
+        for store in stores
+    ]
     return {
-        "Version": 7,
+        "Version": version,
         "Routes": [
-            route
-            | {
-                "Name": "booking-confirm",
-                "PathPrefix": "/confirm/",
-                "Kind": "safe",
-                "Service": "booking-desk",
+            {
+                "Name": "session-brief",
+                "Host": fleets.HOST,
+                "PathPrefix": "/brief/",
+                "Kind": "streaming",
+                "TimeoutMs": 15000,
+                "TargetLatencyMs": 800,
+                "Priority": 2,
+                "Service": "glossary-llm",
                 "MaxAttempts": 2,
-            },
-            route
-            | {
-                "Name": "invoice-issue",
-                "PathPrefix": "/invoice/",
-                "Kind": "unsafe",
-                "Service": "booking-desk",
-                "MaxAttempts": 1,
-            },
-            route
-            | {
-                "Name": "glossary",
-                "PathPrefix": "/glossary/",
-                "Kind": "safe",
-                "Service": "glossary",
-                "MaxAttempts": 2,
-            },
-        ],
-        "Services": [
-            {"Name": name, "HealthPath": "/healthz", "MaxConnections": 96}
-            for name in ("booking-desk", "glossary")
+                "AuthExempt": False,
+                "Sticky": True,
+                "Resumable": True,
+                "GapAimMs": 400,
+            }
         ],
+        "Services": services,
         "Limits": {
             "MaxHeaderBytes": 16384,
             "MaxBodyBytes": 4194304,
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
-        "Tenants": [{"Name": "desk", "ApiKeys": [fleets.KEY], "Priority": 1}],
+        "Tenants": [
+            {
+                "Name": name,
+                "ApiKeys": [key],
+                "Priority": 1,
+                "Isolated": name in isolated,
+            }
+            for name, key in TENANTS.items()
+        ],
     }
 
 
 class Clients:
-    """Clients that ask hosts chosen at random."""
+    """Clients of the tenants, which ask about the same conferences."""
 
     def __init__(self, fleet):
         self._fleet = fleet
-        self._random = random.Random(7)
         self._numbers = itertools.count(1)
-        self._tasks = set()
         self.statuses = collections.Counter()
 
-    async def send(self):
-        """Send requests until cancelled."""
-        while True:
-            task = asyncio.ensure_future(self._ask())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._random.expovariate(PER_SECOND))
-
-    async def _ask(self):
-        number = next(self._numbers)
-        host = self._random.choice(self._fleet.daemons)
-        headers = {
-            "Host": fleets.HOST,
-            "X-Attempt-Id": f"{number:016x}",
-            "X-Deadline-Ms": "1500",
-            "X-Api-Key": fleets.KEY,
-        }
-        method, path = ("GET", "confirm") if number % 2 else ("POST", "invoice")
-        try:
-            async with self._fleet.session.request(
-                method, f"http://{host.front}/{path}/2f", headers=headers
+    async def ask_about_all(self, tenant):
+        """Ask hosts in turn about each conference."""
+        for conference in range(CONFERENCES):
+            number = next(self._numbers)
+            host = self._fleet.daemons[number % len(self._fleet.daemons)]
+            prefix = f"{0xA0:08x}:512,{0xB000 + conference:08x}:2500,{number:08x}:300"
+            headers = {
+                "Host": fleets.HOST,
+                "X-Attempt-Id": f"{number:016x}",
+                "X-Model": "m",
+                "X-Token-Count": "3312,40",
+                "X-Prompt-Prefix": prefix,
+                "X-Deadline-Ms": "15000",
+                "X-Api-Key": TENANTS[tenant],
+            }
+            async with self._fleet.session.post(
+                f"http://{host.front}/brief/2f", headers=headers, data=b"x" * 200
             ) as response:
                 await response.read()
-                status = response.status
-        except aiohttp.ClientError as error:
-            status = type(error).__name__
-        self.statuses[status] += 1
-        self._fleet.record(f"client: {path} {number:016x} to {host.name}: {status}")
-
-    async def stop(self):
-        """Stop serving."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-
-async def add_engine(fleet, name, service):
-    """Start an engine and list it."""
-    engine = desk.Desk(name, fleet.addresses.ip(), fleet.addresses.port, ZONE)
-    await engine.start()
-    fleet.on_end(engine.stop)
-    await fleet.store.put("servers", name, engine.entry(service))
-    return engine
-
-
-async def release(fleet, engines):
-    """Replace engines one after the other: the new one first, the old one drains."""
-    for number, old in enumerate(engines):
-        await add_engine(fleet, f"i-g-new-{number}", "glossary")
-        await asyncio.sleep(RELEASE_GAP_SECONDS / 3)
-        await fleet.store.put("servers", old.name, old.entry("glossary", "draining"))
-        fleet.record(f"plan: {old.name} of the other service drains")
-        await asyncio.sleep(RELEASE_GAP_SECONDS / 3)
-        asyncio.get_running_loop().call_later(
-            DRAIN_SECONDS + 0.5,
-            lambda name=old.name: asyncio.ensure_future(
-                fleet.store.remove("servers", name)
-            ),
-        )
-        await asyncio.sleep(RELEASE_GAP_SECONDS / 3)
+                self.statuses[response.status] += 1
+                self._fleet.record(
+                    f"client: {number:016x} of {tenant}, conference {conference}, "
+                    f"{host.name}: {response.status}"
+                )
 
 
 async def scenario(fleet, trouble):
     """Play the case; return the exit code."""
-    engines = [await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 4)]
-    others = [
-        await add_engine(fleet, f"i-g-{n}", "glossary") for n in range(2 * RELEASED)
-    ]
-    await fleet.store.put("config", "main", manifest())
-    for _ in range(HOSTS):
-        fleet.add_daemon(ZONE, (ZONE,))
+    addresses = fleet.addresses
+    store = kv.KvStore(
+        "prompt-cache-a", addresses.ip(), addresses.port, "kacyiru", 0.5, 640e3, 12
+    )
+    await store.start()
+    fleet.on_end(store.stop)
+    engines = []
+    for number, zone in enumerate(ZONES):
+        engine = kv.Engine(
+            f"i-{number}", addresses.ip(), addresses.port, zone, [store], fleet.record
+        )
+        await engine.start()
+        fleet.on_end(engine.stop)
+        engines.append(engine)
+        await fleet.store.put("servers", engine.name, engine.entry())
+    await fleet.store.put("config", "main", manifest(7, (), [store]))
+    for zone in (*ZONES, *ZONES):
+        fleet.add_daemon(zone, ZONES)
     await fleet.start_all()
     await asyncio.sleep(3.0)
     clients = Clients(fleet)
-    sending = asyncio.ensure_future(clients.send())
-    await asyncio.sleep(12.0)
-    if trouble:
-        fleet.record(f"trouble: the store is down for {DOWN_SECONDS} s")
-        await fleet.store.go_down()
-        await asyncio.sleep(DOWN_SECONDS)
-        await fleet.store.come_back()
-        fleet.record("trouble: the store is back, with all that it had")
-    releasing = asyncio.ensure_future(release(fleet, others[:RELEASED]))
-    await asyncio.sleep(CALM_SECONDS)
-    leaving = engines[-1]
-    await fleet.store.remove("servers", leaving.name)
-    removed_at = time.monotonic()
-    fleet.record(f"plan: the entry of {leaving.name} is removed, it serves on")
-    await asyncio.sleep(SERVES_ON_SECONDS)
-    lost = await leaving.crash()
-    fleet.record(f"plan: {leaving.name} exits, with {lost} requests under way")
-    await asyncio.sleep(WATCHED_SECONDS - SERVES_ON_SECONDS)
-    sending.cancel()
-    await releasing
+    await clients.ask_about_all("ministry")
     await asyncio.sleep(1.0)
-    await clients.stop()
-    after = [
-        (at - removed_at, name) for at, name in leaving.arrived_at if at > removed_at
+    if trouble:
+        spec = manifest(9, ("ministry",), [store])
+        await fleet.store.put("config", "main", spec)
+        fleet.record("plan: version 9 is acknowledged, tenant ministry is isolated")
+    await asyncio.sleep(APPLIED_SECONDS)
+    await clients.ask_about_all("cooperative")
+    await clients.ask_about_all("ministry")
+    isolated = {"ministry"} if trouble else set()
+    foreign = [
+        (attempt, user, maker)
+        for engine in engines
+        for attempt, user, maker in engine.foreign
+        if {user, maker} & isolated
     ]
-    late = [(round(at, 3), name) for at, name in after if at > DRAIN_SECONDS]
     fleet.record(f"answers by status: {dict(clients.statuses)}")
     fleet.record(
-        f"requests that reached {leaving.name} after the removal: {len(after)}, the "
-        f"last {max((at for at, _ in after), default=0):.2f} s after it"
+        f"uses across the wall of an isolated tenant: {len(foreign)}: {foreign}"
     )
-    fleet.record(f"of these later than {DRAIN_SECONDS} s: {len(late)}: {late}")
-    if clients.statuses[200] < 300:
+    if clients.statuses[200] < 3 * CONFERENCES:
         return 2
-    return 1 if late else 0
+    return 1 if foreign else 0
 
 
 if __name__ == "__main__":
