--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,7 +17,7 @@
 
 ZONE = "kacyiru"
 HOSTS = 20
-PER_SECOND = 58.0
+PER_SECOND = 115.0
 DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
 DOWN_SECONDS = 4.5
@@ -31,7 +31,12 @@
 WATCHED_SECONDS = 6.0
 
 
-def manifest():
+# Three keys are taken away, one each so often, and that twice.
+REVOKED = 6
+REVOKE_GAP_SECONDS = 0.4
+
+
+def manifest(version=7, revoked=0):
     """Return the configuration."""
     route = {
         "Host": fleets.HOST,
@@ -43,7 +48,7 @@
         "Resumable": False,
     }
     return {
-        "Version": 7,
+        "Version": version,
         "Routes": [
             route
             | {
@@ -80,7 +85,14 @@
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
-        "Tenants": [{"Name": "desk", "ApiKeys": [fleets.KEY], "Priority": 1}],
+        "Tenants": [
+            {"Name": "desk", "ApiKeys": [fleets.KEY], "Priority": 1},
+            {
+                "Name": "guests",
+                "ApiKeys": [f"key-{n}" for n in range(revoked, REVOKED)],
+                "Priority": 2,
+            },
+        ],
     }
 
 
@@ -156,6 +168,16 @@
         await asyncio.sleep(RELEASE_GAP_SECONDS / 3)
 
 
+async def revoke(fleet):
+    """Take away the keys of a tenant that sends nothing, one after the other."""
+    await asyncio.sleep(CALM_SECONDS - REVOKED * REVOKE_GAP_SECONDS / 2)
+    for number in range(REVOKED):
+        spec = manifest(8 + number, number + 1)
+        await fleet.store.put("config", "main", spec)
+        fleet.record(f"plan: version {8 + number}, a key less")
+        await asyncio.sleep(REVOKE_GAP_SECONDS)
+
+
 async def scenario(fleet, trouble):
     """Play the case; return the exit code."""
     engines = [await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 4)]
@@ -176,7 +198,7 @@
         await asyncio.sleep(DOWN_SECONDS)
         await fleet.store.come_back()
         fleet.record("trouble: the store is back, with all that it had")
-    releasing = asyncio.ensure_future(release(fleet, others[:RELEASED]))
+    releasing = asyncio.gather(release(fleet, others[:RELEASED]), revoke(fleet))
     await asyncio.sleep(CALM_SECONDS)
     leaving = engines[-1]
     await fleet.store.remove("servers", leaving.name)
--- a/review/standins2/desk.py
+++ b/review/standins2/desk.py
@@ -17,7 +17,7 @@
         The same of those that it ran.
     """
 
-    def __init__(self, name, ip, port, zone, slots=2, queue=2, work_seconds=0.09):
+    def __init__(self, name, ip, port, zone, slots=2, queue=2, work_seconds=0.045):
         self.name, self.zone = name, zone
         self.address = f"{ip}:{port}"
         self._ip, self._port = ip, port
