--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,11 +17,11 @@
 ZONES = ("kacyiru", "remera")
 HOSTS = 13
 CONFERENCES = 80
-CLUMPS_PER_SECOND = 11.0
+CLUMPS_PER_SECOND = 12.0
 CLUMP = 10
-CRASHES = 12
+CRASHES = 15
 DOWN_SECONDS = 0.1
-PAUSE_SECONDS = 5.5
+PAUSE_SECONDS = 4.6
 
 
 def manifest(stores):
