--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,6 +4,8 @@
 export PYTHONPATH=target/deps
 # Without the builds Python would end with 1, as if the rule were broken.
 (cd review/standins2 && PYTHONPATH=../../target/deps python3 -c 'import desk, fleet, kv') || exit 2
-python3 review/6/case.py
+python3 review/6/case.py &
+trap 'kill $!' TERM INT
+wait $!
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -412,11 +412,15 @@
     """Run a scenario; return the exit code of the script."""
 
     async def run():
+        # Ended from outside, it still ends the processes that it started.
+        playing = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, playing.cancel)
         record = Record(record_path)
         try:
             async with asyncio.timeout(112), Fleet(record, bounds) as fleet:
                 return await scenario(fleet, os.environ.get("TROUBLE", "1") != "0")
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             # An error here must not look like a broken rule, whose exit code is 1.
             record(f"could not run: {error!r}")
             return 2
