--- a/review/6/case.py
+++ b/review/6/case.py
@@ -127,6 +127,7 @@
             "X-Api-Key": fleets.KEY,
         }
         url = f"http://{host.front}/brief/2f"
+        self._fleet.record(f"client: {number:016x} sent to {host.name}")
         try:
             async with self._fleet.session.post(
                 url, headers=headers, data=b"x" * 200
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -111,6 +111,7 @@
                 "X-Deadline-Ms": "15000",
                 "X-Api-Key": TENANTS[tenant],
             }
+            self._fleet.record(f"client: {number:016x} sent to {host.name}")
             async with self._fleet.session.post(
                 f"http://{host.front}/brief/2f", headers=headers, data=b"x" * 200
             ) as response:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,14 +17,14 @@
 
 ZONE = "kacyiru"
 HOSTS = 20
-PER_SECOND = 115.0
+PER_SECOND = 300.0
 DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
 DOWN_SECONDS = 4.5
 # Between the return of the store and the removal.
 CALM_SECONDS = 3.2
 # The release of the other service: so many engines, one each so often.
-RELEASED = 9
+RELEASED = 8
 RELEASE_GAP_SECONDS = 1.0
 # A little longer than DrainMs; then the engine exits, with what it has.
 SERVES_ON_SECONDS = 4.0
@@ -124,6 +124,7 @@
             "X-Api-Key": fleets.KEY,
         }
         method, path = ("GET", "confirm") if number % 2 else ("POST", "invoice")
+        self._fleet.record(f"client: {path} {number:016x} sent to {host.name}")
         try:
             async with self._fleet.session.request(
                 method, f"http://{host.front}/{path}/2f", headers=headers
@@ -144,7 +145,8 @@
 
 async def add_engine(fleet, name, service):
     """Start an engine and list it."""
-    engine = desk.Desk(name, fleet.addresses.ip(), fleet.addresses.port, ZONE)
+    address = fleet.addresses.ip(), fleet.addresses.port
+    engine = desk.Desk(name, *address, ZONE, fleet.record)
     await engine.start()
     fleet.on_end(engine.stop)
     await fleet.store.put("servers", name, engine.entry(service))
@@ -180,10 +182,8 @@
 
 async def scenario(fleet, trouble):
     """Play the case; return the exit code."""
-    engines = [await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 4)]
-    others = [
-        await add_engine(fleet, f"i-g-{n}", "glossary") for n in range(2 * RELEASED)
-    ]
+    engines = [await add_engine(fleet, f"i-b-{n}", "booking-desk") for n in range(1, 5)]
+    others = [await add_engine(fleet, f"i-g-{n}", "glossary") for n in range(18)]
     await fleet.store.put("config", "main", manifest())
     for _ in range(HOSTS):
         fleet.add_daemon(ZONE, (ZONE,))
--- a/review/standins2/kv.py
+++ b/review/standins2/kv.py
@@ -250,6 +250,7 @@
             return aiohttp.web.Response(status=421, headers=identity)
         await request.read()
         self.running += 1
+        self._record(f"{self.name}: runs {attempt}")
         try:
             return await self._answer(request, attempt)
         finally:
