--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -465,8 +465,25 @@
         if not is_known:
             # The answer of the store is not older than what is known. It is older if
             # peers sent later changes while the request to the store was in flight.
+            self.note_restart(row, event.boot, "the store")
             row.apply(event)
 
+    def note_restart(self, row, boot, source):
+        """Log that a store has restarted, if another start of it was known.
+
+        Parameters
+        ----------
+        row : StoreRow
+            The store, as known until now.
+        boot : int
+            Identifies the start that it is known by now.
+        source : str
+            Who told of it.
+        """
+        if row.boot not in (0, boot):
+            detail = f"start {boot} after {row.boot}, told by {source}"
+            self._state.emit(commands.Note("kv_store_restarted", row.name, detail))
+
     def plan(self, engines, engine_row, preferred_row, salt, parts, now):
         """Return the `Transfers` for a prompt's shared parts at an engine.
 
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -144,7 +144,7 @@
             row = self._stores.rows.get(update.store)
             peer_state = state_by_store.get(update.store)
             if row is not None and peer_state is not None:
-                _apply_update(update, peer_state, row)
+                self._apply_update(update, peer_state, row, message.sender)
         for peer_state in message.store_words:
             row = self._stores.rows.get(peer_state.store)
             if (
@@ -156,6 +156,24 @@
                     peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
                 )
 
+    def _apply_update(self, update, peer_state, row, sender):
+        """Apply a peer's news of a store, unless this host knows something later.
+
+        Guards against a restarted store whose earlier parts come back by a peer that
+        hasn't noticed the restart: another start than the known one is accepted only
+        as a whole list that was observed later.
+        """
+        if update.boot == row.boot:
+            fits = update.whole_list or update.since <= row.position
+            if fits and update.position > row.position:
+                row.apply(update)
+        elif update.whole_list and _is_later(peer_state, row):
+            self._stores.note_restart(row, update.boot, sender)
+            row.apply(update)
+            row.note_status(
+                peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
+            )
+
     def _choose_followers(self):
         me = self._state.me
         entries = self._state.reaching_entries()
@@ -206,21 +224,3 @@
                 row.name, row.boot, peer_state.position, row.position, False, changes
             )
     return gossip.StoreNews(row.name, row.boot, 0, row.position, True, row.whole_list())
-
-
-def _apply_update(update, peer_state, row):
-    """Apply a peer's news of a store, unless this host knows something later.
-
-    Guards against a restarted store whose earlier parts come back by a peer that
-    hasn't noticed the restart: another start than the known one is accepted only as a
-    whole list that was observed later.
-    """
-    if update.boot == row.boot:
-        fits = update.whole_list or update.since <= row.position
-        if fits and update.position > row.position:
-            row.apply(update)
-    elif update.whole_list and _is_later(peer_state, row):
-        row.apply(update)
-        row.note_status(
-            peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
-        )
