What is known of a KV store is leased, and saves wait until older leases have ended

Cause: a fetch names no start of the store, and the store checks nothing. A host that knew of a restart had parts saved again at once; one that had not heard of it fetched them as whole by the list of the start before.

Change: the engines' clock at the store's own answer is told on unchanged; a fetch ends within 4 s of it, by X-Kv-Until, which is the least of all stores fetched from. Nobody has a part saved within those 4 s of learning of a restart or of a dropped part. A save by a host that knows neither the restart nor the part is the third case: a part is fetched once the store has answered 2.5 s after the answer that showed it, and saves are planned by answers of at most 2 s. A refusal by 429 renews no lease; an answer of an earlier start that is read late is ignored; a start that peers tell is later only by the store's answers.

Weighed: the start in the salt empties the engines' caches with each restart, and an ignorant saver and an ignorant fetcher still meet under it.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -16,8 +16,8 @@
     freshness,
     gossip,
     incarnations,
-    kvstores,
     revisions,
+    storerows,
 )
 from sesamespindle.wire import peers_pb2
 
@@ -238,6 +238,7 @@
         seconds_ago=(now - store_word.checked_at).total_seconds(),
         is_silent=store_word.is_silent,
         clock_ms=clock_ms,
+        answered_ms=store_word.answered_ms,
     )
 
 
@@ -252,6 +253,7 @@
         sent_at - datetime.timedelta(seconds=message.seconds_ago),
         message.is_silent,
         clock_lead,
+        message.answered_ms if message.HasField("answered_ms") else None,
     )
 
 
@@ -276,7 +278,7 @@
         message.since,
         message.position,
         message.whole_list,
-        tuple(kvstores.PartEvent(*row) for row in rows),
+        tuple(storerows.PartEvent(*row) for row in rows),
     )
 
 
--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -444,7 +444,7 @@
         self.asking.tick(now)
         self.ledgers.tick(now)
         if self.lease.is_held(now):
-            self.stores.free_superseded(self._salt_may_be_in_use, now)
+            self.stores.frees.free_superseded(self._salt_may_be_in_use, now)
 
     def _announce_when_ready(self, now):
         """Publish this host's URL to peers and callers once it can serve requests.
--- a/packages/decide/sesamespindle/decide/gossip.py
+++ b/packages/decide/sesamespindle/decide/gossip.py
@@ -201,6 +201,9 @@
     clock_lead : float or None
         Milliseconds by which the engines' clock is ahead of this host's; None if
         unknown.
+    answered_ms : float or None
+        The engines' clock, in milliseconds, at the latest answer of that start of the
+        store whose changes the sender knows; None if unknown.
     """
 
     store: str
@@ -209,6 +212,7 @@
     checked_at: datetime.datetime
     is_silent: bool
     clock_lead: float | None = None
+    answered_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,7 +229,7 @@
         The position that the receiver reaches by these changes.
     whole_list : bool
         Whether `parts` is all that the store holds.
-    parts : tuple of kvstores.PartEvent
+    parts : tuple of storerows.PartEvent
         What has changed, or all that the store holds.
     """
 
--- a/packages/decide/sesamespindle/decide/membership.py
+++ b/packages/decide/sesamespindle/decide/membership.py
@@ -532,7 +532,7 @@
         self._target_news.merge(message, now)
         self._merge_release(message.lease_release)
         if self._store_relay is not None:
-            self._store_relay.merge(message)
+            self._store_relay.merge(message, now)
         if self._quarantine is not None:
             self._quarantine.merge(message.crash_news, now)
         if self._target_limits is not None:
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -25,9 +25,9 @@
     Otherwise two hosts of each data centre do, and in gossip rounds send their peers
     there what those lack.
 
-    What a peer sends may be out of date without harm: a fetch of a part that has gone
-    meanwhile is a miss at the store, and a restarted store is recognized by its boot,
-    which identifies its incarnation.
+    What a peer sends may be out of date, so it comes with the engines' clock at the
+    store's own answer, which is told on unchanged: `storerows.StoreRow` uses it for no
+    longer than that answer allows.
 
     Parameters
     ----------
@@ -95,6 +95,7 @@
                 row.status_at,
                 row.heard_at is None,
                 row.clock_lead,
+                row.answered_ms,
             )
             for row in self._stores.rows
             if row.status_at is not None
@@ -129,13 +130,15 @@
             updates.append(update)
         return tuple(updates)
 
-    def merge(self, message):
+    def merge(self, message, now):
         """Merge a peer's updates on stores, which it or another host follows.
 
         Parameters
         ----------
         message : gossip.GossipMessage
             The peer's message.
+        now : datetime.datetime
+            The current time.
         """
         state_by_store = {
             peer_state.store: peer_state for peer_state in message.store_words
@@ -144,19 +147,13 @@
             row = self._stores.rows.get(update.store)
             peer_state = state_by_store.get(update.store)
             if row is not None and peer_state is not None:
-                self._apply_update(update, peer_state, row, message.sender)
+                self._apply_update(update, peer_state, row, message.sender, now)
         for peer_state in message.store_words:
             row = self._stores.rows.get(peer_state.store)
-            if (
-                row is not None
-                and peer_state.boot == row.boot
-                and _is_later(peer_state, row)
-            ):
-                row.note_status(
-                    peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
-                )
+            if row is not None and peer_state.boot == row.boot:
+                _merge_status(peer_state, row)
 
-    def _apply_update(self, update, peer_state, row, sender):
+    def _apply_update(self, update, peer_state, row, sender, now):
         """Apply a peer's news of a store, unless this host knows something later.
 
         Guards against a restarted store whose earlier parts come back by a peer that
@@ -166,10 +163,10 @@
         if update.boot == row.boot:
             fits = update.whole_list or update.since <= row.position
             if fits and update.position > row.position:
-                row.apply(update)
-        elif update.whole_list and _is_later(peer_state, row):
+                row.apply(update, peer_state.answered_ms, now)
+        elif update.whole_list and _is_later_start(peer_state, row):
             self._stores.note_restart(row, update.boot, sender)
-            row.apply(update)
+            row.apply(update, peer_state.answered_ms, now)
             row.note_status(
                 peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
             )
@@ -197,9 +194,32 @@
         peer_state is not None
         and _knows_all_parts(peer_state, row)
         and peer_state.checked_at >= row.status_at
+        and (peer_state.answered_ms or 0.0) >= (row.answered_ms or 0.0)
     )
 
 
+def _merge_status(peer_state, row):
+    """Note what a peer knows of a store's status, the same start of it being known."""
+    if _is_later(peer_state, row):
+        row.note_status(
+            peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
+        )
+    if peer_state.position <= row.position:
+        row.renew_lease(peer_state.answered_ms)
+
+
+def _is_later_start(peer_state, row):
+    """Return whether a peer's start of a store, not the known one, is the later one.
+
+    Guards against a start that comes back: a host whose requests are refused knows that
+    the store answers, but not that it has restarted. So the store's own answers count,
+    by the engines' clock, where both are known.
+    """
+    if peer_state.answered_ms is None or row.answered_ms is None:
+        return _is_later(peer_state, row)
+    return peer_state.answered_ms > row.answered_ms
+
+
 def _is_later(peer_state, row):
     return row.status_at is None or peer_state.checked_at > row.status_at
 
@@ -212,7 +232,9 @@
     """
     if peer_state.boot == row.boot:
         return peer_state.position >= row.position
-    return peer_state.checked_at >= row.status_at
+    if peer_state.answered_ms is None or row.answered_ms is None:
+        return peer_state.checked_at >= row.status_at
+    return peer_state.answered_ms >= row.answered_ms
 
 
 def _update_for(row, peer_state):
