The salt of shared KV cache names the accounts that don't share it

Cause: an isolated account got a salt of its own from then on, but all others kept the salt that it had shared with them. Nothing knows who has made a part.

Change: the shared salt ends with a digest of the isolated accounts' names, so it stands for the set that shares it. It follows from the configuration alone: hosts at different configurations never meet under one salt, one that starts without memory makes the same, and a set that comes back may use what its members made. An account without keys counts too. A request that was read before its account became isolated is placed as that of an isolated one. Where no account is isolated the salt is as before.

Parts under salts that no account uses any more are freed after a minute, as managed stores drop nothing; those of superseded weights after 2 s, as before, now counted for each salt: a salt that fell out of use beside another one was freed without its delay.

Price: a change of that set has all shared parts read again and saved once. Weighed: a counter of changes has to be kept and told, and a host without memory gets it wrong; the names of the accounts that share would make each new account cost the same.

--- a/packages/decide/sesamespindle/decide/gateway.py
+++ b/packages/decide/sesamespindle/decide/gateway.py
@@ -7,6 +7,7 @@
     asking,
     brittle,
     budgets,
+    cachesalts,
     candidates,
     carriers,
     catalogue,
@@ -140,13 +141,14 @@
             self.state, terms.max_superseded_age, terms.contact_time
         )
         self.stores = kvstores.KvStores(self.state)
+        self.salts = cachesalts.CacheSalts()
         self.crashes = crashes.Crashes(self.state)
         self.quarantine = quarantine.Quarantine(self.state, self.crashes)
         ranks = senders.SenderRanks(self.state, terms.contact_time)
         self.target_limits = targetlimits.TargetLimits(self.state, ranks)
         self.held_targets = heldtargets.HeldTargets(self.state)
         prompt_placement = promptplacement.PromptPlacement(
-            self.state, self.weights, self.stores
+            self.state, self.weights, self.stores, self.salts
         )
         self.reach = reach.Reach(self.state)
         self.brittle = brittle.BrittleTargets(self.state)
@@ -417,6 +419,7 @@
         self.state.service_names = frozenset(configuration.service_by_name)
         self.state.cold_start_by_service = configuration.cold_start_by_service
         self.stores.adopt(configuration)
+        self.salts.adopt(configuration)
         self.state.emit(commands.Note("configuration", str(configuration.version)))
         self.membership.start_round(now)
 
@@ -444,7 +447,7 @@
         self.asking.tick(now)
         self.ledgers.tick(now)
         if self.lease.is_held(now):
-            self.stores.frees.free_superseded(self._salt_may_be_in_use, now)
+            self.stores.frees.free_unused(self._salt_kept_for, now)
 
     def _announce_when_ready(self, now):
         """Publish this host's URL to peers and callers once it can serve requests.
@@ -463,18 +466,11 @@
         self.state.emit(BecameReady())
         self.membership.start_round(now)
 
-    def _salt_may_be_in_use(self, salt):
-        """Return whether a salt may belong to weights that a target runs.
-
-        A salt names the KV cache of one weight version. Only salts of versions
-        older than every running one are known to be unused.
-        """
-        version, _, _ = salt.partition(".")
-        if not version.isdigit():
-            return False
+    def _salt_kept_for(self, salt):
+        """Return for how long an unused salt is kept; None if it may be in use."""
         running = [
             known
             for row in self.state.targets
             for known in row.version_by_model.values()
         ]
-        return not running or int(version) >= min(running)
+        return self.salts.kept_for(salt, min(running, default=None))
--- a/packages/decide/sesamespindle/decide/promptplacement.py
+++ b/packages/decide/sesamespindle/decide/promptplacement.py
@@ -45,7 +45,7 @@
     version : int
         The weight version that the engine is thought to run.
     salt : str
-        Keeps KV cache of other weights and isolated accounts apart, see `_salt`.
+        Keeps KV cache of other weights and isolated accounts apart.
     transfers : kvstores.Transfers
         Where the engine fetches and saves the prompt's parts.
     prefill_tokens : int
@@ -73,12 +73,15 @@
         The announced weight version of each model.
     stores : kvstores.KvStores
         The KV cache that may be fetched from stores.
+    salts : cachesalts.CacheSalts
+        Tells who shares KV cache.
     """
 
-    def __init__(self, state, weights, stores):
+    def __init__(self, state, weights, stores, salts):
         self._state = state
         self._weights = weights
         self._stores = stores
+        self._salts = salts
 
     def engines_in_time(self, flight, engines, rows, now):
         """Return the engines where a prompt can begin before their weights' deadline.
@@ -151,7 +154,7 @@
         """
         request, row, preferred = flight.request, choice.row, choice.preferred
         version = self._weights.running(row, request.model)
-        salt = _salt(flight, version)
+        salt = self._salts.make(flight.account, version)
         transfers = self._stores.plan(
             engines, row, preferred, salt, request.prompt, now
         )
@@ -206,7 +209,8 @@
         part on that it neither holds nor can import.
         """
         request = flight.request
-        salt = _salt(flight, self._weights.running(row, request.model))
+        version = self._weights.running(row, request.model)
+        salt = self._salts.make(flight.account, version)
         seconds, uncached_tokens = 0.0, tokens
         for part in request.prompt[:-1]:
             key = salt, part.part_id
@@ -225,16 +229,3 @@
                 seconds += import_seconds
             uncached_tokens -= part.tokens
         return placement.Effort(uncached_tokens, seconds)
-
-
-def _salt(flight, version):
-    """Return the salt of a prompt's KV cache: the weights, and an isolated account.
-
-    The engine refuses a request whose expected version isn't its own. So a request
-    can't reuse KV cache that other weights computed, nor that of another account
-    where one of the two is isolated.
-    """
-    account = flight.account
-    if account is not None and account.isolated:
-        return f"{version}.{account.name}"
-    return f"{version}"
--- a/packages/decide/sesamespindle/decide/routes.py
+++ b/packages/decide/sesamespindle/decide/routes.py
@@ -190,7 +190,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One complete version of an operator's configuration."""
+    """One complete version of an operator's configuration.
+
+    Attributes
+    ----------
+    isolated_names : frozenset of str
+        The accounts that share KV cache with no other, also those without any key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
@@ -201,6 +207,7 @@
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
     header_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
     max_header_bytes: int = 64 << 10
+    isolated_names: frozenset[str] = frozenset()
 
     @functools.cached_property
     def _route_by_prefix_by_host(self):
--- a/packages/decide/sesamespindle/decide/storefrees.py
+++ b/packages/decide/sesamespindle/decide/storefrees.py
@@ -3,12 +3,10 @@
 import dataclasses
 import datetime
 
-# Parts of superseded weights are freed this long after the last engine has moved on to
-# newer ones: no fetch of such a part begins after that, and a fetch ends within a
-# second.
-_FREE_DELAY = datetime.timedelta(seconds=2)
 # A request to free parts is repeated after this, as the last one may have got lost.
 _FREE_RETRY_DELAY = datetime.timedelta(seconds=2)
+# How long a store may take to carry out a request to free parts.
+_FREE_WITHIN = datetime.timedelta(seconds=2)
 # The most parts that one request frees.
 _MAX_FREED_AT_ONCE = 1000
 
@@ -53,39 +51,52 @@
     def __init__(self, state, rows):
         self._state = state
         self._rows = rows
-        self._unused_since_by_store = {}
+        # By store and salt.
+        self._unused_since_by_key = {}
         self._requested_at_by_store = {}
 
-    def free_superseded(self, kept_salts, now):
-        """Request that stores free the parts of weights that no engine runs.
+    def free_unused(self, salt_kept_for, now):
+        """Request that stores free the parts under salts that have long been unused.
 
         Parameters
         ----------
-        kept_salts : callable
-            Takes a salt and returns whether any engine may run its weights.
+        salt_kept_for : callable
+            Takes a salt and returns how long it is kept if unused, None if it may be
+            in use.
         now : datetime.datetime
             The current time.
         """
         for row in self._rows:
-            if not row.store.managed or not row.is_available(now):
-                continue
-            unused = [key for key in row.tokens_by_part if not kept_salts(key[0])]
-            if not unused:
-                self._unused_since_by_store.pop(row.name, None)
-                continue
-            since = self._unused_since_by_store.setdefault(row.name, now)
-            requested_at = self._requested_at_by_store.get(row.name)
-            if requested_at is not None and now - requested_at < _FREE_RETRY_DELAY:
-                continue
-            if now - since >= _FREE_DELAY:
-                self._requested_at_by_store[row.name] = now
-                until = row.clock_ms(now + _FREE_DELAY)
-                self._state.emit(
-                    FreeParts(
-                        row.name,
-                        row.store.address,
-                        row.boot,
-                        tuple(unused[:_MAX_FREED_AT_ONCE]),
-                        until,
-                    )
+            if row.store.managed and row.is_available(now):
+                self._free_unused_at(row, salt_kept_for, now)
+
+    def _free_unused_at(self, row, salt_kept_for, now):
+        due = {
+            salt
+            for salt in {salt for salt, _ in row.tokens_by_part}
+            if self._is_due(row.name, salt, salt_kept_for(salt), now)
+        }
+        requested_at = self._requested_at_by_store.get(row.name)
+        if requested_at is not None and now - requested_at < _FREE_RETRY_DELAY:
+            return
+        if due:
+            self._requested_at_by_store[row.name] = now
+            unused = [key for key in row.tokens_by_part if key[0] in due]
+            until = row.clock_ms(now + _FREE_WITHIN)
+            self._state.emit(
+                FreeParts(
+                    row.name,
+                    row.store.address,
+                    row.boot,
+                    tuple(unused[:_MAX_FREED_AT_ONCE]),
+                    until,
                 )
+            )
+
+    def _is_due(self, store, salt, kept_for, now):
+        """Return whether a salt has been unused for as long as it is kept."""
+        if kept_for is None:
+            self._unused_since_by_key.pop((store, salt), None)
+            return False
+        since = self._unused_since_by_key.setdefault((store, salt), now)
+        return now - since >= kept_for
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -259,6 +259,14 @@
     assert send_prompt(core, "c1").salt != send_prompt(core, "c2", account="key-2").salt
 
 
+def test_others_use_nothing_that_an_account_made_before_it_became_isolated(core):
+    """Requests of others go on with KV cache of an account that is isolated now."""
+    before = send_prompt(core, "c1").salt
+    changed = gateways.make_configuration(3, isolated_names=frozenset({"bank"}))
+    core.step(NOW, [gateway.ConfigurationRead(changed)])
+    assert send_prompt(core, "c2").salt != before
+
+
 def test_salt_and_expected_version_match_what_the_target_runs(core):
     core.step(NOW, [weights.VersionAnnounced("m", 2)])
     sent = send_prompt(core)
--- a/tests/decide/test_kvstores.py
+++ b/tests/decide/test_kvstores.py
@@ -111,7 +111,7 @@
 
 
 def free(stores, kept, at):
-    stores.frees.free_superseded(lambda salt: salt in kept, at)
+    stores.frees.free_unused(lambda salt: None if salt in kept else seconds(2), at)
     made = stores._state.take_commands()
     return [item for item in made if isinstance(item, storefrees.FreeParts)]
 
