A recovery of the platform keeps its time as hosts tell each other of it

Cause: a host that heard of a recovery up to 2.5 s old noted it as one of its own now, and told that on.

Change: a recovery has the time of the host that saw it.

--- a/packages/daemon/sesamespindle/daemon/peering.py
+++ b/packages/daemon/sesamespindle/daemon/peering.py
@@ -588,13 +588,16 @@
         await asyncio.shield(task)
 
     async def _fetch_and_adopt(self, address):
+        asked_at = self._driver.clock.now()
         known = self._declarations.known_state()
         request = peers_pb2.DeclarationsWanted(
             above_revision=known.revision, known_digests=known.digests
         )
         answer = await self._call(address, "FetchDeclarations", request, _FETCH_SECONDS)
         if answer is not None:
-            await self._declarations.adopt_update(answer.head, answer.documents)
+            await self._declarations.adopt_update(
+                answer.head, answer.documents, asked_at
+            )
 
     async def _call(self, address, method, request, seconds=_RPC_SECONDS):
         """Call a method of a peer; return its answer, or None if the call failed.
--- a/packages/daemon/sesamespindle/daemon/watchers.py
+++ b/packages/daemon/sesamespindle/daemon/watchers.py
@@ -196,7 +196,7 @@
             self.head.revision, raw_head, documents_by_digest
         )
 
-    async def adopt_update(self, raw_head, documents_by_digest):
+    async def adopt_update(self, raw_head, documents_by_digest, asked_at):
         """Adopt what a peer packed, if its revision is higher.
 
         Parameters
@@ -205,6 +205,8 @@
             The head as JSON.
         documents_by_digest : dict of str to bytes
             Documents as JSON; they and the ones known here cover the head.
+        asked_at : datetime.datetime
+            Not used, as declarations have no age.
 
         Raises
         ------
--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -113,7 +113,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformAvailable:
-    """The platform is available again."""
+    """The platform has recovered from an outage.
+
+    Attributes
+    ----------
+    recovered_at : datetime.datetime
+        When a host first got an answer again.
+    """
+
+    recovered_at: datetime.datetime
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,7 +173,9 @@
                 self._remove(event, now)
             case TargetUnreadable():
                 self._set_aside(event.name, event.revision)
-            case PlatformAvailable() | eras.StoreRestored():
+            case PlatformAvailable():
+                self._state.platform_back_at = event.recovered_at
+            case eras.StoreRestored():
                 self._state.platform_back_at = now
             case _:
                 return False
--- a/tests/daemon/test_peering.py
+++ b/tests/daemon/test_peering.py
@@ -42,7 +42,7 @@
     def make_update(self, known_digests):
         return peermessages.StateUpdate(0, b"news", {})
 
-    async def adopt_update(self, raw, documents):
+    async def adopt_update(self, raw, documents, asked_at):
         self.adopted.append(raw)
 
 
--- a/tests/decide/test_gateway.py
+++ b/tests/decide/test_gateway.py
@@ -192,7 +192,7 @@
     The first list after the platform's return is empty, although the targets still
     serve. They register again within 2 s; until then the known ones are used.
     """
-    core.step(NOW, [targetlist.PlatformAvailable(), targetlist.TargetsListed(())])
+    core.step(NOW, [targetlist.PlatformAvailable(NOW), targetlist.TargetsListed(())])
     later = NOW + 2 * SECOND
     core.step(later, [events.Tick()])
     assert isinstance(gateways.begin(core, "/read/1", now=later), sends.Forward)
--- a/tests/decide/test_streamversions.py
+++ b/tests/decide/test_streamversions.py
@@ -411,8 +411,8 @@
     """Guards against streams of a new version when a platform just back lists few."""
     at = NOW + 5 * SECOND
     if is_back_first:
-        replaced.step(at, [targetlist.PlatformAvailable()])
+        replaced.step(at, [targetlist.PlatformAvailable(at)])
     replace(replaced, at)
     if not is_back_first:
-        replaced.step(at, [targetlist.PlatformAvailable()])
+        replaced.step(at, [targetlist.PlatformAvailable(at)])
     assert begun_at(replaced, at) == {"v1"}
--- a/tests/platform/test_adoption.py
+++ b/tests/platform/test_adoption.py
@@ -105,7 +105,7 @@
 def test_a_peer_gets_only_the_kinds_whose_content_it_lacks(go):
     host, peer = Host(), Host()
     host.change(10, configuration(2, 10))
-    go(peer.peers.adopt_update(host.update_for(peer), {}))
+    go(peer.peers.adopt_update(host.update_for(peer), {}, gateways.NOW))
     assert peer.version == 2
     host.known.prove(CONFIGURATION, places.at(15), gateways.NOW)
     assert json.loads(host.update_for(peer))["kinds"] == {}
@@ -114,7 +114,7 @@
 def test_a_pack_of_an_earlier_release_changes_nothing(go):
     host = Host()
     old = json.dumps({"seen": {"config": 9}, "config": standins.make_manifest(9)})
-    go(host.peers.adopt_update(old.encode(), {}))
+    go(host.peers.adopt_update(old.encode(), {}, gateways.NOW))
     assert host.version == 1
 
 
