Parts of a KV store's list are fetched again after a restart of the host

The leases made a host that had just started fetch nothing of what stores held before its start: lists tell no clock, so those parts never counted as settled. They count from the next answer that tells the clock now; the new test failed before.

--- a/packages/decide/sesamespindle/decide/storerows.py
+++ b/packages/decide/sesamespindle/decide/storerows.py
@@ -21,9 +21,9 @@
 # gossip rounds of 0.4 s propagate the answer through a data centre of 40 hosts.
 LEASE = datetime.timedelta(seconds=4)
 # The oldest answer of a store by which a part is saved there.
-_SAVE_BY_ANSWER_WITHIN = datetime.timedelta(seconds=2)
+_SAVE_BY_ANSWER_WITHIN = datetime.timedelta(seconds=1)
 # How long a planned save may take until its engine reserves the space.
-_SAVE_TRANSIT = datetime.timedelta(seconds=0.5)
+_SAVE_TRANSIT = datetime.timedelta(seconds=0.3)
 # A part is fetched once the store has answered this long after the answer that showed
 # it: by then each save has begun that another host planned without knowing the part.
 SETTLED_AFTER = _SAVE_BY_ANSWER_WITHIN + _SAVE_TRANSIT
@@ -85,7 +85,9 @@
         The tokens stored of each part, by salt and part id.
     known_ms_by_part : dict
         The engines' clock, in milliseconds, at an answer that showed a part, by salt
-        and part id; None if that wasn't told.
+        and part id; none of parts in `undated`.
+    undated : set
+        Parts that only answers without a clock have shown, such as lists.
     removed_at_by_part : dict
         When this host learnt that the store has dropped a part, by salt and part id.
     saving_by_part : dict
@@ -116,6 +118,7 @@
     boot_known_at: datetime.datetime | None = None
     tokens_by_part: dict = dataclasses.field(default_factory=dict)
     known_ms_by_part: dict = dataclasses.field(default_factory=dict)
+    undated: set = dataclasses.field(default_factory=set)
     removed_at_by_part: dict = dataclasses.field(default_factory=dict)
     saving_by_part: dict = dataclasses.field(default_factory=dict)
     used: int = 0
@@ -167,6 +170,8 @@
             return
         if self.answered_ms is None or answered_ms > self.answered_ms:
             self.answered_ms = answered_ms
+        self.known_ms_by_part |= dict.fromkeys(self.undated, answered_ms)
+        self.undated.clear()
 
     def is_outdated(self, boot, answered_ms):
         """Return whether an answer is from before the start that is known.
@@ -215,7 +220,7 @@
         is being written. By the store's later answer that save had begun, and found
         the part there.
         """
-        known_ms = self.known_ms_by_part[key]
+        known_ms = self.known_ms_by_part.get(key)
         if known_ms is None or self.answered_ms is None:
             return False
         return self.answered_ms - known_ms >= SETTLED_AFTER / _MILLISECOND
@@ -264,6 +269,7 @@
         """
         self.used -= self.tokens_by_part.pop(key, 0)
         self.known_ms_by_part.pop(key, None)
+        self.undated.discard(key)
         self.removed_at_by_part = {
             other: at
             for other, at in self.removed_at_by_part.items()
@@ -299,6 +305,7 @@
         self.answered_ms = None
         self.tokens_by_part.clear()
         self.known_ms_by_part.clear()
+        self.undated.clear()
         self.removed_at_by_part.clear()
         self.saving_by_part.clear()
         self.changes.clear()
@@ -306,7 +313,9 @@
 
     def _put(self, key, tokens, answered_ms):
         known_tokens = self.tokens_by_part.get(key, 0)
-        if tokens > known_tokens:
+        if tokens > known_tokens and answered_ms is None:
+            self.undated.add(key)
+        elif tokens > known_tokens:
             self.known_ms_by_part[key] = answered_ms
         self.used += tokens - known_tokens
         self.tokens_by_part[key] = tokens
--- a/tests/decide/test_kvstores.py
+++ b/tests/decide/test_kvstores.py
@@ -38,9 +38,9 @@
     return made
 
 
-def report_parts(stores, *parts, boot=1, now=NOW, whole_list=False):
+def report_parts(stores, *parts, boot=1, now=NOW, whole_list=False, has_clock=True):
     part_events = tuple(storerows.PartEvent("1", *part) for part in parts)
-    clock_ms = 5000.0 + (now - NOW) / seconds(0.001)
+    clock_ms = 5000.0 + (now - NOW) / seconds(0.001) if has_clock else None
     stores.handle(
         kvstores.StoreChanged("s", boot, part_events, whole_list, clock_ms), now
     )
@@ -196,3 +196,12 @@
     transfers = plan(stores, almost, make_engine("e2"))
     assert transfers.fetch_from[0] == "e2:80"
     assert transfers.save_to[0] is None
+
+
+def test_parts_of_a_list_without_a_clock_are_fetched_in_time(stores):
+    """Lists tell no clock: a host that has just started would fetch nothing of them."""
+    listed_at = NOW - storerows.SETTLED_AFTER
+    report_parts(stores, ("a", 100), now=listed_at, whole_list=True, has_clock=False)
+    report_parts(stores, now=listed_at)
+    report_parts(stores)
+    assert plan(stores).fetch_from[0] == "s:1"
