Only targets whose records may have lapsed in an outage are kept for it

Cause: `targetlist._kept_until` kept every missing target until 2.5 s after the last recovery.

Change: a recovery has the platform's revision in the first answer after it. A target is kept for it if it goes missing after the recovery, by an answer before which the host knew only earlier revisions. A second outage keeps what may have lapsed in the first; a restored store may lack any target, as before. Peers tell the revision with the recovery.

--- a/packages/decide/sesamespindle/decide/targetlist.py
+++ b/packages/decide/sesamespindle/decide/targetlist.py
@@ -67,9 +67,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetsListed:
-    """The host has received the platform's whole list of targets."""
+    """The host has received the platform's whole list of targets.
+
+    Attributes
+    ----------
+    known_before : revisions.Revision
+        The revision up to which the host knew of the targets before.
+    """
 
     targets: tuple[ListedTarget, ...]
+    known_before: revisions.Revision = revisions.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,10 +95,13 @@
     born : int or None
         The start time of the incarnation that ended; None where it isn't known, which
         matches any incarnation.
+    known_before : revisions.Revision
+        The revision up to which the host knew of the targets before.
     """
 
     name: str
     born: int | None = None
+    known_before: revisions.Revision = revisions.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,9 +129,13 @@
     ----------
     recovered_at : datetime.datetime
         When a host first got an answer again.
+    revision : revisions.Revision or None
+        The platform's revision in that answer; None if it isn't known. What changed
+        later has not changed by the outage.
     """
 
     recovered_at: datetime.datetime
+    revision: revisions.Revision | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +172,8 @@
     def __init__(self, state):
         self._state = state
         self._ended_by_incarnation = {}
+        # The platform's revision as it last recovered from an outage.
+        self._recovery_revision = None
         # Records that may be from before what is known of their targets, by name.
         self._doubtful_by_name = {}
 
@@ -165,7 +181,7 @@
         """Handle one of this module's events; return whether it was one."""
         match event:
             case TargetsListed():
-                self._adopt_all(event.targets, now)
+                self._adopt_all(event.targets, event.known_before, now)
             case TargetChanged():
                 known = self._state.targets.where("pool", event.target.service)
                 self._adopt(event.target, _have_start_times(known), now)
@@ -175,8 +191,10 @@
                 self._set_aside(event.name, event.revision)
             case PlatformAvailable():
                 self._state.platform_back_at = event.recovered_at
+                self._recovery_revision = event.revision
             case eras.StoreRestored():
                 self._state.platform_back_at = now
+                self._recovery_revision = None
             case _:
                 return False
         return True
@@ -240,8 +258,8 @@
         Guards against requests that fail for lack of a target although all targets
         serve: a platform that was unavailable may list no targets when it returns. So
         targets are kept longer while the whole service is missing, and just after the
-        platform's return. Where other targets of the service are still listed, a
-        missing one has really ended.
+        platform's return if their records may have lapsed in the outage. Any other
+        missing target has really ended.
         """
         all_missing = all(
             other.missing_since is not None
@@ -249,11 +267,24 @@
         )
         kept_for = _EXPIRED_KEPT_FOR if all_missing else _MISSING_KEPT_FOR
         until = row.missing_since + kept_for
-        if self._state.platform_back_at is not None:
+        if row.may_have_lapsed:
             until = max(until, self._state.platform_back_at + _EXPIRED_KEPT_FOR)
         return until
 
-    def _adopt_all(self, listed_targets, now):
+    def _may_have_lapsed(self, known_before, now):
+        """Return whether a record that is gone now may have lapsed in an outage.
+
+        Guards against requests to a target that was removed just after an outage: the
+        platform's answers from before its return lack that removal, so a host that has
+        known of what they say knows that it isn't due to the outage.
+        """
+        if not may_be_incomplete(self._state, now):
+            return False
+        if self._recovery_revision is None:
+            return True
+        return known_before < self._recovery_revision
+
+    def _adopt_all(self, listed_targets, known_before, now):
         self._doubtful_by_name.clear()
         listed_names = {target.name for target in listed_targets}
         targets_by_service = collections.defaultdict(list)
@@ -265,13 +296,14 @@
                 self._adopt(target, start_times_are_known, now)
         for row in list(self._state.targets):
             if row.name not in listed_names:
-                self._mark_missing(row.name, now)
+                self._mark_missing(row.name, known_before, now)
 
-    def _mark_missing(self, name, now):
+    def _mark_missing(self, name, known_before, now):
         row = self._state.targets.get(name)
         if row is None or row.missing_since is not None:
             return
         row.missing_since = now
+        row.may_have_lapsed = self._may_have_lapsed(known_before, now)
         self._state.emit(commands.Note("target_missing", name))
         if row.leaving:
             self._drop(row, now)
@@ -281,7 +313,7 @@
         self._doubtful_by_name.pop(removed.name, None)
         row = self._state.targets.get(removed.name)
         if row is not None and (removed.born is None or removed.born >= row.born):
-            self._mark_missing(removed.name, now)
+            self._mark_missing(removed.name, removed.known_before, now)
 
     def _supersede(self, successor, revision):
         """Stop the use of a target whose address a new target has taken over.
--- a/packages/decide/sesamespindle/decide/world.py
+++ b/packages/decide/sesamespindle/decide/world.py
@@ -163,6 +163,8 @@
     # than the revision before it.
     fell_at_revision: revisions.Revision = revisions.NEVER
     missing_since: datetime.datetime | None = None
+    # Whether its record may have lapsed while the platform was unavailable.
+    may_have_lapsed: bool = False
     # Whether its data centre is evacuated.
     evacuated: bool = False
     # Until when the target warms up and gets few requests, the revision of its record
--- a/tests/platform/test_availability.py
+++ b/tests/platform/test_availability.py
@@ -3,6 +3,7 @@
 import datetime
 
 import gateways
+import places
 import pytest
 
 from sesamespindle.daemon import driver, eventlog
@@ -26,7 +27,7 @@
 
     def see_outage(self):
         self.availability.note_unavailable("targets", TimeoutError())
-        self.availability.note_answer()
+        self.availability.note_answer(places.at(7))
 
 
 class Ring:
@@ -43,7 +44,7 @@
         for number, host in enumerate(self.hosts):
             asked_at = self.clock.now()
             self.advance(transit_seconds)
-            told = self.hosts[(number + 1) % HOSTS].availability.recovered_seconds_ago()
+            told = self.hosts[(number + 1) % HOSTS].availability.last_recovery()
             self.advance(transit_seconds)
             host.availability.adopt_recovery(told, asked_at)
 
@@ -84,5 +85,5 @@
 @pytest.mark.parametrize("age", [float("nan"), float("inf"), -1.0, 2.6])
 def test_a_recovery_of_an_impossible_or_old_age_is_ignored(age):
     host = Ring().hosts[0]
-    host.availability.adopt_recovery(age, gateways.NOW)
+    host.availability.adopt_recovery(availability.Recovery(age), gateways.NOW)
     assert host.back_at is None
