A KV store's clock that was wrong once makes no lease without an end

By reading: a store whose answer once told a clock far ahead would have had no later answer counted, its restart ignored and its parts fetched for as long, and its word would have been told on for ever. An answer up to a lease older than the latest is late; one that is older than that corrects it. A peer's word from the future, or no number, renews nothing. Two new tests fail without. Parts that a store drops are pruned once for each answer: a free of 1,000 parts went through those dropped before for each of them.

--- a/packages/daemon/sesamespindle/daemon/peermessages.py
+++ b/packages/daemon/sesamespindle/daemon/peermessages.py
@@ -253,10 +253,17 @@
         sent_at - datetime.timedelta(seconds=message.seconds_ago),
         message.is_silent,
         clock_lead,
-        message.answered_ms if message.HasField("answered_ms") else None,
+        _answered_ms(message),
     )
 
 
+def _answered_ms(message):
+    """Return when a store answered by the engines' clock, None if that isn't known."""
+    if not message.HasField("answered_ms") or not math.isfinite(message.answered_ms):
+        return None
+    return message.answered_ms
+
+
 def _store_news_to_wire(news, now):
     return peers_pb2.StoreNews(
         store=news.store,
--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -188,9 +188,9 @@
 class KvStores:
     """Keeps a record of what each store holds, and plans transfers.
 
-    A part is fetched only from a store that has reported all of its tokens. Only parts
-    of weights that no engine runs any more are freed, so a part that is planned for a
-    fetch stays complete until the fetch has ended.
+    A part is fetched only from a store that has reported all of its tokens, and within
+    the lease of what is known of the store, see `storerows`. Only parts are freed that
+    nobody fetches any more, see `cachesalts`.
 
     Parameters
     ----------
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -151,7 +151,7 @@
         for peer_state in message.store_words:
             row = self._stores.rows.get(peer_state.store)
             if row is not None and peer_state.boot == row.boot:
-                _merge_status(peer_state, row)
+                _merge_status(peer_state, row, now)
 
     def _apply_update(self, update, peer_state, row, sender, now):
         """Apply a peer's news of a store, unless this host knows something later.
@@ -198,13 +198,14 @@
     )
 
 
-def _merge_status(peer_state, row):
+def _merge_status(peer_state, row, now):
     """Note what a peer knows of a store's status, the same start of it being known."""
     if _is_later(peer_state, row):
         row.note_status(
             peer_state.checked_at, peer_state.is_silent, peer_state.clock_lead
         )
-    if peer_state.position <= row.position:
+    is_possible = row.may_have_answered_at(peer_state.answered_ms, now)
+    if peer_state.position <= row.position and is_possible:
         row.renew_lease(peer_state.answered_ms)
 
 
--- a/packages/decide/sesamespindle/decide/storerows.py
+++ b/packages/decide/sesamespindle/decide/storerows.py
@@ -168,7 +168,7 @@
         """
         if answered_ms is None:
             return
-        if self.answered_ms is None or answered_ms > self.answered_ms:
+        if self.answered_ms is None or not self._is_before(answered_ms):
             self.answered_ms = answered_ms
         self.known_ms_by_part |= dict.fromkeys(self.undated, answered_ms)
         self.undated.clear()
@@ -182,7 +182,21 @@
         """
         if boot == self.boot or answered_ms is None or self.answered_ms is None:
             return False
-        return answered_ms < self.answered_ms
+        return self._is_before(answered_ms)
+
+    def _is_before(self, answered_ms):
+        """Return whether an answer is from before the latest one that is known.
+
+        Guards against a store whose clock was wrong once, and ahead: no answer would
+        count after that one, and its lease would not end.
+        """
+        return 0.0 < self.answered_ms - answered_ms <= LEASE / _MILLISECOND
+
+    def may_have_answered_at(self, answered_ms, now):
+        """Return whether a peer's word of an answer isn't from the future."""
+        if answered_ms is None or self.clock_lead is None:
+            return True
+        return answered_ms <= self.clock_ms(now) + LEASE / _MILLISECOND
 
     def lease_end_ms(self):
         """Return by when fetches have to end, in ms of the engines' clock, or None."""
@@ -249,6 +263,9 @@
         else:
             self._keep_changes(update)
         self.position = update.position
+        self.removed_at_by_part = {
+            key: at for key, at in self.removed_at_by_part.items() if now - at < LEASE
+        }
         for part in update.parts:
             key = part.salt, part.part_id
             self.saving_by_part.pop(key, None)
@@ -270,11 +287,6 @@
         self.used -= self.tokens_by_part.pop(key, 0)
         self.known_ms_by_part.pop(key, None)
         self.undated.discard(key)
-        self.removed_at_by_part = {
-            other: at
-            for other, at in self.removed_at_by_part.items()
-            if now - at < LEASE
-        }
         self.removed_at_by_part[key] = now
 
     def changes_since(self, position):
--- a/tests/decide/test_kvstores.py
+++ b/tests/decide/test_kvstores.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from sesamespindle.decide import events, kvstores, routes, storefrees, storerows, world
+from sesamespindle.decide import (
+    events,
+    gossip,
+    kvstores,
+    routes,
+    storefrees,
+    storerows,
+    world,
+)
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 ENGINES = routes.Engines(("m",), 8, 100_000, 1000, 8e9)
@@ -205,3 +213,22 @@
     report_parts(stores, now=listed_at)
     report_parts(stores)
     assert plan(stores).fetch_from[0] == "s:1"
+
+
+def test_a_clock_that_was_wrong_once_makes_no_lease_without_an_end(stores):
+    """A store tells a clock an hour ahead, then restarts: no later answer counts."""
+    ahead = kvstores.StoreChanged("s", 1, (), False, 5000.0 + 3_600_000)
+    stores.handle(ahead, NOW)
+    report_parts(stores, now=NOW + seconds(1))
+    assert stores.rows.get("s").lease_end_ms() == 10_000
+    stores.handle(ahead, NOW + seconds(2))
+    report_parts(stores, boot=2, now=NOW + seconds(3))
+    assert stores.rows.get("s").boot == 2
+
+
+def test_a_peers_word_from_the_future_renews_no_lease(stores):
+    """One host had a wrong clock from a store, and its peers tell it on for ever."""
+    before = stores.rows.get("s").lease_end_ms()
+    word = gossip.StoreWord("s", 1, 0, NOW, False, None, 5000.0 + 3_600_000)
+    stores.relay.merge(gossip.GossipMessage("e", "dc-1", store_words=(word,)), NOW)
+    assert stores.rows.get("s").lease_end_ms() == before
