A peer's older word neither dates parts of a KV store nor ends a lease

Found on reading the leases again. A list tells no clock, so its parts were dated by the next answer that does, also by a peer's word of an answer from before the list: a part could be fetched before saves by ignorant hosts had begun, which the wait is there to prevent (MIXED). And a word over 4 s old, as of a peer that was frozen, lowered the lease, so that engines read prompts again that the store held.

Only this host's own next answer dates such parts now, news of parts from a peer that knows no clock waits for one that does, and a known answer is lowered only if it is from the future.

--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -285,7 +285,8 @@
             # peers sent later changes while the request to the store was in flight.
             self.note_restart(row, event.boot, "the store")
             row.apply(event, event.clock_ms, now)
-        row.renew_lease(event.clock_ms)
+        row.renew_lease(event.clock_ms, now)
+        row.date_parts(event.clock_ms)
 
     def note_restart(self, row, boot, source):
         """Log that a store has restarted, if another start of it was known.
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -146,7 +146,10 @@
         for update in message.store_news:
             row = self._stores.rows.get(update.store)
             peer_state = state_by_store.get(update.store)
-            if row is not None and peer_state is not None:
+            if row is None or peer_state is None:
+                continue
+            # A peer that knows no clock yet can't tell when the parts were there.
+            if peer_state.answered_ms is not None or not update.parts:
                 self._apply_update(update, peer_state, row, message.sender, now)
         for peer_state in message.store_words:
             row = self._stores.rows.get(peer_state.store)
@@ -206,7 +209,7 @@
         )
     is_possible = row.may_have_answered_at(peer_state.answered_ms, now)
     if peer_state.position <= row.position and is_possible:
-        row.renew_lease(peer_state.answered_ms)
+        row.renew_lease(peer_state.answered_ms, now)
 
 
 def _is_later_start(peer_state, row):
--- a/packages/decide/sesamespindle/decide/storerows.py
+++ b/packages/decide/sesamespindle/decide/storerows.py
@@ -158,20 +158,36 @@
             return None
         return int(at.timestamp() * 1000.0 + self.clock_lead)
 
-    def renew_lease(self, answered_ms):
+    def renew_lease(self, answered_ms, now):
         """Note an answer of the known start of the store, with all its changes known.
 
+        Guards against a store whose clock was wrong once, and ahead: no answer would
+        count after that one, and its lease would not end.
+
         Parameters
         ----------
         answered_ms : float or None
             The engines' clock at the answer; None if the answer didn't tell it.
+        now : datetime.datetime
+            The current time.
         """
         if answered_ms is None:
             return
-        if self.answered_ms is None or not self._is_before(answered_ms):
+        known_ms = self.answered_ms
+        if known_ms is None or not self.may_have_answered_at(known_ms, now):
             self.answered_ms = answered_ms
-        self.known_ms_by_part |= dict.fromkeys(self.undated, answered_ms)
-        self.undated.clear()
+        else:
+            self.answered_ms = max(known_ms, answered_ms)
+
+    def date_parts(self, answered_ms):
+        """Date what lists without a clock have shown by a later answer of the store.
+
+        Guards against parts that are fetched too soon: a peer's word may be of an
+        answer from before the list, so only this host's own next answer will do.
+        """
+        if answered_ms is not None:
+            self.known_ms_by_part |= dict.fromkeys(self.undated, answered_ms)
+            self.undated.clear()
 
     def is_outdated(self, boot, answered_ms):
         """Return whether an answer is from before the start that is known.
@@ -182,18 +198,11 @@
         """
         if boot == self.boot or answered_ms is None or self.answered_ms is None:
             return False
-        return self._is_before(answered_ms)
-
-    def _is_before(self, answered_ms):
-        """Return whether an answer is from before the latest one that is known.
-
-        Guards against a store whose clock was wrong once, and ahead: no answer would
-        count after that one, and its lease would not end.
-        """
+        # A known answer that is far ahead had a wrong clock.
         return 0.0 < self.answered_ms - answered_ms <= LEASE / _MILLISECOND
 
     def may_have_answered_at(self, answered_ms, now):
-        """Return whether a peer's word of an answer isn't from the future."""
+        """Return whether an answer at a time isn't from the future, as far as known."""
         if answered_ms is None or self.clock_lead is None:
             return True
         return answered_ms <= self.clock_ms(now) + LEASE / _MILLISECOND
--- a/tests/decide/test_kvstores.py
+++ b/tests/decide/test_kvstores.py
@@ -232,3 +232,23 @@
     word = gossip.StoreWord("s", 1, 0, NOW, False, None, 5000.0 + 3_600_000)
     stores.relay.merge(gossip.GossipMessage("e", "dc-1", store_words=(word,)), NOW)
     assert stores.rows.get("s").lease_end_ms() == before
+
+
+def merge_word(stores, answered_ms, now):
+    word = gossip.StoreWord("s", 1, 0, now, False, None, answered_ms)
+    stores.relay.merge(gossip.GossipMessage("e", "dc-1", store_words=(word,)), now)
+
+
+def test_a_peers_older_word_does_not_date_what_a_list_without_a_clock_shows(stores):
+    """A part that was made after the peer's word is fetched before it may be."""
+    report_parts(stores, ("a", 100), whole_list=True, has_clock=False)
+    merge_word(stores, 4000.0, NOW)
+    report_parts(stores, now=NOW + seconds(0.5))
+    assert plan(stores, NOW + seconds(0.5)).fetch_from[0] is None
+
+
+def test_a_peer_that_was_frozen_ends_no_lease(stores):
+    """Its old word has engines read prompts again that a store holds."""
+    before = stores.rows.get("s").lease_end_ms()
+    merge_word(stores, 5000.0 - 10_000.0, NOW)
+    assert stores.rows.get("s").lease_end_ms() == before
--- a/tests/decide/test_storeleases.py
+++ b/tests/decide/test_storeleases.py
@@ -115,6 +115,10 @@
         if self._all_follow or number == 0:
             row = self.hosts[number].rows.get("s")
             answer = self.store.answer(row.boot, row.position, self._now)
+            if self._random.random() < 0.1:
+                answer = dataclasses.replace(
+                    self.store.answer(0, 0, self._now), whole_list=True, clock_ms=None
+                )
             delay = self._random.choice((0.01, 0.05, 1.0))
             self._later(delay, self.hosts[number].handle, answer, at_time(self._now))
             self._later(self._random.uniform(0.2, 1.2), self._poll, number)
