One word for a store, and one question whether a part may be fetched

What a host says of a KV store was put together in the relay and again in its test; whether a held part may be fetched was asked in two ways. No behaviour changes; tests/decide passes, and the guards of these modules fail without their code.

--- a/packages/decide/sesamespindle/decide/kvstores.py
+++ b/packages/decide/sesamespindle/decide/kvstores.py
@@ -170,9 +170,8 @@
         if holder is None:
             return None
         seconds = _transfer_seconds(self._engines, holder.store, part.tokens, near)
-        if not holder.is_settled((salt, part.part_id)):
-            return None
-        return seconds if seconds <= holder.lease_left(self._now) else None
+        may_fetch = holder.may_fetch((salt, part.part_id), seconds, self._now)
+        return seconds if may_fetch else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -341,9 +340,7 @@
                 fetched = seconds + _transfer_seconds(
                     engines, holder.store, part.tokens, near
                 )
-                if holder.is_settled((salt, part.part_id)) and (
-                    fetched <= holder.lease_left(now)
-                ):
+                if holder.may_fetch((salt, part.part_id), fetched, now):
                     fetch_from.append(holder.store.address)
                     seconds = fetched
                     lease_ends.append(holder.lease_end_ms())
--- a/packages/decide/sesamespindle/decide/storerelay.py
+++ b/packages/decide/sesamespindle/decide/storerelay.py
@@ -88,15 +88,7 @@
             return ()
         state_by_store = {peer_state.store: peer_state for peer_state in their_words}
         return tuple(
-            gossip.StoreWord(
-                row.name,
-                row.boot,
-                row.position,
-                row.status_at,
-                row.heard_at is None,
-                row.clock_lead,
-                row.answered_ms,
-            )
+            word_of(row)
             for row in self._stores.rows
             if row.status_at is not None
             and not _is_up_to_date(state_by_store.get(row.name), row)
@@ -188,6 +180,19 @@
         )
 
 
+def word_of(row):
+    """Return the `gossip.StoreWord` of a `storerows.StoreRow`."""
+    return gossip.StoreWord(
+        row.name,
+        row.boot,
+        row.position,
+        row.status_at,
+        row.heard_at is None,
+        row.clock_lead,
+        row.answered_ms,
+    )
+
+
 def _is_up_to_date(peer_state, row):
     """Return whether what a peer knows of a store is as complete and recent as here.
 
--- a/packages/decide/sesamespindle/decide/storerows.py
+++ b/packages/decide/sesamespindle/decide/storerows.py
@@ -50,7 +50,7 @@
     salt : str
         What the part is stored under.
     part_id : str
-        The part, as in `Part`.
+        The part, as in `kvstores.Part`.
     tokens : int
         Tokens of the part that are stored; 0 if the store no longer has it.
     """
@@ -235,6 +235,10 @@
         removed_at = self.removed_at_by_part.get(key)
         return removed_at is None or now - removed_at >= LEASE
 
+    def may_fetch(self, key, seconds, now):
+        """Return whether a held part may be fetched by a fetch that takes so long."""
+        return self.is_settled(key) and seconds <= self.lease_left(now)
+
     def is_settled(self, key):
         """Return whether the store answered late enough after it had shown a part.
 
--- a/tests/decide/test_storeleases.py
+++ b/tests/decide/test_storeleases.py
@@ -8,7 +8,15 @@
 
 import pytest
 
-from sesamespindle.decide import events, gossip, kvstores, routes, storerows, world
+from sesamespindle.decide import (
+    events,
+    gossip,
+    kvstores,
+    routes,
+    storerelay,
+    storerows,
+    world,
+)
 
 NOW = datetime.datetime(2026, 3, 1, 9, 0, tzinfo=datetime.UTC)
 ENGINES = routes.Engines(("m",), 8, 100_000, 1000, 8e9)
@@ -132,15 +140,7 @@
             f"entry-{other}",
             "dc-1",
             store_words=tuple(
-                gossip.StoreWord(
-                    row.name,
-                    row.boot,
-                    row.position,
-                    row.status_at,
-                    row.heard_at is None,
-                    row.clock_lead,
-                    row.answered_ms,
-                )
+                storerelay.word_of(row)
                 for row in self.hosts[other].rows
                 if row.status_at is not None
             ),
